Budgets given back after conflicts; programs under way go before new ones at the limit

Cause: a give-back that met a conflict left its tokens claimed for good; a team over its limit spent requests on programs that were then stopped halfway.

--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -55,8 +55,6 @@
 
     Attributes:
         returned: Tokens that were given back.
-        in_use: Tokens that running turns may still hand out.
     """
 
     returned: int
-    in_use: int
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -33,19 +33,47 @@
 
 
 class _Program:
-    """What this host knows of one program."""
+    """What this host knows of one program.
+
+    Attributes:
+        share: Claim from which turns are served.
+        old: Claims whose last write has an unknown outcome; nothing more is handed
+            out under their names.
+        lock: Held while the record is changed.
+        known: The record as it was last seen.
+    """
 
     def __init__(self, holder: str, now: float) -> None:
-        self.holder = holder
-        self.shares = 1
         self.share = BudgetShare(holder, now)
+        self.old: list[BudgetShare] = []
         self.lock = asyncio.Lock()
         self.known: _Known | None = None
+        self._holder = holder
+
+    @property
+    def shares(self) -> list[BudgetShare]:
+        """All claims of this host."""
+        return [*self.old, self.share]
 
     def renew(self, now: float) -> None:
-        """Starts a claim of another name; the old one stays as it may be."""
-        self.shares += 1
-        self.share = BudgetShare(f"{self.holder}/{self.shares}", now)
+        """Starts a claim under another name."""
+        self.old.append(self.share)
+        self.share = BudgetShare(f"{self._holder}/{len(self.old)}", now)
+
+    def learn(self, record: BudgetRecord, revision: int) -> None:
+        """Takes over the record as it stands in the store."""
+        self.known = _Known(record, revision)
+        self.share.claimed = record.claims.get(self.share.holder, 0)
+
+    def trimmed(self, shares: list[BudgetShare]) -> BudgetRecord:
+        """Returns the record without the tokens in ``shares`` that no turn may use."""
+        record = self.known.record
+        for share in shares:
+            claimed = record.claims.get(share.holder, 0)
+            spare = claimed - share.used - share.reserved
+            if spare > 0:
+                record = record.claim(share.holder, -spare)
+        return record
 
 
 class BudgetLedger:
@@ -101,30 +129,33 @@
         except TimeoutError as exc:
             raise Refused(BUDGET_UNCERTAIN) from exc
 
+    def knows(self, name: str) -> bool:
+        """Returns whether this host has served turns of a program."""
+        return name in self._programs
+
     async def give_back(self, name: str) -> BudgetGiven:
         """Gives back the tokens of a program that no turn here may use."""
         program = self._programs.get(name)
         if program is None:
-            return BudgetGiven(0, 0)
+            return BudgetGiven(0)
         async with asyncio.timeout(self.cfg.store_patience_s), program.lock:
-            share = program.share
-            returned = share.available
-            if returned <= 0 or program.known is None:
-                return BudgetGiven(0, share.reserved)
-            # If the outcome stays unknown, the old claim counts as it may stand and
-            # nothing more is handed out under its name.
-            program.renew(self._now())
-            record = program.known.record.claim(share.holder, -returned)
-            if not await self._write(name, program, record):
-                returned = 0
-            return BudgetGiven(returned, share.reserved)
+            while program.known is not None:
+                before = program.known.record
+                record = program.trimmed(program.shares)
+                if record == before:
+                    break
+                # Not to be handed out while the call is under way.
+                program.share.claimed = program.share.used + program.share.reserved
+                if await self._write(name, program, record):
+                    return BudgetGiven(record.free - before.free)
+        return BudgetGiven(0)
 
     async def _claim(
         self, name: str, program: _Program, limit: int, tokens: int
     ) -> None:
         if program.known is None:
-            program.known = _Known(BudgetRecord(limit, {}), 0)
-        record, _ = program.known
+            program.learn(BudgetRecord(limit, {}), 0)
+        record = program.trimmed(program.old)
         needed = tokens - program.share.available
         if record.free >= needed:
             size = claim_size(record, needed)
@@ -165,7 +196,7 @@
             return True
         if entry is None:
             return False
-        self._learn(program, _Known(unpack_budget(entry.value), entry.revision))
+        program.learn(unpack_budget(entry.value), entry.revision)
         return before is None or before.revision != entry.revision
 
     async def _write(self, name: str, program: _Program, record: BudgetRecord) -> bool:
@@ -179,19 +210,24 @@
             )
         except StoreConflict as exc:
             if exc.current is None:
-                limit = program.known.record.limit
-                self._learn(program, _Known(BudgetRecord(limit, {}), 0))
+                program.learn(BudgetRecord(program.known.record.limit, {}), 0)
                 return False
             current = unpack_budget(exc.current.value)
-            self._learn(program, _Known(current, exc.current.revision))
+            program.learn(current, exc.current.revision)
             return current == record
         except LeaseLost:
             self._leases.drop(lease)
             return False
         except StoreError as exc:
+            if exc.verdict.may_retry:
+                program.learn(*program.known)
+            else:
+                # The write may still take effect, at once or in seconds.
+                program.renew(self._now())
+                program.known = None
             await self._rest(name, exc)
             return False
-        self._learn(program, _Known(record, revision))
+        program.learn(record, revision)
         logger.bind(
             program=name, claims=record.claims, limit=record.limit, revision=revision
         ).info("budget claimed")
@@ -201,10 +237,6 @@
         logger.bind(program=name, reason=str(exc)).warning("budget not claimed yet")
         await asyncio.sleep(RETRY_S)
 
-    def _learn(self, program: _Program, known: _Known) -> None:
-        program.known = known
-        program.share.claimed = known.record.claims.get(program.share.holder, 0)
-
     def _program(self, name: str) -> _Program:
         now = self._now()
         if now - self._swept > SWEEP_S:
@@ -219,5 +251,6 @@
         """Forgets programs whose records have ended or will soon."""
         for name, program in list(self._programs.items()):
             idle_s = now - program.share.touched
-            if idle_s > self.cfg.budget_retention_s and not program.share.reserved:
+            busy = any(share.reserved for share in program.shares)
+            if idle_s > self.cfg.budget_retention_s and not busy:
                 del self._programs[name]
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -205,5 +205,5 @@
 
     async def _on_budget_ask(self, sender: str, ask: BudgetAsk) -> BudgetGiven:
         if self.budgets is None:
-            return BudgetGiven(0, 0)
+            return BudgetGiven(0)
         return await self.budgets.give_back(ask.program)
--- a/src/magnoliaroad/relay/quota.py
+++ b/src/magnoliaroad/relay/quota.py
@@ -56,15 +56,25 @@
         self._hosts = max(1, hosts)
         self._silent = min(silent, self._hosts - 1)
 
-    def admit(self, now: float, team: RelayTeam) -> float:
-        """Takes a token of ``team``; returns 0, or seconds until one may be left."""
+    def admit(self, now: float, team: RelayTeam, starts: bool = False) -> float:
+        """Takes a token of ``team``; returns 0, or seconds until one may be left.
+
+        While a team is over its limit, programs that are under way go before new
+        ones: a program that is stopped halfway has used its requests for nothing.
+
+        Args:
+            now: Time in seconds.
+            team: The team with its limit.
+            starts: Whether the request starts a program.
+        """
         if team.rate <= 0:
             return 0.0
         state = self._state(now, team)
         state.own += 1.0
         share = self._share(state)
-        if (state.tokens + self.cfg.slack) * share < 1.0:
-            missing = 1.0 / share - self.cfg.slack - state.tokens
+        kept = self.cfg.started_part * team.burst if starts else -self.cfg.slack
+        if (state.tokens - kept) * share < 1.0:
+            missing = 1.0 / share + kept - state.tokens
             return max(0.05, missing / (team.rate * self._reach()))
         state.tokens -= 1.0
         state.counted += 1
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -17,7 +17,7 @@
 from magnoliaroad.relay.metrics import FIRST_BYTE, SENDS
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.placement import by_load, by_session
-from magnoliaroad.relay.plan import pick_service
+from magnoliaroad.relay.plan import RelayTeam, pick_service
 from magnoliaroad.relay.refusals import (
     ALL_REFUSED,
     NO_TARGET,
@@ -118,10 +118,7 @@
     async def _prepare(self) -> None:
         call, team = self.call, self.admitted.team
         if team is not None:
-            wait_s = self.parts.quota.admit(time.monotonic(), team)
-            if wait_s:
-                raise Refused(over_limit(team.name, wait_s))
-            self._counted = True
+            await self._take_token(team)
         if self.route.keeps_turns and call.previous_turn:
             self._before = await self.parts.turns.load(
                 call.previous_turn, self.admitted.team_name
@@ -131,6 +128,27 @@
                 call.program, call.budget, call.output_tokens
             )
 
+    async def _take_token(self, team: RelayTeam) -> None:
+        cfg = self.parts.cfg.quota
+        starts = self._starts()
+        patient_until = self.began + (0.0 if starts else cfg.longest_wait_s)
+        while True:
+            now = time.monotonic()
+            wait_s = self.parts.quota.admit(now, team, starts)
+            if not wait_s:
+                self._counted = True
+                return
+            if now + wait_s > min(patient_until, self.ends):
+                raise Refused(over_limit(team.name, wait_s))
+            await asyncio.sleep(wait_s)
+
+    def _starts(self) -> bool:
+        """Whether the request may be the first of a program."""
+        call = self.call
+        if not call.program or not self.streams or call.previous_turn:
+            return False
+        return not self.parts.budgets.knows(call.program)
+
     def _settle(self) -> None:
         if self._counted and not self.sent:
             self.parts.quota.refund(self.admitted.team)
