Turns on two record hosts' disks, stored in batches

Cause: each turn cost a write on the platform's store and, on another host, a read. Records are synced on two hosts in different data centres and stored in batches.

--- a/src/magnoliaroad/peers/interface.py
+++ b/src/magnoliaroad/peers/interface.py
@@ -22,6 +22,10 @@
             reply: ``NamedTuple`` type of the reply.
         """
 
+    @abc.abstractmethod
+    def expect(self, *replies: Any) -> None:
+        """Makes types of replies known that no handler of this host gives."""
+
     @abc.abstractmethod
     async def call(
         self, host: str, message: Any, timeout_s: float | None = None
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -50,6 +50,11 @@
             self._catalogue.add(reply)
         self._handlers[kind] = handler
 
+    @override
+    def expect(self, *replies: Any) -> None:
+        for kind in replies:
+            self._catalogue.add(kind)
+
     @override
     def learn(self, addresses: list[PeerAddress]) -> None:
         known = {a.host: a for a in addresses if a.host != self.name}
--- /dev/null
+++ b/src/magnoliaroad/records/client.py
@@ -0,0 +1,190 @@
+"""A relay host's way to the record hosts and the store behind them."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from magnoliaroad.peers import PeerAddress, PeerError, Peers
+from magnoliaroad.records.messages import (
+    FetchRecord,
+    KeepRecord,
+    RecordFound,
+    RecordHostHere,
+    RecordKept,
+)
+from magnoliaroad.records.settings import RecordSettings
+from magnoliaroad.rendezvous import rendezvous
+from magnoliaroad.store import LeaseLost, Store, StoreError, StorePut
+from magnoliaroad.store.leases import LeasePool
+
+# Wait between tries, in seconds.
+RETRY_S = 0.05
+
+
+class RecordClient:
+    """Keeps records on two record hosts, or in the store, and finds them again.
+
+    Args:
+        cfg: Time limits.
+        store: The store.
+        leases: Leases for records that this host writes to the store itself.
+        peers: Connections between hosts.
+        now: Clock in seconds.
+    """
+
+    def __init__(
+        self,
+        cfg: RecordSettings,
+        store: Store,
+        leases: LeasePool,
+        peers: Peers,
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.cfg = cfg
+        self._store = store
+        self._leases = leases
+        self._peers = peers
+        self._now = now
+        self._hosts: dict[str, PeerAddress] = {}
+        self._heard: dict[str, float] = {}
+        self._refusing: set[str] = set()
+        peers.expect(RecordKept, RecordFound)
+
+    @property
+    def hosts(self) -> dict[str, PeerAddress]:
+        """Record hosts that are known."""
+        return self._hosts
+
+    def set_hosts(self, hosts: dict[str, PeerAddress]) -> None:
+        """Takes over the record hosts that the store lists."""
+        self._hosts = hosts
+
+    def heard(self, here: RecordHostHere) -> bool:
+        """Takes a record host's message; returns whether the host is new."""
+        self._heard[here.host] = self._now()
+        if here.accepts:
+            self._refusing.discard(here.host)
+        else:
+            self._refusing.add(here.host)
+        address = PeerAddress(here.host, here.data_centre, here.address, here.port)
+        new = self._hosts.get(here.host) != address
+        self._hosts[here.host] = address
+        return new
+
+    async def keep(self, key: str, value: bytes, keep_s: float) -> None:
+        """Returns once a record is synced on two hosts, or is in the store.
+
+        While neither can be had, one host will do: a data centre that is cut off
+        goes on, and the host writes the record to the store later.
+        """
+        while True:
+            synced = await self._keep_on_hosts(key, value, keep_s)
+            if len(synced) >= 2 or await self._keep_in_store(key, value, keep_s):
+                return
+            if synced:
+                logger.bind(key=key, hosts=synced).warning("record on one host only")
+                return
+            await asyncio.sleep(RETRY_S)
+
+    async def fetch(self, key: str) -> bytes | None:
+        """Returns a record; ``None`` if there certainly is none.
+
+        Waits while that is not certain; callers set a limit.
+        """
+        while True:
+            ranked = self._ranked(key)
+            for host in ranked[:1]:
+                found = await self._ask(host, FetchRecord(key))
+                if found is not None and found.found:
+                    return found.value
+            certain, value = await self._search(key, ranked[1:])
+            if value is not None or certain:
+                return value
+            await asyncio.sleep(RETRY_S)
+
+    async def _search(self, key: str, others: list[str]) -> tuple[bool, bytes | None]:
+        answers, entry = await asyncio.gather(
+            asyncio.gather(*(self._ask(host, FetchRecord(key)) for host in others)),
+            self._read_store(key),
+        )
+        for found in answers:
+            if found is not None and found.found:
+                return True, found.value
+        reached, value = entry
+        return reached and None not in answers, value
+
+    async def _read_store(self, key: str) -> tuple[bool, bytes | None]:
+        try:
+            entry = await self._store.get(key)
+        except StoreError as exc:
+            logger.bind(key=key, reason=str(exc)).warning("record not read yet")
+            return False, None
+        return True, None if entry is None else entry.value
+
+    async def _keep_on_hosts(self, key: str, value: bytes, keep_s: float) -> list[str]:
+        first, second = [*self._pair(key), "", ""][:2]
+        if not first:
+            return []
+        asks = [self._keep_on(first, KeepRecord(key, value, keep_s, second, True))]
+        if second:
+            ask = KeepRecord(key, value, keep_s, first, False)
+            asks.append(self._keep_on(second, ask))
+        done = await asyncio.gather(*asks)
+        synced = [host for host, ok in zip((first, second), done, strict=False) if ok]
+        for host in self._ranked(key):
+            if len(synced) >= 2:
+                break
+            if host not in (first, second):
+                ask = KeepRecord(key, value, keep_s, "", True)
+                if await self._keep_on(host, ask):
+                    synced.append(host)
+        return synced
+
+    async def _keep_on(self, host: str, ask: KeepRecord) -> bool:
+        kept = await self._ask(host, ask)
+        return kept is not None and kept.synced
+
+    async def _keep_in_store(self, key: str, value: bytes, keep_s: float) -> bool:
+        lease = 0
+        try:
+            async with asyncio.timeout(self.cfg.call_s):
+                lease = await self._leases.get(keep_s)
+                await self._store.put_many([StorePut(key, value, lease)])
+        except LeaseLost:
+            self._leases.drop(lease)
+            return False
+        except (StoreError, TimeoutError) as exc:
+            logger.bind(key=key, reason=repr(exc)).warning("record not stored yet")
+            return False
+        return True
+
+    async def _ask(
+        self, host: str, ask: KeepRecord | FetchRecord
+    ) -> RecordKept | RecordFound | None:
+        try:
+            async with asyncio.timeout(self.cfg.call_s):
+                return await self._peers.call(host, ask, self.cfg.call_s)
+        except (PeerError, TimeoutError) as exc:
+            self._heard.pop(host, None)
+            logger.bind(host=host, key=ask.key, reason=repr(exc)).info(
+                "record host not reached"
+            )
+            return None
+
+    def _pair(self, key: str) -> list[str]:
+        """Returns two hosts for a record, in different data centres if possible."""
+        ranked = [host for host in self._ranked(key) if host not in self._refusing]
+        if not ranked:
+            return []
+        first = ranked[0]
+        place = self._hosts[first].data_centre
+        elsewhere = [h for h in ranked[1:] if self._hosts[h].data_centre != place]
+        return [first, *(elsewhere or ranked[1:])[:1]]
+
+    def _ranked(self, key: str) -> list[str]:
+        """Returns the record hosts, those that were heard lately first."""
+        since = self._now() - self.cfg.silent_s
+        names = rendezvous(key, self._hosts)
+        return sorted(names, key=lambda host: self._heard.get(host, 0.0) < since)
--- /dev/null
+++ b/src/magnoliaroad/records/held.py
@@ -0,0 +1,40 @@
+"""Values held in memory up to a total size."""
+
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+class HeldValues(Generic[T]):
+    """Holds values by key; the least recently used go first.
+
+    Args:
+        limit_bytes: Most bytes that are held.
+        size_of: Returns the bytes of a value.
+    """
+
+    def __init__(self, limit_bytes: int, size_of: Callable[[T], int]) -> None:
+        self.limit_bytes = limit_bytes
+        self.size = 0
+        self._size_of = size_of
+        self._values: OrderedDict[str, T] = OrderedDict()
+
+    def get(self, key: str) -> T | None:
+        """Returns the value of ``key``, if it is held."""
+        value = self._values.get(key)
+        if value is not None:
+            self._values.move_to_end(key)
+        return value
+
+    def add(self, key: str, value: T) -> None:
+        """Holds ``value``."""
+        before = self._values.pop(key, None)
+        if before is not None:
+            self.size -= self._size_of(before)
+        self._values[key] = value
+        self.size += self._size_of(value)
+        while self.size > self.limit_bytes and len(self._values) > 1:
+            _, old = self._values.popitem(last=False)
+            self.size -= self._size_of(old)
--- /dev/null
+++ b/src/magnoliaroad/records/messages.py
@@ -0,0 +1,74 @@
+"""Messages between relay hosts and record hosts."""
+
+from typing import NamedTuple
+
+
+class KeepRecord(NamedTuple):
+    """Asks a record host to keep a record.
+
+    Attributes:
+        key: Key of the record in the store.
+        value: The record.
+        keep_s: How long the store is to hold it.
+        partner: Record host that is asked for the same; empty for none.
+        first: Whether this host writes it to the store; the partner does so only
+            if it does not hear that it was done.
+    """
+
+    key: str
+    value: bytes
+    keep_s: float
+    partner: str
+    first: bool
+
+
+class RecordKept(NamedTuple):
+    """The answer to ``KeepRecord``.
+
+    Attributes:
+        synced: Whether the record is on the disk.
+    """
+
+    synced: bool
+
+
+class FetchRecord(NamedTuple):
+    """Asks a record host for a record."""
+
+    key: str
+
+
+class RecordFound(NamedTuple):
+    """The answer to ``FetchRecord``.
+
+    Attributes:
+        found: Whether the host holds the record.
+        value: The record.
+    """
+
+    found: bool
+    value: bytes
+
+
+class RecordsStored(NamedTuple):
+    """Tells the partner that records are in the store."""
+
+    keys: list[str]
+
+
+class RecordHostHere(NamedTuple):
+    """Tells relay hosts that a record host takes records.
+
+    Attributes:
+        host: Its name.
+        data_centre: Where it stands.
+        address: IP address of its peer port.
+        port: Its peer port.
+        accepts: Whether it takes new records.
+    """
+
+    host: str
+    data_centre: str
+    address: str
+    port: int
+    accepts: bool
--- /dev/null
+++ b/src/magnoliaroad/records/service.py
@@ -0,0 +1,176 @@
+"""Keeps records on this host's disk until the store holds them."""
+
+import asyncio
+import pathlib
+import time
+
+from loguru import logger
+from mode import Service
+
+from magnoliaroad.peers import PeerService
+from magnoliaroad.records.held import HeldValues
+from magnoliaroad.records.journal import Journal, JournalRecord
+from magnoliaroad.records.messages import (
+    FetchRecord,
+    KeepRecord,
+    RecordFound,
+    RecordKept,
+    RecordsStored,
+)
+from magnoliaroad.records.pending import PendingRecord, PendingRecords
+from magnoliaroad.records.settings import RecordSettings
+from magnoliaroad.store import LeaseLost, Store, StoreError, StorePut
+from magnoliaroad.store.leases import LeasePool
+
+# Time between looks for records that are due, in seconds.
+LOOK_S = 0.1
+# Wait after a failed call on the store, in seconds.
+RETRY_S = 0.2
+
+
+class RecordService(Service):
+    """Answers relay hosts, and writes records to the store in batches.
+
+    Args:
+        cfg: Sizes and ages.
+        folder: Folder of the journal.
+        store: The store.
+        peers: Connections between hosts.
+
+    Attributes:
+        accepts: Whether new records are taken.
+    """
+
+    def __init__(
+        self,
+        cfg: RecordSettings,
+        folder: pathlib.Path,
+        store: Store,
+        peers: PeerService,
+    ) -> None:
+        super().__init__()
+        self.cfg = cfg
+        self.accepts = True
+        self._journal = Journal(folder, cfg.segment_bytes)
+        self._store = store
+        self._leases = LeasePool(store)
+        self._peers = peers
+        self._pending = PendingRecords(cfg)
+        self._held: HeldValues[bytes] = HeldValues(cfg.held_bytes, len)
+        self._unsynced: list[tuple[KeepRecord, asyncio.Future[bool]]] = []
+        self._wake = asyncio.Event()
+        self._storing = asyncio.Lock()
+        peers.on(KeepRecord, self._on_keep, RecordKept)
+        peers.on(FetchRecord, self._on_fetch, RecordFound)
+        peers.on(RecordsStored, self._on_stored)
+
+    async def on_start(self) -> None:
+        """Takes over what an earlier run has left on the disk."""
+        found = self._journal.recover()
+        # Nobody knows which of them the store holds; writing again does no harm.
+        for record in found:
+            self._pending.add(
+                time.monotonic() - self.cfg.store_after_s, record, "", True
+            )
+        logger.bind(records=len(found), bytes=self._pending.size).info(
+            "journal recovered"
+        )
+
+    async def on_stop(self) -> None:
+        """Closes the journal."""
+        self._journal.close()
+
+    async def empty(self) -> bool:
+        """Stops taking records and writes all to the store; returns whether done."""
+        self.accepts = False
+        while len(self._pending) or self._unsynced:
+            if not await self._store_batch(everything=True):
+                return False
+        return True
+
+    @Service.task
+    async def _sync(self) -> None:
+        while not self.should_stop:
+            await self._wake.wait()
+            self._wake.clear()
+            batch, self._unsynced = self._unsynced, []
+            self._sync_batch(batch)
+
+    def _sync_batch(self, batch: list[tuple[KeepRecord, asyncio.Future[bool]]]) -> None:
+        records = [JournalRecord(a.key, a.value, a.keep_s) for a, _ in batch]
+        try:
+            self._journal.append(records)
+        except OSError as exc:
+            logger.bind(records=len(batch), reason=str(exc)).error("disk refused")
+            synced = False
+        else:
+            synced = True
+            now = time.monotonic()
+            for (ask, _), record in zip(batch, records, strict=True):
+                self._pending.add(now, record, ask.partner, ask.first)
+        for _, fut in batch:
+            if not fut.done():
+                fut.set_result(synced)
+
+    @Service.task
+    async def _store_due(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(LOOK_S)
+            if not await self._store_batch():
+                await asyncio.sleep(RETRY_S)
+
+    async def _store_batch(self, everything: bool = False) -> bool:
+        """Writes the next batch; returns whether the store took it."""
+        async with self._storing:
+            batch = self._pending.batch(time.monotonic(), everything)
+            if not batch:
+                return True
+            lease = 0
+            try:
+                keep_s = max(p.record.keep_s for p in batch)
+                lease = await self._leases.get(keep_s)
+                puts = [StorePut(p.record.key, p.record.value, lease) for p in batch]
+                await self._store.put_many(puts)
+            except LeaseLost:
+                self._leases.drop(lease)
+                return False
+            except StoreError as exc:
+                logger.bind(records=len(self._pending), reason=str(exc)).warning(
+                    "records not stored yet"
+                )
+                return False
+            self._settle(batch)
+            return True
+
+    def _settle(self, batch: list[PendingRecord]) -> None:
+        told: dict[str, list[str]] = {}
+        for pending in batch:
+            record = pending.record
+            self._finish(record.key)
+            if pending.partner:
+                told.setdefault(pending.partner, []).append(record.key)
+        for partner, keys in told.items():
+            self._peers.send(partner, RecordsStored(keys))
+        logger.bind(records=len(batch), left=len(self._pending)).info("records stored")
+
+    def _finish(self, key: str) -> None:
+        pending = self._pending.pop(key)
+        if pending is not None:
+            self._held.add(key, pending.record.value)
+            self._journal.done(key)
+
+    async def _on_keep(self, sender: str, ask: KeepRecord) -> RecordKept:
+        if not self.accepts or self._pending.size > self.cfg.pending_bytes:
+            return RecordKept(False)
+        fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._unsynced.append((ask, fut))
+        self._wake.set()
+        return RecordKept(await fut)
+
+    async def _on_fetch(self, sender: str, ask: FetchRecord) -> RecordFound:
+        value = self._pending.get(ask.key) or self._held.get(ask.key)
+        return RecordFound(value is not None, value or b"")
+
+    async def _on_stored(self, sender: str, told: RecordsStored) -> None:
+        for key in told.keys:
+            self._finish(key)
--- /dev/null
+++ b/src/magnoliaroad/records/settings.py
@@ -0,0 +1,37 @@
+"""Settings of records."""
+
+from typing import NamedTuple
+
+
+class RecordSettings(NamedTuple):
+    """How records are kept until the store holds them.
+
+    Attributes:
+        store_after_s: Age at which the first host writes a record to the store;
+            longer batches more.
+        partner_after_s: Age at which the partner does so if it heard nothing.
+        batch_bytes: Most bytes of records in one call on the store, whose values are
+            at most 1 MB.
+        batch_count: Most records in one call; the store's limit.
+        held_bytes: Most memory for records that the store holds already.
+        pending_bytes: Most bytes of records that the store does not hold; more are
+            refused.
+        segment_bytes: Size at which a new file of the journal is begun.
+        call_s: Longest wait of a relay host for a record host; ten syncs of a slow
+            disk.
+        silent_s: Silence after which a record host is asked last.
+        here_interval_s: Time between a record host's messages that it is there.
+        list_interval_s: Time between readings of the list of hosts.
+    """
+
+    store_after_s: float = 1.0
+    partner_after_s: float = 3.0
+    batch_bytes: int = 600_000
+    batch_count: int = 32
+    held_bytes: int = 24_000_000
+    pending_bytes: int = 60_000_000
+    segment_bytes: int = 2_000_000
+    call_s: float = 0.25
+    silent_s: float = 2.5
+    here_interval_s: float = 0.8
+    list_interval_s: float = 10.0
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -7,13 +7,14 @@
 from mode import Service
 
 from magnoliaroad.peers import PeerService
+from magnoliaroad.records.client import RecordClient
 from magnoliaroad.relay.announcer import Announcer
 from magnoliaroad.relay.budget_ledger import BudgetLedger
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.directory import Directory
 from magnoliaroad.relay.fleet import FleetService
 from magnoliaroad.relay.host_entry import HostEntry
-from magnoliaroad.relay.leases import LeasePool
+from magnoliaroad.relay.metrics_server import MetricsServer
 from magnoliaroad.relay.mirror import PrefixMirror
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.plan_holder import PlanHolder
@@ -23,7 +24,8 @@
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.turn_ledger import TurnLedger
-from magnoliaroad.store import Store, StoreError
+from magnoliaroad.store import Store
+from magnoliaroad.store.leases import LeasePool
 from magnoliaroad.targets import TargetClient
 from magnoliaroad.targets.settings import TargetSettings
 
@@ -46,20 +48,19 @@
         super().__init__()
         self.cfg = cfg
         self.store = store
-        self._directory = directory
         address, _, port = cfg.listen.peers.rpartition(":")
         self.peers = PeerService(cfg.peers, cfg.name, address, int(port))
         self.plans = PlanHolder(directory)
-        self.plans.watch_retirements(self._retire)
         self.table = TargetTable()
         self.quota = QuotaBook(cfg.quota, time.monotonic())
         self.follower = TargetFollower(directory, self.table, cfg.follow.lapse_grace_s)
+        leases = LeasePool(store)
+        self.records = RecordClient(cfg.records, store, leases, self.peers)
         self.fleet = FleetService(
-            cfg, store, self.peers, self.plans, self.quota, self.table
+            cfg, store, self.peers, self.plans, self.quota, self.table, self.records
         )
         entry = HostEntry(cfg.data_centre, address, int(port), relays=True)
         self.announcer = Announcer(store, cfg.fleet, cfg.name, entry)
-        leases = LeasePool(store)
         self.budgets = BudgetLedger(
             store, leases, cfg.turns, self.fleet.holder, self.fleet.ask_budget
         )
@@ -77,7 +78,7 @@
             quota=self.quota,
             table=self.table,
             client=self.client,
-            turns=TurnLedger(store, leases, cfg.turns),
+            turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
         )
         self.server = RelayServer(parts, self._ready)
@@ -85,7 +86,6 @@
             PrefixMirror(store, directory.operator_prefix, cfg.follow, self.plans),
             PrefixMirror(store, directory.target_prefix, cfg.follow, self.follower),
         )
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def on_start(self) -> None:
         """Starts the parts; those that others need come first."""
@@ -95,6 +95,7 @@
             *self._mirrors,
             self.announcer,
             self.fleet,
+            MetricsServer(self.cfg.listen.metrics),
             self.server,
         ):
             await self.add_runtime_dependency(part)
@@ -121,19 +122,3 @@
 
     def _ready(self) -> bool:
         return self.plans.plan is not None and self.follower.known
-
-    def _retire(self, key: str) -> None:
-        task = asyncio.create_task(self._confirm_retirement(key))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
-    async def _confirm_retirement(self, key: str) -> None:
-        """Says that a host is empty; no data lies on hosts, so each always is."""
-        asked = self._directory.read_retirement(key)
-        try:
-            await self.store.put(asked.status_key, asked.status, expected=0)
-            logger.bind(host=asked.host).info("retirement confirmed")
-        except StoreError as exc:
-            logger.bind(host=asked.host, reason=str(exc)).info(
-                "retirement not confirmed by this host"
-            )
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -11,10 +11,10 @@
 from magnoliaroad.relay.beat import BudgetGiven
 from magnoliaroad.relay.budget import BudgetRecord, claim_size, unpack_budget
 from magnoliaroad.relay.budget_share import BudgetShare
-from magnoliaroad.relay.leases import LeasePool
 from magnoliaroad.relay.refusals import BUDGET_SPENT, BUDGET_UNCERTAIN
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.store import LeaseLost, Store, StoreConflict, StoreError
+from magnoliaroad.store.leases import LeasePool
 
 PREFIX = "budgets/"
 # Wait between tries of a call on the store.
--- a/src/magnoliaroad/relay/directory.py
+++ b/src/magnoliaroad/relay/directory.py
@@ -17,12 +17,14 @@
     Attributes:
         host: Name of the host.
         status_key: Key under which the answer is written.
-        status: Value that says that the host holds nothing any more.
+        begun: Value that says that the host is being emptied.
+        done: Value that says that it holds nothing any more.
     """
 
     host: str
     status_key: str
-    status: bytes
+    begun: bytes
+    done: bytes
 
 
 class Directory(abc.ABC):
@@ -30,6 +32,7 @@
 
     operator_prefix: str
     target_prefix: str
+    retirement_prefix: str
 
     @abc.abstractmethod
     def read_plan(self, key: str, value: bytes) -> RelayPlan | None:
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -10,6 +10,8 @@
 from mode import Service
 
 from magnoliaroad.peers import PeerAddress, PeerError, PeerService
+from magnoliaroad.records.client import RecordClient
+from magnoliaroad.records.messages import RecordHostHere
 from magnoliaroad.relay.beat import Beat, BudgetAsk, BudgetGiven, PlanAsk, PlanTold
 from magnoliaroad.relay.host_entry import PREFIX, unpack_host
 from magnoliaroad.relay.plan_holder import PlanHolder
@@ -24,6 +26,8 @@
 ASK_S = 0.3
 # Wait after the list of hosts could not be read.
 LIST_RETRY_S = 1.0
+# Time between readings of the list at a host's start.
+FIRST_LIST_S = 2.0
 # Beats a second that a host sends at most; larger fleets beat less often.
 MOST_BEATS_PER_S = 150.0
 
@@ -48,6 +52,7 @@
         plans: Configuration in force.
         quota: Takes what peers admitted.
         targets: Takes what peers have in hand.
+        records: Is told of the record hosts.
     """
 
     def __init__(
@@ -58,6 +63,7 @@
         plans: PlanHolder,
         quota: QuotaBook,
         targets: TargetTable,
+        records: RecordClient,
     ) -> None:
         super().__init__()
         self.cfg = cfg
@@ -69,11 +75,13 @@
         self._plans = plans
         self._quota = quota
         self._targets = targets
+        self._records = records
         self._began = time.monotonic()
         self._members: dict[str, PeerAddress] = {}
         self._heard: dict[str, _Heard] = {}
         self._asking = False
         peers.on(Beat, self._on_beat)
+        peers.on(RecordHostHere, self._on_record_host)
         peers.on(PlanAsk, self._on_plan_ask, PlanTold)
         peers.on(BudgetAsk, self._on_budget_ask, BudgetGiven)
 
@@ -99,9 +107,11 @@
     @Service.task
     async def _follow_list(self) -> None:
         while not self.should_stop:
-            pause_s = self.cfg.fleet.list_interval_s
             try:
                 await self._list()
+                # All hosts start together: those listed at first are not all.
+                young = time.monotonic() - self._began < YOUNG_S
+                pause_s = FIRST_LIST_S if young else self.cfg.fleet.list_interval_s
             except StoreError as exc:
                 logger.bind(reason=str(exc)).info("hosts not listed")
                 pause_s = LIST_RETRY_S
@@ -109,12 +119,16 @@
 
     async def _list(self) -> None:
         batch = await self._store.list(PREFIX)
-        listed = {}
+        listed: dict[str, PeerAddress] = {}
+        record_hosts: dict[str, PeerAddress] = {}
         for entry in batch.changed:
             host = entry.key.removeprefix(PREFIX)
             known = unpack_host(entry.value)
-            if known.relays and host != self.cfg.name:
+            if not known.relays:
+                record_hosts[host] = known.peer(host)
+            elif host != self.cfg.name:
                 listed[host] = known.peer(host)
+        self._records.set_hosts(record_hosts)
         now = time.monotonic()
         for host, address in self._members.items():
             heard = self._heard.get(host)
@@ -126,13 +140,16 @@
             self._quota.forget(host)
         self._set_members(listed)
 
+    async def _on_record_host(self, sender: str, here: RecordHostHere) -> None:
+        if self._records.heard(here):
+            logger.bind(host=here.host).info("record host known")
+            self._set_members(self._members)
+
     def _set_members(self, members: dict[str, PeerAddress]) -> None:
-        if members == self._members:
-            return
         for host in members.keys() - self._members.keys():
             logger.bind(host=host).info("host known")
         self._members = members
-        self._peers.learn(list(members.values()))
+        self._peers.learn([*members.values(), *self._records.hosts.values()])
         self._targets.forget_hosts(members)
 
     @Service.task
--- a/src/magnoliaroad/relay/plan_holder.py
+++ b/src/magnoliaroad/relay/plan_holder.py
@@ -1,7 +1,5 @@
 """The configuration that is in force on this host."""
 
-from collections.abc import Callable
-
 from loguru import logger
 
 from magnoliaroad.relay.directory import BadEntry, Directory
@@ -22,17 +20,12 @@
         self.plan: RelayPlan | None = None
         self.source: tuple[str, bytes] | None = None
         self._directory = directory
-        self._retiring: Callable[[str], None] | None = None
 
     @property
     def version(self) -> int:
         """Version in force; -1 before the first."""
         return -1 if self.plan is None else self.plan.version
 
-    def watch_retirements(self, handler: Callable[[str], None]) -> None:
-        """Has ``handler`` called with each key that asks to empty a host."""
-        self._retiring = handler
-
     def on_snapshot(self, entries: dict[str, StoreEntry], after_loss: bool) -> None:
         """Takes all entries that the operator wrote."""
         for entry in entries.values():
@@ -45,9 +38,6 @@
 
     def offer(self, key: str, value: bytes, origin: str) -> bool:
         """Takes the configuration in an entry if it is newer; returns whether."""
-        if self._retiring is not None and self._directory.read_retirement(key):
-            self._retiring(key)
-            return False
         try:
             plan = self._directory.read_plan(key, value)
         except BadEntry as exc:
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -1,43 +1,142 @@
 """The application that runs on a host with a disk."""
 
+import asyncio
+import pathlib
+
 from loguru import logger
 from mode import Service
 
 from magnoliaroad.peers import PeerService
+from magnoliaroad.records.messages import RecordHostHere
+from magnoliaroad.records.service import RecordService
 from magnoliaroad.relay.announcer import Announcer
-from magnoliaroad.relay.host_entry import HostEntry
+from magnoliaroad.relay.directory import Directory, Retirement
+from magnoliaroad.relay.host_entry import PREFIX, HostEntry, unpack_host
+from magnoliaroad.relay.metrics_server import MetricsServer
+from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.settings import RelaySettings
-from magnoliaroad.store import Store
+from magnoliaroad.store import Store, StoreEntry, StoreError, WatchBatch
+
+# Longest time that a host which stops takes to write its records to the store.
+EMPTY_S = 3.0
+# Wait after a failed call on the store, in seconds.
+RETRY_S = 0.3
+# A retirement may be asked for seconds ahead, so this watch may stay open for long.
+RETIREMENT_WATCH_S = 20.0
 
 
-class RecordApplication(Service):
+class RecordApplication(Service, MirrorListener):
     """Builds the parts of a record host, starts them in order and stops them.
 
     Args:
         cfg: Settings of the host.
         store: The platform's store.
+        directory: How the store's entries are written.
     """
 
-    def __init__(self, cfg: RelaySettings, store: Store) -> None:
+    def __init__(self, cfg: RelaySettings, store: Store, directory: Directory) -> None:
         super().__init__()
         self.cfg = cfg
         self.store = store
+        self._directory = directory
         address, _, port = cfg.listen.peers.rpartition(":")
         self.peers = PeerService(cfg.peers, cfg.name, address, int(port))
-        entry = HostEntry(cfg.data_centre, address, int(port), relays=False)
-        self.announcer = Announcer(store, cfg.fleet, cfg.name, entry)
+        self._entry = HostEntry(cfg.data_centre, address, int(port), relays=False)
+        self.announcer = Announcer(store, cfg.fleet, cfg.name, self._entry)
+        folder = pathlib.Path(cfg.data_folder or "data") / "records"
+        self.records = RecordService(cfg.records, folder, store, self.peers)
+        self.mirror = PrefixMirror(
+            store,
+            directory.retirement_prefix,
+            cfg.follow._replace(watch_s=RETIREMENT_WATCH_S),
+            self,
+        )
+        self._relays: list[str] = []
+        self._retiring: asyncio.Task[None] | None = None
 
     async def on_start(self) -> None:
         """Starts the parts; those that others need come first."""
-        for part in (self.peers, self.announcer):
+        metrics = MetricsServer(self.cfg.listen.metrics)
+        for part in (self.peers, self.records, self.announcer, self.mirror, metrics):
             await self.add_runtime_dependency(part)
         logger.bind(host=self.cfg.name).info("host started")
 
+    @Service.task
+    async def _list(self) -> None:
+        while not self.should_stop:
+            try:
+                batch = await self.store.list(PREFIX)
+            except StoreError as exc:
+                logger.bind(reason=str(exc)).info("hosts not listed")
+                await asyncio.sleep(RETRY_S)
+                continue
+            hosts = {
+                entry.key.removeprefix(PREFIX): unpack_host(entry.value)
+                for entry in batch.changed
+            }
+            self.peers.learn([entry.peer(host) for host, entry in hosts.items()])
+            self._relays = [host for host, entry in hosts.items() if entry.relays]
+            await asyncio.sleep(self.cfg.records.list_interval_s)
+
+    @Service.task
+    async def _tell(self) -> None:
+        while not self.should_stop:
+            here = RecordHostHere(
+                self.cfg.name,
+                self.cfg.data_centre,
+                self._entry.address,
+                self._entry.port,
+                self.records.accepts,
+            )
+            for host in self._relays:
+                self.peers.send(host, here)
+            await asyncio.sleep(self.cfg.records.here_interval_s)
+
+    def on_snapshot(self, entries: dict[str, StoreEntry], after_loss: bool) -> None:
+        """Takes all retirements that are asked for."""
+        for key in entries:
+            self._look(key)
+
+    def on_batch(self, batch: WatchBatch) -> None:
+        """Takes retirements that were asked for lately."""
+        for entry in batch.changed:
+            self._look(entry.key)
+
+    def _look(self, key: str) -> None:
+        asked = self._directory.read_retirement(key)
+        if asked is None or asked.host != self.cfg.name or self._retiring is not None:
+            return
+        logger.bind(host=asked.host).info("retirement begun")
+        self._retiring = asyncio.create_task(self._retire(asked))
+
+    async def _retire(self, asked: Retirement) -> None:
+        await self._say(asked.status_key, asked.begun)
+        while not await self.records.empty():
+            await asyncio.sleep(RETRY_S)
+        await self._say(asked.status_key, asked.done)
+        logger.bind(host=asked.host).info("retirement completed")
+
+    async def _say(self, key: str, value: bytes) -> None:
+        while True:
+            try:
+                await self.store.put(key, value)
+                return
+            except StoreError as exc:
+                logger.bind(key=key, reason=str(exc)).warning("status not written yet")
+                await asyncio.sleep(RETRY_S)
+
     async def drain(self) -> None:
-        """Says that the host stops."""
+        """Writes what the store does not hold yet."""
         logger.bind(host=self.cfg.name).info("host stops")
+        try:
+            async with asyncio.timeout(EMPTY_S):
+                await self.records.empty()
+        except TimeoutError:
+            logger.info("records stay in the journal")
 
     async def on_shutdown(self) -> None:
         """Frees the store's connections after all parts have stopped."""
+        if self._retiring is not None:
+            self._retiring.cancel()
         await self.store.close()
         logger.bind(host=self.cfg.name).info("host stopped")
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -187,7 +187,7 @@
             self.parts.table.begin(target.name)
             answer = None
             try:
-                opened = await self._try(target)
+                opened = await self._try(target, attempts)
                 answer = opened.answer
                 FIRST_BYTE.observe(
                     {"kind": self.route.kind.value}, time.monotonic() - self.began
@@ -235,7 +235,7 @@
         ).info("placed")
         return target
 
-    async def _try(self, target: RelayTarget) -> Opened:
+    async def _try(self, target: RelayTarget, attempts: int) -> Opened:
         left_s = self.ends - time.monotonic() - self.parts.cfg.targets.margin_s
         if left_s < LEAST_TIME_S:
             raise TimeoutError
@@ -250,7 +250,9 @@
         )
         sent_before, self.sent = self.sent, True
         try:
-            answer = await self.parts.client.open(request, self._first_byte_s(left_s))
+            answer = await self.parts.client.open(
+                request, self._first_byte_s(left_s, attempts)
+            )
         except TargetError as exc:
             if exc.verdict is Verdict.NOT_RUN:
                 self.sent = sent_before
@@ -290,8 +292,8 @@
         self.parts.table.worked(opened.target.name)
         return opened._replace(first=b"".join(parts), whole=True)
 
-    def _first_byte_s(self, left_s: float) -> float:
-        if not self.route.repeatable:
+    def _first_byte_s(self, left_s: float, attempts: int) -> float:
+        if not self.route.repeatable or attempts + 1 >= self.route.attempts:
             return left_s
         return min(left_s, max(0.5 * left_s, self.parts.cfg.targets.safe_first_byte_s))
 
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -3,9 +3,7 @@
 import asyncio
 import time
 
-import aioprometheus
 from aiohttp import web
-from aioprometheus.renderer import render
 from loguru import logger
 from mode import Service
 
@@ -63,9 +61,6 @@
         await self._listen(
             web.Server(self._answer_ready, access_log=None), listen.ready
         )
-        await self._listen(
-            web.Server(self._answer_metrics, access_log=None), listen.metrics
-        )
 
     async def _listen(self, server: web.Server, address: str) -> web.TCPSite:
         host, _, port = address.rpartition(":")
@@ -100,11 +95,6 @@
         ready = not self.draining and self._ready()
         return web.Response(status=200 if ready else 503)
 
-    async def _answer_metrics(self, req: web.BaseRequest) -> web.Response:
-        accepts = req.headers.getall("Accept", [])
-        content, headers = render(aioprometheus.REGISTRY, accepts)
-        return web.Response(body=content, headers=headers)
-
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         began = time.monotonic()
         kind = "none"
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -4,6 +4,7 @@
 
 from magnoliaroad.logs.settings import LogSettings
 from magnoliaroad.peers.settings import PeerSettings
+from magnoliaroad.records.settings import RecordSettings
 from magnoliaroad.store.settings import StoreSettings
 
 
@@ -144,6 +145,7 @@
     peers: PeerSettings = PeerSettings()
     targets: TargetTiming = TargetTiming()
     turns: TurnSettings = TurnSettings()
+    records: RecordSettings = RecordSettings()
     quota: QuotaSettings = QuotaSettings()
     fleet: FleetSettings = FleetSettings()
     follow: FollowSettings = FollowSettings()
--- a/src/magnoliaroad/relay/leases.py
+++ b/src/magnoliaroad/store/leases.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from magnoliaroad.store import Store
+from magnoliaroad.store.interface import Store
 
 # Added to a lease's life: a suspended host's clock may stand still for seconds.
 MARGIN_S = 15.0
