One host counts a program's budget for all

Cause: turns of a program move between hosts, each claimed a part of the budget, and spent programs cost two reads a request. The host ranked first for a program claims and counts for all; others ask it over the peers' connections.

--- a/src/magnoliaroad/records/held.py
+++ b/src/magnoliaroad/records/held.py
@@ -21,6 +21,9 @@
         self._size_of = size_of
         self._values: OrderedDict[str, T] = OrderedDict()
 
+    def __contains__(self, key: str) -> bool:
+        return key in self._values
+
     def get(self, key: str) -> T | None:
         """Returns the value of ``key``, if it is held."""
         value = self._values.get(key)
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -8,7 +8,9 @@
 
 from magnoliaroad.peers import PeerService
 from magnoliaroad.records.client import RecordClient
+from magnoliaroad.records.held import HeldValues
 from magnoliaroad.relay.announcer import Announcer
+from magnoliaroad.relay.budget_desk import BudgetDesk
 from magnoliaroad.relay.budget_ledger import BudgetLedger
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.directory import Directory
@@ -30,6 +32,8 @@
 from magnoliaroad.targets.settings import TargetSettings
 
 SWEEP_S = 0.1
+# Programs that are remembered as under way on this host.
+MOST_PROGRAMS = 10_000
 
 
 class RelayApplication(Service):
@@ -61,10 +65,10 @@
         )
         entry = HostEntry(cfg.data_centre, address, int(port), relays=True)
         self.announcer = Announcer(store, cfg.fleet, cfg.name, entry)
-        self.budgets = BudgetLedger(
+        ledger = BudgetLedger(
             store, leases, cfg.turns, self.fleet.holder, self.fleet.ask_budget
         )
-        self.fleet.budgets = self.budgets
+        self.budgets = BudgetDesk(cfg.name, ledger, self.peers, self.fleet.alive)
         timing = cfg.targets
         self.client = TargetClient(
             TargetSettings(
@@ -80,6 +84,7 @@
             client=self.client,
             turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
+            programs=HeldValues(MOST_PROGRAMS, lambda _: 1),
         )
         self.server = RelayServer(parts, self._ready)
         self._mirrors = (
--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -1,5 +1,6 @@
 """What hosts tell each other regularly."""
 
+import enum
 from typing import NamedTuple
 
 
@@ -58,3 +59,40 @@
     """
 
     returned: int
+
+
+class TakeOutcome(enum.StrEnum):
+    """What came of a ``BudgetTake``."""
+
+    GRANTED = "granted"
+    SPENT = "spent"
+    UNCERTAIN = "uncertain"
+
+
+class BudgetTake(NamedTuple):
+    """Asks the host that counts a program's budget for tokens.
+
+    Attributes:
+        number: Tells the sender's asks apart.
+        program: The program.
+        limit: Its budget, as its caller states it.
+        tokens: Most tokens of the turn.
+    """
+
+    number: int
+    program: str
+    limit: int
+    tokens: int
+
+
+class BudgetTaken(NamedTuple):
+    """The answer to ``BudgetTake``; ``outcome`` is a ``TakeOutcome``."""
+
+    outcome: str
+
+
+class BudgetSettle(NamedTuple):
+    """Ends the turn of a ``BudgetTake``, which handed out ``used`` tokens."""
+
+    number: int
+    used: int
--- /dev/null
+++ b/src/magnoliaroad/relay/budget_desk.py
@@ -0,0 +1,134 @@
+"""Where a host gets tokens of a program's budget."""
+
+import asyncio
+import itertools
+import time
+from collections.abc import Callable
+
+from loguru import logger
+from typing_extensions import override
+
+from magnoliaroad.peers import PeerError, Peers
+from magnoliaroad.refusal import Refused
+from magnoliaroad.relay.beat import (
+    BudgetAsk,
+    BudgetGiven,
+    BudgetSettle,
+    BudgetTake,
+    BudgetTaken,
+    TakeOutcome,
+)
+from magnoliaroad.relay.budget_ledger import BudgetLedger
+from magnoliaroad.relay.budget_share import BudgetShare
+from magnoliaroad.relay.refusals import BUDGET_SPENT, BUDGET_UNCERTAIN
+from magnoliaroad.relay.reservation import Reservation
+from magnoliaroad.rendezvous import first_choice
+
+# Longest wait for the host that keeps a program's budget, beyond the time that it
+# may wait for the store itself.
+CALL_SPARE_S = 0.1
+
+
+class _LocalReservation(Reservation):
+    """Tokens that this host has claimed itself."""
+
+    def __init__(self, share: BudgetShare, tokens: int) -> None:
+        self._share = share
+        self._tokens = tokens
+
+    @override
+    def settle(self, used: int) -> None:
+        self._share.settle(time.monotonic(), self._tokens, used)
+
+
+class _RemoteReservation(Reservation):
+    """Tokens that another host has claimed."""
+
+    def __init__(self, peers: Peers, host: str, ask: BudgetTake) -> None:
+        self._peers = peers
+        self._host = host
+        self._ask = ask
+
+    @override
+    def settle(self, used: int) -> None:
+        self._peers.send(self._host, BudgetSettle(self._ask.number, used))
+
+
+class BudgetDesk:
+    """Takes tokens from the host that all hosts rank first for a program.
+
+    That host claims the budget in the store, mostly once a program, and counts in
+    memory what turns on all hosts use. If it cannot be reached, this host claims a
+    part itself; the store's record keeps both within the budget.
+
+    Args:
+        name: Name of this host.
+        ledger: Claims and counts of this host.
+        peers: Connections between hosts.
+        alive: Returns the hosts that are in contact, this one included.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        ledger: BudgetLedger,
+        peers: Peers,
+        alive: Callable[[], list[str]],
+    ) -> None:
+        self._name = name
+        self._ledger = ledger
+        self._peers = peers
+        self._alive = alive
+        self._numbers = itertools.count(1)
+        self._granted: dict[tuple[str, int], _LocalReservation] = {}
+        peers.on(BudgetAsk, self._on_ask, BudgetGiven)
+        peers.on(BudgetTake, self._on_take, BudgetTaken)
+        peers.on(BudgetSettle, self._on_settle)
+
+    async def reserve(self, program: str, limit: int, tokens: int) -> Reservation:
+        """Sets ``tokens`` of a program aside for a turn.
+
+        Raises:
+            Refused: They are spent, or cannot be had now.
+        """
+        home = first_choice(program, self._alive())
+        if home is not None and home != self._name:
+            ask = BudgetTake(next(self._numbers), program, limit, tokens)
+            outcome = await self._take(home, ask)
+            if outcome is TakeOutcome.GRANTED:
+                return _RemoteReservation(self._peers, home, ask)
+            if outcome is TakeOutcome.SPENT:
+                raise Refused(BUDGET_SPENT)
+            if outcome is TakeOutcome.UNCERTAIN:
+                raise Refused(BUDGET_UNCERTAIN)
+        share = await self._ledger.reserve(program, limit, tokens)
+        return _LocalReservation(share, tokens)
+
+    async def _take(self, home: str, ask: BudgetTake) -> TakeOutcome | None:
+        limit_s = self._ledger.cfg.store_patience_s + CALL_SPARE_S
+        try:
+            async with asyncio.timeout(limit_s):
+                taken = await self._peers.call(home, ask, limit_s)
+        except (PeerError, TimeoutError) as exc:
+            logger.bind(host=home, program=ask.program, reason=repr(exc)).info(
+                "budget's host not reached"
+            )
+            return None
+        return TakeOutcome(taken.outcome)
+
+    async def _on_take(self, sender: str, ask: BudgetTake) -> BudgetTaken:
+        try:
+            share = await self._ledger.reserve(ask.program, ask.limit, ask.tokens)
+        except Refused as exc:
+            spent = exc.refusal is BUDGET_SPENT
+            return BudgetTaken(TakeOutcome.SPENT if spent else TakeOutcome.UNCERTAIN)
+        self._granted[sender, ask.number] = _LocalReservation(share, ask.tokens)
+        return BudgetTaken(TakeOutcome.GRANTED)
+
+    async def _on_settle(self, sender: str, told: BudgetSettle) -> None:
+        reservation = self._granted.pop((sender, told.number), None)
+        if reservation is not None:
+            reservation.settle(told.used)
+
+    async def _on_ask(self, sender: str, ask: BudgetAsk) -> BudgetGiven:
+        return await self._ledger.give_back(ask.program)
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -129,10 +129,6 @@
         except TimeoutError as exc:
             raise Refused(BUDGET_UNCERTAIN) from exc
 
-    def knows(self, name: str) -> bool:
-        """Returns whether this host has served turns of a program."""
-        return name in self._programs
-
     async def give_back(self, name: str) -> BudgetGiven:
         """Gives back the tokens of a program that no turn here may use."""
         program = self._programs.get(name)
@@ -161,30 +157,36 @@
             size = claim_size(record, needed)
             await self._write(name, program, record.claim(program.share.holder, size))
             return
-        # The copy may be old: others may have given tokens back since.
+        others = [
+            holder
+            for holder, claimed in record.claims.items()
+            if claimed > 0 and not holder.startswith(self._holder)
+        ]
+        # Only others can have given tokens back since the copy was read.
+        if not others:
+            raise Refused(BUDGET_SPENT)
         if await self._refresh(name, program):
             return
-        await self._recall(name, record)
-        if not await self._refresh(name, program):
+        if not await self._recall(name, record, others):
             raise Refused(BUDGET_SPENT)
+        await self._refresh(name, program)
 
-    async def _recall(self, name: str, record: BudgetRecord) -> None:
-        others = [
-            holder
-            for holder, tokens in record.claims.items()
-            if tokens > 0 and not holder.startswith(self._holder)
-        ]
+    async def _recall(self, name: str, record: BudgetRecord, others: list[str]) -> bool:
+        """Has others give back what they do not use; returns whether any did.
+
+        Raises:
+            Refused: Some cannot be reached, so it is not certain what is spent.
+        """
         answers = await asyncio.gather(*(self._ask(o, name) for o in others))
-        unknown = [
-            holder
-            for holder, given in zip(others, answers, strict=True)
-            if given is None
-        ]
+        if any(given is not None and given.returned > 0 for given in answers):
+            return True
+        unknown = [o for o, a in zip(others, answers, strict=True) if a is None]
         if unknown:
             logger.bind(program=name, holders=unknown, limit=record.limit).info(
                 "budget claimed by hosts out of reach"
             )
             raise Refused(BUDGET_UNCERTAIN)
+        return False
 
     async def _refresh(self, name: str, program: _Program) -> bool:
         """Reads the record; returns whether it has changed."""
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -69,7 +69,6 @@
         self.cfg = cfg
         self.boot = uuid.uuid4().hex[:12]
         self.draining = False
-        self.budgets = None
         self._store = store
         self._peers = peers
         self._plans = plans
@@ -83,13 +82,22 @@
         peers.on(Beat, self._on_beat)
         peers.on(RecordHostHere, self._on_record_host)
         peers.on(PlanAsk, self._on_plan_ask, PlanTold)
-        peers.on(BudgetAsk, self._on_budget_ask, BudgetGiven)
 
     @property
     def holder(self) -> str:
         """Name under which this incarnation claims budgets."""
         return f"{self.cfg.name}#{self.boot}"
 
+    def alive(self) -> list[str]:
+        """Returns the relay hosts in contact, this one included."""
+        since = time.monotonic() - self._silent_s()
+        names = [
+            host
+            for host, heard in self._heard.items()
+            if heard.at >= since and not heard.beat.draining
+        ]
+        return [self.cfg.name, *names]
+
     async def ask_budget(self, holder: str, program: str) -> BudgetGiven | None:
         """Asks the host behind ``holder`` to give back unused tokens."""
         host, _, boot = holder.partition("/")[0].partition("#")
@@ -219,8 +227,3 @@
         if self._plans.source is None or self._plans.version <= ask.version:
             return PlanTold("", b"")
         return PlanTold(*self._plans.source)
-
-    async def _on_budget_ask(self, sender: str, ask: BudgetAsk) -> BudgetGiven:
-        if self.budgets is None:
-            return BudgetGiven(0)
-        return await self.budgets.give_back(ask.program)
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -2,7 +2,8 @@
 
 from typing import NamedTuple
 
-from magnoliaroad.relay.budget_ledger import BudgetLedger
+from magnoliaroad.records.held import HeldValues
+from magnoliaroad.relay.budget_desk import BudgetDesk
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.quota import QuotaBook
@@ -13,7 +14,11 @@
 
 
 class RelayParts(NamedTuple):
-    """The parts of a host, for its request handlers."""
+    """The parts of a host, for its request handlers.
+
+    Attributes:
+        programs: Programs of which this host has admitted requests lately.
+    """
 
     cfg: RelaySettings
     dialect: Dialect
@@ -22,4 +27,5 @@
     table: TargetTable
     client: TargetClient
     turns: TurnLedger
-    budgets: BudgetLedger
+    budgets: BudgetDesk
+    programs: HeldValues[bool]
--- a/src/magnoliaroad/relay/plan_holder.py
+++ b/src/magnoliaroad/relay/plan_holder.py
@@ -52,8 +52,20 @@
             before=self.version,
             origin=origin,
             routes=sum(len(routes) for routes in plan.routes.values()),
-            teams=len(plan.teams),
+            limits=_changed_limits(self.plan, plan),
         ).info("configuration in force")
         self.plan = plan
         self.source = (key, value)
         return True
+
+
+def _changed_limits(
+    before: RelayPlan | None, plan: RelayPlan
+) -> dict[str, tuple[float, float]]:
+    """Returns the rate and burst of each team that has others than before."""
+    known = {} if before is None else before.teams
+    return {
+        name: (team.rate, team.burst)
+        for name, team in plan.teams.items()
+        if known.get(name) != team
+    }
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -11,7 +11,6 @@
 
 from magnoliaroad.refusal import Refused
 from magnoliaroad.relay.admission import Admitted
-from magnoliaroad.relay.budget_share import BudgetShare
 from magnoliaroad.relay.dialect import AnswerHead
 from magnoliaroad.relay.event_scanner import EventScanner
 from magnoliaroad.relay.metrics import FIRST_BYTE, SENDS
@@ -26,6 +25,7 @@
     TIMED_OUT,
     over_limit,
 )
+from magnoliaroad.relay.reservation import Reservation
 from magnoliaroad.relay.route_kind import RouteKind
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.turn import Turn
@@ -89,7 +89,7 @@
         self.resp: web.StreamResponse | None = None
         self._req = req
         self._before: Turn | None = None
-        self._share: BudgetShare | None = None
+        self._reservation: Reservation | None = None
         self._counted = False
         self._key = self.call.program or self.call.session or self.call.request_id
         self._service = pick_service(self.route, self._key)
@@ -124,7 +124,7 @@
                 call.previous_turn, self.admitted.team_name
             )
         if self.streams and call.budget is not None and call.program:
-            self._share = await self.parts.budgets.reserve(
+            self._reservation = await self.parts.budgets.reserve(
                 call.program, call.budget, call.output_tokens
             )
 
@@ -137,6 +137,8 @@
             wait_s = self.parts.quota.admit(now, team, starts)
             if not wait_s:
                 self._counted = True
+                if self.call.program:
+                    self.parts.programs.add(self.call.program, True)
                 return
             if now + wait_s > min(patient_until, self.ends):
                 raise Refused(over_limit(team.name, wait_s))
@@ -145,20 +147,23 @@
     def _starts(self) -> bool:
         """Whether the request may be the first of a program."""
         call = self.call
-        if not call.program or not self.streams or call.previous_turn:
-            return False
-        return not self.parts.budgets.knows(call.program)
+        return bool(
+            call.program
+            and self.streams
+            and not call.previous_turn
+            and call.program not in self.parts.programs
+        )
 
     def _settle(self) -> None:
         if self._counted and not self.sent:
             self.parts.quota.refund(self.admitted.team)
-        if self._share is None:
+        if self._reservation is None:
             return
         service = self.admitted.plan.services.get(self._service)
         each = 1 if service is None else max(1, service.tokens_per_event)
         # A longer stream than announced is charged whole.
         used = self._scanner.count * each
-        self._share.settle(time.monotonic(), self.call.output_tokens, used)
+        self._reservation.settle(used)
 
     async def _exchange(self) -> web.StreamResponse:
         async with self._open() as opened:
