Programs start only if their team's limit holds those under way

Cause: a team over its limit began more programs than its limit can finish, and all of them lost requests.

--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -3,6 +3,8 @@
 import enum
 from typing import NamedTuple
 
+from magnoliaroad.relay.quota import TeamCount
+
 
 class Beat(NamedTuple):
     """A host's state, sent to each of its peers.
@@ -16,7 +18,7 @@
         age_s: Time since its start.
         draining: Whether it is about to stop.
         plan_version: Version of the configuration in force at the sender.
-        admitted: Requests admitted since its start, by team.
+        admitted: What it has admitted since its start, by team.
         in_hand: Requests in hand, by target.
     """
 
@@ -28,7 +30,7 @@
     age_s: float
     draining: bool
     plan_version: int
-    admitted: dict[str, int]
+    admitted: dict[str, TeamCount]
     in_hand: dict[str, int]
 
 
@@ -96,3 +98,15 @@
 
     number: int
     used: int
+
+
+class ProgramAsk(NamedTuple):
+    """Asks the host that counts a program's budget whether it knows it."""
+
+    program: str
+
+
+class ProgramKnown(NamedTuple):
+    """The answer to ``ProgramAsk``."""
+
+    known: bool
--- a/src/magnoliaroad/relay/budget_desk.py
+++ b/src/magnoliaroad/relay/budget_desk.py
@@ -16,6 +16,8 @@
     BudgetSettle,
     BudgetTake,
     BudgetTaken,
+    ProgramAsk,
+    ProgramKnown,
     TakeOutcome,
 )
 from magnoliaroad.relay.budget_ledger import BudgetLedger
@@ -27,6 +29,8 @@
 # Longest wait for the host that keeps a program's budget, beyond the time that it
 # may wait for the store itself.
 CALL_SPARE_S = 0.1
+# Longest wait for whether a program is known; a few round trips.
+KNOWN_S = 0.05
 
 
 class _LocalReservation(Reservation):
@@ -84,6 +88,7 @@
         peers.on(BudgetAsk, self._on_ask, BudgetGiven)
         peers.on(BudgetTake, self._on_take, BudgetTaken)
         peers.on(BudgetSettle, self._on_settle)
+        peers.on(ProgramAsk, self._on_program, ProgramKnown)
 
     async def reserve(self, program: str, limit: int, tokens: int) -> Reservation:
         """Sets ``tokens`` of a program aside for a turn.
@@ -104,6 +109,24 @@
         share = await self._ledger.reserve(program, limit, tokens)
         return _LocalReservation(share, tokens)
 
+    async def knows(self, program: str) -> bool:
+        """Returns whether a program has had tokens before, as far as can be told."""
+        home = first_choice(program, self._alive())
+        if home is None or home == self._name:
+            return self._ledger.knows(program)
+        try:
+            async with asyncio.timeout(KNOWN_S):
+                answer = await self._peers.call(home, ProgramAsk(program), KNOWN_S)
+        except (PeerError, TimeoutError) as exc:
+            logger.bind(host=home, program=program, reason=repr(exc)).info(
+                "budget's host not reached"
+            )
+            return False
+        return answer.known
+
+    async def _on_program(self, sender: str, ask: ProgramAsk) -> ProgramKnown:
+        return ProgramKnown(self._ledger.knows(ask.program))
+
     async def _take(self, home: str, ask: BudgetTake) -> TakeOutcome | None:
         limit_s = self._ledger.cfg.store_patience_s + CALL_SPARE_S
         try:
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -129,6 +129,10 @@
         except TimeoutError as exc:
             raise Refused(BUDGET_UNCERTAIN) from exc
 
+    def knows(self, name: str) -> bool:
+        """Returns whether this host has handed out tokens of a program."""
+        return name in self._programs
+
     async def give_back(self, name: str) -> BudgetGiven:
         """Gives back the tokens of a program that no turn here may use."""
         program = self._programs.get(name)
--- a/src/magnoliaroad/relay/call.py
+++ b/src/magnoliaroad/relay/call.py
@@ -21,6 +21,8 @@
         session: Line of turns within the program.
         program_left_s: Time until the program should have ended.
         budget: Tokens that all turns of the program may generate.
+        prompt_parts: Ids of the parts of the prompt, in order; the last one is the
+            request's own.
         output_tokens: Most tokens that this request generates.
         previous_turn: Turn that this one continues; empty for none.
         resume_after: Id of the last event that the caller has.
@@ -38,6 +40,7 @@
     session: str = ""
     program_left_s: float | None = None
     budget: int | None = None
+    prompt_parts: tuple[str, ...] = ()
     output_tokens: int = 0
     previous_turn: str = ""
     resume_after: int | None = None
--- a/src/magnoliaroad/relay/quota.py
+++ b/src/magnoliaroad/relay/quota.py
@@ -7,24 +7,56 @@
 
 # Time over which a host's part of a team's demand is averaged, in seconds.
 DEMAND_WINDOW_S = 1.0
+# Time after which a new program shows in its team's demand, in seconds.
+START_WINDOW_S = 0.5
+# Least wait that is asked for, in seconds; shorter ones bring callers back at once.
+LEAST_WAIT_S = 0.05
+UNKNOWN = float("inf")
+
+
+class TeamCount(NamedTuple):
+    """What a host has admitted of a team since its start.
+
+    Attributes:
+        admitted: Requests.
+        started: Programs.
+    """
+
+    admitted: int
+    started: int
 
 
 class _Peer(NamedTuple):
     """What one boot of a peer has admitted so far, by team."""
 
     boot: str
-    counts: dict[str, int]
+    counts: dict[str, TeamCount]
+
+
+NOTHING = TeamCount(0, 0)
 
 
 class _TeamState:
     """The bucket of one team as this host sees it."""
 
-    __slots__ = ("at", "counted", "others", "own", "tokens")
+    __slots__ = (
+        "at",
+        "counted",
+        "others",
+        "own",
+        "passed",
+        "started",
+        "starting",
+        "tokens",
+    )
 
     def __init__(self, now: float, tokens: float) -> None:
         self.at = now
         self.tokens = tokens
         self.counted = 0
+        self.started = 0
+        self.starting = 0.0
+        self.passed = 0.0
         self.own = 0.0
         self.others = 0.0
 
@@ -59,8 +91,10 @@
     def admit(self, now: float, team: RelayTeam, starts: bool = False) -> float:
         """Takes a token of ``team``; returns 0, or seconds until one may be left.
 
-        While a team is over its limit, programs that are under way go before new
-        ones: a program that is stopped halfway has used its requests for nothing.
+        A program that is stopped halfway has used its requests for nothing. So a new
+        one starts only if the limit also holds the requests of those under way.
+        Answers the load pattern of a team that begins more programs than its limit
+        can finish.
 
         Args:
             now: Time in seconds.
@@ -70,16 +104,33 @@
         if team.rate <= 0:
             return 0.0
         state = self._state(now, team)
+        rate = team.rate * self._reach()
+        if starts:
+            wait_s = self._start_wait_s(state, rate)
+            if wait_s:
+                return wait_s
         state.own += 1.0
         share = self._share(state)
-        kept = self.cfg.started_part * team.burst if starts else -self.cfg.slack
-        if (state.tokens - kept) * share < 1.0:
-            missing = 1.0 / share + kept - state.tokens
-            return max(0.05, missing / (team.rate * self._reach()))
+        missing = 1.0 / share - self.cfg.slack - state.tokens
+        if missing > 0:
+            return max(LEAST_WAIT_S, missing / rate)
         state.tokens -= 1.0
         state.counted += 1
+        state.passed += 1.0
+        state.started += starts
+        state.starting += starts
         return 0.0
 
+    def _start_wait_s(self, state: _TeamState, rate: float) -> float:
+        cfg = self.cfg
+        under_way = state.passed / DEMAND_WINDOW_S + state.starting * cfg.program_rate
+        spare = max(0.0, state.tokens) / cfg.horizon_s
+        missing = under_way + cfg.program_rate - rate - spare
+        # A program that needs more than the limit may still run alone.
+        if missing <= 0 or under_way < cfg.program_rate:
+            return 0.0
+        return max(LEAST_WAIT_S, cfg.horizon_s * missing / rate)
+
     def refund(self, team: RelayTeam) -> None:
         """Gives back the token of a request that was not sent."""
         state = self._teams.get(team.name)
@@ -87,12 +138,21 @@
             state.tokens = min(state.tokens + 1.0, team.burst)
             state.counted -= 1
 
-    def counts(self) -> dict[str, int]:
-        """Returns how many requests this host has admitted so far, by team."""
-        return {name: s.counted for name, s in self._teams.items() if s.counted}
+    def counts(self) -> dict[str, TeamCount]:
+        """Returns what this host has admitted so far, by team."""
+        return {
+            name: TeamCount(state.counted, state.started)
+            for name, state in self._teams.items()
+            if state.counted
+        }
 
     def heard(
-        self, now: float, host: str, boot: str, counts: dict[str, int], fresh: bool
+        self,
+        now: float,
+        host: str,
+        boot: str,
+        counts: dict[str, TeamCount],
+        fresh: bool,
     ) -> None:
         """Takes over what a peer has admitted.
 
@@ -100,7 +160,7 @@
             now: Time in seconds.
             host: The peer.
             boot: Its incarnation; its counts start at 0 with each.
-            counts: Requests admitted so far, by team.
+            counts: What it has admitted so far, by team.
             fresh: Whether the peer has just started, so that all its counts are
                 recent.
         """
@@ -108,27 +168,34 @@
         known = before.counts if before is not None and before.boot == boot else {}
         first = before is None or before.boot != boot
         for name, count in counts.items():
-            added = count - known.get(name, 0)
-            if added and (not first or fresh):
-                state = self._teams.get(name)
-                if state is None:
-                    state = self._teams[name] = _TeamState(now, 0.0)
-                    state.tokens = float("inf")
-                if state.tokens != float("inf"):
-                    state.tokens -= added
-                state.others += added
+            before_count = known.get(name, NOTHING)
+            added = count.admitted - before_count.admitted
+            started = count.started - before_count.started
+            if (added or started) and (not first or fresh):
+                self._add_remote(now, name, added, started)
         self._peers[host] = _Peer(boot, dict(counts))
 
     def forget(self, host: str) -> None:
         """Drops what was known of a peer that is gone."""
         self._peers.pop(host, None)
 
+    def _add_remote(self, now: float, name: str, added: int, started: int) -> None:
+        state = self._teams.get(name)
+        if state is None:
+            # Its limit, and so its bucket, is known from its first request here.
+            state = self._teams[name] = _TeamState(now, UNKNOWN)
+        if state.tokens != UNKNOWN:
+            state.tokens -= added
+        state.others += added
+        state.passed = max(0.0, state.passed + added)
+        state.starting += started
+
     def _state(self, now: float, team: RelayTeam) -> _TeamState:
         state = self._teams.get(team.name)
         burst = team.burst * self._reach()
         if state is None:
             state = self._teams[team.name] = _TeamState(now, self._start(now, team))
-        if state.tokens == float("inf"):
+        if state.tokens == UNKNOWN:
             state.tokens = self._start(now, team)
         passed_s = max(0.0, now - state.at)
         state.at = max(state.at, now)
@@ -136,6 +203,8 @@
         fade = max(0.0, 1.0 - passed_s / DEMAND_WINDOW_S)
         state.own *= fade
         state.others *= fade
+        state.passed *= fade
+        state.starting *= max(0.0, 1.0 - passed_s / START_WINDOW_S)
         return state
 
     def _start(self, now: float, team: RelayTeam) -> float:
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -129,30 +129,32 @@
             )
 
     async def _take_token(self, team: RelayTeam) -> None:
-        cfg = self.parts.cfg.quota
-        starts = self._starts()
-        patient_until = self.began + (0.0 if starts else cfg.longest_wait_s)
+        cfg, quota = self.parts.cfg.quota, self.parts.quota
+        starts = self._may_start()
+        patient_until = min(self.began + cfg.longest_wait_s, self.ends)
         while True:
             now = time.monotonic()
-            wait_s = self.parts.quota.admit(now, team, starts)
+            wait_s = quota.admit(now, team, starts)
             if not wait_s:
-                self._counted = True
-                if self.call.program:
-                    self.parts.programs.add(self.call.program, True)
-                return
-            if now + wait_s > min(patient_until, self.ends):
+                break
+            if starts:
+                if not await self.parts.budgets.knows(self.call.program):
+                    raise Refused(over_limit(team.name, wait_s))
+                starts = False
+                continue
+            if now + wait_s > patient_until:
                 raise Refused(over_limit(team.name, wait_s))
             await asyncio.sleep(wait_s)
+        self._counted = True
+        if self.call.program:
+            self.parts.programs.add(self.call.program, True)
 
-    def _starts(self) -> bool:
+    def _may_start(self) -> bool:
         """Whether the request may be the first of a program."""
         call = self.call
-        return bool(
-            call.program
-            and self.streams
-            and not call.previous_turn
-            and call.program not in self.parts.programs
-        )
+        if not call.program or not self.streams or call.previous_turn:
+            return False
+        return call.program not in self.parts.programs
 
     def _settle(self) -> None:
         if self._counted and not self.sent:
@@ -237,6 +239,8 @@
             load=table.load(target.name),
             candidates=len(usable),
             excluded=len(excluded),
+            program=self.call.program,
+            parts=self.call.prompt_parts,
         ).info("placed")
         return target
 
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -68,7 +68,10 @@
             they have not heard of each other's; half of what operators tolerate.
         least_share: Least part of the remaining tokens that one host may use.
         silent_s: Silence after which a host counts as out of contact.
-        started_part: Part of the burst that is kept for programs under way.
+        program_rate: Requests a second of a running program: a turn with its tools
+            makes about three in 0.4 s on the users' sheets.
+        horizon_s: Time in which spare tokens may be used up by programs under way; a
+            usual program's length.
         longest_wait_s: Longest time that a request of a program under way waits for
             its team's tokens; below the time after which callers give up.
         start_burst: Part of the burst that a host assumes to be left at its start.
@@ -77,7 +80,8 @@
     slack: float = 10.0
     least_share: float = 0.2
     silent_s: float = 0.8
-    started_part: float = 0.3
+    program_rate: float = 7.0
+    horizon_s: float = 1.5
     longest_wait_s: float = 0.4
     start_burst: float = 0.3
 
