--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -57,6 +57,12 @@
         """Record hosts that are known."""
         return self._hosts
 
+    @property
+    def reached(self) -> bool:
+        """Whether a record host was heard lately."""
+        since = self._now() - self.cfg.silent_s
+        return any(at >= since for at in self._heard.values())
+
     def set_hosts(self, hosts: dict[str, PeerAddress]) -> None:
         """Takes over the record hosts that the store lists."""
         self._hosts = hosts
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -17,7 +17,7 @@
 from magnoliaroad.relay.fleet import FleetService
 from magnoliaroad.relay.host_entry import HostEntry
 from magnoliaroad.relay.metrics_server import MetricsServer
-from magnoliaroad.relay.mirror import PrefixMirror
+from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.quota import QuotaBook
@@ -61,8 +61,16 @@
         leases = LeasePool(store)
         self.records = RecordClient(cfg.records, store, leases, self.peers)
         self.fleet = FleetService(
-            cfg, store, self.peers, self.plans, self.quota, self.table, self.records
+            cfg,
+            store,
+            self.peers,
+            self.plans,
+            self.quota,
+            self.follower,
+            self.table,
+            self.records,
         )
+        self.fleet.store_lost = self._store_lost
         entry = HostEntry(cfg.data_centre, address, int(port), relays=True)
         self.announcer = Announcer(store, cfg.fleet, cfg.name, entry)
         ledger = BudgetLedger(
@@ -88,8 +96,8 @@
         )
         self.server = RelayServer(parts, self._ready)
         self._mirrors = (
-            PrefixMirror(store, directory.operator_prefix, cfg.follow, self.plans),
-            PrefixMirror(store, directory.target_prefix, cfg.follow, self.follower),
+            self._mirror(directory.operator_prefix, self.plans),
+            self._mirror(directory.target_prefix, self.follower),
         )
 
     async def on_start(self) -> None:
@@ -125,5 +133,13 @@
         await self.store.close()
         logger.bind(host=self.cfg.name).info("host stopped")
 
+    def _mirror(self, prefix: str, listener: MirrorListener) -> PrefixMirror:
+        close = self.fleet.watches_closely
+        return PrefixMirror(self.store, prefix, self.cfg.follow, listener, close)
+
+    def _store_lost(self) -> bool:
+        return all(mirror.lost for mirror in self._mirrors)
+
     def _ready(self) -> bool:
-        return self.plans.plan is not None and self.follower.known
+        known = self.plans.plan is not None and self.follower.known
+        return known and not self.fleet.cut_off()
--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -17,6 +17,8 @@
         port: Its peer port.
         age_s: Time since its start.
         draining: Whether it is about to stop.
+        store_lost: Whether it has lost contact with the store.
+        targets_revision: Revision of the newest change of targets that it knows.
         plan_version: Version of the configuration in force at the sender.
         admitted: What it has admitted since its start, by team.
         in_hand: Requests in hand, by target.
@@ -29,6 +31,8 @@
     port: int
     age_s: float
     draining: bool
+    store_lost: bool
+    targets_revision: int
     plan_version: int
     admitted: dict[str, TeamCount]
     in_hand: dict[str, int]
@@ -47,8 +51,26 @@
     value: bytes
 
 
+class TargetsAsk(NamedTuple):
+    """Asks a peer for the targets that it knows."""
+
+    revision: int
+
+
+class TargetsTold(NamedTuple):
+    """The targets of a peer, as they lie in the store.
+
+    Attributes:
+        revision: Revision of the newest change among them.
+        entries: Key, value and revision of each.
+    """
+
+    revision: int
+    entries: list[tuple[str, bytes, int]]
+
+
 class BudgetAsk(NamedTuple):
-    """Asks a peer to give back the tokens of a program that it does not use."""
+    """Asks a peer to lend the tokens of a program that it does not use."""
 
     program: str
 
@@ -57,10 +79,10 @@
     """The answer to ``BudgetAsk``.
 
     Attributes:
-        returned: Tokens that were given back.
+        lent: Tokens that the asker may hand out in its place.
     """
 
-    returned: int
+    lent: int
 
 
 class TakeOutcome(enum.StrEnum):
--- a/src/magnoliaroad/relay/budget_desk.py
+++ b/src/magnoliaroad/relay/budget_desk.py
@@ -128,7 +128,7 @@
         return ProgramKnown(self._ledger.knows(ask.program))
 
     async def _take(self, home: str, ask: BudgetTake) -> TakeOutcome | None:
-        limit_s = self._ledger.cfg.store_patience_s + CALL_SPARE_S
+        limit_s = self._ledger.cfg.claim_s + CALL_SPARE_S
         try:
             async with asyncio.timeout(limit_s):
                 taken = await self._peers.call(home, ask, limit_s)
@@ -154,4 +154,4 @@
             reservation.settle(told.used)
 
     async def _on_ask(self, sender: str, ask: BudgetAsk) -> BudgetGiven:
-        return await self._ledger.give_back(ask.program)
+        return self._ledger.lend(ask.program)
--- a/src/magnoliaroad/relay/budget_share.py
+++ b/src/magnoliaroad/relay/budget_share.py
@@ -1,30 +1,32 @@
-"""The part of a program's budget that this host has claimed."""
+"""The part of a program's budget that this host may hand out."""
 
 
 class BudgetShare:
     """Counts the tokens of one program that this host hands out.
 
     Attributes:
-        holder: Name of its claim in the program's record.
-        claimed: Tokens claimed in the store.
+        claimed: Tokens claimed in the store under this host's name.
+        lent: Claimed tokens that another host hands out.
+        borrowed: Tokens that another host claimed and lent to this one.
         used: Tokens handed out.
         reserved: Most tokens that running turns may still hand out.
         touched: Time of the last use in seconds.
     """
 
-    __slots__ = ("claimed", "holder", "reserved", "touched", "used")
+    __slots__ = ("borrowed", "claimed", "lent", "reserved", "touched", "used")
 
-    def __init__(self, holder: str, now: float) -> None:
-        self.holder = holder
+    def __init__(self, now: float) -> None:
         self.claimed = 0
+        self.lent = 0
+        self.borrowed = 0
         self.used = 0
         self.reserved = 0
         self.touched = now
 
     @property
     def available(self) -> int:
-        """Claimed tokens that no turn has or may use."""
-        return self.claimed - self.used - self.reserved
+        """Tokens that no turn has or may use."""
+        return self.claimed + self.borrowed - self.lent - self.used - self.reserved
 
     def reserve(self, now: float, tokens: int) -> bool:
         """Sets ``tokens`` aside for a turn if they are available."""
@@ -39,3 +41,9 @@
         self.touched = now
         self.reserved -= reserved
         self.used += used
+
+    def lend(self) -> int:
+        """Gives all available tokens away; returns how many."""
+        tokens = max(0, self.available)
+        self.lent += tokens
+        return tokens
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -4,6 +4,7 @@
 import random
 import time
 import uuid
+from collections.abc import Callable
 from typing import NamedTuple
 
 from loguru import logger
@@ -12,17 +13,28 @@
 from magnoliaroad.peers import PeerAddress, PeerError, PeerService
 from magnoliaroad.records.client import RecordClient
 from magnoliaroad.records.messages import RecordHostHere
-from magnoliaroad.relay.beat import Beat, BudgetAsk, BudgetGiven, PlanAsk, PlanTold
+from magnoliaroad.relay.beat import (
+    Beat,
+    BudgetAsk,
+    BudgetGiven,
+    PlanAsk,
+    PlanTold,
+    TargetsAsk,
+    TargetsTold,
+)
 from magnoliaroad.relay.host_entry import PREFIX, unpack_host
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.quota import QuotaBook
 from magnoliaroad.relay.settings import RelaySettings
+from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
-from magnoliaroad.store import Store, StoreError
+from magnoliaroad.store import Store, StoreEntry, StoreError
 
 # Incarnations this young have all their counts from the current window, in seconds.
 YOUNG_S = 5.0
-# Longest wait for a peer's configuration or returned budget.
+# Time in which a change in the store reaches most hosts without their peers.
+SETTLE_S = 0.2
+# Longest wait for a peer's answer.
 ASK_S = 0.3
 # Wait after the list of hosts could not be read.
 LIST_RETRY_S = 1.0
@@ -51,6 +63,7 @@
         peers: Connections between hosts.
         plans: Configuration in force.
         quota: Takes what peers admitted.
+        follower: Takes targets that peers know.
         targets: Takes what peers have in hand.
         records: Is told of the record hosts.
     """
@@ -62,6 +75,7 @@
         peers: PeerService,
         plans: PlanHolder,
         quota: QuotaBook,
+        follower: TargetFollower,
         targets: TargetTable,
         records: RecordClient,
     ) -> None:
@@ -74,14 +88,18 @@
         self._plans = plans
         self._quota = quota
         self._targets = targets
+        self._follower = follower
+        self.store_lost: Callable[[], bool] = lambda: False
         self._records = records
         self._began = time.monotonic()
         self._members: dict[str, PeerAddress] = {}
         self._heard: dict[str, _Heard] = {}
+        self._silent: set[str] = set()
         self._asking = False
         peers.on(Beat, self._on_beat)
         peers.on(RecordHostHere, self._on_record_host)
         peers.on(PlanAsk, self._on_plan_ask, PlanTold)
+        peers.on(TargetsAsk, self._on_targets_ask, TargetsTold)
 
     @property
     def holder(self) -> str:
@@ -89,18 +107,43 @@
         return f"{self.cfg.name}#{self.boot}"
 
     def alive(self) -> list[str]:
-        """Returns the relay hosts in contact, this one included."""
-        since = time.monotonic() - self._silent_s()
+        """Returns the relay hosts in contact that reach the store, if any do."""
         names = [
+            host for host, beat in self._in_contact().items() if not beat.store_lost
+        ]
+        if not self.store_lost() and not self.draining:
+            names.append(self.cfg.name)
+        return names or [self.cfg.name]
+
+    def watches_closely(self) -> bool:
+        """Whether this host is the one that watches the store for its data centre."""
+        near = [
             host
+            for host, beat in self._in_contact().items()
+            if beat.data_centre == self.cfg.data_centre and not beat.store_lost
+        ]
+        return self.cfg.name == min([*near, self.cfg.name])
+
+    def cut_off(self) -> bool:
+        """Whether others of the data centre can serve and this host cannot."""
+        if not self.store_lost() or self._records.reached:
+            return False
+        return any(
+            beat.data_centre == self.cfg.data_centre and not beat.store_lost
+            for beat in self._in_contact().values()
+        )
+
+    def _in_contact(self) -> dict[str, Beat]:
+        since = time.monotonic() - self._silent_s()
+        return {
+            host: heard.beat
             for host, heard in self._heard.items()
             if heard.at >= since and not heard.beat.draining
-        ]
-        return [self.cfg.name, *names]
+        }
 
     async def ask_budget(self, holder: str, program: str) -> BudgetGiven | None:
-        """Asks the host behind ``holder`` to give back unused tokens."""
-        host, _, boot = holder.partition("/")[0].partition("#")
+        """Asks the host behind ``holder`` to lend unused tokens."""
+        host, _, boot = holder.partition("#")
         heard = self._heard.get(host)
         if heard is None or heard.beat.boot != boot:
             return None
@@ -108,7 +151,7 @@
             return await self._peers.call(host, BudgetAsk(program), ASK_S)
         except PeerError as exc:
             logger.bind(host=host, program=program, reason=str(exc)).info(
-                "budget not returned"
+                "budget not lent"
             )
             return None
 
@@ -185,6 +228,8 @@
             port=self._peers.port,
             age_s=time.monotonic() - self._began,
             draining=self.draining,
+            store_lost=self.store_lost(),
+            targets_revision=self._follower.revision,
             plan_version=self._plans.version,
             admitted=self._quota.counts(),
             in_hand=self._targets.in_hand,
@@ -192,13 +237,18 @@
 
     def _count_silent(self) -> None:
         now, limit_s = time.monotonic(), self._silent_s()
-        silent = 0
+        silent = set()
         for host in self._members:
             heard = self._heard.get(host)
             if heard is None or now - heard.at > limit_s:
-                silent += 1
+                silent.add(host)
                 self._targets.heard(host, {})
-        self._quota.set_hosts(len(self._members) + 1, silent)
+        for host in silent - self._silent:
+            logger.bind(peer=host, limit_s=limit_s).warning("peer lost")
+        for host in self._silent - silent:
+            logger.bind(peer=host).info("peer regained")
+        self._silent = silent
+        self._quota.set_hosts(len(self._members) + 1, len(silent))
 
     async def _on_beat(self, sender: str, beat: Beat) -> None:
         now = time.monotonic()
@@ -209,20 +259,39 @@
         fresh = beat.age_s < YOUNG_S
         self._quota.heard(now, beat.host, beat.boot, beat.admitted, fresh)
         self._targets.heard(beat.host, beat.in_hand)
-        if beat.plan_version > self._plans.version and not self._asking:
-            await self._ask_plan(beat.host)
+        behind = (
+            beat.plan_version > self._plans.version
+            or beat.targets_revision > self._follower.revision
+        )
+        if behind and not self._asking:
+            await self._catch_up(beat)
 
-    async def _ask_plan(self, host: str) -> None:
+    async def _catch_up(self, beat: Beat) -> None:
+        """Asks a peer for what it knows and this host does not."""
         self._asking = True
         try:
-            told = await self._peers.call(host, PlanAsk(self._plans.version), ASK_S)
-            if told is not None and told.key:
-                self._plans.offer(told.key, told.value, host)
+            if beat.plan_version > self._plans.version:
+                ask = PlanAsk(self._plans.version)
+                told = await self._peers.call(beat.host, ask, ASK_S)
+                if told.key:
+                    self._plans.offer(told.key, told.value, beat.host)
+            # A change that reaches all hosts by the store takes a moment.
+            await asyncio.sleep(SETTLE_S)
+            if beat.targets_revision > self._follower.revision:
+                ask = TargetsAsk(self._follower.revision)
+                told = await self._peers.call(beat.host, ask, ASK_S)
+                logger.bind(host=beat.host, revision=told.revision).info("targets told")
+                entries = [StoreEntry(*entry) for entry in told.entries]
+                self._follower.hear(told.revision, entries)
         except PeerError as exc:
-            logger.bind(host=host, reason=str(exc)).info("configuration not told")
+            logger.bind(host=beat.host, reason=str(exc)).info("peer did not tell")
         finally:
             self._asking = False
 
+    async def _on_targets_ask(self, sender: str, ask: TargetsAsk) -> TargetsTold:
+        revision, entries = self._follower.tell()
+        return TargetsTold(revision, [tuple(entry) for entry in entries])
+
     async def _on_plan_ask(self, sender: str, ask: PlanAsk) -> PlanTold:
         if self._plans.source is None or self._plans.version <= ask.version:
             return PlanTold("", b"")
--- a/src/magnoliaroad/relay/mirror.py
+++ b/src/magnoliaroad/relay/mirror.py
@@ -3,6 +3,7 @@
 import abc
 import asyncio
 import random
+from collections.abc import Callable
 
 from loguru import logger
 from mode import Service
@@ -31,10 +32,19 @@
         prefix: Prefix of the keys.
         cfg: Time limits.
         listener: Is told what was read.
+        close: Returns whether this host is to watch closely.
+
+    Attributes:
+        lost: Whether the last call failed.
     """
 
     def __init__(
-        self, store: Store, prefix: str, cfg: FollowSettings, listener: MirrorListener
+        self,
+        store: Store,
+        prefix: str,
+        cfg: FollowSettings,
+        listener: MirrorListener,
+        close: Callable[[], bool],
     ) -> None:
         super().__init__()
         self.cfg = cfg
@@ -42,7 +52,8 @@
         self._store = store
         self._prefix = prefix
         self._listener = listener
-        self._lost = False
+        self._close = close
+        self.lost = False
         self._pause_s = cfg.retry_s
 
     @Service.task
@@ -58,27 +69,28 @@
     async def _list(self) -> None:
         batch = await self._store.list(self._prefix)
         entries = {entry.key: entry for entry in batch.changed}
-        if self._lost:
+        if self.lost:
             logger.bind(prefix=self._prefix, revision=batch.revision).info(
                 "store regained"
             )
-        self._listener.on_snapshot(entries, self._lost)
+        self._listener.on_snapshot(entries, self.lost)
         self.revision = batch.revision
-        self._lost = False
+        self.lost = False
         self._pause_s = self.cfg.retry_s
 
     async def _watch(self) -> None:
-        batch = await self._store.watch(self._prefix, self.revision, self.cfg.watch_s)
+        limit_s = self.cfg.watch_s if self._close() else self.cfg.idle_watch_s
+        batch = await self._store.watch(self._prefix, self.revision, limit_s)
         if batch.changed or batch.deleted:
             self._listener.on_batch(batch)
         self.revision = batch.revision
 
     async def _rest(self, exc: StoreError) -> None:
-        if not self._lost:
+        if not self.lost:
             logger.bind(
                 prefix=self._prefix, revision=self.revision, reason=str(exc)
             ).warning("store lost")
-        self._lost = True
+        self.lost = True
         self.revision = 0
         # Spread, so that the hosts do not come back together.
         await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.0))
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -48,8 +48,9 @@
         self.mirror = PrefixMirror(
             store,
             directory.retirement_prefix,
-            cfg.follow._replace(watch_s=RETIREMENT_WATCH_S),
+            cfg.follow._replace(idle_watch_s=RETIREMENT_WATCH_S),
             self,
+            close=lambda: False,
         )
         self._relays: list[str] = []
         self._retiring: asyncio.Task[None] | None = None
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -71,10 +71,16 @@
         admitted: The call with its route and team.
         req: The caller's request.
         began: Time at which its head came.
+        closing: Whether the caller is to use another connection next.
     """
 
     def __init__(
-        self, parts: RelayParts, admitted: Admitted, req: web.BaseRequest, began: float
+        self,
+        parts: RelayParts,
+        admitted: Admitted,
+        req: web.BaseRequest,
+        began: float,
+        closing: bool,
     ) -> None:
         self.parts = parts
         self.admitted = admitted
@@ -88,6 +94,7 @@
         self.sent = False
         self.resp: web.StreamResponse | None = None
         self._req = req
+        self._closing = closing
         self._before: Turn | None = None
         self._reservation: Reservation | None = None
         self._counted = False
@@ -328,6 +335,8 @@
             status=opened.answer.status, headers=headers, body=opened.first
         )
         SENDS.inc({"outcome": "answered"})
+        if self._closing:
+            resp.force_close()
         await resp.prepare(self._req)
         await resp.write_eof()
         return resp
@@ -337,6 +346,8 @@
         resp = web.StreamResponse(status=opened.answer.status, headers=headers)
         resp.enable_chunked_encoding()
         self.resp = resp
+        if self._closing:
+            resp.force_close()
         await resp.prepare(self._req)
         if opened.first:
             await self._write(opened.first)
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -24,6 +24,11 @@
 # Largest line and head of a request.
 MAX_HEAD_BYTES = 65_536
 BACKLOG = 1024
+# Time that a connection without a request stays open while the host stops, in
+# seconds; a caller sends its request within a few round trips of connecting.
+FRESH_S = 0.4
+# Time between looks for idle connections while the host stops, in seconds.
+LOOK_S = 0.05
 
 
 class RelayServer(Service):
@@ -40,6 +45,7 @@
         self.draining = False
         self.in_hand = InHand()
         self._ready = ready
+        self._busy: set[object] = set()
         self._runners: list[web.ServerRunner] = []
         self._callers: web.TCPSite | None = None
         self._server: web.Server | None = None
@@ -79,13 +85,29 @@
         await asyncio.sleep(cfg.notice_s)
         if self._callers is not None:
             await self._callers.stop()
-        for conn in list(self._server.connections):
-            # Closes idle connections; busy ones close after their answer.
-            conn.close()
-        left_s = began + cfg.limit_s - time.monotonic()
-        if not await self.in_hand.wait_none(left_s):
+        if not await self._close_idle(began + cfg.limit_s):
             logger.bind(in_hand=self.in_hand.count).warning("work cut off at shutdown")
 
+    async def _close_idle(self, until: float) -> bool:
+        """Closes connections as they fall idle; returns whether all have closed.
+
+        A connection that was just accepted gets time to send its request.
+        """
+        seen: dict[object, float] = {}
+        while time.monotonic() < until:
+            conns = [c for c in self._server.connections if c.transport is not None]
+            if not conns and not self.in_hand.count:
+                return True
+            now = time.monotonic()
+            for conn in conns:
+                since = seen.setdefault(conn, now)
+                if conn in self._busy:
+                    seen[conn] = now
+                elif now - since >= FRESH_S:
+                    conn.force_close()
+            await asyncio.sleep(LOOK_S)
+        return False
+
     async def on_stop(self) -> None:
         """Stops listening."""
         for runner in self._runners:
@@ -96,6 +118,13 @@
         return web.Response(status=200 if ready else 503)
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        self._busy.add(req.protocol)
+        try:
+            return await self._answer(req)
+        finally:
+            self._busy.discard(req.protocol)
+
+    async def _answer(self, req: web.BaseRequest) -> web.StreamResponse:
         began = time.monotonic()
         kind = "none"
         run = call = None
@@ -108,7 +137,7 @@
                 )
                 admitted = admit(self.parts.plans, call)
                 kind = admitted.route.kind.value
-                run = RelayRun(self.parts, admitted, req, began)
+                run = RelayRun(self.parts, admitted, req, began, self._closing())
                 resp = await run.run()
             except BadCall as exc:
                 resp = self._refuse(req, "", bad_call(str(exc)), began)
@@ -132,8 +161,6 @@
                     return run.resp
                 request_id = "" if call is None else call.request_id
                 resp = self._refuse(req, request_id, TARGET_FAILED, began)
-        if self.draining:
-            resp.force_close()
         took_s = time.monotonic() - began
         REQUESTS.inc({"kind": kind, "status": str(resp.status)})
         LATENCY.observe({"kind": kind}, took_s)
@@ -153,9 +180,16 @@
             took_s=round(time.monotonic() - began, 4),
         ).info("refused")
         headers = self.parts.dialect.refusal_headers(request_id, refusal)
-        return web.Response(
+        resp = web.Response(
             status=refusal.status, headers=headers, text=refusal.message + "\n"
         )
+        if self._closing():
+            resp.force_close()
+        return resp
+
+    def _closing(self) -> bool:
+        """Whether callers are to use other hosts from now on."""
+        return self.draining or not self._ready()
 
     def _abort(self, req: web.BaseRequest, exc: BaseException) -> None:
         """Breaks the connection, so that a cut answer does not look whole."""
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -51,13 +51,16 @@
         whole_chain_bytes: Size up to which a record holds its whole chain; larger
             ones point at their parent. Keeps records well below the store's 1 MB.
         budget_retention_s: Least time that a program's budget is kept.
-        store_patience_s: Longest wait for the store on behalf of one request.
+        store_patience_s: Longest wait for a turn to be kept or found.
+        claim_s: Longest wait for a claim of a budget; several slow answers of the
+            store, and well within what callers wait for the start of an answer.
     """
 
     cache_bytes: int = 16_000_000
     whole_chain_bytes: int = 300_000
     budget_retention_s: float = 90.0
     store_patience_s: float = 2.0
+    claim_s: float = 0.7
 
 
 class QuotaSettings(NamedTuple):
@@ -117,14 +120,18 @@
     """How changes in the store are followed.
 
     Attributes:
-        watch_s: Longest time that one watch call stays open.
+        watch_s: Longest time that one watch call stays open at the host that watches
+            most closely for its data centre. A watch may miss changes until it ends,
+            and changes are to be in force within 2 s.
+        idle_watch_s: The same at other hosts, which hear of changes from peers.
         retry_s: Wait after a failed call; doubles up to ``retry_limit_s``.
         retry_limit_s: Longest wait after failed calls.
         lapse_grace_s: Time that a target entry may be missing after the store was
             away; the platform's figure for entries to be back.
     """
 
-    watch_s: float = 8.0
+    watch_s: float = 1.5
+    idle_watch_s: float = 8.0
     retry_s: float = 0.1
     retry_limit_s: float = 0.8
     lapse_grace_s: float = 1.9
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -19,6 +19,7 @@
 
     Attributes:
         known: Whether the list was read at least once.
+        revision: Revision of the newest change that was applied.
     """
 
     def __init__(
@@ -29,6 +30,8 @@
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.known = False
+        self.revision = 0
+        self._entries: dict[str, StoreEntry] = {}
         self._directory = directory
         self._table = table
         self._grace_s = grace_s
@@ -44,10 +47,8 @@
             self._grace_until = now + self._grace_s
         for entry in entries.values():
             self._set(entry)
-        listed = {self._name(key) for key in entries}
-        for name in list(self._table.targets):
-            if name not in listed:
-                self._remove(name, now)
+        for key in self._entries.keys() - entries.keys():
+            self._remove(key, now)
 
     def on_batch(self, batch: WatchBatch) -> None:
         """Takes changed and removed entries."""
@@ -55,7 +56,31 @@
         for entry in batch.changed:
             self._set(entry)
         for key in batch.deleted:
-            self._remove(self._name(key), now)
+            known = self._entries.get(key)
+            if known is None or known.revision <= batch.revision:
+                self._remove(key, now)
+        if batch.deleted:
+            self.revision = max(self.revision, batch.revision)
+
+    def tell(self) -> tuple[int, list[StoreEntry]]:
+        """Returns the newest revision and all entries, for a peer."""
+        return self.revision, list(self._entries.values())
+
+    def hear(self, revision: int, entries: list[StoreEntry]) -> None:
+        """Takes the entries that a peer knows, if they are newer than this host's.
+
+        What the peer lacks is gone if it knew of later changes.
+        """
+        if revision <= self.revision:
+            return
+        now = self._now()
+        told = {entry.key: entry for entry in entries}
+        for entry in entries:
+            self._set(entry)
+        for key, known in list(self._entries.items()):
+            if key not in told and known.revision < revision:
+                self._remove(key, now)
+        self.revision = max(self.revision, revision)
 
     def sweep(self) -> None:
         """Drops targets whose entries did not return in time."""
@@ -63,17 +88,23 @@
         for name, until in list(self._lapsing.items()):
             if until <= now:
                 del self._lapsing[name]
+                self._entries.pop(self._directory.target_prefix + name, None)
                 self._drop(name, "did not return after the store was away")
 
     def _set(self, entry: StoreEntry) -> None:
+        known = self._entries.get(entry.key)
         name = self._name(entry.key)
+        self._lapsing.pop(name, None)
+        if known is not None and known.revision >= entry.revision:
+            return
+        self._entries[entry.key] = entry
+        self.revision = max(self.revision, entry.revision)
         try:
             target = self._directory.read_target(entry.key, entry.value)
         except BadEntry as exc:
             logger.bind(key=entry.key, reason=str(exc)).warning("target entry refused")
             self._drop(name, "its entry cannot be read")
             return
-        self._lapsing.pop(name, None)
         before = self._table.targets.get(name)
         if before != target:
             self._table.set(target)
@@ -85,11 +116,13 @@
                 revision=entry.revision,
             ).info("target")
 
-    def _remove(self, name: str, now: float) -> None:
+    def _remove(self, key: str, now: float) -> None:
+        name = self._name(key)
         if now < self._grace_until:
             self._lapsing.setdefault(name, self._grace_until)
-        else:
-            self._drop(name, "removed")
+            return
+        self._entries.pop(key, None)
+        self._drop(name, "removed")
 
     def _drop(self, name: str, reason: str) -> None:
         if name in self._table.targets:
