--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -28,6 +28,7 @@
 
     Args:
         cfg: Time limits.
+        data_centre: Where this host stands.
         store: The store.
         leases: Leases for records that this host writes to the store itself.
         peers: Connections between hosts.
@@ -37,12 +38,14 @@
     def __init__(
         self,
         cfg: RecordSettings,
+        data_centre: str,
         store: Store,
         leases: LeasePool,
         peers: Peers,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.cfg = cfg
+        self.data_centre = data_centre
         self._store = store
         self._leases = leases
         self._peers = peers
@@ -100,12 +103,13 @@
         Waits while that is not certain; callers set a limit.
         """
         while True:
-            ranked = self._ranked(key)
-            for host in ranked[:1]:
+            likely = self._pair(key)
+            for host in likely[:1]:
                 found = await self._ask(host, FetchRecord(key))
                 if found is not None and found.found:
                     return found.value
-            certain, value = await self._search(key, ranked[1:])
+            others = [host for host in self._hosts if host not in likely[:1]]
+            certain, value = await self._search(key, others)
             if value is not None or certain:
                 return value
             await asyncio.sleep(RETRY_S)
@@ -130,19 +134,22 @@
         return True, None if entry is None else entry.value
 
     async def _keep_on_hosts(self, key: str, value: bytes, keep_s: float) -> list[str]:
-        first, second = [*self._pair(key), "", ""][:2]
-        if not first:
-            return []
-        asks = [self._keep_on(first, KeepRecord(key, value, keep_s, second, True))]
-        if second:
-            ask = KeepRecord(key, value, keep_s, first, False)
-            asks.append(self._keep_on(second, ask))
+        pair = self._pair(key)
+        asks = [
+            self._keep_on(
+                host,
+                KeepRecord(
+                    key, value, keep_s, "".join(pair[:i] + pair[i + 1 :]), not i
+                ),
+            )
+            for i, host in enumerate(pair)
+        ]
         done = await asyncio.gather(*asks)
-        synced = [host for host, ok in zip((first, second), done, strict=False) if ok]
-        for host in self._ranked(key):
+        synced = [host for host, ok in zip(pair, done, strict=True) if ok]
+        for host in self._heard_hosts(key):
             if len(synced) >= 2:
                 break
-            if host not in (first, second):
+            if host not in pair:
                 ask = KeepRecord(key, value, keep_s, "", True)
                 if await self._keep_on(host, ask):
                     synced.append(host)
@@ -180,17 +187,26 @@
             return None
 
     def _pair(self, key: str) -> list[str]:
-        """Returns two hosts for a record, in different data centres if possible."""
-        ranked = [host for host in self._ranked(key) if host not in self._refusing]
+        """Returns two hosts for a record, in different data centres if possible.
+
+        The first one is near, where the record is most likely to be read; readers
+        elsewhere ask their own first, then all.
+        """
+        ranked = self._heard_hosts(key)
         if not ranked:
             return []
-        first = ranked[0]
+        near = [h for h in ranked if self._hosts[h].data_centre == self.data_centre]
+        first = (near or ranked)[0]
         place = self._hosts[first].data_centre
-        elsewhere = [h for h in ranked[1:] if self._hosts[h].data_centre != place]
-        return [first, *(elsewhere or ranked[1:])[:1]]
+        others = [host for host in ranked if host != first]
+        elsewhere = [h for h in others if self._hosts[h].data_centre != place]
+        return [first, *(elsewhere or others)[:1]]
 
-    def _ranked(self, key: str) -> list[str]:
-        """Returns the record hosts, those that were heard lately first."""
+    def _heard_hosts(self, key: str) -> list[str]:
+        """Returns the hosts that were heard lately and take records, ranked."""
         since = self._now() - self.cfg.silent_s
-        names = rendezvous(key, self._hosts)
-        return sorted(names, key=lambda host: self._heard.get(host, 0.0) < since)
+        return [
+            host
+            for host in rendezvous(key, self._hosts)
+            if self._heard.get(host, 0.0) >= since and host not in self._refusing
+        ]
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -59,7 +59,9 @@
         self.quota = QuotaBook(cfg.quota, time.monotonic())
         self.follower = TargetFollower(directory, self.table, cfg.follow.lapse_grace_s)
         leases = LeasePool(store)
-        self.records = RecordClient(cfg.records, store, leases, self.peers)
+        self.records = RecordClient(
+            cfg.records, cfg.data_centre, store, leases, self.peers
+        )
         self.fleet = FleetService(
             cfg,
             store,
@@ -74,9 +76,14 @@
         entry = HostEntry(cfg.data_centre, address, int(port), relays=True)
         self.announcer = Announcer(store, cfg.fleet, cfg.name, entry)
         ledger = BudgetLedger(
-            store, leases, cfg.turns, self.fleet.holder, self.fleet.ask_budget
+            store,
+            leases,
+            cfg.turns,
+            self.fleet.holder,
+            self.fleet.ask_budget,
+            self.fleet.holders,
         )
-        self.budgets = BudgetDesk(cfg.name, ledger, self.peers, self.fleet.alive)
+        self.budgets = BudgetDesk(cfg.name, ledger, self.peers, self.fleet.budget_hosts)
         timing = cfg.targets
         self.client = TargetClient(
             TargetSettings(
--- a/src/magnoliaroad/relay/budget_desk.py
+++ b/src/magnoliaroad/relay/budget_desk.py
@@ -69,7 +69,7 @@
         name: Name of this host.
         ledger: Claims and counts of this host.
         peers: Connections between hosts.
-        alive: Returns the hosts that are in contact, this one included.
+        hosts: Returns the hosts that may count a program's budget.
     """
 
     def __init__(
@@ -77,12 +77,12 @@
         name: str,
         ledger: BudgetLedger,
         peers: Peers,
-        alive: Callable[[], list[str]],
+        hosts: Callable[[], list[str]],
     ) -> None:
         self._name = name
         self._ledger = ledger
         self._peers = peers
-        self._alive = alive
+        self._hosts = hosts
         self._numbers = itertools.count(1)
         self._granted: dict[tuple[str, int], _LocalReservation] = {}
         peers.on(BudgetAsk, self._on_ask, BudgetGiven)
@@ -96,7 +96,7 @@
         Raises:
             Refused: They are spent, or cannot be had now.
         """
-        home = first_choice(program, self._alive())
+        home = first_choice(program, self._hosts())
         if home is not None and home != self._name:
             ask = BudgetTake(next(self._numbers), program, limit, tokens)
             outcome = await self._take(home, ask)
@@ -111,7 +111,7 @@
 
     async def knows(self, program: str) -> bool:
         """Returns whether a program has had tokens before, as far as can be told."""
-        home = first_choice(program, self._alive())
+        home = first_choice(program, self._hosts())
         if home is None or home == self._name:
             return self._ledger.knows(program)
         try:
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -57,6 +57,8 @@
         holder: Incarnation of this host.
         ask: Asks another holder to lend what it does not use; returns ``None`` if it
             cannot be reached.
+        holders: Returns the hosts in contact, which may hold tokens that they
+            borrowed.
         now: Clock in seconds.
     """
 
@@ -67,9 +69,11 @@
         cfg: TurnSettings,
         holder: str,
         ask: AskHolder,
+        holders: Callable[[], list[str]] = list,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.cfg = cfg
+        self._holders = holders
         self._store = store
         self._leases = leases
         self._holder = holder
@@ -120,12 +124,11 @@
             size = claim_size(record, needed)
             await self._write(name, program, record.claim(self._holder, size))
             return
-        others = [
-            holder
-            for holder, claimed in record.claims.items()
-            if claimed > 0 and holder != self._holder
-        ]
-        if not others or not await self._borrow(name, program, record, others):
+        others = [holder for holder in record.claims if holder != self._holder]
+        if not others and not program.share.lent:
+            raise Refused(BUDGET_SPENT)
+        others += [holder for holder in self._holders() if holder not in others]
+        if not await self._borrow(name, program, record, others):
             raise Refused(BUDGET_SPENT)
 
     async def _borrow(
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -32,6 +32,8 @@
 
 # Incarnations this young have all their counts from the current window, in seconds.
 YOUNG_S = 5.0
+# Most hosts that are asked for tokens they may have borrowed.
+MOST_HOLDERS = 16
 # Time in which a change in the store reaches most hosts without their peers.
 SETTLE_S = 0.2
 # Longest wait for a peer's answer.
@@ -106,14 +108,17 @@
         """Name under which this incarnation claims budgets."""
         return f"{self.cfg.name}#{self.boot}"
 
-    def alive(self) -> list[str]:
-        """Returns the relay hosts in contact that reach the store, if any do."""
-        names = [
-            host for host, beat in self._in_contact().items() if not beat.store_lost
-        ]
-        if not self.store_lost() and not self.draining:
-            names.append(self.cfg.name)
-        return names or [self.cfg.name]
+    def budget_hosts(self) -> list[str]:
+        """Returns the hosts in contact that can claim budgets, if any do."""
+        hosts = {host: beat.store_lost for host, beat in self._in_contact().items()}
+        if not self.draining:
+            hosts[self.cfg.name] = self.store_lost()
+        return [host for host, lost in hosts.items() if not lost] or [self.cfg.name]
+
+    def holders(self) -> list[str]:
+        """Returns the names under which hosts in contact claim budgets."""
+        beats = self._in_contact().values()
+        return [f"{beat.host}#{beat.boot}" for beat in beats][:MOST_HOLDERS]
 
     def watches_closely(self) -> bool:
         """Whether this host is the one that watches the store for its data centre."""
@@ -125,13 +130,25 @@
         return self.cfg.name == min([*near, self.cfg.name])
 
     def cut_off(self) -> bool:
-        """Whether others of the data centre can serve and this host cannot."""
-        if not self.store_lost() or self._records.reached:
+        """Whether callers are served better by other hosts.
+
+        So it is if this host reaches neither the store nor a record host, while
+        another of its data centre reaches the store; and if the data centre reaches
+        no other one: the balancer then sends its callers elsewhere.
+        """
+        if not self.store_lost():
             return False
-        return any(
-            beat.data_centre == self.cfg.data_centre and not beat.store_lost
-            for beat in self._in_contact().values()
-        )
+        near, far = [], []
+        for beat in self._in_contact().values():
+            (near if beat.data_centre == self.cfg.data_centre else far).append(beat)
+        if any(not beat.store_lost for beat in near) and not self._records.reached:
+            return True
+        elsewhere = [
+            address
+            for address in self._members.values()
+            if address.data_centre != self.cfg.data_centre
+        ]
+        return bool(elsewhere) and not far
 
     def _in_contact(self) -> dict[str, Beat]:
         since = time.monotonic() - self._silent_s()
