Cut-off data centres are noticed within two seconds

Cause: in a zone cut, callers of the cut data centre were refused until the cut healed; a lost watch shows only after seconds.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -82,6 +82,7 @@
             self.fleet.holder,
             self.fleet.ask_budget,
             self.fleet.holders,
+            self.fleet.store_gone,
         )
         self.budgets = BudgetDesk(cfg.name, ledger, self.peers, self.fleet.budget_hosts)
         timing = cfg.targets
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -59,6 +59,7 @@
             cannot be reached.
         holders: Returns the hosts in contact, which may hold tokens that they
             borrowed.
+        store_gone: Returns whether calls on the store are known to fail.
         now: Clock in seconds.
     """
 
@@ -70,10 +71,12 @@
         holder: str,
         ask: AskHolder,
         holders: Callable[[], list[str]] = list,
+        store_gone: Callable[[], bool] = bool,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.cfg = cfg
         self._holders = holders
+        self._store_gone = store_gone
         self._store = store
         self._leases = leases
         self._holder = holder
@@ -121,6 +124,8 @@
         record, _ = program.known
         needed = tokens - program.share.available
         if record.free >= needed:
+            if self._store_gone():
+                raise Refused(BUDGET_UNCERTAIN)
             size = claim_size(record, needed)
             await self._write(name, program, record.claim(self._holder, size))
             return
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -32,6 +32,8 @@
 
 # Incarnations this young have all their counts from the current window, in seconds.
 YOUNG_S = 5.0
+# Time between checks of isolation, and longest wait for the store in one.
+PROBE_S = 0.3
 # Most hosts that are asked for tokens they may have borrowed.
 MOST_HOLDERS = 16
 # Time in which a change in the store reaches most hosts without their peers.
@@ -85,6 +87,7 @@
         self.cfg = cfg
         self.boot = uuid.uuid4().hex[:12]
         self.draining = False
+        self.isolated = False
         self._store = store
         self._peers = peers
         self._plans = plans
@@ -108,11 +111,15 @@
         """Name under which this incarnation claims budgets."""
         return f"{self.cfg.name}#{self.boot}"
 
+    def store_gone(self) -> bool:
+        """Whether calls on the store are known to fail now."""
+        return self.isolated or self.store_lost()
+
     def budget_hosts(self) -> list[str]:
         """Returns the hosts in contact that can claim budgets, if any do."""
         hosts = {host: beat.store_lost for host, beat in self._in_contact().items()}
         if not self.draining:
-            hosts[self.cfg.name] = self.store_lost()
+            hosts[self.cfg.name] = self.store_gone()
         return [host for host, lost in hosts.items() if not lost] or [self.cfg.name]
 
     def holders(self) -> list[str]:
@@ -133,22 +140,48 @@
         """Whether callers are served better by other hosts.
 
         So it is if this host reaches neither the store nor a record host, while
-        another of its data centre reaches the store; and if the data centre reaches
-        no other one: the balancer then sends its callers elsewhere.
+        another of its data centre reaches the store; and if the data centre is cut
+        off as a whole: the balancer then sends its callers elsewhere.
         """
+        if self.isolated:
+            return True
         if not self.store_lost():
             return False
-        near, far = [], []
-        for beat in self._in_contact().values():
-            (near if beat.data_centre == self.cfg.data_centre else far).append(beat)
-        if any(not beat.store_lost for beat in near) and not self._records.reached:
-            return True
+        near = any(
+            beat.data_centre == self.cfg.data_centre and not beat.store_lost
+            for beat in self._in_contact().values()
+        )
+        return near and not self._records.reached
+
+    def _alone(self) -> bool:
+        """Whether no other data centre is heard, though others are known."""
         elsewhere = [
-            address
-            for address in self._members.values()
+            host
+            for host, address in self._members.items()
             if address.data_centre != self.cfg.data_centre
         ]
-        return bool(elsewhere) and not far
+        return bool(elsewhere) and all(host in self._silent for host in elsewhere)
+
+    async def _check_isolation(self) -> None:
+        """Tells a data centre that is cut off from others that have failed."""
+        if not self._alone():
+            isolated = False
+        else:
+            try:
+                async with asyncio.timeout(PROBE_S):
+                    await self._store.get(PREFIX + self.cfg.name)
+                isolated = False
+            except (StoreError, TimeoutError):
+                isolated = True
+        if isolated != self.isolated:
+            logger.bind(isolated=isolated).warning("isolation changed")
+        self.isolated = isolated
+
+    @Service.task
+    async def _watch_isolation(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(PROBE_S)
+            await self._check_isolation()
 
     def _in_contact(self) -> dict[str, Beat]:
         since = time.monotonic() - self._silent_s()
@@ -245,7 +278,7 @@
             port=self._peers.port,
             age_s=time.monotonic() - self._began,
             draining=self.draining,
-            store_lost=self.store_lost(),
+            store_lost=self.store_gone(),
             targets_revision=self._follower.revision,
             plan_version=self._plans.version,
             admitted=self._quota.counts(),
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -3,8 +3,11 @@
 from magnoliaroad.refusal import Refusal
 from magnoliaroad.verdict import Verdict
 
-# Time after which a host that has just started, or lost the store, may serve again.
+# Time after which a host that has just started may serve again, in seconds.
 SOON_S = 0.3
+# Time after which callers of a host that has lost the store may be served, in seconds:
+# the balancer notices within two of its questions, a second apart.
+ELSEWHERE_S = 1.5
 
 NOT_READY = Refusal(
     code="not_ready",
@@ -36,7 +39,7 @@
     status=503,
     message="The previous turn cannot be looked up now.",
     action="Send the request again.",
-    retry_after_s=SOON_S,
+    retry_after_s=ELSEWHERE_S,
 )
 BUDGET_SPENT = Refusal(
     code="budget_spent",
@@ -49,7 +52,7 @@
     status=503,
     message="The program's token budget cannot be claimed now.",
     action="Send the request again.",
-    retry_after_s=SOON_S,
+    retry_after_s=ELSEWHERE_S,
 )
 NO_TARGET = Refusal(
     code="no_target",
