--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 VENV ?= .venv
 PYTHON ?= python3.11
 BIN = $(VENV)/bin
-export PYTHONPATH = src:.
+export PYTHONPATH = src:platform:.
 
 .PHONY: demo test lint format
 
@@ -12,12 +12,12 @@
 	$(BIN)/python -m pytest
 
 lint: $(VENV)/ready
-	$(BIN)/ruff format --check src tests bench
-	$(BIN)/ruff check src tests bench
+	$(BIN)/ruff format --check src platform tests bench
+	$(BIN)/ruff check src platform tests bench
 
 format: $(VENV)/ready
-	$(BIN)/ruff format src tests bench
-	$(BIN)/ruff check --fix src tests bench
+	$(BIN)/ruff format src platform tests bench
+	$(BIN)/ruff check --fix src platform tests bench
 
 $(VENV)/ready: requirements.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
--- a/src/magnoliaroad/records/service.py
+++ b/src/magnoliaroad/records/service.py
@@ -3,11 +3,12 @@
 import asyncio
 import pathlib
 import time
+from collections.abc import Callable
 
 from loguru import logger
 from mode import Service
 
-from magnoliaroad.peers import PeerService
+from magnoliaroad.peers import Peers
 from magnoliaroad.records.held import HeldValues
 from magnoliaroad.records.journal import Journal, JournalRecord
 from magnoliaroad.records.messages import (
@@ -36,6 +37,7 @@
         folder: Folder of the journal.
         store: The store.
         peers: Connections between hosts.
+        now: Clock in seconds.
 
     Attributes:
         accepts: Whether new records are taken.
@@ -46,14 +48,16 @@
         cfg: RecordSettings,
         folder: pathlib.Path,
         store: Store,
-        peers: PeerService,
+        peers: Peers,
+        now: Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
         self.cfg = cfg
         self.accepts = True
         self._journal = Journal(folder, cfg.segment_bytes)
+        self._now = now
         self._store = store
-        self._leases = LeasePool(store)
+        self._leases = LeasePool(store, now)
         self._peers = peers
         self._pending = PendingRecords(cfg)
         self._held: HeldValues[bytes] = HeldValues(cfg.held_bytes, len)
@@ -69,9 +73,7 @@
         found = self._journal.recover()
         # Nobody knows which of them the store holds; writing again does no harm.
         for record in found:
-            self._pending.add(
-                time.monotonic() - self.cfg.store_after_s, record, "", True
-            )
+            self._pending.add(self._now() - self.cfg.store_after_s, record, "", True)
         logger.bind(records=len(found), bytes=self._pending.size).info(
             "journal recovered"
         )
@@ -105,7 +107,7 @@
             synced = False
         else:
             synced = True
-            now = time.monotonic()
+            now = self._now()
             for (ask, _), record in zip(batch, records, strict=True):
                 self._pending.add(now, record, ask.partner, ask.first)
         for _, fut in batch:
@@ -122,7 +124,7 @@
     async def _store_batch(self, everything: bool = False) -> bool:
         """Writes the next batch; returns whether the store took it."""
         async with self._storing:
-            batch = self._pending.batch(time.monotonic(), everything)
+            batch = self._pending.batch(self._now(), everything)
             if not batch:
                 return True
             lease = 0
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -132,7 +132,8 @@
         others = [holder for holder in record.claims if holder != self._holder]
         if not others and not program.share.lent:
             raise Refused(BUDGET_SPENT)
-        others += [holder for holder in self._holders() if holder not in others]
+        known = {self._holder, *others}
+        others += [holder for holder in self._holders() if holder not in known]
         if not await self._borrow(name, program, record, others):
             raise Refused(BUDGET_SPENT)
 
--- a/src/magnoliaroad/relay/dialect.py
+++ b/src/magnoliaroad/relay/dialect.py
@@ -51,6 +51,10 @@
 class Dialect(abc.ABC):
     """Reads and writes the headers of one platform."""
 
+    @abc.abstractmethod
+    def request_id(self, headers: CIMultiDictProxy[str]) -> str:
+        """Returns the id of a request; empty if it has none."""
+
     @abc.abstractmethod
     def read_call(
         self, method: str, path: str, headers: CIMultiDictProxy[str], body: bytes
--- a/src/magnoliaroad/relay/plan.py
+++ b/src/magnoliaroad/relay/plan.py
@@ -94,7 +94,9 @@
     if len(route.services) == 1:
         return route.services[0].service
     total = sum(part.weight for part in route.services)
-    point = xxhash.xxh3_64_intdigest(f"{route.name}\0{key}") / HASH_RANGE * total
+    point = (
+        xxhash.xxh3_64_intdigest(f"{route.name}\0{key}".encode()) / HASH_RANGE * total
+    )
     for part in route.services:
         point -= part.weight
         if point < 0:
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -29,7 +29,13 @@
 from magnoliaroad.relay.route_kind import RouteKind
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.turn import Turn
-from magnoliaroad.targets import TargetAnswer, TargetError, TargetRequest
+from magnoliaroad.targets import (
+    TargetAnswer,
+    TargetError,
+    TargetFull,
+    TargetRequest,
+    WrongTarget,
+)
 from magnoliaroad.verdict import Verdict
 
 # Targets that refuse or cannot be reached do not count as attempts; a request
@@ -40,6 +46,7 @@
 # First and longest time that a target which failed gets no new work, in seconds.
 REST_S = 0.25
 MOST_REST_S = 4.0
+MISDIRECTED = 421
 # Largest answer of a plain service that is read whole before it is passed on, so
 # that a broken one can still be told from a whole one.
 WHOLE_BYTES = 262_144
@@ -214,7 +221,8 @@
                 self._note_failure(target, exc)
                 again = self._may_repeat(exc.verdict) and attempts < self.route.attempts
                 if self.resp is not None or not again:
-                    raise Refused(TARGET_FAILED) from exc
+                    late = isinstance(exc.__cause__, TimeoutError)
+                    raise Refused(TIMED_OUT if late else TARGET_FAILED) from exc
             finally:
                 if answer is not None:
                     answer.close()
@@ -286,11 +294,12 @@
         if head.request_id and head.request_id != self.call.request_id:
             text = f"answer to {head.request_id!r}"
             raise TargetError(text, Verdict.MAY_HAVE_RUN)
-        if answer.status == 421:
-            self.parts.table.moved(target)
-        if head.refused or answer.status == 421:
+        if answer.status == MISDIRECTED:
+            self.sent = sent_before
+            raise WrongTarget(f"{target.address} is not {target.name}")
+        if head.refused:
             self.sent = sent_before
-            raise TargetError(f"refused with {answer.status}", Verdict.NOT_RUN)
+            raise TargetFull(f"refused with {answer.status}")
         if answer.status < 300 and (not head.sealed or head.encoded):
             raise TargetError("not signed by the target", Verdict.MAY_HAVE_RUN)
         opened = Opened(target, answer, head)
@@ -314,9 +323,8 @@
         return min(left_s, max(0.5 * left_s, self.parts.cfg.targets.safe_first_byte_s))
 
     def _note_failure(self, target: RelayTarget, exc: TargetError) -> None:
-        full = exc.verdict is Verdict.NOT_RUN and exc.__cause__ is None
         rest_s = 0.0
-        if not full:
+        if not isinstance(exc, TargetFull):
             rest_s = self.parts.table.failed(
                 target.name, time.monotonic(), REST_S, MOST_REST_S
             )
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -127,7 +127,8 @@
     async def _answer(self, req: web.BaseRequest) -> web.StreamResponse:
         began = time.monotonic()
         kind = "none"
-        run = call = None
+        run = None
+        request_id = self.parts.dialect.request_id(req.headers)
         with self.in_hand:
             IN_HAND.set({}, self.in_hand.count)
             try:
@@ -140,35 +141,33 @@
                 run = RelayRun(self.parts, admitted, req, began, self._closing())
                 resp = await run.run()
             except BadCall as exc:
-                resp = self._refuse(req, "", bad_call(str(exc)), began)
+                resp = self._refuse(request_id, bad_call(str(exc)), began)
             except Refused as exc:
                 if run is not None and run.resp is not None:
-                    self._abort(req, exc)
+                    self._abort(req, request_id, exc)
                     return run.resp
-                request_id = "" if call is None else call.request_id
-                resp = self._refuse(req, request_id, exc.refusal, began)
+                resp = self._refuse(request_id, exc.refusal, began)
             except (ConnectionError, asyncio.CancelledError):
                 logger.bind(
-                    request="" if call is None else call.request_id,
+                    request=request_id,
                     sent=run is not None and run.sent,
                     took_s=round(time.monotonic() - began, 4),
                 ).info("caller left")
                 raise
             except Exception as exc:
-                logger.bind(path=req.path).opt(exception=exc).error("request failed")
+                logger.bind(request=request_id, path=req.path).opt(exception=exc).error(
+                    "request failed"
+                )
                 if run is not None and run.resp is not None:
-                    self._abort(req, exc)
+                    self._abort(req, request_id, exc)
                     return run.resp
-                request_id = "" if call is None else call.request_id
-                resp = self._refuse(req, request_id, TARGET_FAILED, began)
+                resp = self._refuse(request_id, TARGET_FAILED, began)
         took_s = time.monotonic() - began
         REQUESTS.inc({"kind": kind, "status": str(resp.status)})
         LATENCY.observe({"kind": kind}, took_s)
         return resp
 
-    def _refuse(
-        self, req: web.BaseRequest, request_id: str, refusal: Refusal, began: float
-    ) -> web.Response:
+    def _refuse(self, request_id: str, refusal: Refusal, began: float) -> web.Response:
         REFUSALS.inc({"code": refusal.code})
         logger.bind(
             request=request_id,
@@ -191,9 +190,10 @@
         """Whether callers are to use other hosts from now on."""
         return self.draining or not self._ready()
 
-    def _abort(self, req: web.BaseRequest, exc: BaseException) -> None:
+    def _abort(self, req: web.BaseRequest, request_id: str, exc: BaseException) -> None:
         """Breaks the connection, so that a cut answer does not look whole."""
-        logger.bind(reason=repr(exc.__cause__ or exc)).warning("answer cut off")
+        reason = repr(exc.__cause__ or exc)
+        logger.bind(request=request_id, reason=reason).warning("answer cut off")
         if req.transport is not None:
             req.transport.abort()
 
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -6,11 +6,7 @@
 
 
 class TargetTable:
-    """Targets by name, with the work in hand and recent failures of each.
-
-    Args:
-        host: Name of this host.
-    """
+    """Targets by name, with the work in hand and recent failures of each."""
 
     def __init__(self) -> None:
         self.targets: dict[str, RelayTarget] = {}
@@ -18,7 +14,6 @@
         self._remote: dict[str, dict[str, int]] = {}
         self._failures: dict[str, int] = {}
         self._rests_until: dict[str, float] = {}
-        self._moved: dict[str, int] = {}
 
     def set(self, target: RelayTarget) -> None:
         """Adds or replaces a target."""
@@ -26,7 +21,7 @@
 
     def drop(self, name: str) -> None:
         """Forgets a target."""
-        for table in (self.targets, self._failures, self._rests_until, self._moved):
+        for table in (self.targets, self._failures, self._rests_until):
             table.pop(name, None)
 
     def usable(self, service: str, now: float) -> list[RelayTarget]:
@@ -37,9 +32,7 @@
         ready = [
             target
             for target in self.targets.values()
-            if target.service == service
-            and target.state is TargetState.READY
-            and self._moved.get(target.name) != target.started_ms
+            if target.service == service and target.state is TargetState.READY
         ]
         sound = [t for t in ready if self._rests_until.get(t.name, 0.0) <= now]
         return sound or ready
@@ -82,7 +75,3 @@
         if name in self._failures:
             del self._failures[name]
             self._rests_until.pop(name, None)
-
-    def moved(self, target: RelayTarget) -> None:
-        """Notes that something else answers at a target's address."""
-        self._moved[target.name] = target.started_ms
--- a/src/magnoliaroad/targets/__init__.py
+++ b/src/magnoliaroad/targets/__init__.py
@@ -3,7 +3,12 @@
 from magnoliaroad.targets.answer import TargetAnswer
 from magnoliaroad.targets.client import TargetClient
 from magnoliaroad.targets.crash import looks_crashed
-from magnoliaroad.targets.errors import AnswerCut, TargetError
+from magnoliaroad.targets.errors import (
+    AnswerCut,
+    TargetError,
+    TargetFull,
+    WrongTarget,
+)
 from magnoliaroad.targets.request import TargetRequest
 
 __all__ = [
@@ -11,6 +16,8 @@
     "TargetAnswer",
     "TargetClient",
     "TargetError",
+    "TargetFull",
     "TargetRequest",
+    "WrongTarget",
     "looks_crashed",
 ]
--- a/src/magnoliaroad/targets/errors.py
+++ b/src/magnoliaroad/targets/errors.py
@@ -20,3 +20,17 @@
 
     def __init__(self, text: str) -> None:
         super().__init__(text, Verdict.MAY_HAVE_RUN)
+
+
+class TargetFull(TargetError):
+    """A target that says that it did not run the request, mostly for want of room."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__(text, Verdict.NOT_RUN)
+
+
+class WrongTarget(TargetError):
+    """Another target than expected answers at the address."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__(text, Verdict.NOT_RUN)
--- a/tests/fakes/peers.py
+++ b/tests/fakes/peers.py
@@ -67,9 +67,11 @@
         self._carry(host, message, None)
 
     @override
-    def expect(self, *replies) -> None:
-        """Does nothing: messages are passed on as they are."""
+    def expect(self, *replies):
+        for kind in replies:
+            self._catalogue.add(kind)
 
+    @override
     def learn(self, addresses):
         self.known = [known for known in addresses if known.host != self.me.host]
 
--- /dev/null
+++ b/tests/platform/kv_standin.py
@@ -0,0 +1,157 @@
+"""A stand-in for the platform's store, by its published protocol."""
+
+import asyncio
+import base64
+import json
+import time
+
+from aiohttp import web
+
+from magnoliaroad.standins.kv_state import KvState
+from magnoliaroad.store import LeaseLost, StoreConflict
+
+WATCH_STEP_S = 0.02
+PAGE = 3
+
+
+class KvStandin:
+    """Serves a ``KvState`` over HTTP with the faults of the platform's pages.
+
+    Attributes:
+        fault: One of ``None``, ``"busy"`` (503), ``"many"`` (429), ``"reset"``,
+            ``"silent"``, ``"lost"`` (done, not answered).
+        history_gone: Whether the next watch finds its history dropped.
+        watches_hang: Whether watches hear nothing, whatever changes.
+    """
+
+    def __init__(self):
+        self.state = KvState()
+        self.state.revision = 7
+        self.fault = None
+        self.history_gone = False
+        self.watches_hang = False
+        self.calls = []
+        self._runner = None
+        self.url = ""
+
+    async def start(self):
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self._handle)
+        self._runner = web.AppRunner(
+            app, access_log=None, handler_cancellation=True, shutdown_timeout=0.1
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        self.url = f"http://127.0.0.1:{self._runner.addresses[0][1]}"
+        return self
+
+    async def stop(self):
+        await self._runner.cleanup()
+
+    async def _handle(self, req):
+        self.calls.append(f"{req.method} {req.path}")
+        self.state.expire(time.monotonic())
+        if self.fault == "busy":
+            return web.Response(status=503)
+        if self.fault == "many":
+            return web.Response(status=429)
+        if self.fault == "reset":
+            req.transport.abort()
+            return web.Response()
+        if self.fault == "silent":
+            await asyncio.sleep(30)
+        try:
+            resp = await self._answer(req)
+        except StoreConflict as exc:
+            items = [] if exc.current is None else [item(exc.current)]
+            resp = web.json_response({"items": items}, status=412)
+        except LeaseLost:
+            resp = web.Response(status=404)
+        if self.fault == "lost":
+            req.transport.abort()
+        return resp
+
+    async def _answer(self, req):
+        path, query = req.path, req.query
+        if path == "/-/kv-key":
+            entry = self.state.get(query["key"])
+            if entry is None:
+                return web.Response(status=404)
+            return web.json_response({**item(entry), "as_of": self.state.revision})
+        if path == "/-/kv-range":
+            return self._range(query)
+        if path == "/-/kv-watch":
+            return await self._watch(query)
+        if path == "/-/kv-txn":
+            return self._txn(await req.json())
+        if path == "/-/kv-lease":
+            ttl_ms = (await req.json())["ttl_ms"]
+            lease = self.state.grant_lease(ttl_ms / 1000, time.monotonic())
+            return web.json_response({"lease": lease, "ttl_ms": ttl_ms})
+        if path.startswith("/-/kv-keep/"):
+            lease = int(path.rpartition("/")[2])
+            self.state.renew_lease(lease, time.monotonic())
+            return web.json_response({"ttl_ms": 1000})
+        if path.startswith("/-/kv-lease-end/"):
+            self.state.revoke_lease(int(path.rpartition("/")[2]))
+            return web.json_response({})
+        return web.Response(status=400)
+
+    def _range(self, query):
+        found = sorted(
+            e
+            for e in self.state.list(query["path_prefix"]).changed
+            if e.key > query.get("after", "")
+        )
+        body = {
+            "items": [item(entry) for entry in found[:PAGE]],
+            "more_pages": len(found) > PAGE,
+            "as_of": self.state.revision,
+        }
+        return web.json_response(body)
+
+    async def _watch(self, query):
+        if self.history_gone:
+            self.history_gone = False
+            return web.Response(status=410)
+        after = int(query["after"])
+        ends = time.monotonic() + int(query["wait_ms"]) / 1000
+        while True:
+            batch = self.state.changes(query["path_prefix"], after)
+            some = (batch.changed or batch.deleted) and not self.watches_hang
+            if some or time.monotonic() >= ends:
+                events = [item(entry) for entry in batch.changed]
+                events += [
+                    {"key": key, "revision": batch.revision, "deleted": True}
+                    for key in batch.deleted
+                ]
+                if self.watches_hang:
+                    events = []
+                return web.json_response({"events": events, "as_of": batch.revision})
+            await asyncio.sleep(WATCH_STEP_S)
+
+    def _txn(self, body):
+        for row in body["expected_rev"]:
+            self.state._check(row["key"], row["revision"])
+        for put in body["puts"]:
+            if put["lease"] and put["lease"] not in self.state._deadline:
+                raise LeaseLost(str(put["lease"]))
+        for put in body["puts"]:
+            value = base64.b64decode(put["value"])
+            self.state.put(put["key"], value, lease=put["lease"] or None)
+        for key in body["remove"]:
+            self.state.delete(key)
+        return web.json_response({"revision": self.state.revision})
+
+    def write(self, key, document):
+        self.state.put(key, json.dumps(document).encode())
+
+
+def item(entry):
+    return {
+        "key": entry.key,
+        "value": base64.b64encode(entry.value).decode(),
+        "revision": entry.revision,
+        "create_rev": entry.revision,
+        "lease": 0,
+    }
--- /dev/null
+++ b/tests/platform/target_standin.py
@@ -0,0 +1,148 @@
+"""A stand-in for a runner, byte by byte."""
+
+import asyncio
+
+SEAL = "3e1b.07"
+
+
+class TargetStandin:
+    """Answers requests as its ``script`` says, one entry a request.
+
+    Entries are ``"ok"``, ``"full"`` (not run), ``"moved"`` (421), ``"wrong_id"``,
+    ``"unsealed"``, ``"error"`` (a 500 of its own), ``"reset"``, ``"silent"``,
+    ``"cut"`` (breaks off within the body), ``"extra"`` (an answer too much) and
+    ``"slow"``. The last one stays in force.
+
+    Attributes:
+        runs: Requests that it ran: method, path, headers, body.
+        open: Requests that are being answered.
+    """
+
+    def __init__(self, name="i-1", service="lm", events=3):
+        self.name = name
+        self.service = service
+        self.events = events
+        self.script = ["ok"]
+        self.runs = []
+        self.open = 0
+        self.left = 0
+        self._server = None
+        self.address = ""
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def stop(self):
+        self._server.close()
+
+    def entry(self, **changes):
+        fields = {
+            "service": self.service,
+            "address": self.address,
+            "zone": "dc-1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "call_seq": 1,
+            "born": 1000,
+        }
+        return {**fields, **changes}
+
+    async def _serve(self, reader, writer):
+        try:
+            while await self._one(reader, writer):
+                pass
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def _one(self, reader, writer):
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        method, path, _ = head[0].split(" ")
+        headers = dict(line.split(": ", 1) for line in head[1:] if line)
+        lower = {name.lower(): value for name, value in headers.items()}
+        body = await reader.readexactly(int(lower.get("content-length", 0)))
+        act = self.script[0] if len(self.script) == 1 else self.script.pop(0)
+        request_id = lower["magnoliaroad-request-id"]
+        if act == "full":
+            self._plain(writer, 503, request_id, b"", "Magnoliaroad-Not-Executed: 1")
+            return True
+        if act == "moved":
+            self._plain(writer, 421, request_id, b"", "Magnoliaroad-Instance-Id: x")
+            return True
+        self.runs.append((method, path, lower, body))
+        self.open += 1
+        try:
+            return await self._run(act, reader, writer, request_id, path)
+        finally:
+            self.open -= 1
+
+    async def _run(self, act, reader, writer, request_id, path):
+        if act == "reset":
+            writer.transport.abort()
+            return False
+        if act in ("silent", "slow"):
+            try:
+                async with asyncio.timeout(5.0 if act == "silent" else 0.5):
+                    await reader.read(1)
+                self.left += 1
+                return False
+            except TimeoutError:
+                pass
+        if act == "wrong_id":
+            request_id = "another"
+        if path.startswith("/stream/"):
+            return await self._stream(act, writer, request_id)
+        status = 500 if act == "error" else 200
+        seal = "" if act == "unsealed" else f"Magnoliaroad-Response-Seal: {SEAL}"
+        if act == "cut":
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n{seal}\r\n"
+            writer.write(
+                f"{head}Magnoliaroad-Request-Id: {request_id}\r\n\r\n".encode()
+            )
+            writer.write(b"half")
+            await writer.drain()
+            writer.transport.abort()
+            return False
+        self._plain(writer, status, request_id, b"whole", seal)
+        if act == "extra":
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            self._plain(writer, 200, request_id, b"extra", seal)
+        return True
+
+    async def _stream(self, act, writer, request_id):
+        lines = [
+            "HTTP/1.1 200 OK",
+            "Content-Type: text/event-stream",
+            "Transfer-Encoding: chunked",
+            f"Magnoliaroad-Request-Id: {request_id}",
+            f"Magnoliaroad-Response-Seal: {SEAL}",
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode())
+        for number in range(1, self.events + 1):
+            if act == "cut" and number == self.events:
+                await writer.drain()
+                writer.transport.abort()
+                return False
+            event = f"id: {number}\ndata: word{number}\n\n".encode()
+            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.005)
+        writer.write(b"0\r\n\r\n")
+        return True
+
+    def _plain(self, writer, status, request_id, body, extra):
+        lines = [
+            f"HTTP/1.1 {status} X",
+            f"Content-Length: {len(body)}",
+            f"Magnoliaroad-Request-Id: {request_id}",
+        ]
+        if extra:
+            lines.append(extra)
+        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,374 @@
+"""The whole path over sockets: what callers and targets see."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from tests.platform.deployment import KEY, Deployment, config
+from tests.platform.target_standin import SEAL, TargetStandin
+
+
+@pytest.fixture
+def app_targets():
+    return [TargetStandin("i-app1", "app"), TargetStandin("i-app2", "app")]
+
+
+def total_runs(targets):
+    return sum(len(target.runs) for target in targets)
+
+
+async def test_an_answer_comes_back_unchanged_and_no_key_goes_out(tmp_path):
+    target = TargetStandin("i-app", "app")
+    async with Deployment(tmp_path, target) as deployment:
+        status, headers, body = await deployment.call(
+            "/pay/x?y=1",
+            "POST",
+            b"money",
+            Magnoliaroad_Hold="forged",
+            Kv_From="1.2.3.4:5/6",
+            Magnoliaroad_Tenant="forged",
+            X_Note=f"my key is {KEY}",
+            X_Other="kept",
+        )
+    assert (status, body) == (200, b"whole")
+    assert headers["Magnoliaroad-Response-Seal"] == SEAL
+    ((method, path, seen, sent),) = target.runs
+    assert (method, path, sent) == ("POST", "/pay/x?y=1", b"money")
+    assert KEY not in "".join(seen.values())
+    assert seen["magnoliaroad-tenant"] == "league"
+    assert seen["magnoliaroad-expect-instance"] == "i-app"
+    assert 1000 < int(seen["magnoliaroad-deadline-ms"]) <= 2000
+    assert seen["x-other"] == "kept"
+    assert not {"magnoliaroad-hold", "kv-from", "x-note"} & seen.keys()
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/none/x", {}, 404),
+        ("/safe/x", {"Authorization": "Bearer stolen"}, 401),
+        ("/safe/x", {"Authorization": None}, 401),
+        ("/open/x", {"Authorization": None}, 200),
+        ("/safe/x", {"Magnoliaroad_Deadline_Ms": "soon"}, 400),
+    ],
+)
+async def test_routes_and_keys(tmp_path, app_targets, path, headers, status):
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        got, answered, _ = await deployment.call(path, **headers)
+        assert got == status
+        assert answered["Magnoliaroad-Request-Id"].startswith("request-")
+
+
+@pytest.mark.parametrize("act", ["full", "moved"])
+async def test_what_a_target_did_not_run_goes_to_another(tmp_path, app_targets, act):
+    app_targets[0].script = [act]
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        results = [await deployment.call("/pay/x", "POST", b"m") for _ in range(6)]
+    assert [status for status, _, _ in results] == [200] * 6
+    assert len(app_targets[1].runs) == 6
+
+
+async def test_full_targets_make_a_refusal_that_says_when_to_come_back(
+    tmp_path, app_targets
+):
+    for target in app_targets:
+        target.script = ["full"]
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        status, headers, _ = await deployment.call("/pay/x", "POST", b"m")
+    assert status == 503
+    assert 0 < float(headers["Retry-After"]) < 2
+    assert total_runs(app_targets) == 0
+
+
+@pytest.mark.parametrize("act", ["reset", "cut", "wrong_id", "unsealed"])
+async def test_a_payment_that_may_have_run_is_never_sent_again(
+    tmp_path, app_targets, act
+):
+    for target in app_targets:
+        target.script = [act]
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        status, _, _ = await deployment.call("/pay/x", "POST", b"m")
+    assert status == 502
+    assert total_runs(app_targets) == 1
+
+
+@pytest.mark.parametrize("act", ["reset", "cut", "wrong_id", "unsealed"])
+async def test_a_repeatable_request_is_sent_to_another_target(
+    tmp_path, app_targets, act
+):
+    for target in app_targets:
+        target.script = [act, "ok"]
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        results = [(await deployment.call("/safe/x"))[0] for _ in range(2)]
+    assert results.count(200) >= 1
+    assert total_runs(app_targets) <= 4
+
+
+async def test_a_request_is_sent_to_no_more_targets_than_its_route_allows(tmp_path):
+    targets = [TargetStandin(f"i-{n}", "app") for n in range(5)]
+    for target in targets:
+        target.script = ["reset"]
+    async with Deployment(tmp_path, *targets) as deployment:
+        status, _, _ = await deployment.call("/safe/x")
+    assert status == 502
+    assert total_runs(targets) == 2
+
+
+async def test_a_targets_own_failure_is_passed_on(tmp_path, app_targets):
+    for target in app_targets:
+        target.script = ["error"]
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        status, headers, body = await deployment.call("/safe/x")
+    assert (status, body) == (500, b"whole")
+    assert headers["Magnoliaroad-Response-Seal"] == SEAL
+
+
+async def test_bytes_after_an_answer_belong_to_no_request(tmp_path):
+    target = TargetStandin("i-app", "app")
+    target.script = ["extra", "ok"]
+    async with Deployment(tmp_path, target) as deployment:
+        first = await deployment.call("/pay/1", "POST", b"m")
+        await asyncio.sleep(0.2)
+        second = await deployment.call("/pay/2", "POST", b"m")
+    assert first[2] == second[2] == b"whole"
+    assert [run[1] for run in target.runs] == ["/pay/1", "/pay/2"]
+
+
+async def test_an_answer_is_given_at_the_routes_timeout(tmp_path):
+    target = TargetStandin("i-app", "app")
+    target.script = ["silent"]
+    async with Deployment(tmp_path, target) as deployment:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        status, _, _ = await deployment.call(
+            "/pay/x", "POST", b"m", Magnoliaroad_Deadline_Ms="9000"
+        )
+        assert status == 504
+        assert 1.5 < loop.time() - began < 2.4
+
+
+async def test_a_caller_that_leaves_stops_its_request(tmp_path):
+    target = TargetStandin("i-app", "app")
+    target.script = ["silent"]
+    async with Deployment(tmp_path, target) as deployment:
+        call = asyncio.create_task(deployment.call("/pay/x", "POST", b"m"))
+        await deployment.until(lambda: target.open == 1)
+        call.cancel()
+        await deployment.until(lambda: target.left == 1, 1.0)
+
+
+async def test_a_stream_is_passed_on_and_kept(tmp_path):
+    target = TargetStandin("i-lm", "lm")
+    async with Deployment(tmp_path, target) as deployment:
+        await deployment.start_records()
+        status, first, body = await deployment.turn(b"one;")
+        assert status == 200
+        assert body.endswith(b"id: 3\ndata: word3\n\n")
+        status, second, _ = await deployment.turn(
+            b"two;", Magnoliaroad_Previous_Turn=first
+        )
+        assert status == 200
+        await deployment.turn(b"three;", Magnoliaroad_Previous_Turn=second)
+    words = b"word1\nword2\nword3\n"
+    bodies = [run[3] for run in target.runs]
+    assert bodies == [
+        b"one;",
+        b"one;" + words + b"two;",
+        b"one;" + words + b"two;" + words + b"three;",
+    ]
+
+
+async def test_a_turn_is_found_on_another_host_and_after_a_restart(tmp_path):
+    target = TargetStandin("i-lm", "lm")
+    async with Deployment(tmp_path, target, hosts=2) as deployment:
+        await deployment.start_records()
+        _, first, _ = await deployment.turn(b"one;")
+        status, _, _ = await deployment.turn(
+            b"two;", Magnoliaroad_Previous_Turn=first, relay=1
+        )
+        assert status == 200
+        await deployment.records.stop()
+        deployment.records = None
+        await deployment.start_records()
+        deployment.relays[0].table.in_hand.clear()
+        await deployment.until(lambda: deployment.kv.state.get(f"turns/{first}"))
+    assert target.runs[1][3].startswith(b"one;word1")
+
+
+async def test_turns_of_other_teams_and_of_nobody_do_not_exist(tmp_path):
+    target = TargetStandin("i-lm", "lm")
+    async with Deployment(tmp_path, target) as deployment:
+        await deployment.start_records()
+        _, first, _ = await deployment.turn(b"one;")
+        status, _, _ = await deployment.turn(
+            b"two;",
+            Magnoliaroad_Previous_Turn=first,
+            Authorization="Bearer secret-of-other",
+        )
+        assert status == 404
+        status, _, _ = await deployment.turn(b"x", Magnoliaroad_Previous_Turn="none")
+        assert status == 404
+    assert len(target.runs) == 1
+
+
+async def test_a_turn_is_not_denied_while_the_store_is_away(tmp_path):
+    target = TargetStandin("i-lm", "lm")
+    async with Deployment(tmp_path, target) as deployment:
+        deployment.kv.fault = "busy"
+        status, _, _ = await deployment.turn(b"x", Magnoliaroad_Previous_Turn="none")
+        assert status == 503
+
+
+async def test_a_cut_stream_does_not_look_whole_and_is_not_kept(tmp_path):
+    target = TargetStandin("i-lm", "lm")
+    target.script = ["cut"]
+    async with Deployment(tmp_path, target) as deployment:
+        status, first, body = await deployment.turn(b"one;")
+        assert (status, body) == (200, None)
+        await asyncio.sleep(0.1)
+        assert deployment.kv.state.get(f"turns/{first}") is None
+
+
+async def test_a_stream_that_cannot_be_kept_does_not_look_whole(tmp_path):
+    target = TargetStandin("i-lm", "lm", events=30)
+    async with Deployment(tmp_path, target) as deployment:
+        call = asyncio.create_task(deployment.turn(b"one;"))
+        await deployment.until(lambda: target.open == 1)
+        deployment.kv.fault = "busy"
+        status, _, body = await call
+        assert (status, body) == (200, None)
+
+
+async def test_a_spent_budget_runs_nothing_more(tmp_path):
+    target = TargetStandin("i-lm", "lm", events=10)
+    async with Deployment(tmp_path, target) as deployment:
+        statuses = [(await deployment.turn(budget=350))[0] for _ in range(6)]
+    assert statuses == [200, 200, 200, 402, 402, 402]
+    assert len(target.runs) == 3
+
+
+async def test_a_budget_holds_over_hosts_and_restarts(tmp_path):
+    target = TargetStandin("i-lm", "lm", events=10)
+    async with Deployment(tmp_path, target, hosts=2) as deployment:
+        statuses = []
+        for number in range(8):
+            statuses.append((await deployment.turn(budget=500, relay=number % 2))[0])
+        await deployment.relays[0].stop()
+        deployment.relays[0] = deployment.application(0)
+        await deployment.relays[0].start()
+        await deployment.until(deployment.relays[0]._ready)
+        for _ in range(4):
+            statuses.append((await deployment.turn(budget=500))[0])
+    assert statuses.count(200) <= 5
+    assert len(target.runs) == statuses.count(200)
+
+
+async def test_a_new_configuration_is_in_force_at_once(tmp_path, app_targets):
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        assert (await deployment.call("/safe/x"))[0] == 200
+        changed = config(5, tenants=[{"name": "other", "api_keys": ["new"]}])
+        deployment.kv.write("op/config", changed)
+        await deployment.until(lambda: deployment.relays[0].plans.version == 5, 1.0)
+        assert (await deployment.call("/safe/x"))[0] == 401
+        deployment.kv.write("op/config", config(4))
+        await asyncio.sleep(0.2)
+        assert (await deployment.call("/safe/x"))[0] == 401
+
+
+async def test_a_configuration_that_cannot_be_read_changes_nothing(
+    tmp_path, app_targets
+):
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        deployment.kv.write("op/config", {"version": 9, "routes": "none"})
+        await asyncio.sleep(0.2)
+        assert deployment.relays[0].plans.version == 3
+        assert (await deployment.call("/safe/x"))[0] == 200
+
+
+@pytest.mark.parametrize("how", ["hang", "gone"])
+async def test_a_change_is_heard_though_a_watch_is_deaf(tmp_path, app_targets, how):
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        if how == "gone":
+            deployment.kv.history_gone = True
+        else:
+            deployment.kv.watches_hang = True
+            asyncio.get_running_loop().call_later(
+                1.0, setattr, deployment.kv, "watches_hang", False
+            )
+        deployment.kv.write("op/config", config(6))
+        await deployment.until(lambda: deployment.relays[0].plans.version == 6, 3.0)
+
+
+async def test_a_draining_target_gets_nothing_new(tmp_path, app_targets):
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        leaving = app_targets[0]
+        entry = leaving.entry(state="draining")
+        deployment.kv.write(f"servers/{leaving.name}", entry)
+        await deployment.until(
+            lambda: len(deployment.relays[0].table.usable("app", 0.0)) == 1, 1.0
+        )
+        for _ in range(10):
+            await deployment.call("/safe/x")
+    assert leaving.runs == []
+
+
+async def test_a_stopping_host_ends_its_work_and_turns_callers_away(tmp_path):
+    target = TargetStandin("i-app", "app")
+    target.script = ["slow"]
+    async with Deployment(tmp_path, target) as deployment:
+        relay = deployment.relays[0]
+        call = asyncio.create_task(deployment.call("/pay/x", "POST", b"m"))
+        await deployment.until(lambda: target.open == 1)
+        drain = asyncio.create_task(relay.drain())
+        await asyncio.sleep(0.05)
+        ready = f"http://{relay.cfg.listen.ready}/-/ready"
+        async with deployment.session.get(ready) as resp:
+            assert resp.status == 503
+        status, headers, _ = await deployment.call("/pay/y", "POST", b"m")
+        assert status == 200
+        assert headers["Connection"] == "close"
+        assert (await call)[0] == 200
+        await drain
+        with pytest.raises(aiohttp.ClientConnectionError):
+            await deployment.call("/safe/x")
+
+
+async def test_a_connection_without_a_request_is_closed_when_the_host_stops(tmp_path):
+    target = TargetStandin("i-app", "app")
+    async with Deployment(tmp_path, target) as deployment:
+        relay = deployment.relays[0]
+        host, _, port = relay.cfg.listen.callers.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        began = asyncio.get_running_loop().time()
+        await relay.drain()
+        assert await reader.read() == b""
+        assert asyncio.get_running_loop().time() - began < 2.0
+        writer.close()
+
+
+async def test_a_record_host_is_emptied_before_it_is_taken_away(tmp_path):
+    target = TargetStandin("i-lm", "lm")
+    async with Deployment(tmp_path, target) as deployment:
+        await deployment.start_records()
+        _, first, _ = await deployment.turn(b"one;")
+        deployment.kv.write("op/retire/records-1", {"deadline_s": 10})
+        await deployment.until(
+            lambda: (
+                b"completed"
+                in (
+                    deployment.kv.state.get("status/retire/records-1")
+                    or type("No", (), {"value": b""})
+                ).value
+            )
+        )
+        assert deployment.kv.state.get(f"turns/{first}") is not None
+
+
+async def test_metrics_are_served(tmp_path, app_targets):
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        await deployment.call("/safe/x")
+        url = f"http://{deployment.relays[0].cfg.listen.metrics}/metrics"
+        async with deployment.session.get(url) as resp:
+            text = await resp.text()
+    assert 'relay_requests_total{kind="safe",status="200"}' in text
--- /dev/null
+++ b/tests/records/test_journal.py
@@ -0,0 +1,81 @@
+"""The journal over restarts and losses of power."""
+
+import pytest
+
+from magnoliaroad.records.journal import Journal, JournalRecord
+
+
+def records(count, size=100):
+    return [JournalRecord(f"turns/{n}", b"x" * size, 65.0) for n in range(count)]
+
+
+def reopened(path):
+    journal = Journal(path, 1000)
+    return journal, {record.key for record in journal.recover()}
+
+
+def test_records_are_there_after_a_restart(tmp_path):
+    journal, _ = reopened(tmp_path)
+    journal.append(records(3))
+    journal.close()
+    _, found = reopened(tmp_path)
+    assert found == {"turns/0", "turns/1", "turns/2"}
+
+
+@pytest.mark.parametrize("cut", range(1, 150, 7))
+def test_a_torn_end_costs_only_what_was_not_synced(tmp_path, cut):
+    journal, _ = reopened(tmp_path)
+    journal.append(records(2))
+    synced = next(tmp_path.glob("*.log")).stat().st_size
+    journal.append([JournalRecord("turns/last", b"y" * 150, 65.0)])
+    journal.close()
+    path = next(tmp_path.glob("*.log"))
+    data = path.read_bytes()
+    path.write_bytes(data[: synced + cut])
+    _, found = reopened(tmp_path)
+    assert found == {"turns/0", "turns/1"}
+
+
+def test_a_spoiled_end_is_not_taken_for_a_record(tmp_path):
+    journal, _ = reopened(tmp_path)
+    journal.append(records(2))
+    synced = next(tmp_path.glob("*.log")).stat().st_size
+    journal.append([JournalRecord("turns/last", b"y" * 150, 65.0)])
+    journal.close()
+    path = next(tmp_path.glob("*.log"))
+    data = bytearray(path.read_bytes())
+    data[synced + 60] ^= 0xFF
+    path.write_bytes(data)
+    _, found = reopened(tmp_path)
+    assert found == {"turns/0", "turns/1"}
+
+
+def test_files_go_once_all_their_records_are_stored(tmp_path):
+    journal, _ = reopened(tmp_path)
+    for record in records(40):
+        journal.append([record])
+    assert len(list(tmp_path.glob("*.log"))) > 3
+    for record in records(40):
+        journal.done(record.key)
+    assert len(list(tmp_path.glob("*.log"))) == 1
+    journal.close()
+    _, found = reopened(tmp_path)
+    assert len(found) < 40
+
+
+def test_records_of_an_earlier_run_keep_their_file_until_stored(tmp_path):
+    journal, _ = reopened(tmp_path)
+    journal.append(records(2))
+    journal.close()
+    journal, _ = reopened(tmp_path)
+    journal.append([JournalRecord("turns/new", b"z", 65.0)])
+    journal.done("turns/0")
+    assert len(list(tmp_path.glob("*.log"))) == 2
+    journal.done("turns/1")
+    assert len(list(tmp_path.glob("*.log"))) == 1
+    journal.close()
+
+
+def test_an_empty_folder_is_an_empty_journal(tmp_path):
+    _, found = reopened(tmp_path / "new")
+    assert found == set()
--- /dev/null
+++ b/tests/records/test_pending.py
@@ -0,0 +1,61 @@
+from magnoliaroad.records.journal import JournalRecord
+from magnoliaroad.records.pending import PendingRecords
+from magnoliaroad.records.settings import RecordSettings
+
+CFG = RecordSettings()
+
+
+def record(key, size=100):
+    return JournalRecord(key, b"x" * size, 65.0)
+
+
+def keys(batch):
+    return [pending.record.key for pending in batch]
+
+
+def test_nothing_is_written_before_it_is_due():
+    pending = PendingRecords(CFG)
+    pending.add(0.0, record("a"), "other", first=True)
+    assert pending.batch(CFG.store_after_s - 0.01) == []
+    assert keys(pending.batch(CFG.store_after_s)) == ["a"]
+
+
+def test_a_call_takes_along_what_would_come_soon_but_not_the_partners():
+    pending = PendingRecords(CFG)
+    pending.add(0.0, record("a"), "other", first=True)
+    pending.add(0.9, record("b"), "other", first=True)
+    pending.add(0.9, record("c"), "other", first=False)
+    assert keys(pending.batch(1.0)) == ["a", "b"]
+
+
+def test_the_partner_writes_what_it_did_not_hear_of():
+    pending = PendingRecords(CFG)
+    pending.add(0.0, record("a"), "other", first=False)
+    assert keys(pending.batch(CFG.partner_after_s)) == ["a"]
+
+
+def test_batches_stay_within_count_and_size():
+    pending = PendingRecords(CFG)
+    for n in range(100):
+        pending.add(0.0, record(str(n), 10), "", first=True)
+    assert len(pending.batch(5.0)) == CFG.batch_count
+    large = PendingRecords(CFG)
+    for n in range(10):
+        large.add(0.0, record(str(n), 200_000), "", first=True)
+    assert len(large.batch(5.0)) == 3
+
+
+def test_a_record_larger_than_a_batch_goes_alone():
+    pending = PendingRecords(CFG)
+    pending.add(0.0, record("big", CFG.batch_bytes * 2), "", first=True)
+    assert keys(pending.batch(5.0)) == ["big"]
+
+
+def test_size_follows_what_waits():
+    pending = PendingRecords(CFG)
+    pending.add(0.0, record("a", 70), "", first=True)
+    pending.add(0.0, record("a", 70), "", first=True)
+    assert pending.size == 70
+    pending.pop("a")
+    pending.pop("a")
+    assert pending.size == 0
--- /dev/null
+++ b/tests/records/test_records.py
@@ -0,0 +1,209 @@
+"""Records on two hosts, over losses of hosts, disks and the store."""
+
+import asyncio
+
+import pytest
+
+from magnoliaroad.peers import PeerAddress
+from magnoliaroad.records.client import RecordClient
+from magnoliaroad.records.messages import RecordHostHere
+from magnoliaroad.records.service import RecordService
+from magnoliaroad.records.settings import RecordSettings
+from magnoliaroad.standins.faults import StoreFaults
+from magnoliaroad.standins.kv_state import KvState
+from magnoliaroad.standins.local_store import LocalStore
+from magnoliaroad.store.leases import LeasePool
+from tests.fakes.loop import VirtualTimeLoop
+from tests.fakes.peers import PeerNetwork
+
+CFG = RecordSettings()
+PLACES = {"r1": "dc-1", "r2": "dc-2", "r3": "dc-3"}
+
+
+@pytest.fixture
+def loop():
+    loop = VirtualTimeLoop()
+    yield loop
+    loop.close()
+
+
+class Fleet:
+    def __init__(self, loop, folder):
+        self.loop = loop
+        self.folder = folder
+        self.state = KvState()
+        self.store = LocalStore(self.state, loop.time)
+        self.network = PeerNetwork()
+        self.hosts = {}
+        peers = self.network.join("relay", "dc-1")
+        self.client = RecordClient(
+            CFG,
+            "dc-1",
+            self.store,
+            LeasePool(self.store, loop.time),
+            peers,
+            loop.time,
+        )
+
+    async def start(self, name):
+        peers = self.network.join(name, PLACES[name])
+        service = RecordService(
+            CFG, self.folder / name, self.store, peers, self.loop.time
+        )
+        await service.start()
+        self.hosts[name] = service
+        self.here(name)
+
+    def here(self, *names):
+        for name in names:
+            accepts = self.hosts[name].accepts
+            address = PeerAddress(name, PLACES[name], "127.0.0.1", 0)
+            self.client.heard(RecordHostHere(*address, accepts))
+
+    async def stop(self, name):
+        """Stops a host without a chance to write anything."""
+        service = self.hosts.pop(name)
+        service._pending.batch = lambda now, everything=False: []
+        await service.stop()
+        self.network.crash(name)
+
+
+def scenario(loop, tmp_path, body, hosts=tuple(PLACES)):
+    async def run():
+        fleet = Fleet(loop, tmp_path)
+        for name in hosts:
+            await fleet.start(name)
+        try:
+            await body(fleet)
+        finally:
+            for name in list(fleet.hosts):
+                await fleet.stop(name)
+
+    loop.run_until_complete(run())
+
+
+def on_disk(tmp_path, name):
+    return b"turns/1" in b"".join(p.read_bytes() for p in (tmp_path / name).glob("*"))
+
+
+def test_a_kept_record_lies_on_two_disks_in_two_data_centres(loop, tmp_path):
+    async def body(fleet):
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert sum(on_disk(tmp_path, name) for name in PLACES) == 2
+        assert on_disk(tmp_path, "r1")
+        assert await fleet.client.fetch("turns/1") == b"hello"
+
+    scenario(loop, tmp_path, body)
+
+
+def test_records_reach_the_store_once_in_a_batch(loop, tmp_path):
+    async def body(fleet):
+        for n in range(20):
+            await fleet.client.keep(f"turns/{n}", b"hello", 65.0)
+        before = fleet.state.revision
+        await asyncio.sleep(CFG.partner_after_s + 1.0)
+        assert all(fleet.state.get(f"turns/{n}") for n in range(20))
+        assert fleet.state.revision - before <= 21
+        assert all(len(host._pending) == 0 for host in fleet.hosts.values())
+
+    scenario(loop, tmp_path, body)
+
+
+@pytest.mark.parametrize("lost", sorted(PLACES))
+def test_a_record_outlives_any_one_host_with_its_disk(loop, tmp_path, lost):
+    async def body(fleet):
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        await fleet.stop(lost)
+        fleet.client._hosts.pop(lost)
+        assert await fleet.client.fetch("turns/1") == b"hello"
+
+    scenario(loop, tmp_path, body)
+
+
+def test_all_hosts_killed_at_once_have_the_record_afterwards(loop, tmp_path):
+    async def body(fleet):
+        fleet.store.faults = StoreFaults(down=True)
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        for name in PLACES:
+            await fleet.stop(name)
+        fleet.store.faults = StoreFaults()
+        for name in PLACES:
+            await fleet.start(name)
+        assert await fleet.client.fetch("turns/1") == b"hello"
+        await asyncio.sleep(1.0)
+        assert fleet.state.get("turns/1") is not None
+
+    scenario(loop, tmp_path, body)
+
+
+def test_without_record_hosts_the_store_takes_the_record(loop, tmp_path):
+    async def body(fleet):
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert fleet.state.get("turns/1").value == b"hello"
+
+    scenario(loop, tmp_path, body, hosts=())
+
+
+def test_a_cut_off_data_centre_keeps_on_its_one_host(loop, tmp_path):
+    async def body(fleet):
+        fleet.store.faults = StoreFaults(down=True)
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert on_disk(tmp_path, "r1")
+        assert await fleet.client.fetch("turns/1") == b"hello"
+
+    scenario(loop, tmp_path, body, hosts=("r1",))
+
+
+def test_no_record_is_certain_only_when_all_have_answered(loop, tmp_path):
+    async def body(fleet):
+        assert await fleet.client.fetch("turns/none") is None
+        await fleet.stop("r2")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(2.0):
+                await fleet.client.fetch("turns/none")
+
+    scenario(loop, tmp_path, body)
+
+
+def test_no_record_is_not_certain_without_the_store(loop, tmp_path):
+    async def body(fleet):
+        fleet.store.faults = StoreFaults(down=True)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(2.0):
+                await fleet.client.fetch("turns/none")
+
+    scenario(loop, tmp_path, body)
+
+
+def test_a_disk_that_refuses_is_passed_over(loop, tmp_path):
+    async def body(fleet):
+        def refuse(records):
+            raise OSError(28, "No space left on device")
+
+        fleet.hosts["r1"]._journal.append = refuse
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        held = on_disk(tmp_path, "r2") and on_disk(tmp_path, "r3")
+        assert held or fleet.state.get("turns/1") is not None
+
+    scenario(loop, tmp_path, body)
+
+
+def test_an_emptied_host_has_stored_all_and_takes_nothing_more(loop, tmp_path):
+    async def body(fleet):
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert await fleet.hosts["r1"].empty()
+        assert fleet.state.get("turns/1") is not None
+        fleet.here("r1")
+        await fleet.client.keep("turns/2", b"again", 65.0)
+        assert fleet.hosts["r1"]._pending.get("turns/2") is None
+
+    scenario(loop, tmp_path, body)
+
+
+def test_a_host_that_cannot_reach_the_store_is_not_empty(loop, tmp_path):
+    async def body(fleet):
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        fleet.store.faults = StoreFaults(down=True)
+        assert not await fleet.hosts["r1"].empty()
+
+    scenario(loop, tmp_path, body)
--- /dev/null
+++ b/tests/relay/test_budgets.py
@@ -0,0 +1,257 @@
+"""Budgets of programs over several hosts, on a wire and a store that fail."""
+
+import asyncio
+import random
+
+import pytest
+
+from magnoliaroad.peers import PeerError
+from magnoliaroad.refusal import Refused
+from magnoliaroad.relay.beat import BudgetAsk
+from magnoliaroad.relay.budget import BudgetRecord, claim_size, unpack_budget
+from magnoliaroad.relay.budget_desk import BudgetDesk
+from magnoliaroad.relay.budget_ledger import PREFIX, BudgetLedger
+from magnoliaroad.relay.refusals import BUDGET_SPENT, BUDGET_UNCERTAIN
+from magnoliaroad.relay.settings import TurnSettings
+from magnoliaroad.standins.faults import StoreFaults
+from magnoliaroad.standins.kv_state import KvState
+from magnoliaroad.standins.local_store import LocalStore
+from magnoliaroad.store.leases import LeasePool
+from tests.fakes.loop import VirtualTimeLoop
+from tests.fakes.peers import PeerNetwork
+
+LIMIT = 4000
+MOST = 500
+
+
+@pytest.fixture
+def loop():
+    loop = VirtualTimeLoop()
+    yield loop
+    loop.close()
+
+
+class Host:
+    """A host's desk and ledger on shared fakes."""
+
+    def __init__(self, fleet, name, boot=1):
+        self.name = name
+        self.holder = f"{name}#{boot}"
+        self.store = LocalStore(fleet.state, fleet.loop.time)
+        self.peers = fleet.network.join(name)
+        self.fleet = fleet
+        self.ledger = BudgetLedger(
+            self.store,
+            LeasePool(self.store, fleet.loop.time),
+            TurnSettings(),
+            self.holder,
+            self.ask,
+            fleet.holders,
+            now=fleet.loop.time,
+        )
+        self.desk = BudgetDesk(name, self.ledger, self.peers, lambda: fleet.alive)
+
+    async def ask(self, holder, program):
+        if holder not in self.fleet.holders():
+            return None
+        try:
+            name = holder.partition("#")[0]
+            return await self.peers.call(name, BudgetAsk(program), 0.3)
+        except PeerError:
+            return None
+
+
+class Fleet:
+    def __init__(self, loop, names=("a", "b", "c")):
+        self.loop = loop
+        self.state = KvState()
+        self.network = PeerNetwork()
+        self.hosts = {}
+        self.alive = []
+        for name in names:
+            self.start(name)
+
+    def start(self, name, boot=1):
+        self.hosts[name] = Host(self, name, boot)
+        if name not in self.alive:
+            self.alive.append(name)
+
+    def crash(self, name):
+        self.network.crash(name)
+        self.alive.remove(name)
+        del self.hosts[name]
+
+    def holders(self):
+        return [host.holder for host in self.hosts.values()]
+
+    def record(self, program="p"):
+        entry = self.state.get(PREFIX + program)
+        return None if entry is None else unpack_budget(entry.value)
+
+
+async def spend(fleet, name, used, program="p"):
+    """Runs a turn on host ``name``; returns the tokens it handed out."""
+    reservation = await fleet.hosts[name].desk.reserve(program, LIMIT, MOST)
+    reservation.settle(used)
+    # The next turn comes after the caller has seen the end of this one.
+    await asyncio.sleep(0.01)
+    return used
+
+
+def test_half_of_what_is_free_is_claimed_but_no_less_than_needed():
+    assert claim_size(BudgetRecord(1000, {}), 100) == 500
+    assert claim_size(BudgetRecord(1000, {"a": 600}), 300) == 300
+    assert claim_size(BudgetRecord(1000, {"a": 950}), 40) == 40
+
+
+def test_turns_on_all_hosts_share_one_budget_to_its_last_turn(loop):
+    async def scenario():
+        fleet = Fleet(loop)
+        spent = 0
+        for turn in range(8):
+            spent += await spend(fleet, "abc"[turn % 3], MOST)
+        assert spent == LIMIT
+        for name in "abc":
+            with pytest.raises(Refused) as caught:
+                await spend(fleet, name, MOST)
+            assert caught.value.refusal is BUDGET_SPENT
+
+    loop.run_until_complete(scenario())
+
+
+def test_unused_tokens_of_a_turn_serve_later_ones(loop):
+    async def scenario():
+        fleet = Fleet(loop)
+        turns = 0
+        while True:
+            try:
+                await spend(fleet, "abc"[turns % 3], 100)
+            except Refused:
+                break
+            turns += 1
+        assert turns == (LIMIT - MOST) // 100 + 1
+
+    loop.run_until_complete(scenario())
+
+
+def test_hosts_that_disagree_on_who_counts_stay_within_the_budget(loop):
+    async def scenario():
+        fleet = Fleet(loop)
+        for name, host in fleet.hosts.items():
+            host.desk._hosts = lambda name=name: [name]
+        spent, refusals = 0, set()
+        for turn in range(100):
+            try:
+                spent += await spend(fleet, "abc"[turn % 3], MOST)
+            except Refused as exc:
+                refusals.add(exc.refusal)
+        assert spent == LIMIT
+        assert refusals == {BUDGET_SPENT}
+
+    loop.run_until_complete(scenario())
+
+
+def test_a_killed_host_leaves_the_rest_of_the_budget_to_others(loop):
+    async def scenario():
+        fleet = Fleet(loop)
+        await spend(fleet, "a", 200)
+        home = next(iter(fleet.record().claims)).partition("#")[0]
+        fleet.crash(home)
+        left = next(iter(fleet.hosts))
+        spent = 200
+        refusal = None
+        for _ in range(40):
+            try:
+                spent += await spend(fleet, left, 200)
+            except Refused as exc:
+                refusal = exc.refusal
+        assert refusal is BUDGET_UNCERTAIN
+        assert LIMIT / 2 - MOST <= spent <= LIMIT
+
+    loop.run_until_complete(scenario())
+
+
+def test_a_restarted_host_does_not_count_its_old_claim_as_its_own(loop):
+    async def scenario():
+        fleet = Fleet(loop, names=("a",))
+        spent, refusals = 0, set()
+        boot = 1
+        for _ in range(30):
+            try:
+                spent += await spend(fleet, "a", MOST)
+            except Refused as exc:
+                refusals.add(exc.refusal)
+            fleet.crash("a")
+            boot += 1
+            fleet.start("a", boot)
+        assert 0 < spent <= LIMIT
+        assert refusals == {BUDGET_UNCERTAIN}
+
+    loop.run_until_complete(scenario())
+
+
+def test_a_claim_whose_answer_is_lost_is_found_again(loop):
+    async def scenario():
+        fleet = Fleet(loop, names=("a",))
+        host = fleet.hosts["a"]
+        await host.ledger._leases.get(TurnSettings().budget_retention_s)
+        host.store.faults = StoreFaults(lose_answers=True)
+        loop.call_later(0.2, lambda: setattr(host.store, "faults", StoreFaults()))
+        await spend(fleet, "a", MOST)
+        assert fleet.record().claims == {host.holder: LIMIT // 2}
+
+    loop.run_until_complete(scenario())
+
+
+def test_without_the_store_a_claimed_part_goes_on_and_new_programs_are_refused(loop):
+    async def scenario():
+        fleet = Fleet(loop, names=("a",))
+        await spend(fleet, "a", MOST)
+        fleet.hosts["a"].store.faults = StoreFaults(down=True)
+        assert await spend(fleet, "a", MOST) == MOST
+        began = loop.time()
+        with pytest.raises(Refused) as caught:
+            await spend(fleet, "a", MOST, program="new")
+        assert caught.value.refusal is BUDGET_UNCERTAIN
+        assert loop.time() - began <= TurnSettings().claim_s + 0.2
+
+    loop.run_until_complete(scenario())
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_schedule_hands_out_more_than_the_budget(loop, seed):
+    chance = random.Random(seed)
+
+    async def scenario():
+        fleet = Fleet(loop)
+        fleet.network.wire.seed = seed
+        handed, running, boots = 0, [], 1
+        for _ in range(200):
+            act = chance.random()
+            if act < 0.6 and fleet.hosts:
+                name = chance.choice(sorted(fleet.hosts))
+                try:
+                    turn = await fleet.hosts[name].desk.reserve("p", LIMIT, MOST)
+                except Refused:
+                    continue
+                running.append(turn)
+            elif act < 0.85 and running:
+                used = chance.randrange(MOST + 1)
+                running.pop(chance.randrange(len(running))).settle(used)
+                handed += used
+            elif act < 0.9 and len(fleet.hosts) > 1:
+                fleet.crash(chance.choice(sorted(fleet.hosts)))
+                # Turns that the lost host counted may have handed out all.
+                handed += MOST * len(running)
+                running.clear()
+            elif act < 0.95 and len(fleet.hosts) < 3:
+                boots += 1
+                missing = sorted({"a", "b", "c"} - fleet.hosts.keys())
+                fleet.start(missing[0], boots)
+            else:
+                faults = StoreFaults(lose_answers=chance.random() < 0.5)
+                for host in fleet.hosts.values():
+                    host.store.faults = faults
+        assert handed <= LIMIT
+
+    loop.run_until_complete(scenario())
--- /dev/null
+++ b/tests/relay/test_settings.py
@@ -0,0 +1,37 @@
+import json
+
+import pytest
+
+from magnoliaroad.relay.load import load_settings, parse_settings
+from magnoliaroad.settings_check import SettingsError
+
+GOOD = {
+    "name": "host-1",
+    "data_centre": "dc-1",
+    "listen": {"peers": "127.0.0.1:1", "metrics": "127.0.0.1:2"},
+    "store": {"url": "http://127.0.0.1:3"},
+}
+
+
+def test_settings_with_comments_are_read(tmp_path):
+    path = tmp_path / "host.jsonc"
+    path.write_text("// A host.\n" + json.dumps(GOOD))
+    cfg = load_settings(path)
+    assert cfg.listen.callers == ""
+    assert cfg.follow.watch_s > 0
+
+
+def test_every_fault_is_listed_by_path():
+    bad = {**GOOD, "listen": {"peers": 5}, "colour": "red"}
+    del bad["name"]
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(json.dumps(bad))
+    text = str(caught.value)
+    for path in ("name", "listen.peers", "listen.metrics", "colour"):
+        assert path in text
+
+
+@pytest.mark.parametrize("text", ["", "{", "[]", "5"])
+def test_what_is_no_settings_object_is_refused(text):
+    with pytest.raises(SettingsError):
+        parse_settings(text)
--- /dev/null
+++ b/tests/relay/test_targets.py
@@ -0,0 +1,179 @@
+"""The table of targets, its followers and the choice among targets."""
+
+import pytest
+
+from magnoliaroad.relay.directory import BadEntry, Directory
+from magnoliaroad.relay.placement import by_load, by_session
+from magnoliaroad.relay.target import RelayTarget, TargetState
+from magnoliaroad.relay.target_follower import TargetFollower
+from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.store import StoreEntry, WatchBatch
+
+
+class PlainDirectory(Directory):
+    operator_prefix = "op/"
+    target_prefix = "targets/"
+    retirement_prefix = "op/retire/"
+
+    def read_plan(self, key, value):
+        return None
+
+    def read_target(self, key, value):
+        if value == b"spoiled":
+            raise BadEntry(f"{key}: spoiled")
+        state = TargetState(value.decode())
+        name = key.removeprefix(self.target_prefix)
+        return RelayTarget(name, "lm", "10.0.0.1:80", "dc-1", 8, state)
+
+    def read_retirement(self, key):
+        return None
+
+
+class Clock:
+    def __init__(self):
+        self.now = 0.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def table():
+    return TargetTable()
+
+
+@pytest.fixture
+def follower(table, clock):
+    return TargetFollower(PlainDirectory(), table, 1.9, clock)
+
+
+def entries(revision=1, **states):
+    return {
+        f"targets/{name}": StoreEntry(f"targets/{name}", state.encode(), revision)
+        for name, state in states.items()
+    }
+
+
+def usable(table, now=0.0):
+    return sorted(target.name for target in table.usable("lm", now))
+
+
+def test_a_removed_target_goes_at_once(follower, table):
+    follower.on_snapshot(entries(a="ready", b="ready"), after_loss=False)
+    follower.on_batch(WatchBatch((), ("targets/a",), 2))
+    assert usable(table) == ["b"]
+
+
+def test_a_draining_target_gets_no_new_work(follower, table):
+    follower.on_snapshot(entries(a="ready", b="ready"), after_loss=False)
+    follower.on_batch(WatchBatch(tuple(entries(2, a="draining").values()), (), 2))
+    assert usable(table) == ["b"]
+
+
+def test_an_entry_that_lapsed_with_the_store_has_time_to_return(follower, table, clock):
+    follower.on_snapshot(entries(a="ready", b="ready"), after_loss=False)
+    clock.now = 10.0
+    follower.on_snapshot(entries(3, b="ready"), after_loss=True)
+    clock.now = 11.0
+    follower.sweep()
+    assert usable(table) == ["a", "b"]
+    follower.on_batch(WatchBatch(tuple(entries(4, a="ready").values()), (), 4))
+    clock.now = 20.0
+    follower.sweep()
+    assert usable(table) == ["a", "b"]
+
+
+def test_an_entry_that_does_not_return_in_two_seconds_is_gone(follower, table, clock):
+    follower.on_snapshot(entries(a="ready", b="ready"), after_loss=False)
+    clock.now = 10.0
+    follower.on_snapshot(entries(3, b="ready"), after_loss=True)
+    clock.now = 12.0
+    follower.sweep()
+    assert usable(table) == ["b"]
+
+
+def test_an_entry_that_cannot_be_read_names_no_target(follower, table):
+    follower.on_snapshot(entries(a="ready", b="spoiled"), after_loss=False)
+    assert usable(table) == ["a"]
+    follower.on_batch(WatchBatch(tuple(entries(2, a="spoiled").values()), (), 2))
+    assert usable(table) == []
+
+
+def test_a_peer_that_knows_later_changes_is_believed(follower, table):
+    follower.on_snapshot(entries(1, a="ready", b="ready"), after_loss=False)
+    told = list(entries(5, b="draining", c="ready").values())
+    follower.hear(5, told)
+    assert usable(table) == ["c"]
+
+
+def test_a_peer_that_knows_less_changes_nothing(follower, table):
+    follower.on_snapshot(entries(7, a="ready", b="ready"), after_loss=False)
+    follower.hear(5, list(entries(5, b="draining").values()))
+    assert usable(table) == ["a", "b"]
+
+
+def test_an_old_entry_does_not_undo_a_later_one(follower, table):
+    follower.on_snapshot(entries(7, a="draining"), after_loss=False)
+    follower.on_batch(WatchBatch(tuple(entries(5, a="ready").values()), (), 7))
+    assert usable(table) == []
+
+
+def filled(table, *names, slots=8):
+    for name in names:
+        table.set(
+            RelayTarget(name, "lm", "10.0.0.1:80", "dc-1", slots, TargetState.READY)
+        )
+    return table.usable("lm", 0.0)
+
+
+def test_a_session_stays_at_its_target(table):
+    targets = filled(table, "a", "b", "c")
+    first = by_session(table, targets, "session-1")
+    for _ in range(3):
+        table.begin(first.name)
+    assert by_session(table, targets, "session-1") == first
+
+
+def test_a_session_leaves_a_crowded_target(table):
+    targets = filled(table, "a", "b", "c")
+    first = by_session(table, targets, "session-1")
+    for _ in range(40):
+        table.begin(first.name)
+    assert by_session(table, targets, "session-1") != first
+
+
+def test_work_of_other_hosts_counts(table):
+    targets = filled(table, "a", "b", "c")
+    first = by_session(table, targets, "session-1")
+    table.heard("other", {first.name: 40})
+    assert by_session(table, targets, "session-1") != first
+    table.forget_hosts([])
+    assert by_session(table, targets, "session-1") == first
+
+
+def test_the_emptiest_target_gets_a_plain_call(table):
+    targets = filled(table, "a", "b", "c")
+    table.begin("a")
+    table.begin("b")
+    assert by_load(table, targets, "dc-1", "request").name == "c"
+
+
+def test_a_target_that_failed_rests_longer_each_time(table):
+    filled(table, "a", "b")
+    assert table.failed("a", 0.0, 0.25, 4.0) == 0.25
+    assert usable(table, 0.1) == ["b"]
+    assert usable(table, 0.3) == ["a", "b"]
+    assert table.failed("a", 1.0, 0.25, 4.0) == 0.5
+    table.worked("a")
+    assert usable(table, 1.0) == ["a", "b"]
+
+
+def test_targets_that_rest_are_used_if_there_is_no_other(table):
+    filled(table, "a")
+    table.failed("a", 0.0, 0.25, 4.0)
+    assert usable(table, 0.1) == ["a"]
