--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -33,6 +33,9 @@
         leases: Leases for records that this host writes to the store itself.
         peers: Connections between hosts.
         now: Clock in seconds.
+
+    Attributes:
+        listed: Whether the store's list of record hosts was read.
     """
 
     def __init__(
@@ -53,6 +56,7 @@
         self._hosts: dict[str, PeerAddress] = {}
         self._heard: dict[str, float] = {}
         self._refusing: set[str] = set()
+        self.listed = False
         peers.expect(RecordKept, RecordFound)
 
     @property
@@ -69,6 +73,7 @@
     def set_hosts(self, hosts: dict[str, PeerAddress]) -> None:
         """Takes over the record hosts that the store lists."""
         self._hosts = hosts
+        self.listed = True
 
     def heard(self, here: RecordHostHere) -> bool:
         """Takes a record host's message; returns whether the host is new."""
@@ -123,7 +128,8 @@
             if found is not None and found.found:
                 return True, found.value
         reached, value = entry
-        return reached and None not in answers, value
+        # A host that has just started may not know yet whom to ask.
+        return reached and self.listed and None not in answers, value
 
     async def _read_store(self, key: str) -> tuple[bool, bytes | None]:
         try:
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -150,4 +150,5 @@
 
     def _ready(self) -> bool:
         known = self.plans.plan is not None and self.follower.known
+        known = known and self.records.listed
         return known and not self.fleet.cut_off()
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -58,7 +58,8 @@
     async def on_start(self) -> None:
         """Starts the parts; those that others need come first."""
         metrics = MetricsServer(self.cfg.listen.metrics)
-        for part in (self.peers, self.records, self.announcer, self.mirror, metrics):
+        # The journal is read before anybody can ask for what stands in it.
+        for part in (self.records, self.peers, self.announcer, self.mirror, metrics):
             await self.add_runtime_dependency(part)
         logger.bind(host=self.cfg.name).info("host started")
 
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -55,6 +55,7 @@
         self.here(name)
 
     def here(self, *names):
+        self.client.listed = True
         for name in names:
             accepts = self.hosts[name].accepts
             address = PeerAddress(name, PLACES[name], "127.0.0.1", 0)
@@ -207,3 +208,20 @@
         assert not await fleet.hosts["r1"].empty()
 
     scenario(loop, tmp_path, body)
+
+
+def test_a_host_that_does_not_know_the_record_hosts_yet_is_not_certain(loop, tmp_path):
+    async def body(fleet):
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        newcomer = RecordClient(
+            CFG,
+            "dc-1",
+            fleet.store,
+            LeasePool(fleet.store, loop.time),
+            fleet.network.join("new", "dc-1"),
+            loop.time,
+        )
+        loop.call_later(1.0, newcomer.set_hosts, dict(fleet.client.hosts))
+        assert await newcomer.fetch("turns/1") == b"hello"
+
+    scenario(loop, tmp_path, body)
