--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -3,12 +3,16 @@
 import asyncio
 import time
 from collections.abc import Callable
+from typing import Any
 
 from loguru import logger
 
 from magnoliaroad.peers import PeerAddress, PeerError, Peers
 from magnoliaroad.records.messages import (
+    FetchedForYou,
+    FetchForMe,
     FetchRecord,
+    KeepForMe,
     KeepRecord,
     RecordFound,
     RecordHostHere,
@@ -22,6 +26,8 @@
 # Wait between tries, in seconds.
 RETRY_S = 0.05
 
+Ask = KeepRecord | FetchRecord | KeepForMe | FetchForMe
+
 
 class RecordClient:
     """Keeps records on two record hosts, or in the store, and finds them again.
@@ -32,6 +38,7 @@
         store: The store.
         leases: Leases for records that this host writes to the store itself.
         peers: Connections between hosts.
+        helpers: Returns relay hosts that reach the store, if this one does not.
         now: Clock in seconds.
 
     Attributes:
@@ -45,6 +52,7 @@
         store: Store,
         leases: LeasePool,
         peers: Peers,
+        helpers: Callable[[], list[str]] = list,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.cfg = cfg
@@ -52,12 +60,15 @@
         self._store = store
         self._leases = leases
         self._peers = peers
+        self._helpers = helpers
         self._now = now
         self._hosts: dict[str, PeerAddress] = {}
         self._heard: dict[str, float] = {}
         self._refusing: set[str] = set()
         self.listed = False
-        peers.expect(RecordKept, RecordFound)
+        peers.expect(RecordFound)
+        peers.on(KeepForMe, self._on_keep_for, RecordKept)
+        peers.on(FetchForMe, self._on_fetch_for, FetchedForYou)
 
     @property
     def hosts(self) -> dict[str, PeerAddress]:
@@ -95,7 +106,13 @@
         """
         while True:
             synced = await self._keep_on_hosts(key, value, keep_s)
-            if len(synced) >= 2 or await self._keep_in_store(key, value, keep_s):
+            if len(synced) >= 2:
+                return
+            for host in self._helpers():
+                kept = await self._ask(host, KeepForMe(key, value, keep_s))
+                if kept is not None and kept.synced:
+                    return
+            if await self._keep_in_store(key, value, keep_s):
                 return
             if synced:
                 logger.bind(key=key, hosts=synced).warning("record on one host only")
@@ -108,17 +125,36 @@
         Waits while that is not certain; callers set a limit.
         """
         while True:
-            likely = self._pair(key)
-            for host in likely[:1]:
-                found = await self._ask(host, FetchRecord(key))
-                if found is not None and found.found:
-                    return found.value
-            others = [host for host in self._hosts if host not in likely[:1]]
-            certain, value = await self._search(key, others)
+            certain, value = await self._fetch_once(key)
             if value is not None or certain:
                 return value
+            for host in self._helpers():
+                told = await self._ask(host, FetchForMe(key))
+                if told is not None and told.certain:
+                    return told.value if told.found else None
             await asyncio.sleep(RETRY_S)
 
+    async def _fetch_once(self, key: str) -> tuple[bool, bytes | None]:
+        """Returns whether the answer is certain, and the record."""
+        likely = self._pair(key)[:1]
+        for host in likely:
+            found = await self._ask(host, FetchRecord(key))
+            if found is not None and found.found:
+                return True, found.value
+        if self._helpers():
+            return False, None
+        others = [host for host in self._hosts if host not in likely]
+        return await self._search(key, others)
+
+    async def _on_keep_for(self, sender: str, ask: KeepForMe) -> RecordKept:
+        synced = await self._keep_on_hosts(ask.key, ask.value, ask.keep_s)
+        kept = len(synced) >= 2 or await self._keep_in_store(*ask)
+        return RecordKept(kept)
+
+    async def _on_fetch_for(self, sender: str, ask: FetchForMe) -> FetchedForYou:
+        certain, value = await self._fetch_once(ask.key)
+        return FetchedForYou(certain, value is not None, value or b"")
+
     async def _search(self, key: str, others: list[str]) -> tuple[bool, bytes | None]:
         answers, entry = await asyncio.gather(
             asyncio.gather(*(self._ask(host, FetchRecord(key)) for host in others)),
@@ -179,12 +215,12 @@
             return False
         return True
 
-    async def _ask(
-        self, host: str, ask: KeepRecord | FetchRecord
-    ) -> RecordKept | RecordFound | None:
+    async def _ask(self, host: str, ask: Ask) -> Any:
+        helps = isinstance(ask, KeepForMe | FetchForMe)
+        limit_s = self.cfg.help_s if helps else self.cfg.call_s
         try:
-            async with asyncio.timeout(self.cfg.call_s):
-                return await self._peers.call(host, ask, self.cfg.call_s)
+            async with asyncio.timeout(limit_s):
+                return await self._peers.call(host, ask, limit_s)
         except (PeerError, TimeoutError) as exc:
             self._heard.pop(host, None)
             logger.bind(host=host, key=ask.key, reason=repr(exc)).info(
--- a/src/magnoliaroad/records/messages.py
+++ b/src/magnoliaroad/records/messages.py
@@ -72,3 +72,31 @@
     address: str
     port: int
     accepts: bool
+
+
+class KeepForMe(NamedTuple):
+    """Asks another relay host to keep a record; its fields are ``KeepRecord``'s."""
+
+    key: str
+    value: bytes
+    keep_s: float
+
+
+class FetchForMe(NamedTuple):
+    """Asks another relay host for a record."""
+
+    key: str
+
+
+class FetchedForYou(NamedTuple):
+    """The answer to ``FetchForMe``.
+
+    Attributes:
+        certain: Whether it is certain that there is no record, or it was found.
+        found: Whether the record was found.
+        value: The record.
+    """
+
+    certain: bool
+    found: bool
+    value: bytes
--- a/src/magnoliaroad/records/settings.py
+++ b/src/magnoliaroad/records/settings.py
@@ -21,6 +21,7 @@
             disk.
         silent_s: Silence after which a record host is asked last.
         here_interval_s: Time between a record host's messages that it is there.
+        help_s: Longest wait for another relay host that does a call for this one.
         list_interval_s: Time between readings of the list of hosts.
     """
 
@@ -32,6 +33,7 @@
     pending_bytes: int = 60_000_000
     segment_bytes: int = 2_000_000
     call_s: float = 0.25
-    silent_s: float = 2.5
-    here_interval_s: float = 0.8
+    silent_s: float = 1.4
+    here_interval_s: float = 0.4
+    help_s: float = 0.6
     list_interval_s: float = 10.0
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -60,7 +60,12 @@
         self.follower = TargetFollower(directory, self.table, cfg.follow.lapse_grace_s)
         leases = LeasePool(store)
         self.records = RecordClient(
-            cfg.records, cfg.data_centre, store, leases, self.peers
+            cfg.records,
+            cfg.data_centre,
+            store,
+            leases,
+            self.peers,
+            lambda: self.fleet.helpers(),
         )
         self.fleet = FleetService(
             cfg,
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -32,7 +32,9 @@
 
 # Incarnations this young have all their counts from the current window, in seconds.
 YOUNG_S = 5.0
-# Time between checks of isolation, and longest wait for the store in one.
+# Most hosts that are asked in turn to do a call for this one.
+MOST_HELPERS = 2
+# Time between checks of contact, and longest wait for the store in one.
 PROBE_S = 0.3
 # Most hosts that are asked for tokens they may have borrowed.
 MOST_HOLDERS = 16
@@ -88,6 +90,7 @@
         self.boot = uuid.uuid4().hex[:12]
         self.draining = False
         self.isolated = False
+        self._gone = False
         self._store = store
         self._peers = peers
         self._plans = plans
@@ -113,7 +116,7 @@
 
     def store_gone(self) -> bool:
         """Whether calls on the store are known to fail now."""
-        return self.isolated or self.store_lost()
+        return self._gone or self.store_lost()
 
     def budget_hosts(self) -> list[str]:
         """Returns the hosts in contact that can claim budgets, if any do."""
@@ -143,15 +146,27 @@
         another of its data centre reaches the store; and if the data centre is cut
         off as a whole: the balancer then sends its callers elsewhere.
         """
-        if self.isolated:
-            return True
-        if not self.store_lost():
-            return False
+        if not self.store_gone() or self._records.reached:
+            return self.isolated
         near = any(
             beat.data_centre == self.cfg.data_centre and not beat.store_lost
             for beat in self._in_contact().values()
         )
-        return near and not self._records.reached
+        return near or self.isolated
+
+    def helpers(self) -> list[str]:
+        """Returns relay hosts that reach the store, if this one is cut off from it.
+
+        Those of its own data centre come first.
+        """
+        if not self.store_gone() or self._records.reached:
+            return []
+        able = [
+            (beat.data_centre != self.cfg.data_centre, host)
+            for host, beat in self._in_contact().items()
+            if not beat.store_lost
+        ]
+        return [host for _, host in sorted(able)[:MOST_HELPERS]]
 
     def _alone(self) -> bool:
         """Whether no other data centre is heard, though others are known."""
@@ -162,26 +177,30 @@
         ]
         return bool(elsewhere) and all(host in self._silent for host in elsewhere)
 
-    async def _check_isolation(self) -> None:
-        """Tells a data centre that is cut off from others that have failed."""
-        if not self._alone():
-            isolated = False
-        else:
+    async def _check_contact(self) -> None:
+        """Asks the store when other signs of life are missing.
+
+        Its watches notice a cut only after seconds.
+        """
+        alone = self._alone()
+        deaf = bool(self._records.hosts) and not self._records.reached
+        gone = False
+        if alone or deaf:
             try:
                 async with asyncio.timeout(PROBE_S):
                     await self._store.get(PREFIX + self.cfg.name)
-                isolated = False
             except (StoreError, TimeoutError):
-                isolated = True
-        if isolated != self.isolated:
-            logger.bind(isolated=isolated).warning("isolation changed")
-        self.isolated = isolated
+                gone = True
+        if (gone, gone and alone) != (self._gone, self.isolated):
+            logger.bind(store_gone=gone, alone=alone).warning("contact changed")
+        self._gone = gone
+        self.isolated = gone and alone
 
     @Service.task
-    async def _watch_isolation(self) -> None:
+    async def _watch_contact(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(PROBE_S)
-            await self._check_isolation()
+            await self._check_contact()
 
     def _in_contact(self) -> dict[str, Beat]:
         since = time.monotonic() - self._silent_s()
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -359,8 +359,15 @@
         await resp.prepare(self._req)
         if opened.first:
             await self._write(opened.first)
+        last_at, counted = time.monotonic(), 0
         async for piece in opened.answer.pieces():
             await self._write(piece)
+            now, count = time.monotonic(), self._scanner.count
+            if counted and count > counted:
+                gap_s = (now - last_at) / (count - counted)
+                self.parts.table.paced(opened.target.name, gap_s, now)
+            if count > counted:
+                last_at, counted = now, count
         self.parts.table.worked(opened.target.name)
         await self._keep(opened)
         SENDS.inc({"outcome": "answered"})
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -1,9 +1,26 @@
 """The targets that a host knows, and what it thinks of them."""
 
+import statistics
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from magnoliaroad.relay.target import RelayTarget, TargetState
 
+# A target whose events take this many times as long as the usual one's is slow; a
+# full batch makes a step about half as long again.
+SLOW_FACTOR = 2.5
+# Weight of a new gap between events in a target's pace.
+PACE_WEIGHT = 0.2
+# Time after which a pace says nothing any more, in seconds; then the target is tried.
+PACE_LIFE_S = 2.0
+
+
+class _Pace(NamedTuple):
+    """Mean time between events of a target, and when the last came."""
+
+    gap_s: float
+    at: float
+
 
 class TargetTable:
     """Targets by name, with the work in hand and recent failures of each."""
@@ -14,6 +31,7 @@
         self._remote: dict[str, dict[str, int]] = {}
         self._failures: dict[str, int] = {}
         self._rests_until: dict[str, float] = {}
+        self._paces: dict[str, _Pace] = {}
 
     def set(self, target: RelayTarget) -> None:
         """Adds or replaces a target."""
@@ -21,13 +39,18 @@
 
     def drop(self, name: str) -> None:
         """Forgets a target."""
-        for table in (self.targets, self._failures, self._rests_until):
+        for table in (
+            self.targets,
+            self._failures,
+            self._rests_until,
+            self._paces,
+        ):
             table.pop(name, None)
 
     def usable(self, service: str, now: float) -> list[RelayTarget]:
         """Returns the targets of ``service`` that take new work.
 
-        Targets that failed lately are left out unless no other is there.
+        Targets that failed lately or are slow are left out if others are there.
         """
         ready = [
             target
@@ -35,7 +58,33 @@
             if target.service == service and target.state is TargetState.READY
         ]
         sound = [t for t in ready if self._rests_until.get(t.name, 0.0) <= now]
-        return sound or ready
+        return self._fast(sound, now) or sound or ready
+
+    def paced(self, name: str, gap_s: float, now: float) -> None:
+        """Notes the time between two events of a target's stream."""
+        before = self._paces.get(name)
+        if before is None or now - before.at > PACE_LIFE_S:
+            mean_s = gap_s
+        else:
+            mean_s = before.gap_s + PACE_WEIGHT * (gap_s - before.gap_s)
+        self._paces[name] = _Pace(mean_s, now)
+
+    def _fast(self, targets: list[RelayTarget], now: float) -> list[RelayTarget]:
+        """Returns ``targets`` without those that are much slower than the median.
+
+        Answers the load pattern of one engine that turns slow while its status and
+        its queue look sound: whoever stays there misses its time limit.
+        """
+        paces = {
+            target.name: pace.gap_s
+            for target in targets
+            if (pace := self._paces.get(target.name)) is not None
+            and now - pace.at <= PACE_LIFE_S
+        }
+        if len(paces) < 2:
+            return targets
+        limit_s = SLOW_FACTOR * statistics.median_low(paces.values())
+        return [t for t in targets if paces.get(t.name, 0.0) <= limit_s]
 
     def load(self, name: str) -> int:
         """Returns the requests in hand at a target, of all hosts."""
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -12,6 +12,7 @@
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
+from magnoliaroad.store import StoreUnavailable
 from magnoliaroad.store.leases import LeasePool
 from tests.fakes.loop import VirtualTimeLoop
 from tests.fakes.peers import PeerNetwork
@@ -42,7 +43,7 @@
             self.store,
             LeasePool(self.store, loop.time),
             peers,
-            loop.time,
+            now=loop.time,
         )
 
     async def start(self, name):
@@ -219,9 +220,42 @@
             fleet.store,
             LeasePool(fleet.store, loop.time),
             fleet.network.join("new", "dc-1"),
-            loop.time,
+            now=loop.time,
         )
         loop.call_later(1.0, newcomer.set_hosts, dict(fleet.client.hosts))
         assert await newcomer.fetch("turns/1") == b"hello"
 
     scenario(loop, tmp_path, body)
+
+
+class CutStore(LocalStore):
+    """A store that one host cannot reach."""
+
+    async def _run(self, operation):
+        await asyncio.sleep(0)
+        raise StoreUnavailable("cut off")
+
+
+def test_a_host_cut_off_from_store_and_record_hosts_is_helped(loop, tmp_path):
+    async def body(fleet):
+        cut = CutStore(fleet.state, loop.time)
+        peers = fleet.network.join("cut", "dc-1")
+        for name in PLACES:
+            for pair in (("cut", name), (name, "cut")):
+                fleet.network.wire._cut.add(pair)
+        client = RecordClient(
+            CFG,
+            "dc-1",
+            cut,
+            LeasePool(cut, loop.time),
+            peers,
+            lambda: ["relay"],
+            loop.time,
+        )
+        client.set_hosts(dict(fleet.client.hosts))
+        await client.keep("turns/1", b"hello", 65.0)
+        assert sum(on_disk(tmp_path, name) for name in PLACES) == 2
+        assert await client.fetch("turns/1") == b"hello"
+        assert await client.fetch("turns/none") is None
+
+    scenario(loop, tmp_path, body)
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -177,3 +177,25 @@
     filled(table, "a")
     table.failed("a", 0.0, 0.25, 4.0)
     assert usable(table, 0.1) == ["a"]
+
+
+def test_a_target_that_turns_slow_gets_no_new_work_for_a_while(table):
+    filled(table, "a", "b", "c")
+    for step in range(20):
+        for name in "abc":
+            table.paced(name, 0.08 if name == "b" and step > 5 else 0.02, step * 0.05)
+    assert usable(table, 1.0) == ["a", "c"]
+    assert usable(table, 4.0) == ["a", "b", "c"]
+
+
+def test_targets_that_are_all_slow_are_all_used(table):
+    filled(table, "a", "b", "c")
+    for name in "abc":
+        table.paced(name, 0.5, 0.0)
+    assert usable(table, 0.1) == ["a", "b", "c"]
+
+
+def test_a_pace_from_one_target_alone_says_nothing(table):
+    filled(table, "a", "b")
+    table.paced("a", 5.0, 0.0)
+    assert usable(table, 0.1) == ["a", "b"]
