--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -11,6 +11,7 @@
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import admit
 from magnoliaroad.relay.dialect import BadCall
+from magnoliaroad.relay.idle import awaits_request
 from magnoliaroad.relay.metrics import IN_HAND, LATENCY, REFUSALS, REQUESTS
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.refusals import TARGET_FAILED, bad_call
@@ -101,7 +102,7 @@
             now = time.monotonic()
             for conn in conns:
                 since = seen.setdefault(conn, now)
-                if conn in self._busy:
+                if conn in self._busy or not awaits_request(conn):
                     seen[conn] = now
                 elif now - since >= FRESH_S:
                     conn.force_close()
