--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,104 @@
+"""Slopes of the relay's parts on one core: ``python -m bench relay``."""
+
+import pathlib
+import tempfile
+import time
+from collections.abc import Callable
+
+import msgpack
+
+from magnoliaroad.peers import MessageCatalogue
+from magnoliaroad.records.journal import Journal, JournalRecord
+from magnoliaroad.relay.beat import Beat
+from magnoliaroad.relay.budget import BudgetRecord, unpack_budget
+from magnoliaroad.relay.event_scanner import EventScanner
+from magnoliaroad.relay.placement import by_session
+from magnoliaroad.relay.plan import RelayTeam
+from magnoliaroad.relay.quota import QuotaBook, TeamCount
+from magnoliaroad.relay.settings import QuotaSettings
+from magnoliaroad.relay.target import RelayTarget, TargetState
+from magnoliaroad.relay.target_table import TargetTable
+
+ROUNDS = 2000
+ACTIVE_TEAMS = 300
+
+
+def main(args: list[str]) -> None:
+    """Prints each slope in microseconds, the least of five trials."""
+    for name, work in (
+        ("quota: admit", _admit()),
+        (f"beat: pack and read, {ACTIVE_TEAMS} teams", _beat(ACTIVE_TEAMS)),
+        ("beat: pack and read, 8 teams", _beat(8)),
+        ("placement: by session, 5 targets", _place(5)),
+        ("placement: by session, 1,900 targets", _place(1900)),
+        ("budget: claim, pack and read", _budget()),
+        ("stream: scan an event", _scan()),
+        ("journal: append and sync 25 kB", _journal()),
+    ):
+        print(f"{name:45} {_least_us(work):10.1f} us")
+
+
+def _least_us(work: Callable[[], None]) -> float:
+    trials = []
+    rounds = ROUNDS
+    for _ in range(5):
+        began = time.perf_counter()
+        for _ in range(rounds):
+            work()
+        trials.append((time.perf_counter() - began) / rounds * 1e6)
+        rounds = min(ROUNDS, max(10, int(2e5 / trials[-1])))
+    return min(trials)
+
+
+def _admit() -> Callable[[], None]:
+    book = QuotaBook(QuotaSettings(), 0.0)
+    team = RelayTeam("team", 1e6, 1e6)
+    clock = iter(range(10**9))
+    return lambda: book.admit(next(clock) * 1e-3, team)
+
+
+def _beat(teams: int) -> Callable[[], None]:
+    catalogue = MessageCatalogue([Beat])
+    counts = {f"team-{n}": TeamCount(n, n) for n in range(teams)}
+    held = {f"target-{n}": 3 for n in range(8)}
+    beat = Beat("h", "b", "dc", "1", 1, 1.0, False, False, 1, 1, counts, held)
+
+    def work() -> None:
+        data = msgpack.packb(catalogue.pack(beat))
+        catalogue.unpack(*msgpack.unpackb(data))
+
+    return work
+
+
+def _place(count: int) -> Callable[[], None]:
+    table = TargetTable()
+    for number in range(count):
+        name = f"target-{number}"
+        ready = TargetState.READY
+        table.set(RelayTarget(name, "lm", "10.0.0.1:80", "dc", 8, ready))
+    clock = iter(range(10**9))
+    return lambda: by_session(table, table.usable("lm", 0.0), str(next(clock)))
+
+
+def _budget() -> Callable[[], None]:
+    record = BudgetRecord(8000, {"host-1#0123456789ab": 4000})
+    return lambda: unpack_budget(record.claim("host-2#0123456789ab", 100).pack())
+
+
+def _scan() -> Callable[[], None]:
+    scanner = EventScanner()
+    event = b"id: 12\ndata: " + b"x" * 90 + b"\n\n"
+    return lambda: scanner.feed(event)
+
+
+def _journal() -> Callable[[], None]:
+    folder = tempfile.mkdtemp(prefix="journal-")
+    journal = Journal(pathlib.Path(folder), 2_000_000)
+    clock = iter(range(10**9))
+
+    def work() -> None:
+        key = f"turns/{next(clock)}"
+        journal.append([JournalRecord(key, b"x" * 25_000, 65.0)])
+        journal.done(key)
+
+    return work
--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -156,6 +156,9 @@
         return FetchedForYou(certain, value is not None, value or b"")
 
     async def _search(self, key: str, others: list[str]) -> tuple[bool, bytes | None]:
+        # A host that has just started may not know yet whom to ask; it may learn so
+        # while it asks too few.
+        listed = self.listed
         answers, entry = await asyncio.gather(
             asyncio.gather(*(self._ask(host, FetchRecord(key)) for host in others)),
             self._read_store(key),
@@ -164,8 +167,7 @@
             if found is not None and found.found:
                 return True, found.value
         reached, value = entry
-        # A host that has just started may not know yet whom to ask.
-        return reached and self.listed and None not in answers, value
+        return reached and listed and None not in answers, value
 
     async def _read_store(self, key: str) -> tuple[bool, bytes | None]:
         try:
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -228,6 +228,28 @@
     scenario(loop, tmp_path, body)
 
 
+def test_a_list_that_comes_while_too_few_are_asked_makes_nothing_certain(
+    loop, tmp_path
+):
+    """Soak seeds 2 and 4: the list came while the store was read."""
+
+    async def body(fleet):
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        fleet.store.faults = StoreFaults(delay_s=0.2)
+        newcomer = RecordClient(
+            CFG,
+            "dc-1",
+            fleet.store,
+            LeasePool(fleet.store, loop.time),
+            fleet.network.join("new", "dc-1"),
+            now=loop.time,
+        )
+        loop.call_later(0.1, newcomer.set_hosts, dict(fleet.client.hosts))
+        assert await newcomer.fetch("turns/1") == b"hello"
+
+    scenario(loop, tmp_path, body)
+
+
 class CutStore(LocalStore):
     """A store that one host cannot reach."""
 
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,123 @@
+"""Callers that keep account of what they were promised."""
+
+import asyncio
+import itertools
+
+import aiohttp
+
+from tests.platform.deployment import KEY
+
+MOST_TOKENS = 100
+EVENT_TOKENS = 10
+PROMISES = (402, 408, 421, 429, 503)
+LIMIT = aiohttp.ClientTimeout(4.0)
+
+
+class Callers:
+    """Makes payments, look-ups and programs, and records what came back.
+
+    Attributes:
+        broken: Promises that were broken, as callers saw it.
+        chains: Text that a target must receive before a turn's own input, by the
+            turn's request id.
+        promised: Requests that were said not to have run.
+        tokens: Tokens received, by program.
+        answered: Requests that were answered with success.
+    """
+
+    def __init__(self, fleet, chance):
+        self.fleet = fleet
+        self.chance = chance
+        self.broken = []
+        self.chains = {}
+        self.budgets = {}
+        self.tokens = {}
+        self.promised = set()
+        self.answered = 0
+        self._numbers = itertools.count(1)
+
+    async def work(self, ends):
+        loop = asyncio.get_running_loop()
+        while loop.time() < ends:
+            draw = self.chance.random()
+            if draw < 0.35:
+                await self.plain("/pay/x", "POST", b"money")
+            elif draw < 0.5:
+                await self.plain("/safe/x", "GET", b"")
+            else:
+                await self.program()
+            await asyncio.sleep(self.chance.random() * 0.05)
+
+    async def plain(self, path, method, body):
+        request_id = f"r-{next(self._numbers)}"
+        status, answer = await self._send(request_id, path, method, body, {})
+        if status == 200 and answer not in (b"whole", None):
+            self.broken.append(f"{request_id}: body {answer!r}")
+        return status
+
+    async def program(self):
+        name = f"p-{next(self._numbers)}"
+        budget = self.budgets[name] = self.chance.choice((200, 500, 1000))
+        self.tokens[name] = 0
+        previous, chain = "", b""
+        for _ in range(self.chance.randrange(1, 6)):
+            request_id = f"t-{next(self._numbers)}"
+            self.chains[request_id] = chain
+            body = f"{request_id};".encode()
+            headers = {
+                "Magnoliaroad-Program-Id": name,
+                "Magnoliaroad-Token-Count": f"100,{MOST_TOKENS}",
+                "Magnoliaroad-Token-Budget": str(budget),
+            }
+            if previous:
+                headers["Magnoliaroad-Previous-Turn"] = previous
+            status, answer = await self._send(
+                request_id, "/stream/t", "POST", body, headers, name
+            )
+            if status == 404 and previous:
+                self.broken.append(f"{request_id}: turn {previous} denied")
+            if status != 200 or answer is None:
+                return
+            lines = answer.decode().splitlines()
+            words = [line[6:] for line in lines if line.startswith("data: ")]
+            if len(words) != 6:
+                self.broken.append(f"{request_id}: {len(words)} events looked whole")
+            chain += body + "".join(f"{word}\n" for word in words).encode()
+            previous = request_id
+
+    async def _send(self, request_id, path, method, body, headers, program=None):
+        relay = self.chance.choice(self.fleet.relays)
+        headers = {
+            "Host": "arcade.example",
+            "Authorization": f"Bearer {KEY}",
+            "Magnoliaroad-Request-Id": request_id,
+            "Magnoliaroad-Deadline-Ms": "3000",
+            **headers,
+        }
+        received = b""
+        try:
+            async with self.fleet.session.request(
+                method,
+                f"http://{relay.callers}{path}",
+                data=body or None,
+                headers=headers,
+                timeout=LIMIT,
+            ) as resp:
+                status = resp.status
+                if (
+                    resp.headers.get("Magnoliaroad-Request-Id", request_id)
+                    != request_id
+                ):
+                    self.broken.append(f"{request_id}: another request's answer")
+                if status in PROMISES:
+                    self.promised.add(request_id)
+                async for piece in resp.content.iter_any():
+                    received += piece
+        except (aiohttp.ClientError, TimeoutError):
+            return None, None
+        finally:
+            if program is not None:
+                events = received.count(b"data: ")
+                self.tokens[program] += events * EVENT_TOKENS
+        self.answered += status == 200
+        return status, received
