A turn is denied only after a fresh list of record hosts

Before a denial the list is read anew; record hosts take records only once they stand on it. Test first: fails without the change.

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from loguru import logger
@@ -38,6 +38,7 @@
         store: The store.
         leases: Leases for records that this host writes to the store itself.
         peers: Connections between hosts.
+        relist: Reads the store's list of record hosts and calls ``set_hosts``.
         helpers: Returns relay hosts that reach the store, if this one does not.
         now: Clock in seconds.
 
@@ -52,6 +53,7 @@
         store: Store,
         leases: LeasePool,
         peers: Peers,
+        relist: Callable[[], Awaitable[None]],
         helpers: Callable[[], list[str]] = list,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -60,6 +62,7 @@
         self._store = store
         self._leases = leases
         self._peers = peers
+        self._relist = relist
         self._helpers = helpers
         self._now = now
         self._hosts: dict[str, PeerAddress] = {}
@@ -156,18 +159,37 @@
         return FetchedForYou(certain, value is not None, value or b"")
 
     async def _search(self, key: str, others: list[str]) -> tuple[bool, bytes | None]:
-        # A host that has just started may not know yet whom to ask; it may learn so
-        # while it asks too few.
-        listed = self.listed
-        answers, entry = await asyncio.gather(
+        answers, (_, value) = await asyncio.gather(
             asyncio.gather(*(self._ask(host, FetchRecord(key)) for host in others)),
             self._read_store(key),
         )
         for found in answers:
             if found is not None and found.found:
                 return True, found.value
-        reached, value = entry
-        return reached and listed and None not in answers, value
+        if value is not None or None in answers:
+            return value is not None, value
+        return await self._confirm(key)
+
+    async def _confirm(self, key: str) -> tuple[bool, bytes | None]:
+        """Makes sure that a record which was not found does not exist.
+
+        Record hosts that this host does not know yet may hold it. They are in the
+        store's list before they take records, so all on a fresh list are asked; then
+        the store, which may have got the record meanwhile.
+        """
+        try:
+            async with asyncio.timeout(self.cfg.call_s):
+                await self._relist()
+        except (StoreError, TimeoutError) as exc:
+            logger.bind(key=key, reason=repr(exc)).info("record hosts not listed")
+            return False, None
+        hosts = list(self._hosts)
+        answers = await asyncio.gather(*(self._ask(h, FetchRecord(key)) for h in hosts))
+        for found in answers:
+            if found is not None and found.found:
+                return True, found.value
+        reached, value = await self._read_store(key)
+        return reached and None not in answers, value
 
     async def _read_store(self, key: str) -> tuple[bool, bytes | None]:
         try:
--- a/src/magnoliaroad/relay/announcer.py
+++ b/src/magnoliaroad/relay/announcer.py
@@ -21,6 +21,9 @@
         cfg: Time limits.
         name: Name of the host.
         entry: What to announce.
+
+    Attributes:
+        announced: Whether the entry was written since the host's start.
     """
 
     def __init__(
@@ -32,6 +35,7 @@
         self._name = name
         self._entry = entry
         self._lease = 0
+        self.announced = False
 
     @Service.task
     async def _announce(self) -> None:
@@ -51,4 +55,5 @@
         lease = await self._store.grant_lease(self.cfg.lease_s)
         await self._store.put(PREFIX + self._name, self._entry.pack(), lease=lease)
         self._lease = lease
+        self.announced = True
         logger.bind(host=self._name, relays=self._entry.relays).info("host announced")
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -65,6 +65,7 @@
             store,
             leases,
             self.peers,
+            lambda: self.fleet.read_list(),
             lambda: self.fleet.helpers(),
         )
         self.fleet = FleetService(
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -228,7 +228,7 @@
     async def _follow_list(self) -> None:
         while not self.should_stop:
             try:
-                await self._list()
+                await self.read_list()
                 # All hosts start together: those listed at first are not all.
                 young = time.monotonic() - self._began < YOUNG_S
                 pause_s = FIRST_LIST_S if young else self.cfg.fleet.list_interval_s
@@ -237,7 +237,12 @@
                 pause_s = LIST_RETRY_S
             await asyncio.sleep(pause_s * random.uniform(0.7, 1.0))
 
-    async def _list(self) -> None:
+    async def read_list(self) -> None:
+        """Reads the store's list of hosts.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
         batch = await self._store.list(PREFIX)
         listed: dict[str, PeerAddress] = {}
         record_hosts: dict[str, PeerAddress] = {}
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -90,7 +90,9 @@
                 self._entry.port,
                 self.records.accepts,
             )
-            for host in self._relays:
+            # A turn is denied once all hosts on the store's list deny it, so records
+            # are taken only by hosts that are on it.
+            for host in self._relays if self.announcer.announced else ():
                 self.peers.send(host, here)
             await asyncio.sleep(self.cfg.records.here_interval_s)
 
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -43,9 +43,13 @@
             self.store,
             LeasePool(self.store, loop.time),
             peers,
+            self.relist,
             now=loop.time,
         )
 
+    async def relist(self):
+        await self.store.list("hosts/")
+
     async def start(self, name):
         peers = self.network.join(name, PLACES[name])
         service = RecordService(
@@ -211,19 +215,31 @@
     scenario(loop, tmp_path, body)
 
 
+def newcomer(fleet):
+    """Returns the client of a host that knows no record host yet."""
+
+    async def relist():
+        await fleet.store.list("hosts/")
+        client.set_hosts(dict(fleet.client.hosts))
+
+    client = RecordClient(
+        CFG,
+        "dc-1",
+        fleet.store,
+        LeasePool(fleet.store, fleet.loop.time),
+        fleet.network.join("new", "dc-1"),
+        relist,
+        now=fleet.loop.time,
+    )
+    return client
+
+
 def test_a_host_that_does_not_know_the_record_hosts_yet_is_not_certain(loop, tmp_path):
     async def body(fleet):
         await fleet.client.keep("turns/1", b"hello", 65.0)
-        newcomer = RecordClient(
-            CFG,
-            "dc-1",
-            fleet.store,
-            LeasePool(fleet.store, loop.time),
-            fleet.network.join("new", "dc-1"),
-            now=loop.time,
-        )
-        loop.call_later(1.0, newcomer.set_hosts, dict(fleet.client.hosts))
-        assert await newcomer.fetch("turns/1") == b"hello"
+        client = newcomer(fleet)
+        loop.call_later(1.0, client.set_hosts, dict(fleet.client.hosts))
+        assert await client.fetch("turns/1") == b"hello"
 
     scenario(loop, tmp_path, body)
 
@@ -231,21 +247,26 @@
 def test_a_list_that_comes_while_too_few_are_asked_makes_nothing_certain(
     loop, tmp_path
 ):
-    """Soak seeds 2 and 4: the list came while the store was read."""
+    """Soak seeds 2, 4 and 5: the list came while the store was read."""
 
     async def body(fleet):
         await fleet.client.keep("turns/1", b"hello", 65.0)
         fleet.store.faults = StoreFaults(delay_s=0.2)
-        newcomer = RecordClient(
-            CFG,
-            "dc-1",
-            fleet.store,
-            LeasePool(fleet.store, loop.time),
-            fleet.network.join("new", "dc-1"),
-            now=loop.time,
-        )
-        loop.call_later(0.1, newcomer.set_hosts, dict(fleet.client.hosts))
-        assert await newcomer.fetch("turns/1") == b"hello"
+        client = newcomer(fleet)
+        loop.call_later(0.1, client.set_hosts, dict(fleet.client.hosts))
+        assert await client.fetch("turns/1") == b"hello"
+
+    scenario(loop, tmp_path, body)
+
+
+def test_a_list_read_before_the_record_hosts_came_makes_nothing_certain(loop, tmp_path):
+    """Soak seed 1 beside load: all started together, and the next list failed."""
+
+    async def body(fleet):
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        client = newcomer(fleet)
+        client.set_hosts({})
+        assert await client.fetch("turns/1") == b"hello"
 
     scenario(loop, tmp_path, body)
 
@@ -271,6 +292,7 @@
             cut,
             LeasePool(cut, loop.time),
             peers,
+            fleet.relist,
             lambda: ["relay"],
             loop.time,
         )
