--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -159,13 +159,11 @@
         return FetchedForYou(certain, value is not None, value or b"")
 
     async def _search(self, key: str, others: list[str]) -> tuple[bool, bytes | None]:
-        answers, (_, value) = await asyncio.gather(
-            asyncio.gather(*(self._ask(host, FetchRecord(key)) for host in others)),
-            self._read_store(key),
-        )
-        for found in answers:
-            if found is not None and found.found:
-                return True, found.value
+        # The store's calls are paid for; record hosts are a round trip away.
+        answers = await self._ask_all(key, others)
+        value = _found(answers)
+        if value is None:
+            _, value = await self._read_store(key)
         if value is not None or None in answers:
             return value is not None, value
         return await self._confirm(key)
@@ -183,14 +181,17 @@
         except (StoreError, TimeoutError) as exc:
             logger.bind(key=key, reason=repr(exc)).info("record hosts not listed")
             return False, None
-        hosts = list(self._hosts)
-        answers = await asyncio.gather(*(self._ask(h, FetchRecord(key)) for h in hosts))
-        for found in answers:
-            if found is not None and found.found:
-                return True, found.value
+        answers = await self._ask_all(key, list(self._hosts))
+        value = _found(answers)
+        if value is not None:
+            return True, value
         reached, value = await self._read_store(key)
         return reached and None not in answers, value
 
+    async def _ask_all(self, key: str, hosts: list[str]) -> list[RecordFound | None]:
+        asks = (self._ask(host, FetchRecord(key)) for host in hosts)
+        return await asyncio.gather(*asks)
+
     async def _read_store(self, key: str) -> tuple[bool, bytes | None]:
         try:
             entry = await self._store.get(key)
@@ -276,3 +277,11 @@
             for host in rendezvous(key, self._hosts)
             if self._heard.get(host, 0.0) >= since and host not in self._refusing
         ]
+
+
+def _found(answers: list[RecordFound | None]) -> bytes | None:
+    """Returns the record that is in one of ``answers``, if any."""
+    for answer in answers:
+        if answer is not None and answer.found:
+            return answer.value
+    return None
