--- a/src/magnoliaroad/records/messages.py
+++ b/src/magnoliaroad/records/messages.py
@@ -74,6 +74,22 @@
     accepts: bool
 
 
+class RelayHostHere(NamedTuple):
+    """Tells a record host of a relay host that may not stand on its list yet.
+
+    Attributes:
+        host: Its name.
+        data_centre: Where it stands.
+        address: IP address of its peer port.
+        port: Its peer port.
+    """
+
+    host: str
+    data_centre: str
+    address: str
+    port: int
+
+
 class KeepForMe(NamedTuple):
     """Asks another relay host to keep a record; its fields are ``KeepRecord``'s."""
 
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -12,7 +12,7 @@
 
 from magnoliaroad.peers import PeerAddress, PeerError, PeerService
 from magnoliaroad.records.client import RecordClient
-from magnoliaroad.records.messages import RecordHostHere
+from magnoliaroad.records.messages import RecordHostHere, RelayHostHere
 from magnoliaroad.relay.beat import (
     Beat,
     BudgetAsk,
@@ -264,6 +264,11 @@
             self._heard.pop(host, None)
             self._quota.forget(host)
         self._set_members(listed)
+        here = RelayHostHere(
+            self.cfg.name, self.cfg.data_centre, self._peers.address, self._peers.port
+        )
+        for host in record_hosts:
+            self._peers.send(host, here)
 
     async def _on_record_host(self, sender: str, here: RecordHostHere) -> None:
         if self._records.heard(here):
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -6,8 +6,8 @@
 from loguru import logger
 from mode import Service
 
-from magnoliaroad.peers import PeerService
-from magnoliaroad.records.messages import RecordHostHere
+from magnoliaroad.peers import PeerAddress, PeerService
+from magnoliaroad.records.messages import RecordHostHere, RelayHostHere
 from magnoliaroad.records.service import RecordService
 from magnoliaroad.relay.announcer import Announcer
 from magnoliaroad.relay.directory import Directory, Retirement
@@ -52,7 +52,9 @@
             self,
             close=lambda: False,
         )
-        self._relays: list[str] = []
+        self._addresses: dict[str, PeerAddress] = {}
+        self._relays: set[str] = set()
+        self.peers.on(RelayHostHere, self._on_relay)
         self._retiring: asyncio.Task[None] | None = None
 
     async def on_start(self) -> None:
@@ -76,10 +78,24 @@
                 entry.key.removeprefix(PREFIX): unpack_host(entry.value)
                 for entry in batch.changed
             }
-            self.peers.learn([entry.peer(host) for host, entry in hosts.items()])
-            self._relays = [host for host, entry in hosts.items() if entry.relays]
+            self._learn(
+                {host: entry.peer(host) for host, entry in hosts.items()},
+                {host for host, entry in hosts.items() if entry.relays},
+            )
             await asyncio.sleep(self.cfg.records.list_interval_s)
 
+    async def _on_relay(self, sender: str, here: RelayHostHere) -> None:
+        peer = PeerAddress(*here)
+        if self._addresses.get(here.host) != peer:
+            self._learn(
+                {**self._addresses, here.host: peer}, {*self._relays, here.host}
+            )
+
+    def _learn(self, addresses: dict[str, PeerAddress], relays: set[str]) -> None:
+        self._addresses = addresses
+        self._relays = relays
+        self.peers.learn(list(addresses.values()))
+
     @Service.task
     async def _tell(self) -> None:
         while not self.should_stop:
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -372,3 +372,13 @@
         async with deployment.session.get(url) as resp:
             text = await resp.text()
     assert 'relay_requests_total{kind="safe",status="200"}' in text
+
+
+async def test_a_record_host_hears_at_once_of_relay_hosts_that_came_later(tmp_path):
+    target = TargetStandin("i-lm", "lm")
+    async with Deployment(tmp_path, target) as deployment:
+        await deployment.start_records()
+        late = deployment.application(7)
+        await late.start()
+        deployment.relays.append(late)
+        await deployment.until(lambda: late.records.reached, 2.0)
