One host of a data centre follows the store, and contact is asked for

Now hosts that do not follow hear of changes by beats (large configurations they read once from the store); a host lists once, after its entry was written, and again while known hosts are silent; entries live 45 s and are taken away at a stop; one question decides whether the store is out of reach. Found on the way, with tests that failed first: after the store was away with lapsed entries, a list without record hosts counted as whole, so a turn could be denied that lay on their disks. Record hosts that are heard stay known, entries are written again within a second of the store's return, and nothing is denied in the first 2.5 s. Ruled out: fewer watches by longer waits alone (a deaf watch is then noticed late).

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -23,8 +23,9 @@
 from magnoliaroad.store import LeaseLost, Store, StoreError, StorePut
 from magnoliaroad.store.leases import LeasePool
 
-# Wait between tries, in seconds.
+# First and longest wait between tries, in seconds.
 RETRY_S = 0.05
+RETRY_LIMIT_S = 0.4
 
 Ask = KeepRecord | FetchRecord | KeepForMe | FetchForMe
 
@@ -40,6 +41,8 @@
         peers: Connections between hosts.
         relist: Reads the store's list of record hosts and calls ``set_hosts``.
         helpers: Returns relay hosts that reach the store, if this one does not.
+        settled: Returns whether the store's list of hosts is whole: after it was
+            away, hosts whose entries have lapsed need a moment to return.
         now: Clock in seconds.
 
     Attributes:
@@ -55,6 +58,7 @@
         peers: Peers,
         relist: Callable[[], Awaitable[None]],
         helpers: Callable[[], list[str]] = list,
+        settled: Callable[[], bool] = lambda: True,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.cfg = cfg
@@ -64,6 +68,7 @@
         self._peers = peers
         self._relist = relist
         self._helpers = helpers
+        self._settled = settled
         self._now = now
         self._hosts: dict[str, PeerAddress] = {}
         self._heard: dict[str, float] = {}
@@ -85,7 +90,14 @@
         return any(at >= since for at in self._heard.values())
 
     def set_hosts(self, hosts: dict[str, PeerAddress]) -> None:
-        """Takes over the record hosts that the store lists."""
+        """Takes over the record hosts that the store lists.
+
+        Those that are heard stay: their entries may have lapsed with the store.
+        """
+        since = self._now() - self.cfg.silent_s
+        for host, address in self._hosts.items():
+            if self._heard.get(host, 0.0) >= since:
+                hosts.setdefault(host, address)
         self._hosts = hosts
         self.listed = True
 
@@ -101,6 +113,11 @@
         self._hosts[here.host] = address
         return new
 
+    def unheard(self) -> list[str]:
+        """Returns the hosts that were not heard lately."""
+        since = self._now() - self.cfg.silent_s
+        return [host for host in self._hosts if self._heard.get(host, 0.0) < since]
+
     async def keep(self, key: str, value: bytes, keep_s: float) -> None:
         """Returns once a record is synced on enough hosts, or is in the store.
 
@@ -127,6 +144,7 @@
 
         Waits while that is not certain; callers set a limit.
         """
+        pause_s = RETRY_S
         while True:
             certain, value = await self._fetch_once(key)
             if value is not None or certain:
@@ -135,7 +153,12 @@
                 told = await self._ask(host, FetchForMe(key))
                 if told is not None and told.certain:
                     return told.value if told.found else None
-            await asyncio.sleep(RETRY_S)
+            if pause_s == RETRY_S:
+                logger.bind(key=key, settled=self._settled()).info(
+                    "record neither found nor certainly absent"
+                )
+            await asyncio.sleep(pause_s)
+            pause_s = min(RETRY_LIMIT_S, 2 * pause_s)
 
     async def _fetch_once(self, key: str) -> tuple[bool, bytes | None]:
         """Returns whether the answer is certain, and the record."""
@@ -175,6 +198,8 @@
         store's list before they take records, so all on a fresh list are asked; then
         the store, which may have got the record meanwhile.
         """
+        if not self._settled():
+            return False, None
         try:
             async with asyncio.timeout(self.cfg.call_s):
                 await self._relist()
--- a/src/magnoliaroad/records/pending.py
+++ b/src/magnoliaroad/records/pending.py
@@ -50,9 +50,7 @@
         if record.key in self._records:
             return
         age_s = self.cfg.store_after_s if first else self.cfg.partner_after_s
-        self._records[record.key] = PendingRecord(
-            record, now + age_s, tuple(partners)
-        )
+        self._records[record.key] = PendingRecord(record, now + age_s, tuple(partners))
         self.size += len(record.value)
 
     def get(self, key: str) -> bytes | None:
--- a/src/magnoliaroad/records/settings.py
+++ b/src/magnoliaroad/records/settings.py
@@ -39,7 +39,7 @@
     silent_s: float = 1.4
     here_interval_s: float = 0.4
     help_s: float = 0.6
-    list_interval_s: float = 10.0
+    list_interval_s: float = 45.0
 
     @property
     def copies(self) -> int:
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -15,7 +15,7 @@
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.directory import Directory
 from magnoliaroad.relay.fleet import FleetService
-from magnoliaroad.relay.host_entry import HostEntry
+from magnoliaroad.relay.host_entry import PREFIX, HostEntry
 from magnoliaroad.relay.metrics_server import MetricsServer
 from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.parts import RelayParts
@@ -27,11 +27,16 @@
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.turn_ledger import TurnLedger
 from magnoliaroad.store import Store
+from magnoliaroad.store.contact import StoreContact
 from magnoliaroad.store.leases import LeasePool
+from magnoliaroad.store.observed import ObservedStore
 from magnoliaroad.targets import TargetClient
 from magnoliaroad.targets.settings import TargetSettings
 
 SWEEP_S = 0.1
+# Contact with the store after which its list of hosts is whole: a host whose entry
+# has lapsed asks the store once in 0.8 s and writes its entry 0.3 s later.
+SETTLED_S = 2.5
 # Programs that are remembered as under way on this host.
 MOST_PROGRAMS = 10_000
 
@@ -51,38 +56,43 @@
     ) -> None:
         super().__init__()
         self.cfg = cfg
-        self.store = store
+        self.store = ObservedStore(store)
+        self.contact = StoreContact(self.store, PREFIX + cfg.name)
+        self.store.on_failure = self.contact.doubt
         address, _, port = cfg.listen.peers.rpartition(":")
         self.peers = PeerService(cfg.peers, cfg.name, address, int(port))
         self.plans = PlanHolder(directory)
         self.table = TargetTable()
         self.quota = QuotaBook(cfg.quota, time.monotonic())
         self.follower = TargetFollower(directory, self.table, cfg.follow.lapse_grace_s)
-        leases = LeasePool(store)
+        leases = LeasePool(self.store)
         self.records = RecordClient(
             cfg.records,
             cfg.data_centre,
-            store,
+            self.store,
             leases,
             self.peers,
             lambda: self.fleet.read_list(),
             lambda: self.fleet.helpers(),
+            lambda: self.contact.up_s >= SETTLED_S,
         )
         self.fleet = FleetService(
             cfg,
-            store,
+            self.store,
             self.peers,
             self.plans,
             self.quota,
             self.follower,
             self.table,
             self.records,
+            self.contact,
         )
-        self.fleet.store_lost = self._store_lost
         entry = HostEntry(cfg.data_centre, address, int(port), relays=True)
-        self.announcer = Announcer(store, cfg.fleet, cfg.name, entry)
+        self.announcer = Announcer(self.store, cfg.fleet, cfg.name, entry)
+        self.announcer.on_announced = self.fleet.relist
+        self.contact.on_regained.append(self.announcer.look)
         ledger = BudgetLedger(
-            store,
+            self.store,
             leases,
             cfg.turns,
             self.fleet.holder,
@@ -118,6 +128,7 @@
         """Starts the parts; those that others need come first."""
         for part in (
             self.peers,
+            self.contact,
             self.client,
             *self._mirrors,
             self.announcer,
@@ -148,11 +159,8 @@
         logger.bind(host=self.cfg.name).info("host stopped")
 
     def _mirror(self, prefix: str, listener: MirrorListener) -> PrefixMirror:
-        close = self.fleet.watches_closely
-        return PrefixMirror(self.store, prefix, self.cfg.follow, listener, close)
-
-    def _store_lost(self) -> bool:
-        return all(mirror.lost for mirror in self._mirrors)
+        follows = self.fleet.follows_store
+        return PrefixMirror(self.store, prefix, self.cfg.follow, listener, follows)
 
     def _ready(self) -> bool:
         known = self.plans.plan is not None and self.follower.known
--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -20,6 +20,8 @@
         store_lost: Whether it has lost contact with the store.
         targets_revision: Revision of the newest change of targets that it knows.
         plan_version: Version of the configuration in force at the sender.
+        plan_key: Where it lies in the store; empty for none.
+        plan_bytes: Its size there.
         admitted: What it has admitted since its start, by team.
         in_hand: Requests in hand, by target.
     """
@@ -34,6 +36,8 @@
     store_lost: bool
     targets_revision: int
     plan_version: int
+    plan_key: str
+    plan_bytes: int
     admitted: dict[str, TeamCount]
     in_hand: dict[str, int]
 
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -1,10 +1,10 @@
 """Which hosts there are, and what they tell each other."""
 
 import asyncio
+import contextlib
 import random
 import time
 import uuid
-from collections.abc import Callable
 from typing import NamedTuple
 
 from loguru import logger
@@ -29,13 +29,14 @@
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.store import Store, StoreEntry, StoreError
+from magnoliaroad.store.contact import StoreContact
 
 # Incarnations this young have all their counts from the current window, in seconds.
 YOUNG_S = 5.0
 # Most hosts that are asked in turn to do a call for this one.
 MOST_HELPERS = 2
-# Time between checks of contact, and longest wait for the store in one.
-PROBE_S = 0.3
+# Time between checks of contact.
+CHECK_S = 0.3
 # Most hosts that are asked for tokens they may have borrowed.
 MOST_HOLDERS = 16
 # Time in which a change in the store reaches most hosts without their peers.
@@ -44,8 +45,12 @@
 ASK_S = 0.3
 # Wait after the list of hosts could not be read.
 LIST_RETRY_S = 1.0
-# Time between readings of the list at a host's start.
-FIRST_LIST_S = 2.0
+# Longest wait for the host's own entry before the list is read. Of two hosts that
+# start together, the one whose entry comes later then finds the other.
+ANNOUNCE_S = 2.0
+# Largest configuration that peers tell; larger ones are read from the store, as all
+# hosts would ask one peer at the same time, whose link takes 4 MB a second.
+TOLD_BYTES = 60_000
 # Beats a second that a host sends at most; larger fleets beat less often.
 MOST_BEATS_PER_S = 150.0
 
@@ -72,6 +77,7 @@
         follower: Takes targets that peers know.
         targets: Takes what peers have in hand.
         records: Is told of the record hosts.
+        contact: Whether the store can be reached.
     """
 
     def __init__(
@@ -84,20 +90,22 @@
         follower: TargetFollower,
         targets: TargetTable,
         records: RecordClient,
+        contact: StoreContact,
     ) -> None:
         super().__init__()
         self.cfg = cfg
         self.boot = uuid.uuid4().hex[:12]
         self.draining = False
         self.isolated = False
-        self._gone = False
+        self._contact = contact
+        self._news = asyncio.Event()
+        self._relist = asyncio.Event()
         self._store = store
         self._peers = peers
         self._plans = plans
         self._quota = quota
         self._targets = targets
         self._follower = follower
-        self.store_lost: Callable[[], bool] = lambda: False
         self._records = records
         self._began = time.monotonic()
         self._members: dict[str, PeerAddress] = {}
@@ -116,7 +124,15 @@
 
     def store_gone(self) -> bool:
         """Whether calls on the store are known to fail now."""
-        return self._gone or self.store_lost()
+        return self._contact.lost
+
+    def news(self) -> None:
+        """Makes peers hear at once of what this host has learnt."""
+        self._news.set()
+
+    def relist(self) -> None:
+        """Makes the list of hosts be read soon."""
+        self._relist.set()
 
     def budget_hosts(self) -> list[str]:
         """Returns the hosts in contact that can claim budgets, if any do."""
@@ -130,8 +146,10 @@
         beats = self._in_contact().values()
         return [f"{beat.host}#{beat.boot}" for beat in beats][:MOST_HOLDERS]
 
-    def watches_closely(self) -> bool:
-        """Whether this host is the one that watches the store for its data centre."""
+    def follows_store(self) -> bool:
+        """Whether this host is the one that follows the store for its data centre."""
+        if self.store_gone():
+            return False
         near = [
             host
             for host, beat in self._in_contact().items()
@@ -177,30 +195,21 @@
         ]
         return bool(elsewhere) and all(host in self._silent for host in elsewhere)
 
-    async def _check_contact(self) -> None:
-        """Asks the store when other signs of life are missing.
+    @Service.task
+    async def _watch_contact(self) -> None:
+        """Doubts the store when other signs of life are missing.
 
         Its watches notice a cut only after seconds.
         """
-        alone = self._alone()
-        deaf = bool(self._records.hosts) and not self._records.reached
-        gone = False
-        if alone or deaf:
-            try:
-                async with asyncio.timeout(PROBE_S):
-                    await self._store.get(PREFIX + self.cfg.name)
-            except (StoreError, TimeoutError):
-                gone = True
-        if (gone, gone and alone) != (self._gone, self.isolated):
-            logger.bind(store_gone=gone, alone=alone).warning("contact changed")
-        self._gone = gone
-        self.isolated = gone and alone
-
-    @Service.task
-    async def _watch_contact(self) -> None:
         while not self.should_stop:
-            await asyncio.sleep(PROBE_S)
-            await self._check_contact()
+            await asyncio.sleep(CHECK_S)
+            alone = self._alone()
+            if alone or (self._records.hosts and not self._records.reached):
+                self._contact.doubt()
+            isolated = alone and self.store_gone()
+            if isolated != self.isolated:
+                logger.bind(isolated=isolated).warning("contact changed")
+            self.isolated = isolated
 
     def _in_contact(self) -> dict[str, Beat]:
         since = time.monotonic() - self._silent_s()
@@ -226,16 +235,28 @@
 
     @Service.task
     async def _follow_list(self) -> None:
+        await self._listed_soon(ANNOUNCE_S)
         while not self.should_stop:
             try:
                 await self.read_list()
-                # All hosts start together: those listed at first are not all.
-                young = time.monotonic() - self._began < YOUNG_S
-                pause_s = FIRST_LIST_S if young else self.cfg.fleet.list_interval_s
             except StoreError as exc:
                 logger.bind(reason=str(exc)).info("hosts not listed")
-                pause_s = LIST_RETRY_S
-            await asyncio.sleep(pause_s * random.uniform(0.7, 1.0))
+                await asyncio.sleep(LIST_RETRY_S * random.uniform(0.7, 1.0))
+                continue
+            while True:
+                interval_s = self.cfg.fleet.list_interval_s * random.uniform(0.7, 1.0)
+                if await self._listed_soon(interval_s) or self._silent:
+                    break
+
+    async def _listed_soon(self, limit_s: float) -> bool:
+        """Waits until the list is to be read; returns whether it is."""
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._relist.wait()
+        except TimeoutError:
+            return False
+        self._relist.clear()
+        return True
 
     async def read_list(self) -> None:
         """Reads the store's list of hosts.
@@ -264,10 +285,13 @@
             self._heard.pop(host, None)
             self._quota.forget(host)
         self._set_members(listed)
+
+    def _greet_record_hosts(self) -> None:
+        """Tells record hosts that are not heard that this host is there."""
         here = RelayHostHere(
             self.cfg.name, self.cfg.data_centre, self._peers.address, self._peers.port
         )
-        for host in record_hosts:
+        for host in self._records.unheard():
             self._peers.send(host, here)
 
     async def _on_record_host(self, sender: str, here: RecordHostHere) -> None:
@@ -289,7 +313,11 @@
             for host in self._members:
                 self._peers.send(host, beat)
             self._count_silent()
-            await asyncio.sleep(self._interval_s())
+            self._greet_record_hosts()
+            self._news.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self._interval_s()):
+                    await self._news.wait()
 
     def _interval_s(self) -> float:
         least = len(self._members) / MOST_BEATS_PER_S
@@ -299,6 +327,7 @@
         return max(self.cfg.quota.silent_s, 4 * self._interval_s())
 
     def _own_beat(self) -> Beat:
+        plan_key, plan = self._plans.source or ("", b"")
         return Beat(
             host=self.cfg.name,
             boot=self.boot,
@@ -310,6 +339,8 @@
             store_lost=self.store_gone(),
             targets_revision=self._follower.revision,
             plan_version=self._plans.version,
+            plan_key=plan_key,
+            plan_bytes=len(plan),
             admitted=self._quota.counts(),
             in_hand=self._targets.in_hand,
         )
@@ -350,10 +381,7 @@
         self._asking = True
         try:
             if beat.plan_version > self._plans.version:
-                ask = PlanAsk(self._plans.version)
-                told = await self._peers.call(beat.host, ask, ASK_S)
-                if told.key:
-                    self._plans.offer(told.key, told.value, beat.host)
+                await self._learn_plan(beat)
             # A change that reaches all hosts by the store takes a moment.
             await asyncio.sleep(SETTLE_S)
             if beat.targets_revision > self._follower.revision:
@@ -367,6 +395,22 @@
         finally:
             self._asking = False
 
+    async def _learn_plan(self, beat: Beat) -> None:
+        if beat.plan_bytes > TOLD_BYTES and not self.store_gone():
+            try:
+                entry = await self._store.get(beat.plan_key)
+            except StoreError as exc:
+                logger.bind(key=beat.plan_key, reason=str(exc)).info("plan not read")
+                entry = None
+            if entry is not None:
+                self._plans.offer(entry.key, entry.value, "store")
+            if beat.plan_version <= self._plans.version:
+                return
+        ask = PlanAsk(self._plans.version)
+        told = await self._peers.call(beat.host, ask, ASK_S)
+        if told.key:
+            self._plans.offer(told.key, told.value, beat.host)
+
     async def _on_targets_ask(self, sender: str, ask: TargetsAsk) -> TargetsTold:
         revision, entries = self._follower.tell()
         return TargetsTold(revision, [tuple(entry) for entry in entries])
--- a/src/magnoliaroad/relay/mirror.py
+++ b/src/magnoliaroad/relay/mirror.py
@@ -16,8 +16,16 @@
     """Is told what a mirror has read."""
 
     @abc.abstractmethod
-    def on_snapshot(self, entries: dict[str, StoreEntry], after_loss: bool) -> None:
-        """Takes all entries; ``after_loss`` if the store was out of reach before."""
+    def on_snapshot(
+        self, entries: dict[str, StoreEntry], revision: int, after_loss: bool
+    ) -> None:
+        """Takes all entries.
+
+        Args:
+            entries: The entries by key.
+            revision: Revision of the store at which they were read.
+            after_loss: Whether the store may have been out of reach before.
+        """
 
     @abc.abstractmethod
     def on_batch(self, batch: WatchBatch) -> None:
@@ -25,17 +33,17 @@
 
 
 class PrefixMirror(Service):
-    """Lists a prefix, then watches it; lists again after each failure.
+    """Lists a prefix, and watches it while this host is to follow it.
+
+    Hosts that do not follow hear of changes from those that do. The prefix is listed
+    again after a failure and when following begins.
 
     Args:
         store: The store.
         prefix: Prefix of the keys.
         cfg: Time limits.
         listener: Is told what was read.
-        close: Returns whether this host is to watch closely.
-
-    Attributes:
-        lost: Whether the last call failed.
+        follows: Returns whether this host is to watch.
     """
 
     def __init__(
@@ -44,7 +52,7 @@
         prefix: str,
         cfg: FollowSettings,
         listener: MirrorListener,
-        close: Callable[[], bool],
+        follows: Callable[[], bool],
     ) -> None:
         super().__init__()
         self.cfg = cfg
@@ -52,45 +60,46 @@
         self._store = store
         self._prefix = prefix
         self._listener = listener
-        self._close = close
-        self.lost = False
+        self._follows = follows
+        self._listed = False
         self._pause_s = cfg.retry_s
 
     @Service.task
     async def _follow(self) -> None:
         while not self.should_stop:
+            if self._listed and not self._follows():
+                self.revision = 0
+                await asyncio.sleep(self.cfg.look_s)
+                continue
             try:
                 if not self.revision:
                     await self._list()
-                await self._watch()
+                else:
+                    await self._watch()
             except StoreError as exc:
                 await self._rest(exc)
 
     async def _list(self) -> None:
         batch = await self._store.list(self._prefix)
         entries = {entry.key: entry for entry in batch.changed}
-        if self.lost:
-            logger.bind(prefix=self._prefix, revision=batch.revision).info(
-                "store regained"
-            )
-        self._listener.on_snapshot(entries, self.lost)
+        logger.bind(
+            prefix=self._prefix, revision=batch.revision, entries=len(entries)
+        ).info("entries listed")
+        self._listener.on_snapshot(entries, batch.revision, self._listed)
         self.revision = batch.revision
-        self.lost = False
+        self._listed = True
         self._pause_s = self.cfg.retry_s
 
     async def _watch(self) -> None:
-        limit_s = self.cfg.watch_s if self._close() else self.cfg.idle_watch_s
-        batch = await self._store.watch(self._prefix, self.revision, limit_s)
+        batch = await self._store.watch(self._prefix, self.revision, self.cfg.watch_s)
         if batch.changed or batch.deleted:
             self._listener.on_batch(batch)
         self.revision = batch.revision
 
     async def _rest(self, exc: StoreError) -> None:
-        if not self.lost:
-            logger.bind(
-                prefix=self._prefix, revision=self.revision, reason=str(exc)
-            ).warning("store lost")
-        self.lost = True
+        logger.bind(
+            prefix=self._prefix, revision=self.revision, reason=str(exc)
+        ).warning("entries not followed")
         self.revision = 0
         # Spread, so that the hosts do not come back together.
         await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.0))
--- a/src/magnoliaroad/relay/plan_holder.py
+++ b/src/magnoliaroad/relay/plan_holder.py
@@ -26,7 +26,9 @@
         """Version in force; -1 before the first."""
         return -1 if self.plan is None else self.plan.version
 
-    def on_snapshot(self, entries: dict[str, StoreEntry], after_loss: bool) -> None:
+    def on_snapshot(
+        self, entries: dict[str, StoreEntry], revision: int, after_loss: bool
+    ) -> None:
         """Takes all entries that the operator wrote."""
         for entry in entries.values():
             self.offer(entry.key, entry.value, "store")
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -1,6 +1,7 @@
 """The application that runs on a host with a disk."""
 
 import asyncio
+import contextlib
 import pathlib
 
 from loguru import logger
@@ -16,6 +17,8 @@
 from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.store import Store, StoreEntry, StoreError, WatchBatch
+from magnoliaroad.store.contact import StoreContact
+from magnoliaroad.store.observed import ObservedStore
 
 # Longest time that a host which stops takes to write its records to the store.
 EMPTY_S = 3.0
@@ -37,23 +40,28 @@
     def __init__(self, cfg: RelaySettings, store: Store, directory: Directory) -> None:
         super().__init__()
         self.cfg = cfg
-        self.store = store
+        self.store = ObservedStore(store)
+        self.contact = StoreContact(self.store, PREFIX + cfg.name)
+        self.store.on_failure = self.contact.doubt
         self._directory = directory
         address, _, port = cfg.listen.peers.rpartition(":")
         self.peers = PeerService(cfg.peers, cfg.name, address, int(port))
         self._entry = HostEntry(cfg.data_centre, address, int(port), relays=False)
-        self.announcer = Announcer(store, cfg.fleet, cfg.name, self._entry)
+        self.announcer = Announcer(self.store, cfg.fleet, cfg.name, self._entry)
+        self.announcer.on_announced = self._announced
+        self.contact.on_regained.append(self.announcer.look)
         folder = pathlib.Path(cfg.data_folder or "data") / "records"
-        self.records = RecordService(cfg.records, folder, store, self.peers)
+        self.records = RecordService(cfg.records, folder, self.store, self.peers)
         self.mirror = PrefixMirror(
-            store,
+            self.store,
             directory.retirement_prefix,
-            cfg.follow._replace(idle_watch_s=RETIREMENT_WATCH_S),
+            cfg.follow._replace(watch_s=RETIREMENT_WATCH_S),
             self,
-            close=lambda: False,
+            follows=lambda: True,
         )
         self._addresses: dict[str, PeerAddress] = {}
         self._relays: set[str] = set()
+        self._relist = asyncio.Event()
         self.peers.on(RelayHostHere, self._on_relay)
         self._retiring: asyncio.Task[None] | None = None
 
@@ -61,17 +69,34 @@
         """Starts the parts; those that others need come first."""
         metrics = MetricsServer(self.cfg.listen.metrics)
         # The journal is read before anybody can ask for what stands in it.
-        for part in (self.records, self.peers, self.announcer, self.mirror, metrics):
+        for part in (
+            self.records,
+            self.peers,
+            self.contact,
+            self.announcer,
+            self.mirror,
+            metrics,
+        ):
             await self.add_runtime_dependency(part)
         logger.bind(host=self.cfg.name).info("host started")
 
+    def _announced(self) -> None:
+        self._relist.set()
+
     @Service.task
     async def _list(self) -> None:
         while not self.should_stop:
+            # Of two hosts that start together, the one whose entry comes later finds
+            # the other on the list.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self.cfg.records.list_interval_s):
+                    await self._relist.wait()
+            self._relist.clear()
             try:
                 batch = await self.store.list(PREFIX)
             except StoreError as exc:
                 logger.bind(reason=str(exc)).info("hosts not listed")
+                self._relist.set()
                 await asyncio.sleep(RETRY_S)
                 continue
             hosts = {
@@ -82,7 +107,6 @@
                 {host: entry.peer(host) for host, entry in hosts.items()},
                 {host for host, entry in hosts.items() if entry.relays},
             )
-            await asyncio.sleep(self.cfg.records.list_interval_s)
 
     async def _on_relay(self, sender: str, here: RelayHostHere) -> None:
         peer = PeerAddress(*here)
@@ -112,7 +136,9 @@
                 self.peers.send(host, here)
             await asyncio.sleep(self.cfg.records.here_interval_s)
 
-    def on_snapshot(self, entries: dict[str, StoreEntry], after_loss: bool) -> None:
+    def on_snapshot(
+        self, entries: dict[str, StoreEntry], revision: int, after_loss: bool
+    ) -> None:
         """Takes all retirements that are asked for."""
         for key in entries:
             self._look(key)
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -98,12 +98,14 @@
 
     Attributes:
         beat_interval_s: Time between a host's messages to its peers.
-        lease_s: Time after which a silent host's entry leaves the store.
-        list_interval_s: Time between readings of the list of hosts.
+        lease_s: Time after which a silent host's entry leaves the store. Each
+            renewal is paid for; a host that stops takes its entry away.
+        list_interval_s: Time between readings of the list of hosts while some on it
+            are silent.
     """
 
     beat_interval_s: float = 0.1
-    lease_s: float = 20.0
+    lease_s: float = 45.0
     list_interval_s: float = 15.0
 
 
@@ -124,10 +126,10 @@
     """How changes in the store are followed.
 
     Attributes:
-        watch_s: Longest time that one watch call stays open at the host that watches
-            most closely for its data centre. A watch may miss changes until it ends,
+        watch_s: Longest time that one watch call stays open at the host that follows
+            the store for its data centre. A watch may miss changes until it ends,
             and changes are to be in force within 2 s.
-        idle_watch_s: The same at other hosts, which hear of changes from peers.
+        look_s: Time between looks whether this host is to follow the store.
         retry_s: Wait after a failed call; doubles up to ``retry_limit_s``.
         retry_limit_s: Longest wait after failed calls.
         lapse_grace_s: Time that a target entry may be missing after the store was
@@ -135,7 +137,7 @@
     """
 
     watch_s: float = 1.5
-    idle_watch_s: float = 8.0
+    look_s: float = 0.2
     retry_s: float = 0.1
     retry_limit_s: float = 0.8
     lapse_grace_s: float = 1.9
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -38,17 +38,24 @@
         self._now = now
         self._lapsing: dict[str, float] = {}
         self._grace_until = 0.0
+        self._snapshot_revision = 0
 
-    def on_snapshot(self, entries: dict[str, StoreEntry], after_loss: bool) -> None:
+    def on_snapshot(
+        self, entries: dict[str, StoreEntry], revision: int, after_loss: bool
+    ) -> None:
         """Takes all entries; missing ones go at once or after the grace."""
         self.known = True
+        self._snapshot_revision = revision
         now = self._now()
         if after_loss:
             self._grace_until = now + self._grace_s
         for entry in entries.values():
             self._set(entry)
-        for key in self._entries.keys() - entries.keys():
+        gone = self._entries.keys() - entries.keys()
+        for key in gone:
             self._remove(key, now)
+        if gone and not after_loss:
+            self.revision = max(self.revision, revision)
 
     def on_batch(self, batch: WatchBatch) -> None:
         """Takes changed and removed entries."""
@@ -89,6 +96,8 @@
             if until <= now:
                 del self._lapsing[name]
                 self._entries.pop(self._directory.target_prefix + name, None)
+                # Peers that did not list the entries themselves ask for these now.
+                self.revision = max(self.revision, self._snapshot_revision)
                 self._drop(name, "did not return after the store was away")
 
     def _set(self, entry: StoreEntry) -> None:
--- /dev/null
+++ b/src/magnoliaroad/store/observed.py
@@ -0,0 +1,91 @@
+"""A store whose calls are counted and whose failures are told."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
+
+from typing_extensions import override
+
+from magnoliaroad.metrics import Counter
+from magnoliaroad.store.entry import StoreEntry, StorePut
+from magnoliaroad.store.errors import StoreRateLimited, StoreUnavailable
+from magnoliaroad.store.interface import Store
+from magnoliaroad.store.watch import WatchBatch
+
+CALLS = Counter("store_calls_total", "Calls on the store, by call and outcome.")
+
+T = TypeVar("T")
+
+
+class ObservedStore(Store):
+    """Passes calls on to another store.
+
+    Args:
+        store: The store.
+
+    Attributes:
+        on_failure: Is called when a call was refused or not answered.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.on_failure: Callable[[], None] = lambda: None
+        self._store = store
+
+    @override
+    async def get(self, key: str) -> StoreEntry | None:
+        return await self._observe("get", self._store.get(key))
+
+    @override
+    async def list(self, prefix: str) -> WatchBatch:
+        return await self._observe("list", self._store.list(prefix))
+
+    @override
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        expected: int | None = None,
+        lease: int | None = None,
+    ) -> int:
+        return await self._observe("put", self._store.put(key, value, expected, lease))
+
+    @override
+    async def put_many(self, puts: Sequence[StorePut]) -> None:
+        await self._observe("put_many", self._store.put_many(puts))
+
+    @override
+    async def delete(self, key: str, expected: int | None = None) -> None:
+        await self._observe("delete", self._store.delete(key, expected))
+
+    @override
+    async def grant_lease(self, ttl_s: float) -> int:
+        return await self._observe("grant_lease", self._store.grant_lease(ttl_s))
+
+    @override
+    async def renew_lease(self, lease: int) -> None:
+        await self._observe("renew_lease", self._store.renew_lease(lease))
+
+    @override
+    async def revoke_lease(self, lease: int) -> None:
+        await self._observe("revoke_lease", self._store.revoke_lease(lease))
+
+    @override
+    async def watch(
+        self, prefix: str, after: int, limit_s: float | None = None
+    ) -> WatchBatch:
+        call = self._store.watch(prefix, after, limit_s)
+        return await self._observe("watch", call)
+
+    @override
+    async def close(self) -> None:
+        await self._store.close()
+
+    async def _observe(self, name: str, call: Awaitable[T]) -> T:
+        outcome = "answered"
+        try:
+            return await call
+        except (StoreUnavailable, StoreRateLimited) as exc:
+            outcome = type(exc).__name__
+            self.on_failure()
+            raise
+        finally:
+            CALLS.inc({"call": name, "outcome": outcome})
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,10 +1,12 @@
 """The whole path over sockets: what callers and targets see."""
 
 import asyncio
+import time
 
 import aiohttp
 import pytest
 
+from magnoliaroad.relay.app import SETTLED_S
 from tests.platform.deployment import KEY, Deployment, config
 from tests.platform.target_standin import SEAL, TargetStandin
 
@@ -183,6 +185,10 @@
     target = TargetStandin("i-lm", "lm")
     async with Deployment(tmp_path, target, hosts=2) as deployment:
         await deployment.start_records()
+        # Right after a host's start the list of record hosts may not be whole.
+        await deployment.until(
+            lambda: deployment.relays[0].contact.up_s >= SETTLED_S, SETTLED_S + 1.0
+        )
         _, first, _ = await deployment.turn(b"one;")
         status, _, _ = await deployment.turn(
             b"two;", Magnoliaroad_Previous_Turn=first, relay=1
@@ -200,6 +206,10 @@
     target = TargetStandin("i-lm", "lm")
     async with Deployment(tmp_path, target) as deployment:
         await deployment.start_records()
+        # Right after a host's start the list of record hosts may not be whole.
+        await deployment.until(
+            lambda: deployment.relays[0].contact.up_s >= SETTLED_S, SETTLED_S + 1.0
+        )
         _, first, _ = await deployment.turn(b"one;")
         status, _, _ = await deployment.turn(
             b"two;",
@@ -212,6 +222,86 @@
     assert len(target.runs) == 1
 
 
+async def test_a_host_that_has_just_started_denies_no_turn(tmp_path):
+    target = TargetStandin("i-lm", "lm")
+    async with Deployment(tmp_path, target) as deployment:
+        await deployment.start_records()
+        deployment.relays[0].contact.since = time.monotonic()
+        status, _, _ = await deployment.turn(b"x", Magnoliaroad_Previous_Turn="none")
+        assert status == 503
+
+
+def followers(deployment):
+    return sum(relay.fleet.follows_store() for relay in deployment.relays)
+
+
+async def test_only_one_host_of_a_data_centre_watches_the_store(tmp_path, app_targets):
+    async with Deployment(tmp_path, *app_targets, hosts=3) as deployment:
+        await deployment.until(
+            lambda: (
+                [r.fleet.follows_store() for r in deployment.relays].count(True) == 1
+            )
+        )
+        await asyncio.sleep(1.6)
+        deployment.kv.calls.clear()
+        await asyncio.sleep(1.6)
+        watches = [call for call in deployment.kv.calls if "watch" in call]
+        assert len(watches) <= 4
+        deployment.kv.write("op/config", config(8))
+        await deployment.until(
+            lambda: all(relay.plans.version == 8 for relay in deployment.relays), 1.0
+        )
+
+
+async def test_another_host_follows_the_store_when_the_first_is_lost(
+    tmp_path, app_targets
+):
+    async with Deployment(tmp_path, *app_targets, hosts=2) as deployment:
+        await deployment.until(lambda: not deployment.relays[1].fleet.follows_store())
+        lost = deployment.relays.pop(0)
+        await lost.stop()
+        deployment.kv.write("op/config", config(8))
+        await deployment.until(
+            lambda: all(relay.plans.version == 8 for relay in deployment.relays), 2.0
+        )
+
+
+async def test_a_host_that_stops_takes_its_entry_away(tmp_path, app_targets):
+    async with Deployment(tmp_path, *app_targets, hosts=2) as deployment:
+        await deployment.until(lambda: deployment.relays[0].announcer.announced)
+        lost = deployment.relays.pop(0)
+        await lost.stop()
+        assert deployment.kv.state.get("hosts/relay-0") is None
+
+
+async def test_an_entry_that_lapsed_is_written_again_at_once(tmp_path, app_targets):
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        await deployment.until(lambda: deployment.relays[0].announcer.announced)
+        deployment.kv.fault = "busy"
+        await deployment.until(lambda: deployment.relays[0].contact.lost)
+        deployment.kv.state.expire(time.monotonic() + 1000.0)
+        assert deployment.kv.state.get("hosts/relay-0") is None
+        deployment.kv.fault = None
+        await deployment.until(
+            lambda: deployment.kv.state.get("hosts/relay-0") is not None, 1.5
+        )
+
+
+async def test_a_large_configuration_is_read_from_the_store(tmp_path, app_targets):
+    async with Deployment(tmp_path, *app_targets, hosts=3) as deployment:
+        await deployment.until(lambda: followers(deployment) == 1)
+        await asyncio.sleep(1.6)
+        names = [f"team-{n:05}" for n in range(3000)]
+        teams = [{"name": name, "api_keys": [name]} for name in names]
+        deployment.kv.calls.clear()
+        deployment.kv.write("op/config", config(9, tenants=teams))
+        await deployment.until(
+            lambda: all(relay.plans.version == 9 for relay in deployment.relays), 3.0
+        )
+        reads = [call for call in deployment.kv.calls if call == "GET /-/kv-key"]
+        assert len(reads) >= 2
+
+
 async def test_a_turn_is_not_denied_while_the_store_is_away(tmp_path):
     target = TargetStandin("i-lm", "lm")
     async with Deployment(tmp_path, target) as deployment:
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -37,6 +37,7 @@
         self.store = LocalStore(self.state, loop.time)
         self.network = PeerNetwork()
         self.hosts = {}
+        self.settled = True
         peers = self.network.join("relay", "dc-1")
         self.client = RecordClient(
             cfg,
@@ -45,6 +46,7 @@
             LeasePool(self.store, loop.time),
             peers,
             self.relist,
+            settled=lambda: self.settled,
             now=loop.time,
         )
 
@@ -130,9 +132,7 @@
         await fleet.client.keep("turns/1", b"hello", 65.0)
         assert fleet.state.get("turns/1").value == b"hello"
 
-    scenario(
-        loop, tmp_path, body, hosts=("r1", "r2"), cfg=CFG._replace(lost_hosts=2)
-    )
+    scenario(loop, tmp_path, body, hosts=("r1", "r2"), cfg=CFG._replace(lost_hosts=2))
 
 
 def test_records_reach_the_store_once_in_a_batch(loop, tmp_path):
@@ -204,6 +204,28 @@
     scenario(loop, tmp_path, body)
 
 
+def test_no_record_is_certain_while_the_list_may_not_be_whole(loop, tmp_path):
+    async def body(fleet):
+        fleet.settled = False
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(2.0):
+                await fleet.client.fetch("turns/none")
+
+    scenario(loop, tmp_path, body)
+
+
+def test_record_hosts_whose_entries_lapsed_are_still_asked(loop, tmp_path):
+    async def body(fleet):
+        fleet.store.faults = StoreFaults(down=True)
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        fleet.store.faults = StoreFaults()
+        fleet.client._places = lambda key: []
+        fleet.client.set_hosts({})
+        assert await fleet.client.fetch("turns/1") == b"hello"
+
+    scenario(loop, tmp_path, body)
+
+
 def test_no_record_is_not_certain_without_the_store(loop, tmp_path):
     async def body(fleet):
         fleet.store.faults = StoreFaults(down=True)
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -64,21 +64,21 @@
 
 
 def test_a_removed_target_goes_at_once(follower, table):
-    follower.on_snapshot(entries(a="ready", b="ready"), after_loss=False)
+    follower.on_snapshot(entries(a="ready", b="ready"), 1, after_loss=False)
     follower.on_batch(WatchBatch((), ("targets/a",), 2))
     assert usable(table) == ["b"]
 
 
 def test_a_draining_target_gets_no_new_work(follower, table):
-    follower.on_snapshot(entries(a="ready", b="ready"), after_loss=False)
+    follower.on_snapshot(entries(a="ready", b="ready"), 1, after_loss=False)
     follower.on_batch(WatchBatch(tuple(entries(2, a="draining").values()), (), 2))
     assert usable(table) == ["b"]
 
 
 def test_an_entry_that_lapsed_with_the_store_has_time_to_return(follower, table, clock):
-    follower.on_snapshot(entries(a="ready", b="ready"), after_loss=False)
+    follower.on_snapshot(entries(a="ready", b="ready"), 1, after_loss=False)
     clock.now = 10.0
-    follower.on_snapshot(entries(3, b="ready"), after_loss=True)
+    follower.on_snapshot(entries(3, b="ready"), 3, after_loss=True)
     clock.now = 11.0
     follower.sweep()
     assert usable(table) == ["a", "b"]
@@ -89,36 +89,61 @@
 
 
 def test_an_entry_that_does_not_return_in_two_seconds_is_gone(follower, table, clock):
-    follower.on_snapshot(entries(a="ready", b="ready"), after_loss=False)
+    follower.on_snapshot(entries(a="ready", b="ready"), 1, after_loss=False)
     clock.now = 10.0
-    follower.on_snapshot(entries(3, b="ready"), after_loss=True)
+    follower.on_snapshot(entries(3, b="ready"), 3, after_loss=True)
     clock.now = 12.0
     follower.sweep()
     assert usable(table) == ["b"]
 
 
+def test_peers_hear_that_an_entry_did_not_return(follower, table, clock):
+    follower.on_snapshot(entries(a="ready", b="ready"), 1, after_loss=False)
+    other_table = TargetTable()
+    other = TargetFollower(PlainDirectory(), other_table, 1.9, clock)
+    other.hear(*follower.tell())
+    clock.now = 10.0
+    follower.on_snapshot(entries(3, b="ready"), 6, after_loss=True)
+    other.hear(*follower.tell())
+    assert usable(other_table) == ["a", "b"]
+    clock.now = 12.0
+    follower.sweep()
+    other.hear(*follower.tell())
+    assert usable(other_table) == ["b"]
+
+
+def test_peers_hear_what_a_new_list_lacks(follower, clock):
+    follower.on_snapshot(entries(a="ready", b="ready"), 1, after_loss=False)
+    other_table = TargetTable()
+    other = TargetFollower(PlainDirectory(), other_table, 1.9, clock)
+    other.hear(*follower.tell())
+    follower.on_snapshot(entries(b="ready"), 4, after_loss=False)
+    other.hear(*follower.tell())
+    assert usable(other_table) == ["b"]
+
+
 def test_an_entry_that_cannot_be_read_names_no_target(follower, table):
-    follower.on_snapshot(entries(a="ready", b="spoiled"), after_loss=False)
+    follower.on_snapshot(entries(a="ready", b="spoiled"), 1, after_loss=False)
     assert usable(table) == ["a"]
     follower.on_batch(WatchBatch(tuple(entries(2, a="spoiled").values()), (), 2))
     assert usable(table) == []
 
 
 def test_a_peer_that_knows_later_changes_is_believed(follower, table):
-    follower.on_snapshot(entries(1, a="ready", b="ready"), after_loss=False)
+    follower.on_snapshot(entries(1, a="ready", b="ready"), 1, after_loss=False)
     told = list(entries(5, b="draining", c="ready").values())
     follower.hear(5, told)
     assert usable(table) == ["c"]
 
 
 def test_a_peer_that_knows_less_changes_nothing(follower, table):
-    follower.on_snapshot(entries(7, a="ready", b="ready"), after_loss=False)
+    follower.on_snapshot(entries(7, a="ready", b="ready"), 1, after_loss=False)
     follower.hear(5, list(entries(5, b="draining").values()))
     assert usable(table) == ["a", "b"]
 
 
 def test_an_old_entry_does_not_undo_a_later_one(follower, table):
-    follower.on_snapshot(entries(7, a="draining"), after_loss=False)
+    follower.on_snapshot(entries(7, a="draining"), 7, after_loss=False)
     follower.on_batch(WatchBatch(tuple(entries(5, a="ready").values()), (), 7))
     assert usable(table) == []
 
