A turn's record holds its own part and names those before it

Cause: records held whole chains. Now a record is one turn's part, kept for twice the retention; a turn that comes later than one retention after its chain's oldest record writes the chain anew, in parts below the store's limit. Earlier, chains over 300 kB pointed at parents that could end before them (tests/relay/test_turns.py; found by reading). Ruled out: less memory for records that the store holds (24 MB of the 125 MB).

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -159,8 +159,15 @@
         logger.bind(host=self.cfg.name).info("host stopped")
 
     def _mirror(self, prefix: str, listener: MirrorListener) -> PrefixMirror:
-        follows = self.fleet.follows_store
-        return PrefixMirror(self.store, prefix, self.cfg.follow, listener, follows)
+        fleet, cfg = self.fleet, self.cfg.follow
+        return PrefixMirror(
+            self.store,
+            prefix,
+            cfg,
+            listener,
+            fleet.follows_store,
+            fleet.watches_closely,
+        )
 
     def _ready(self) -> bool:
         known = self.plans.plan is not None and self.follower.known
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -157,6 +157,11 @@
         ]
         return self.cfg.name == min([*near, self.cfg.name])
 
+    def watches_closely(self) -> bool:
+        """Whether this host notices for all others when its watches are deaf."""
+        able = [h for h, beat in self._in_contact().items() if not beat.store_lost]
+        return self.cfg.name == min([*able, self.cfg.name])
+
     def cut_off(self) -> bool:
         """Whether callers are served better by other hosts.
 
--- a/src/magnoliaroad/relay/mirror.py
+++ b/src/magnoliaroad/relay/mirror.py
@@ -44,6 +44,7 @@
         cfg: Time limits.
         listener: Is told what was read.
         follows: Returns whether this host is to watch.
+        closely: Returns whether its watches are to be short.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         cfg: FollowSettings,
         listener: MirrorListener,
         follows: Callable[[], bool],
+        closely: Callable[[], bool],
     ) -> None:
         super().__init__()
         self.cfg = cfg
@@ -61,6 +63,7 @@
         self._prefix = prefix
         self._listener = listener
         self._follows = follows
+        self._closely = closely
         self._listed = False
         self._pause_s = cfg.retry_s
 
@@ -91,7 +94,8 @@
         self._pause_s = self.cfg.retry_s
 
     async def _watch(self) -> None:
-        batch = await self._store.watch(self._prefix, self.revision, self.cfg.watch_s)
+        limit_s = self.cfg.watch_s if self._closely() else self.cfg.long_watch_s
+        batch = await self._store.watch(self._prefix, self.revision, limit_s)
         if batch.changed or batch.deleted:
             self._listener.on_batch(batch)
         self.revision = batch.revision
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -58,6 +58,7 @@
             cfg.follow._replace(watch_s=RETIREMENT_WATCH_S),
             self,
             follows=lambda: True,
+            closely=lambda: True,
         )
         self._addresses: dict[str, PeerAddress] = {}
         self._relays: set[str] = set()
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -28,7 +28,7 @@
 from magnoliaroad.relay.reservation import Reservation
 from magnoliaroad.relay.route_kind import RouteKind
 from magnoliaroad.relay.target import RelayTarget
-from magnoliaroad.relay.turn import Turn
+from magnoliaroad.relay.turn import LoadedTurn
 from magnoliaroad.targets import (
     TargetAnswer,
     TargetError,
@@ -102,7 +102,7 @@
         self.resp: web.StreamResponse | None = None
         self._req = req
         self._closing = closing
-        self._before: Turn | None = None
+        self._before: LoadedTurn | None = None
         self._reservation: Reservation | None = None
         self._counted = False
         self._key = self.call.program or self.call.session or self.call.request_id
@@ -381,11 +381,10 @@
     async def _keep(self, opened: Opened) -> None:
         if not self.route.keeps_turns or opened.answer.status >= 300:
             return
-        turn = Turn(
-            turn_id=self.call.request_id,
-            team=self.admitted.team_name,
-            parent="",
-            text=self.call.body + bytes(self._scanner.data),
-            target=opened.target.name,
+        await self.parts.turns.keep(
+            self.call.request_id,
+            self.admitted.team_name,
+            self.call.body + bytes(self._scanner.data),
+            self._before,
+            self.route.retention_s,
         )
-        await self.parts.turns.keep(turn, self._before, self.route.retention_s)
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -48,8 +48,8 @@
 
     Attributes:
         cache_bytes: Most memory for turns that were read or written lately.
-        whole_chain_bytes: Size up to which a record holds its whole chain; larger
-            ones point at their parent. Keeps records well below the store's 1 MB.
+        part_bytes: Largest record of a chain that is written anew; well below the
+            store's 1 MB.
         budget_retention_s: Least time that a program's budget is kept.
         store_patience_s: Longest wait for a turn to be kept or found.
         claim_s: Longest wait for a claim of a budget; several slow answers of the
@@ -60,7 +60,7 @@
     """
 
     cache_bytes: int = 16_000_000
-    whole_chain_bytes: int = 300_000
+    part_bytes: int = 300_000
     budget_retention_s: float = 90.0
     store_patience_s: float = 2.0
     claim_s: float = 0.7
@@ -126,9 +126,10 @@
     """How changes in the store are followed.
 
     Attributes:
-        watch_s: Longest time that one watch call stays open at the host that follows
-            the store for its data centre. A watch may miss changes until it ends,
-            and changes are to be in force within 2 s.
+        watch_s: Longest time that one watch call stays open at the first of the hosts
+            that follow the store. A watch may miss changes until it ends, and changes
+            are to be in force within 2 s.
+        long_watch_s: The same at the others, one in each data centre.
         look_s: Time between looks whether this host is to follow the store.
         retry_s: Wait after a failed call; doubles up to ``retry_limit_s``.
         retry_limit_s: Longest wait after failed calls.
@@ -137,6 +138,7 @@
     """
 
     watch_s: float = 1.5
+    long_watch_s: float = 8.0
     look_s: float = 0.2
     retry_s: float = 0.1
     retry_limit_s: float = 0.8
--- a/src/magnoliaroad/relay/turn.py
+++ b/src/magnoliaroad/relay/turn.py
@@ -6,32 +6,44 @@
 
 
 class Turn(NamedTuple):
-    """What a later turn needs of an answered one.
+    """One turn's part of its chain.
 
     Attributes:
-        turn_id: Request id of the attempt that answered it.
         team: Team that it belongs to.
-        parent: Turn whose chain ``text`` continues; empty if ``text`` is the whole
-            chain.
-        text: Inputs and outputs in order, as a target receives them.
-        target: Target that ran it, which has its prompt in memory.
+        chain: Ids of the records whose texts come before this one's, oldest first.
+        began_at: Time of day in seconds at which the oldest of them was written.
+        text: Input and output, as a target receives them.
     """
 
-    turn_id: str
     team: str
-    parent: str
+    chain: tuple[str, ...]
+    began_at: float
+    text: bytes
+
+
+class LoadedTurn(NamedTuple):
+    """A turn with its chain.
+
+    Attributes:
+        turn_id: Request id of the attempt that answered it.
+        turn: The turn.
+        text: Inputs and outputs of its whole chain in order.
+    """
+
+    turn_id: str
+    turn: Turn
     text: bytes
-    target: str
 
 
 def pack_turn(turn: Turn) -> bytes:
-    """Returns ``turn`` as msgpack, without its id."""
-    return msgpack.packb((turn.team, turn.parent, turn.text, turn.target))
+    """Returns ``turn`` as msgpack."""
+    return msgpack.packb(turn)
 
 
-def unpack_turn(turn_id: str, data: bytes) -> Turn:
+def unpack_turn(data: bytes) -> Turn:
     """Returns the turn in ``data``; raises ``ValueError`` for other data."""
     fields = msgpack.unpackb(data)
-    if not isinstance(fields, list) or len(fields) != 4:
+    if not isinstance(fields, list) or len(fields) != len(Turn._fields):
         raise ValueError(f"not a turn: {fields!r:.80}")
-    return Turn(turn_id, *fields)
+    team, chain, began_at, text = fields
+    return Turn(team, tuple(chain), began_at, text)
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -1,6 +1,8 @@
 """Keeps answered turns as records and finds them again."""
 
 import asyncio
+import time
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -9,30 +11,41 @@
 from magnoliaroad.refusal import Refused
 from magnoliaroad.relay.refusals import NO_TURN, TURN_UNCERTAIN
 from magnoliaroad.relay.settings import TurnSettings
-from magnoliaroad.relay.turn import Turn, pack_turn, unpack_turn
+from magnoliaroad.relay.turn import LoadedTurn, Turn, pack_turn, unpack_turn
 
 PREFIX = "turns/"
-# Time that a record outlives its turn's retention, for lag between hosts.
+# Time that a record outlives what needs it, for steps and lag between clocks.
 SPARE_S = 5.0
 
 
 class TurnLedger:
     """Writes each turn once; turns never change, so any host may read or write them.
 
+    A turn's record holds its own part and names the records before it. These are kept
+    for twice the retention, so turns may refer to them for as long as one retention;
+    a turn that comes later writes the whole chain anew.
+
     Args:
         records: Keeps the turns' records.
         cfg: Sizes and time limits.
+        now: Time of day in seconds; hosts' clocks differ by less than ``SPARE_S``.
     """
 
-    def __init__(self, records: RecordClient, cfg: TurnSettings) -> None:
+    def __init__(
+        self,
+        records: RecordClient,
+        cfg: TurnSettings,
+        now: Callable[[], float] = time.time,
+    ) -> None:
         self.cfg = cfg
         self._records = records
+        self._now = now
         self._cache: HeldValues[Turn] = HeldValues(
             cfg.cache_bytes, lambda turn: len(turn.text)
         )
 
-    async def load(self, turn_id: str, team: str) -> Turn:
-        """Returns a turn with its whole chain as its text.
+    async def load(self, turn_id: str, team: str) -> LoadedTurn:
+        """Returns a turn with its chain.
 
         Raises:
             Refused: There is no such turn of ``team``, or that is not certain now.
@@ -45,38 +58,67 @@
                         "turn of another team"
                     )
                     raise Refused(NO_TURN)
-                texts = [turn.text]
-                while turn.parent:
-                    turn = await self._read(turn.parent)
-                    texts.append(turn.text)
+                before = await asyncio.gather(*map(self._read, turn.chain))
         except TimeoutError as exc:
             raise Refused(TURN_UNCERTAIN) from exc
-        first = self._cache.get(turn_id)
-        target = "" if first is None else first.target
-        return Turn(turn_id, team, "", b"".join(reversed(texts)), target)
+        text = b"".join([*(other.text for other in before), turn.text])
+        return LoadedTurn(turn_id, turn, text)
 
-    async def keep(self, turn: Turn, before: Turn | None, retention_s: float) -> None:
-        """Writes a turn; returns once it will outlive the loss of a host.
+    async def keep(
+        self,
+        turn_id: str,
+        team: str,
+        text: bytes,
+        before: LoadedTurn | None,
+        retention_s: float,
+    ) -> None:
+        """Writes a turn; returns once it will outlive the loss of hosts.
 
         Args:
-            turn: The turn, with its own input and output as its text.
-            before: The turn that it continues, with its chain.
+            turn_id: Request id of the attempt that answered it.
+            team: Team that it belongs to.
+            text: Its own input and output.
+            before: The turn that it continues.
             retention_s: How long it is to be found.
 
         Raises:
             TimeoutError: It could not be written in time.
         """
-        if before is not None:
-            whole = before.text + turn.text
-            if len(whole) <= self.cfg.whole_chain_bytes:
-                turn = turn._replace(text=whole)
-            else:
-                turn = turn._replace(parent=before.turn_id)
-        self._cache.add(turn.turn_id, turn)
+        now = self._now()
         async with asyncio.timeout(self.cfg.store_patience_s):
-            await self._records.keep(
-                PREFIX + turn.turn_id, pack_turn(turn), retention_s + SPARE_S
+            chain, began_at = (), now
+            if before is not None:
+                chain = (*before.turn.chain, before.turn_id)
+                began_at = before.turn.began_at
+                if now - began_at > retention_s - SPARE_S:
+                    chain = await self._rewrite(turn_id, team, before, retention_s)
+                    began_at = now
+            turn = Turn(team, chain, began_at, text)
+            await self._write(turn_id, turn, retention_s)
+
+    async def _rewrite(
+        self, turn_id: str, team: str, before: LoadedTurn, retention_s: float
+    ) -> tuple[str, ...]:
+        """Writes the chain before a turn anew; returns the ids of its records."""
+        size, now = self.cfg.part_bytes, self._now()
+        parts = [
+            before.text[start : start + size]
+            for start in range(0, len(before.text), size)
+        ]
+        names = tuple(f"{turn_id}/{number}" for number in range(len(parts)))
+        await asyncio.gather(
+            *(
+                self._write(name, Turn(team, (), now, part), retention_s)
+                for name, part in zip(names, parts, strict=True)
             )
+        )
+        return names
+
+    async def _write(self, name: str, turn: Turn, retention_s: float) -> None:
+        self._cache.add(name, turn)
+        await self._records.keep(
+            PREFIX + name, pack_turn(turn), 2 * retention_s + SPARE_S
+        )
 
     async def _read(self, turn_id: str) -> Turn:
         turn = self._cache.get(turn_id)
@@ -84,6 +126,6 @@
             value = await self._records.fetch(PREFIX + turn_id)
             if value is None:
                 raise Refused(NO_TURN)
-            turn = unpack_turn(turn_id, value)
+            turn = unpack_turn(value)
             self._cache.add(turn_id, turn)
         return turn
