A request that never left this host is reported as not run

Ruled out: a shorter connect timeout alone (the caller's limit can be shorter still). Before: test_a_payment_that_was_never_sent_is_not_reported_as_run failed (504).

--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -272,10 +272,10 @@
             headers=dialect.target_headers(call, target, team, left_s),
             body=body,
         )
-        sent_before, self.sent = self.sent, True
+        sent_before = self.sent
         try:
             answer = await self.parts.client.open(
-                request, self._first_byte_s(left_s, attempts)
+                request, self._first_byte_s(left_s, attempts), self._note_sent
             )
         except TargetError as exc:
             if exc.verdict is Verdict.NOT_RUN:
@@ -287,6 +287,9 @@
             answer.close()
             raise
 
+    def _note_sent(self) -> None:
+        self.sent = True
+
     async def _check(
         self, target: RelayTarget, answer: TargetAnswer, sent_before: bool
     ) -> Opened:
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -1,6 +1,8 @@
 """Sends requests to targets over pooled connections."""
 
 import asyncio
+from collections.abc import Callable
+from typing import Any
 
 import aiohttp
 import yarl
@@ -36,6 +38,30 @@
         raise _ConnectionLost(repr(exc)) from exc
 
 
+async def _headers_sent(
+    session: aiohttp.ClientSession, context: Any, params: Any
+) -> None:
+    context.trace_request_ctx()
+
+
+def _tracing() -> aiohttp.TraceConfig:
+    trace = aiohttp.TraceConfig()
+    trace.on_request_headers_sent.append(_headers_sent)
+    return trace
+
+
+class _Sending:
+    """Whether a request has begun to leave this host."""
+
+    def __init__(self, on_sent: Callable[[], None]) -> None:
+        self.begun = False
+        self._on_sent = on_sent
+
+    def __call__(self) -> None:
+        self.begun = True
+        self._on_sent()
+
+
 class TargetClient(Service):
     """Opens answers of targets; each error says whether it may have run."""
 
@@ -61,6 +87,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             middlewares=(_send_once,),
+            trace_configs=[_tracing()],
             skip_auto_headers=AUTO_HEADERS,
         )
 
@@ -70,7 +97,10 @@
             await self._session.close()
 
     async def open(
-        self, req: TargetRequest, first_byte_s: float | None = None
+        self,
+        req: TargetRequest,
+        first_byte_s: float | None = None,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> TargetAnswer:
         """Sends ``req`` and returns its answer once the headers are there.
 
@@ -78,11 +108,13 @@
             req: The request.
             first_byte_s: Longest wait for the start of the answer; the settings'
                 if left out.
+            on_sent: Is called when the request begins to leave this host.
 
         Raises:
             TargetError: No answer began.
         """
         assert self._session is not None
+        sending = _Sending(on_sent)
         try:
             async with asyncio.timeout(first_byte_s or self.cfg.first_byte_timeout_s):
                 resp = await self._session.request(
@@ -91,9 +123,11 @@
                     headers=req.headers,
                     data=req.body,
                     allow_redirects=False,
+                    trace_request_ctx=sending,
                 )
         except NOT_SENT as exc:
             raise TargetError(f"{req.url}: {exc!r}", Verdict.NOT_RUN) from exc
         except (aiohttp.ClientError, TimeoutError) as exc:
-            raise TargetError(f"{req.url}: {exc!r}", Verdict.MAY_HAVE_RUN) from exc
+            verdict = Verdict.MAY_HAVE_RUN if sending.begun else Verdict.NOT_RUN
+            raise TargetError(f"{req.url}: {exc!r}", verdict) from exc
         return TargetAnswer(resp, self.cfg.silence_timeout_s)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -1,6 +1,8 @@
 """The whole path over sockets: what callers and targets see."""
 
 import asyncio
+import contextlib
+import socket
 import time
 
 import aiohttp
@@ -71,6 +73,36 @@
     assert len(app_targets[1].runs) == 6
 
 
+@pytest.fixture
+def deaf_address():
+    """An address whose host answers no attempt to connect."""
+    with contextlib.ExitStack() as stack:
+        server = stack.enter_context(socket.socket())
+        server.bind(("127.0.0.1", 0))
+        server.listen(0)
+        for _ in range(4):
+            client = stack.enter_context(socket.socket())
+            client.setblocking(False)
+            client.connect_ex(server.getsockname())
+        time.sleep(0.05)
+        yield "{}:{}".format(*server.getsockname())
+
+
+@pytest.mark.parametrize("limit_ms", ["200", "300"])
+async def test_a_payment_that_was_never_sent_is_not_reported_as_run(
+    tmp_path, deaf_address, limit_ms
+):
+    target = TargetStandin("i-app", "app")
+    async with Deployment(tmp_path, target) as deployment:
+        deployment.kv.write("servers/i-app", target.entry(address=deaf_address))
+        await deployment.until(
+            lambda: deployment.relays[0].table.targets["i-app"].address == deaf_address
+        )
+        headers = {"Magnoliaroad_Deadline_Ms": limit_ms}
+        status, _, _ = await deployment.call("/pay/x", "POST", b"m", **headers)
+    assert status == 503
+
+
 async def test_full_targets_make_a_refusal_that_says_when_to_come_back(
     tmp_path, app_targets
 ):
