Slow hosts turn callers away, and hosts tell each other which targets fail

Rests of targets go with the beats. Ruled out: longer rests at each host alone (53 hosts still meet each target once).

--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from magnoliaroad.relay.quota import TeamCount
+from magnoliaroad.relay.target_table import TargetRest
 
 
 class Beat(NamedTuple):
@@ -18,12 +19,14 @@
         age_s: Time since its start.
         draining: Whether it is about to stop.
         store_lost: Whether it has lost contact with the store.
+        slow: Whether it is too slow for its work.
         targets_revision: Revision of the newest change of targets that it knows.
         plan_version: Version of the configuration in force at the sender.
         plan_key: Where it lies in the store; empty for none.
         plan_bytes: Its size there.
         admitted: What it has admitted since its start, by team.
         in_hand: Requests in hand, by target.
+        rests: Targets that failed at the sender lately.
     """
 
     host: str
@@ -34,12 +37,14 @@
     age_s: float
     draining: bool
     store_lost: bool
+    slow: bool
     targets_revision: int
     plan_version: int
     plan_key: str
     plan_bytes: int
     admitted: dict[str, TeamCount]
     in_hand: dict[str, int]
+    rests: dict[str, TargetRest]
 
 
 class PlanAsk(NamedTuple):
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -23,6 +23,8 @@
     TargetsTold,
 )
 from magnoliaroad.relay.host_entry import PREFIX, unpack_host
+from magnoliaroad.relay.metrics import LAG
+from magnoliaroad.relay.pace_judge import PaceJudge
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.quota import QuotaBook
 from magnoliaroad.relay.settings import RelaySettings
@@ -48,6 +50,10 @@
 # Longest wait for the host's own entry before the list is read. Of two hosts that
 # start together, the one whose entry comes later then finds the other.
 ANNOUNCE_S = 2.0
+# Time between looks at how late timers are.
+PACE_STEP_S = 0.1
+# Largest part of a data centre's hosts that turn callers away because they are slow.
+MOST_SPARED = 0.34
 # Largest configuration that peers tell; larger ones are read from the store, as all
 # hosts would ask one peer at the same time, whose link takes 4 MB a second.
 TOLD_BYTES = 60_000
@@ -98,6 +104,7 @@
         self.draining = False
         self.isolated = False
         self._contact = contact
+        self._judge = PaceJudge()
         self._news = asyncio.Event()
         self._relist = asyncio.Event()
         self._store = store
@@ -135,11 +142,17 @@
         self._relist.set()
 
     def budget_hosts(self) -> list[str]:
-        """Returns the hosts in contact that can claim budgets, if any do."""
-        hosts = {host: beat.store_lost for host, beat in self._in_contact().items()}
+        """Returns the hosts in contact that can claim budgets, if any do.
+
+        Each turn asks one of them, so those that are slow are left out.
+        """
+        lost = {
+            host: beat.store_lost or beat.slow
+            for host, beat in self._in_contact().items()
+        }
         if not self.draining:
-            hosts[self.cfg.name] = self.store_gone()
-        return [host for host, lost in hosts.items() if not lost] or [self.cfg.name]
+            lost[self.cfg.name] = self.store_gone() or self._judge.slow
+        return [host for host in lost if not lost[host]] or [self.cfg.name]
 
     def holders(self) -> list[str]:
         """Returns the names under which hosts in contact claim budgets."""
@@ -165,10 +178,13 @@
     def cut_off(self) -> bool:
         """Whether callers are served better by other hosts.
 
-        So it is if this host reaches neither the store nor a record host, while
-        another of its data centre reaches the store; and if the data centre is cut
-        off as a whole: the balancer then sends its callers elsewhere.
+        So it is if this host is slow. So it is, too, if it reaches neither the store
+        nor a record host, while another of its data centre reaches the store; and if
+        the data centre is cut off as a whole: the balancer then sends its callers
+        elsewhere.
         """
+        if self._spared():
+            return True
         if not self.store_gone() or self._records.reached:
             return self.isolated
         near = any(
@@ -177,6 +193,34 @@
         )
         return near or self.isolated
 
+    def _spared(self) -> bool:
+        """Whether this host is slow and its data centre can do without it.
+
+        If many hosts are slow, callers gain nothing elsewhere.
+        """
+        if not self._judge.slow:
+            return False
+        near = {
+            host: beat.slow
+            for host, beat in self._in_contact().items()
+            if beat.data_centre == self.cfg.data_centre
+        }
+        before = sum(slow for host, slow in near.items() if host < self.cfg.name)
+        return before < MOST_SPARED * (len(near) + 1) - 1
+
+    @Service.task
+    async def _watch_pace(self) -> None:
+        while not self.should_stop:
+            due = time.monotonic() + PACE_STEP_S
+            await asyncio.sleep(PACE_STEP_S)
+            lag_s = max(0.0, time.monotonic() - due)
+            LAG.observe({}, lag_s)
+            if self._judge.note(lag_s):
+                logger.bind(slow=self._judge.slow, lag_s=round(lag_s, 3)).warning(
+                    "pace changed"
+                )
+                self.news()
+
     def helpers(self) -> list[str]:
         """Returns relay hosts that reach the store, if this one is cut off from it.
 
@@ -342,12 +386,14 @@
             age_s=time.monotonic() - self._began,
             draining=self.draining,
             store_lost=self.store_gone(),
+            slow=self._judge.slow,
             targets_revision=self._follower.revision,
             plan_version=self._plans.version,
             plan_key=plan_key,
             plan_bytes=len(plan),
             admitted=self._quota.counts(),
             in_hand=self._targets.in_hand,
+            rests=self._targets.rests(time.monotonic()),
         )
 
     def _count_silent(self) -> None:
@@ -374,6 +420,7 @@
         fresh = beat.age_s < YOUNG_S
         self._quota.heard(now, beat.host, beat.boot, beat.admitted, fresh)
         self._targets.heard(beat.host, beat.in_hand)
+        self._targets.heard_rests(now, beat.rests)
         behind = (
             beat.plan_version > self._plans.version
             or beat.targets_revision > self._follower.revision
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -43,8 +43,9 @@
 MOST_OFFERS = 4
 # Least time limit with which a request is still sent, in seconds.
 LEAST_TIME_S = 0.02
-# First and longest time that a target which failed gets no new work, in seconds.
-REST_S = 0.25
+# First and longest time that a target which failed gets no new work, in seconds. The
+# first is as long as it takes until all hosts of a large fleet have heard of it.
+REST_S = 0.5
 MOST_REST_S = 4.0
 MISDIRECTED = 421
 # Largest answer of a plain service that is read whole before it is passed on, so
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -22,6 +22,18 @@
     at: float
 
 
+class TargetRest(NamedTuple):
+    """A target that a host sends nothing to, because it failed there.
+
+    Attributes:
+        failures: Failures in a row.
+        left_s: Time until the host tries it again.
+    """
+
+    failures: int
+    left_s: float
+
+
 class TargetTable:
     """Targets by name, with the work in hand and recent failures of each."""
 
@@ -31,6 +43,7 @@
         self._remote: dict[str, dict[str, int]] = {}
         self._failures: dict[str, int] = {}
         self._rests_until: dict[str, float] = {}
+        self._own_rests: dict[str, float] = {}
         self._paces: dict[str, _Pace] = {}
 
     def set(self, target: RelayTarget) -> None:
@@ -43,6 +56,7 @@
             self.targets,
             self._failures,
             self._rests_until,
+            self._own_rests,
             self._paces,
         ):
             table.pop(name, None)
@@ -116,11 +130,34 @@
         """Notes a failure of a target; returns how long it gets no new work."""
         count = self._failures[name] = self._failures.get(name, 0) + 1
         pause_s = min(most_s, rest_s * 2 ** (count - 1))
-        self._rests_until[name] = now + pause_s
+        self._rests_until[name] = self._own_rests[name] = now + pause_s
         return pause_s
 
+    def rests(self, now: float) -> dict[str, TargetRest]:
+        """Returns the targets that rest because they failed at this host."""
+        return {
+            name: TargetRest(self._failures.get(name, 1), until - now)
+            for name, until in self._own_rests.items()
+            if until > now
+        }
+
+    def heard_rests(self, now: float, rests: dict[str, TargetRest]) -> None:
+        """Spares this host's callers what a peer's callers met at targets.
+
+        Answers the load pattern of a target that looks sound and fails each request:
+        every host would otherwise send it several.
+        """
+        for name, rest in rests.items():
+            if name not in self.targets:
+                continue
+            until = now + rest.left_s
+            self._rests_until[name] = max(self._rests_until.get(name, 0.0), until)
+            count = max(self._failures.get(name, 0), rest.failures)
+            self._failures[name] = count
+
     def worked(self, name: str) -> None:
         """Notes that a target answered."""
         if name in self._failures:
             del self._failures[name]
             self._rests_until.pop(name, None)
+            self._own_rests.pop(name, None)
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -6,7 +6,7 @@
 from magnoliaroad.relay.placement import by_load, by_session
 from magnoliaroad.relay.target import RelayTarget, TargetState
 from magnoliaroad.relay.target_follower import TargetFollower
-from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.relay.target_table import TargetRest, TargetTable
 from magnoliaroad.store import StoreEntry, WatchBatch
 
 
@@ -224,3 +224,35 @@
     filled(table, "a", "b")
     table.paced("a", 5.0, 0.0)
     assert usable(table, 0.1) == ["a", "b"]
+
+
+def test_a_target_that_failed_at_a_peer_rests_here_too(table):
+    filled(table, "a", "b")
+    peer = TargetTable()
+    filled(peer, "a", "b")
+    for now in (0.0, 0.6):
+        peer.failed("a", now, 0.5, 4.0)
+    table.heard_rests(0.7, peer.rests(0.7))
+    assert usable(table, 1.5) == ["b"]
+    assert usable(table, 1.7) == ["a", "b"]
+    assert table.failed("a", 1.7, 0.5, 4.0) == 2.0
+
+
+def test_what_a_host_only_heard_it_does_not_tell_on(table):
+    filled(table, "a", "b")
+    table.heard_rests(0.0, {"a": TargetRest(1, 0.5), "gone": TargetRest(1, 0.5)})
+    assert table.rests(0.1) == {}
+
+
+def test_an_answer_ends_the_rest(table):
+    filled(table, "a", "b")
+    table.failed("a", 0.0, 0.5, 4.0)
+    table.worked("a")
+    assert table.rests(0.1) == {}
+    assert usable(table, 0.1) == ["a", "b"]
+
+
+def test_if_all_targets_rest_all_are_used(table):
+    filled(table, "a", "b")
+    table.heard_rests(0.0, {"a": TargetRest(1, 0.5), "b": TargetRest(1, 0.5)})
+    assert usable(table, 0.1) == ["a", "b"]
