Admissions of teams near their limit are told at once

Cause: beats of a large fleet come every 0.5 s. Until the next one each host takes the whole bucket of a team for its own. Each admission goes to one host of the team; when less than 0.7 of the burst is left, that host tells all within 20 ms. Waiting requests no longer pass together. Ruled out: faster beats (400 a second and host), smaller slack (calm teams refused).

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -25,6 +25,7 @@
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.relay.team_teller import TeamTeller
 from magnoliaroad.relay.turn_ledger import TurnLedger
 from magnoliaroad.store import Store
 from magnoliaroad.store.contact import StoreContact
@@ -114,6 +115,15 @@
             quota=self.quota,
             table=self.table,
             client=self.client,
+            teller=TeamTeller(
+                cfg.name,
+                self.fleet.boot,
+                self.peers,
+                self.plans,
+                self.quota,
+                self.fleet.count_hosts,
+                self.fleet.peers_known,
+            ),
             turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
             programs=HeldValues(MOST_PROGRAMS, lambda _: 1),
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -154,6 +154,15 @@
             lost[self.cfg.name] = self.store_gone() or self._judge.slow
         return [host for host in lost if not lost[host]] or [self.cfg.name]
 
+    def peers_known(self) -> list[str]:
+        """Returns the other relay hosts."""
+        return list(self._members)
+
+    def count_hosts(self) -> list[str]:
+        """Returns the hosts in contact that are fit to keep counts of teams."""
+        fit = [host for host, beat in self._in_contact().items() if not beat.slow]
+        return [*fit, *([] if self.draining else [self.cfg.name])]
+
     def holders(self) -> list[str]:
         """Returns the names under which hosts in contact claim budgets."""
         beats = self._in_contact().values()
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -9,6 +9,7 @@
 from magnoliaroad.relay.quota import QuotaBook
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.relay.team_teller import TeamTeller
 from magnoliaroad.relay.turn_ledger import TurnLedger
 from magnoliaroad.targets import TargetClient
 
@@ -26,6 +27,7 @@
     quota: QuotaBook
     table: TargetTable
     client: TargetClient
+    teller: TeamTeller
     turns: TurnLedger
     budgets: BudgetDesk
     programs: HeldValues[bool]
--- a/src/magnoliaroad/relay/quota.py
+++ b/src/magnoliaroad/relay/quota.py
@@ -11,6 +11,8 @@
 START_WINDOW_S = 0.5
 # Least wait that is asked for, in seconds; shorter ones bring callers back at once.
 LEAST_WAIT_S = 0.05
+# Part of the burst below which all hosts are told of each admission.
+LOW_PART = 0.7
 UNKNOWN = float("inf")
 
 
@@ -175,6 +177,49 @@
                 self._add_remote(now, name, added, started)
         self._peers[host] = _Peer(boot, dict(counts))
 
+    def heard_team(
+        self, now: float, team: RelayTeam, host: str, boot: str, count: TeamCount
+    ) -> None:
+        """Takes over what a peer has admitted of one team.
+
+        Args:
+            now: Time in seconds.
+            team: The team with its limit.
+            host: The peer; one whose first message has not come yet is left out, as
+                its other counts are not known.
+            boot: Its incarnation.
+            count: What it has admitted since its start.
+        """
+        peer = self._peers.get(host)
+        if team.rate <= 0 or peer is None or peer.boot != boot:
+            return
+        self._state(now, team)
+        before = peer.counts.get(team.name, NOTHING)
+        added = count.admitted - before.admitted
+        started = count.started - before.started
+        if added or started:
+            self._add_remote(now, team.name, added, started)
+        peer.counts[team.name] = count
+
+    def low(self, now: float, team: RelayTeam) -> bool:
+        """Returns whether a team has used much of its burst."""
+        if team.rate <= 0:
+            return False
+        return self._state(now, team).tokens < LOW_PART * team.burst
+
+    def count(self, name: str) -> TeamCount:
+        """Returns what this host has admitted of a team so far."""
+        state = self._teams.get(name)
+        return NOTHING if state is None else TeamCount(state.counted, state.started)
+
+    def counts_of(self, name: str) -> dict[str, tuple[str, TeamCount]]:
+        """Returns what each peer has admitted of a team, with its incarnation."""
+        return {
+            host: (peer.boot, peer.counts[name])
+            for host, peer in self._peers.items()
+            if name in peer.counts
+        }
+
     def forget(self, host: str) -> None:
         """Drops what was known of a peer that is gone."""
         self._peers.pop(host, None)
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -1,6 +1,7 @@
 """One relayed request on its way through the host."""
 
 import asyncio
+import random
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -159,8 +160,10 @@
                 continue
             if now + wait_s > patient_until:
                 raise Refused(over_limit(team.name, wait_s))
-            await asyncio.sleep(wait_s)
+            # Spread, so that those who wait do not pass together.
+            await asyncio.sleep(wait_s * random.uniform(1.0, 1.3))
         self._counted = True
+        self.parts.teller.admitted(team.name)
         if self.call.program:
             self.parts.programs.add(self.call.program, True)
 
--- /dev/null
+++ b/src/magnoliaroad/relay/team_teller.py
@@ -0,0 +1,98 @@
+"""Tells hosts at once of admissions of teams that are near their limit."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from magnoliaroad.peers import Peers
+from magnoliaroad.relay.beat import HostCount, TeamAdmitted, TeamTold
+from magnoliaroad.relay.plan_holder import PlanHolder
+from magnoliaroad.relay.quota import QuotaBook
+from magnoliaroad.rendezvous import first_choice
+
+# Time in which admissions of a team are gathered before all hosts are told.
+GATHER_S = 0.02
+
+
+class TeamTeller:
+    """Sends each admission to one host of the team, which tells all when few are left.
+
+    Beats of a large fleet come twice a second. Answers the load pattern of a small
+    team whose callers come to all hosts at once: until the next beat each host would
+    take the whole bucket for its own.
+
+    Args:
+        name: Name of this host.
+        boot: Its incarnation.
+        peers: Connections between hosts.
+        plans: Configuration in force.
+        quota: Counts of this host and its peers.
+        hosts: Returns the hosts in contact that are fit to keep counts, this one
+            included.
+        everybody: Returns all peers.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        boot: str,
+        peers: Peers,
+        plans: PlanHolder,
+        quota: QuotaBook,
+        hosts: Callable[[], list[str]],
+        everybody: Callable[[], list[str]],
+    ) -> None:
+        self._name = name
+        self._boot = boot
+        self._peers = peers
+        self._plans = plans
+        self._quota = quota
+        self._hosts = hosts
+        self._everybody = everybody
+        self._gathering: set[str] = set()
+        peers.on(TeamAdmitted, self._on_admitted)
+        peers.on(TeamTold, self._on_told)
+
+    def admitted(self, team: str) -> None:
+        """Notes that a request of ``team`` was admitted here."""
+        home = first_choice(team, self._hosts())
+        if home is None or home == self._name:
+            self._look(team)
+            return
+        count = self._quota.count(team)
+        self._peers.send(home, TeamAdmitted(team, self._boot, count))
+
+    async def _on_admitted(self, sender: str, told: TeamAdmitted) -> None:
+        self._hear(told.team, sender, HostCount(told.boot, told.count))
+        self._look(told.team)
+
+    async def _on_told(self, sender: str, told: TeamTold) -> None:
+        for host, count in told.counts.items():
+            if host != self._name:
+                self._hear(told.team, host, count)
+
+    def _hear(self, name: str, host: str, count: HostCount) -> None:
+        plan = self._plans.plan
+        team = None if plan is None else plan.teams.get(name)
+        if team is not None:
+            now = time.monotonic()
+            self._quota.heard_team(now, team, host, count.boot, count.count)
+
+    def _look(self, name: str) -> None:
+        plan = self._plans.plan
+        team = None if plan is None else plan.teams.get(name)
+        if team is None or name in self._gathering:
+            return
+        if self._quota.low(time.monotonic(), team):
+            self._gathering.add(name)
+            asyncio.get_running_loop().call_later(GATHER_S, self._tell, name)
+
+    def _tell(self, name: str) -> None:
+        self._gathering.discard(name)
+        counts = {
+            host: HostCount(boot, count)
+            for host, (boot, count) in self._quota.counts_of(name).items()
+        }
+        counts[self._name] = HostCount(self._boot, self._quota.count(name))
+        for host in self._everybody():
+            self._peers.send(host, TeamTold(name, counts))
--- a/tests/relay/test_quota.py
+++ b/tests/relay/test_quota.py
@@ -13,35 +13,42 @@
 OVERAGE = 0.1
 SLACK = 20
 BEAT_S = 0.1
+# Time from an admission to when all hosts know of it.
+TELL_S = 0.03
 TEAM = RelayTeam("league", rate=40.0, burst=40.0)
 
 
 class Fleet:
     """Hosts that tell each other their counts every ``BEAT_S``."""
 
-    def __init__(self, names, seed):
+    def __init__(self, names, seed, beat_s=BEAT_S):
+        self.beat_s = beat_s
         self.now = 0.0
         self.random = random.Random(seed)
         self.books = {name: QuotaBook(QuotaSettings(), 0.0) for name in names}
         self.boots = dict.fromkeys(names, "1")
         self.cut = set()
+        self.telling = {}
         self.passed = []
         self.refused = 0
         for book in self.books.values():
             book.set_hosts(len(names), 0)
+        self.beat()
 
     def run(self, seconds, demand, team=TEAM, step_s=0.01):
         ends = self.now + seconds
         while self.now < ends:
             self.now += step_s
-            if int(self.now / step_s) % int(BEAT_S / step_s) == 0:
+            if int(self.now / step_s) % int(self.beat_s / step_s) == 0:
                 self.beat()
+            self.tell_due(team)
             for name, book in self.books.items():
                 if self.random.random() < demand.get(name, 0.0) * step_s:
                     if book.admit(self.now, team):
                         self.refused += 1
                     else:
                         self.passed.append(self.now)
+                        self.tell(name, team)
 
     def beat(self):
         for name, book in self.books.items():
@@ -52,6 +59,28 @@
                 counts = self.books[other].counts()
                 book.heard(self.now, other, self.boots[other], counts, True)
 
+    def tell(self, name, team):
+        """Tells the team's host of an admission, and all a moment later if need be."""
+        home = next(iter(self.books))
+        if home != name and (home in self.cut) == (name in self.cut):
+            count = self.books[name].count(team.name)
+            self.books[home].heard_team(self.now, team, name, self.boots[name], count)
+        if self.books[home].low(self.now, team):
+            self.telling.setdefault(home, self.now + TELL_S)
+
+    def tell_due(self, team):
+        for home, due in list(self.telling.items()):
+            if due > self.now:
+                continue
+            del self.telling[home]
+            counts = self.books[home].counts_of(team.name)
+            counts[home] = (self.boots[home], self.books[home].count(team.name))
+            for name, book in self.books.items():
+                if (home in self.cut) == (name in self.cut):
+                    for host, (boot, count) in counts.items():
+                        if host != name:
+                            book.heard_team(self.now, team, host, boot, count)
+
     def worst_window(self):
         return max(
             sum(at <= t < at + WINDOW_S for t in self.passed) for at in self.passed
@@ -72,6 +101,27 @@
     assert fleet.worst_window() <= allowed(TEAM)
 
 
+MANY_HOSTS = [f"host-{n}" for n in range(70)]
+
+
+@pytest.mark.parametrize("demand", [15.0, 40.0, 150.0])
+@pytest.mark.parametrize("seed", range(4))
+def test_a_large_fleet_keeps_a_small_teams_limit(seed, demand):
+    small = RelayTeam("small", rate=6.4, burst=16.0)
+    fleet = Fleet(MANY_HOSTS, seed, beat_s=0.47)
+    fleet.run(6, dict.fromkeys(MANY_HOSTS, 3.0 / 70), small)
+    fleet.run(8, dict.fromkeys(MANY_HOSTS, demand / 70), small)
+    assert fleet.worst_window() <= allowed(small)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_small_team_within_its_rate_passes_a_large_fleet(seed):
+    small = RelayTeam("small", rate=6.4, burst=16.0)
+    fleet = Fleet(MANY_HOSTS, seed, beat_s=0.47)
+    fleet.run(20, dict.fromkeys(MANY_HOSTS, 4.5 / 70), small)
+    assert fleet.refused == 0
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_the_limit_holds_while_hosts_are_cut_from_each_other(seed):
     fleet = Fleet(HOSTS, seed)
