--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -21,6 +21,16 @@
 GRACE_S = 8.0
 
 
+def catches_sigterm(pid):
+    """Returns whether a process has a handler for SIGTERM."""
+    try:
+        status = Path(f"/proc/{pid}/status").read_text()
+    except FileNotFoundError:
+        return False
+    caught = int(status.partition("SigCgt:")[2].split()[0], 16)
+    return bool(caught & 1 << (signal.SIGTERM - 1))
+
+
 class Member:
     """One process of the system, and its link to the store."""
 
@@ -52,6 +62,9 @@
             self.proc = await asyncio.create_subprocess_exec(
                 sys.executable, ROOT / "platform" / "host.py", stdout=log, env=env
             )
+        # Before its first line a program cannot take a signal well.
+        while self.proc.returncode is None and not catches_sigterm(self.proc.pid):
+            await asyncio.sleep(0.005)
 
     def _settings(self):
         listen = {"peers": self.peers, "metrics": self.metrics}
