--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -38,7 +38,10 @@
 # Most hosts that are asked in turn to do a call for this one.
 MOST_HELPERS = 2
 # Time between checks of contact.
-CHECK_S = 0.3
+CHECK_S = 0.2
+# Silence of all other data centres after which the store is asked whether it answers;
+# five times a small fleet's beat.
+ALONE_S = 0.5
 # Most hosts that are asked for tokens they may have borrowed.
 MOST_HOLDERS = 16
 # Time in which a change in the store reaches most hosts without their peers.
@@ -144,15 +147,19 @@
     def budget_hosts(self) -> list[str]:
         """Returns the hosts in contact that can claim budgets, if any do.
 
-        Each turn asks one of them, so those that are slow are left out.
+        Each turn asks one of them, so those that are slow are left out. Callers come
+        to their own data centre, so a program's budget is counted there: no turn
+        waits for another data centre, and a cut takes no claims along.
         """
-        lost = {
-            host: beat.store_lost or beat.slow
+        able = {
+            host: beat.data_centre
             for host, beat in self._in_contact().items()
+            if not beat.store_lost and not beat.slow
         }
-        if not self.draining:
-            lost[self.cfg.name] = self.store_gone() or self._judge.slow
-        return [host for host in lost if not lost[host]] or [self.cfg.name]
+        if not (self.draining or self.store_gone() or self._judge.slow):
+            able[self.cfg.name] = self.cfg.data_centre
+        near = [host for host in able if able[host] == self.cfg.data_centre]
+        return near or list(able) or [self.cfg.name]
 
     def peers_known(self) -> list[str]:
         """Returns the other relay hosts."""
@@ -245,13 +252,22 @@
         return [host for _, host in sorted(able)[:MOST_HELPERS]]
 
     def _alone(self) -> bool:
-        """Whether no other data centre is heard, though others are known."""
+        """Whether no other data centre is heard, though others are known.
+
+        Their hosts beat at different times, so silence of all shows a cut sooner than
+        that of each.
+        """
         elsewhere = [
             host
             for host, address in self._members.items()
             if address.data_centre != self.cfg.data_centre
         ]
-        return bool(elsewhere) and all(host in self._silent for host in elsewhere)
+        limit_s = max(ALONE_S, 4 * self._interval_s() / max(1, len(elsewhere)))
+        since = time.monotonic() - limit_s
+        return bool(elsewhere) and all(
+            host not in self._heard or self._heard[host].at < since
+            for host in elsewhere
+        )
 
     @Service.task
     async def _watch_contact(self) -> None:
--- /dev/null
+++ b/tests/relay/test_fleet.py
@@ -0,0 +1,105 @@
+"""What a host concludes from the beats of its peers; no beat is sent here."""
+
+import time
+
+import pytest
+
+from magnoliaroad.peers import PeerAddress
+from magnoliaroad.relay.app import RelayApplication
+from magnoliaroad.relay.beat import Beat
+from magnoliaroad.relay.fleet import ALONE_S, FleetService, _Heard
+from magnoliaroad.relay.pace_judge import SLOW_SAMPLES
+from magnoliaroad.relay.settings import RelayListen, RelaySettings
+from magnoliaroad.standins.kv_state import KvState
+from magnoliaroad.standins.local_store import LocalStore
+from magnoliaroad.store.settings import StoreSettings
+from tests.relay.test_targets import PlainDirectory
+
+
+@pytest.fixture
+async def fleet() -> FleetService:
+    cfg = RelaySettings(
+        name="host-m",
+        data_centre="dc-1",
+        listen=RelayListen("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"),
+        store=StoreSettings("http://127.0.0.1:4"),
+    )
+    store = LocalStore(KvState(), time.monotonic)
+    return RelayApplication(cfg, store, None, PlainDirectory()).fleet
+
+
+def hear(fleet, host, data_centre, age_s=0.0, store_lost=False, slow=False):
+    beat = Beat(
+        host=host,
+        boot="b",
+        data_centre=data_centre,
+        address="127.0.0.1",
+        port=1,
+        age_s=100.0,
+        draining=False,
+        store_lost=store_lost,
+        slow=slow,
+        targets_revision=0,
+        plan_version=-1,
+        plan_key="",
+        plan_bytes=0,
+        admitted={},
+        in_hand={},
+        rests={},
+    )
+    fleet._heard[host] = _Heard(beat, time.monotonic() - age_s)
+    fleet._members[host] = PeerAddress(host, data_centre, "127.0.0.1", 1)
+
+
+def make_slow(fleet):
+    for _ in range(SLOW_SAMPLES):
+        fleet._judge.note(1.0)
+
+
+async def test_a_budget_is_counted_in_the_callers_data_centre(fleet):
+    hear(fleet, "host-a", "dc-1")
+    hear(fleet, "host-b", "dc-2")
+    assert sorted(fleet.budget_hosts()) == ["host-a", "host-m"]
+
+
+async def test_slow_hosts_and_those_without_the_store_count_no_budgets(fleet):
+    hear(fleet, "host-a", "dc-1", slow=True)
+    hear(fleet, "host-b", "dc-1", store_lost=True)
+    hear(fleet, "host-c", "dc-2")
+    assert fleet.budget_hosts() == ["host-m"]
+    make_slow(fleet)
+    assert fleet.budget_hosts() == ["host-c"]
+
+
+async def test_one_slow_host_of_three_turns_callers_away_and_not_all(fleet):
+    hear(fleet, "host-a", "dc-1")
+    hear(fleet, "host-b", "dc-1")
+    make_slow(fleet)
+    assert fleet.cut_off()
+    hear(fleet, "host-a", "dc-1", slow=True)
+    assert not fleet.cut_off()
+
+
+async def test_a_slow_host_that_is_alone_serves_on(fleet):
+    make_slow(fleet)
+    assert not fleet.cut_off()
+
+
+async def test_silence_of_all_other_data_centres_shows_a_cut(fleet):
+    hear(fleet, "host-a", "dc-1")
+    for number in range(20):
+        hear(fleet, f"host-{number}", "dc-2", age_s=ALONE_S + 0.1)
+    assert fleet._alone()
+    hear(fleet, "host-7", "dc-2", age_s=0.2)
+    assert not fleet._alone()
+
+
+async def test_the_first_host_in_contact_with_the_store_follows_it(fleet):
+    hear(fleet, "host-a", "dc-1", store_lost=True)
+    hear(fleet, "host-b", "dc-2")
+    assert fleet.follows_store()
+    assert not fleet.watches_closely()
+    hear(fleet, "host-c", "dc-1")
+    assert not fleet.follows_store()
+    fleet._contact.lost = True
+    assert not fleet.follows_store()
