--- a/bench/relay.py
+++ b/bench/relay.py
@@ -77,7 +77,7 @@
         ready = TargetState.READY
         table.set(RelayTarget(name, "lm", "10.0.0.1:80", "dc", 8, ready))
     clock = iter(range(10**9))
-    return lambda: by_session(table, table.usable("lm", 0.0), str(next(clock)))
+    return lambda: by_session(table, table.usable("lm", 0.0), str(next(clock)), "dc-1")
 
 
 def _budget() -> Callable[[], None]:
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -123,6 +123,7 @@
                 self.quota,
                 self.fleet.count_hosts,
                 self.fleet.peers_known,
+                self.fleet.hears,
             ),
             turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -161,6 +161,11 @@
         near = [host for host in able if able[host] == self.cfg.data_centre]
         return near or list(able) or [self.cfg.name]
 
+    def hears(self, host: str) -> bool:
+        """Whether a peer was heard lately."""
+        heard = self._heard.get(host)
+        return heard is not None and time.monotonic() - heard.at <= self._silent_s()
+
     def peers_known(self) -> list[str]:
         """Returns the other relay hosts."""
         return list(self._members)
@@ -438,12 +443,14 @@
 
     async def _on_beat(self, sender: str, beat: Beat) -> None:
         now = time.monotonic()
+        before = self._heard.get(beat.host)
+        regained = before is not None and now - before.at > self._silent_s()
         self._heard[beat.host] = _Heard(beat, now)
         address = PeerAddress(beat.host, beat.data_centre, beat.address, beat.port)
         if self._members.get(beat.host) != address:
             self._set_members({**self._members, beat.host: address})
         fresh = beat.age_s < YOUNG_S
-        self._quota.heard(now, beat.host, beat.boot, beat.admitted, fresh)
+        self._quota.heard(now, beat.host, beat.boot, beat.admitted, fresh, regained)
         self._targets.heard(beat.host, beat.in_hand)
         self._targets.heard_rests(now, beat.rests)
         behind = (
--- a/src/magnoliaroad/relay/placement.py
+++ b/src/magnoliaroad/relay/placement.py
@@ -14,17 +14,23 @@
 
 
 def by_session(
-    table: TargetTable, targets: Sequence[RelayTarget], session: str
+    table: TargetTable,
+    targets: Sequence[RelayTarget],
+    session: str,
+    data_centre: str,
 ) -> RelayTarget:
     """Returns the target that has a session's prompt in memory, unless crowded.
 
-    All hosts rank targets alike, so a program that moves between hosts stays at its
-    engine without a message.
+    All hosts of a data centre rank targets alike, so a program that moves between
+    them stays at its engine without a message. Targets of the data centre come first:
+    callers come to their own, so its streams outlive a cut of its links, and long
+    prompts stay within it.
     """
     by_name = {target.name: target for target in targets}
     mean = sum(table.load(name) for name in by_name) / len(by_name)
     limit = mean * CROWDED_FACTOR + CROWDED_MARGIN
     ranked = rendezvous(session, by_name)
+    ranked.sort(key=lambda name: by_name[name].data_centre != data_centre)
     for name in ranked:
         if table.load(name) <= limit:
             return by_name[name]
--- a/src/magnoliaroad/relay/quota.py
+++ b/src/magnoliaroad/relay/quota.py
@@ -155,6 +155,7 @@
         boot: str,
         counts: dict[str, TeamCount],
         fresh: bool,
+        regained: bool = False,
     ) -> None:
         """Takes over what a peer has admitted.
 
@@ -165,6 +166,8 @@
             counts: What it has admitted so far, by team.
             fresh: Whether the peer has just started, so that all its counts are
                 recent.
+            regained: Whether the peer was out of contact. What it admitted meanwhile
+                was taken into account by the smaller rate.
         """
         before = self._peers.get(host)
         known = before.counts if before is not None and before.boot == boot else {}
@@ -173,7 +176,7 @@
             before_count = known.get(name, NOTHING)
             added = count.admitted - before_count.admitted
             started = count.started - before_count.started
-            if (added or started) and (not first or fresh):
+            if (added or started) and (not first or fresh) and not regained:
                 self._add_remote(now, name, added, started)
         self._peers[host] = _Peer(boot, dict(counts))
 
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -245,12 +245,11 @@
         ]
         if not usable:
             raise Refused(NO_TARGET if not excluded else ALL_REFUSED)
+        here = self.parts.cfg.data_centre
         if self.streams:
-            target = by_session(table, usable, self._key)
+            target = by_session(table, usable, self._key, here)
         else:
-            target = by_load(
-                table, usable, self.parts.cfg.data_centre, self.call.request_id
-            )
+            target = by_load(table, usable, here, self.call.request_id)
         logger.bind(
             request=self.call.request_id,
             target=target.name,
--- a/src/magnoliaroad/relay/team_teller.py
+++ b/src/magnoliaroad/relay/team_teller.py
@@ -30,6 +30,8 @@
         hosts: Returns the hosts in contact that are fit to keep counts, this one
             included.
         everybody: Returns all peers.
+        hears: Returns whether a peer is in contact. What one that comes back admitted
+            meanwhile is known from its first beat.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         quota: QuotaBook,
         hosts: Callable[[], list[str]],
         everybody: Callable[[], list[str]],
+        hears: Callable[[str], bool],
     ) -> None:
         self._name = name
         self._boot = boot
@@ -49,6 +52,7 @@
         self._quota = quota
         self._hosts = hosts
         self._everybody = everybody
+        self._hears = hears
         self._gathering: set[str] = set()
         peers.on(TeamAdmitted, self._on_admitted)
         peers.on(TeamTold, self._on_told)
@@ -74,7 +78,7 @@
     def _hear(self, name: str, host: str, count: HostCount) -> None:
         plan = self._plans.plan
         team = None if plan is None else plan.teams.get(name)
-        if team is not None:
+        if team is not None and self._hears(host):
             now = time.monotonic()
             self._quota.heard_team(now, team, host, count.boot, count.count)
 
--- a/tests/relay/test_quota.py
+++ b/tests/relay/test_quota.py
@@ -27,7 +27,8 @@
         self.random = random.Random(seed)
         self.books = {name: QuotaBook(QuotaSettings(), 0.0) for name in names}
         self.boots = dict.fromkeys(names, "1")
-        self.cut = set()
+        self.cut = self.cut_before = set()
+        self.regained = False
         self.telling = {}
         self.passed = []
         self.refused = 0
@@ -51,16 +52,25 @@
                         self.tell(name, team)
 
     def beat(self):
+        if self.cut != self.cut_before:
+            self.regained = bool(self.cut_before)
+            self.cut_before = set(self.cut)
+        else:
+            self.regained = False
         for name, book in self.books.items():
             others = [other for other in self.books if other != name]
             heard = [o for o in others if (o in self.cut) == (name in self.cut)]
             book.set_hosts(len(self.books), len(others) - len(heard))
             for other in heard:
                 counts = self.books[other].counts()
-                book.heard(self.now, other, self.boots[other], counts, True)
+                back = self.regained
+                book.heard(self.now, other, self.boots[other], counts, True, back)
 
     def tell(self, name, team):
         """Tells the team's host of an admission, and all a moment later if need be."""
+        if self.cut != self.cut_before:
+            # Hosts that were cut off count as heard from their first beat on.
+            return
         home = next(iter(self.books))
         if home != name and (home in self.cut) == (name in self.cut):
             count = self.books[name].count(team.name)
@@ -69,6 +79,8 @@
             self.telling.setdefault(home, self.now + TELL_S)
 
     def tell_due(self, team):
+        if self.cut != self.cut_before:
+            return
         for home, due in list(self.telling.items()):
             if due > self.now:
                 continue
@@ -142,6 +154,18 @@
     assert fleet.refused == 0
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_team_within_its_rate_is_not_refused_after_a_cut(seed):
+    fleet = Fleet(HOSTS, seed)
+    fleet.run(3, dict.fromkeys(HOSTS, 4.0))
+    fleet.cut = set(HOSTS[:3])
+    fleet.run(8, dict.fromkeys(HOSTS, 4.0))
+    fleet.cut = set()
+    fleet.refused = 0
+    fleet.run(4, dict.fromkeys(HOSTS, 4.0))
+    assert fleet.refused == 0
+
+
 def test_a_host_uses_only_its_part_while_others_are_out_of_contact():
     book = QuotaBook(QuotaSettings(start_burst=1.0), 0.0)
     book.set_hosts(4, 3)
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -158,27 +158,27 @@
 
 def test_a_session_stays_at_its_target(table):
     targets = filled(table, "a", "b", "c")
-    first = by_session(table, targets, "session-1")
+    first = by_session(table, targets, "session-1", "dc-1")
     for _ in range(3):
         table.begin(first.name)
-    assert by_session(table, targets, "session-1") == first
+    assert by_session(table, targets, "session-1", "dc-1") == first
 
 
 def test_a_session_leaves_a_crowded_target(table):
     targets = filled(table, "a", "b", "c")
-    first = by_session(table, targets, "session-1")
+    first = by_session(table, targets, "session-1", "dc-1")
     for _ in range(40):
         table.begin(first.name)
-    assert by_session(table, targets, "session-1") != first
+    assert by_session(table, targets, "session-1", "dc-1") != first
 
 
 def test_work_of_other_hosts_counts(table):
     targets = filled(table, "a", "b", "c")
-    first = by_session(table, targets, "session-1")
+    first = by_session(table, targets, "session-1", "dc-1")
     table.heard("other", {first.name: 40})
-    assert by_session(table, targets, "session-1") != first
+    assert by_session(table, targets, "session-1", "dc-1") != first
     table.forget_hosts([])
-    assert by_session(table, targets, "session-1") == first
+    assert by_session(table, targets, "session-1", "dc-1") == first
 
 
 def test_the_emptiest_target_gets_a_plain_call(table):
@@ -226,6 +226,34 @@
     assert usable(table, 0.1) == ["a", "b"]
 
 
+def spread(table):
+    for number in range(12):
+        place = f"dc-{number % 3 + 1}"
+        name = f"t-{number}"
+        table.set(RelayTarget(name, "lm", "x", place, 8, TargetState.READY))
+    return table.usable("lm", 0.0)
+
+
+def test_sessions_stay_in_their_data_centre(table):
+    targets = spread(table)
+    for number in range(50):
+        target = by_session(table, targets, f"session-{number}", "dc-2")
+        assert target.data_centre == "dc-2"
+
+
+def test_sessions_leave_a_data_centre_whose_targets_are_crowded(table):
+    targets = spread(table)
+    for target in targets:
+        if target.data_centre == "dc-2":
+            table.in_hand[target.name] = 30
+    target = by_session(table, targets, "session-1", "dc-2")
+    assert target.data_centre != "dc-2"
+
+
+def test_sessions_of_a_data_centre_without_targets_go_elsewhere(table):
+    assert by_session(table, spread(table), "session-1", "dc-9") is not None
+
+
 def test_a_target_that_failed_at_a_peer_rests_here_too(table):
     filled(table, "a", "b")
     peer = TargetTable()
