--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
     4: "as seed 2",
     5: "as seed 2",
     10: "SIGTERM while the program's modules were read ended it with a fault",
+    46: "as seed 10",
 }
 
 
