A data centre of which nobody is heard counts as out of contact at once

Cause (by reading, after the beats of large fleets were measured): each host of a data centre that is cut off counted as silent only after 1.6 s, in which both sides used the whole rate. Test: test_hosts_of_a_silent_data_centre_count_as_out_of_contact_at_once.

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -39,8 +39,8 @@
 MOST_HELPERS = 2
 # Time between checks of contact.
 CHECK_S = 0.2
-# Silence of all other data centres after which the store is asked whether it answers;
-# five times a small fleet's beat.
+# Silence of a whole data centre after which it counts as out of contact; five times a
+# small fleet's beat.
 ALONE_S = 0.5
 # Most hosts that are asked for tokens they may have borrowed.
 MOST_HOLDERS = 16
@@ -256,23 +256,30 @@
         ]
         return [host for _, host in sorted(able)[:MOST_HELPERS]]
 
-    def _alone(self) -> bool:
-        """Whether no other data centre is heard, though others are known.
+    def _silent_places(self) -> set[str]:
+        """Returns the other data centres of which no host is heard.
 
         Their hosts beat at different times, so silence of all shows a cut sooner than
         that of each.
         """
-        elsewhere = [
-            host
-            for host, address in self._members.items()
-            if address.data_centre != self.cfg.data_centre
-        ]
-        limit_s = max(ALONE_S, 4 * self._interval_s() / max(1, len(elsewhere)))
-        since = time.monotonic() - limit_s
-        return bool(elsewhere) and all(
-            host not in self._heard or self._heard[host].at < since
-            for host in elsewhere
-        )
+        last: dict[str, list[float]] = {}
+        for host, address in self._members.items():
+            heard = self._heard.get(host)
+            at = self._began if heard is None else heard.at
+            last.setdefault(address.data_centre, []).append(at)
+        last.pop(self.cfg.data_centre, None)
+        now, interval_s = time.monotonic(), self._interval_s()
+        return {
+            place
+            for place, times in last.items()
+            if now - max(times) > max(ALONE_S, 4 * interval_s / len(times))
+        }
+
+    def _alone(self) -> bool:
+        """Whether no other data centre is heard, though others are known."""
+        known = {address.data_centre for address in self._members.values()}
+        known.discard(self.cfg.data_centre)
+        return bool(known) and self._silent_places() == known
 
     @Service.task
     async def _watch_contact(self) -> None:
@@ -429,9 +436,11 @@
     def _count_silent(self) -> None:
         now, limit_s = time.monotonic(), self._silent_s()
         silent = set()
-        for host in self._members:
+        places = self._silent_places()
+        for host, address in self._members.items():
             heard = self._heard.get(host)
-            if heard is None or now - heard.at > limit_s:
+            late = heard is None or now - heard.at > limit_s
+            if late or address.data_centre in places:
                 silent.add(host)
                 self._targets.heard(host, {})
         for host in silent - self._silent:
@@ -443,8 +452,10 @@
 
     async def _on_beat(self, sender: str, beat: Beat) -> None:
         now = time.monotonic()
-        before = self._heard.get(beat.host)
-        regained = before is not None and now - before.at > self._silent_s()
+        regained = beat.host in self._silent and beat.host in self._heard
+        if regained:
+            self._silent.discard(beat.host)
+            logger.bind(peer=beat.host).info("peer regained")
         self._heard[beat.host] = _Heard(beat, now)
         address = PeerAddress(beat.host, beat.data_centre, beat.address, beat.port)
         if self._members.get(beat.host) != address:
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -103,3 +103,13 @@
     assert not fleet.follows_store()
     fleet._contact.lost = True
     assert not fleet.follows_store()
+
+
+async def test_hosts_of_a_silent_data_centre_count_as_out_of_contact_at_once(fleet):
+    hear(fleet, "host-a", "dc-1")
+    for number in range(60):
+        hear(fleet, f"host-{number}", f"dc-{2 + number % 2}", age_s=ALONE_S + 0.1)
+    hear(fleet, "host-1", "dc-3")
+    fleet._count_silent()
+    assert len(fleet._silent) == 30
+    assert fleet._quota._reach() == 32 / 62
