Beats are rarer in large fleets and tell what has changed

A host beats 50 times a second within its data centre and 35 times to others; whole counts come with each eighth beat. A new configuration read from the store is told at once. Admissions near a limit are gathered for 50 ms instead of 20. Ruled out: fewer beats alone (contact within the data centre decides on budgets).

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -90,6 +90,7 @@
         )
         entry = HostEntry(cfg.data_centre, address, int(port), relays=True)
         self.announcer = Announcer(self.store, cfg.fleet, cfg.name, entry)
+        self.plans.on_news = self.fleet.news
         self.announcer.on_announced = self.fleet.relist
         self.contact.on_regained.append(self.announcer.look)
         ledger = BudgetLedger(
--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -25,6 +25,7 @@
         plan_key: Where it lies in the store; empty for none.
         plan_bytes: Its size there.
         admitted: What it has admitted since its start, by team.
+        whole: Whether ``admitted`` has all teams, or those that changed lately.
         in_hand: Requests in hand, by target.
         rests: Targets that failed at the sender lately.
     """
@@ -43,6 +44,7 @@
     plan_key: str
     plan_bytes: int
     admitted: dict[str, TeamCount]
+    whole: bool
     in_hand: dict[str, int]
     rests: dict[str, TargetRest]
 
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -60,8 +60,13 @@
 # Largest configuration that peers tell; larger ones are read from the store, as all
 # hosts would ask one peer at the same time, whose link takes 4 MB a second.
 TOLD_BYTES = 60_000
-# Beats a second that a host sends at most; larger fleets beat less often.
-MOST_BEATS_PER_S = 150.0
+# Beats a second that a host sends at most to its own data centre and to the others;
+# larger fleets beat less often.
+MOST_NEAR_BEATS_PER_S = 50.0
+MOST_FAR_BEATS_PER_S = 35.0
+# Each so many beats have the counts of all teams; the others those that changed since
+# two beats before, so that one may be lost.
+WHOLE_EVERY = 8
 
 
 class _Heard(NamedTuple):
@@ -268,7 +273,7 @@
             at = self._began if heard is None else heard.at
             last.setdefault(address.data_centre, []).append(at)
         last.pop(self.cfg.data_centre, None)
-        now, interval_s = time.monotonic(), self._interval_s()
+        now, interval_s = time.monotonic(), self._far_interval_s()
         return {
             place
             for place, times in last.items()
@@ -298,11 +303,10 @@
             self.isolated = isolated
 
     def _in_contact(self) -> dict[str, Beat]:
-        since = time.monotonic() - self._silent_s()
         return {
             host: heard.beat
             for host, heard in self._heard.items()
-            if heard.at >= since and not heard.beat.draining
+            if host not in self._silent and not heard.beat.draining
         }
 
     async def ask_budget(self, holder: str, program: str) -> BudgetGiven | None:
@@ -394,25 +398,47 @@
 
     @Service.task
     async def _beat(self) -> None:
+        sent, far_at = 0, 0.0
         while not self.should_stop:
-            beat = self._own_beat()
-            for host in self._members:
-                self._peers.send(host, beat)
+            now = time.monotonic()
+            told = self._news.is_set()
+            self._news.clear()
+            far = told or now >= far_at
+            if far:
+                far_at = now + self._far_interval_s()
+                sent += 1
+            beat = self._own_beat(whole=far and sent % WHOLE_EVERY == 1)
+            for host, address in self._members.items():
+                if far or address.data_centre == self.cfg.data_centre:
+                    self._peers.send(host, beat)
             self._count_silent()
             self._greet_record_hosts()
-            self._news.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(self._interval_s()):
                     await self._news.wait()
 
+    def _near(self) -> int:
+        place = self.cfg.data_centre
+        return sum(a.data_centre == place for a in self._members.values())
+
     def _interval_s(self) -> float:
-        least = len(self._members) / MOST_BEATS_PER_S
+        """Returns the time between beats to hosts of this data centre."""
+        least = self._near() / MOST_NEAR_BEATS_PER_S
         return max(self.cfg.fleet.beat_interval_s, least)
 
-    def _silent_s(self) -> float:
+    def _far_interval_s(self) -> float:
+        """Returns the time between beats to hosts of other data centres."""
+        least = (len(self._members) - self._near()) / MOST_FAR_BEATS_PER_S
+        return max(self._interval_s(), least)
+
+    def _near_silent_s(self) -> float:
         return max(self.cfg.quota.silent_s, 4 * self._interval_s())
 
-    def _own_beat(self) -> Beat:
+    def _silent_s(self) -> float:
+        return max(self.cfg.quota.silent_s, 4 * self._far_interval_s())
+
+    def _own_beat(self, whole: bool) -> Beat:
+        recent = time.monotonic() - 3 * self._far_interval_s()
         plan_key, plan = self._plans.source or ("", b"")
         return Beat(
             host=self.cfg.name,
@@ -428,23 +454,26 @@
             plan_version=self._plans.version,
             plan_key=plan_key,
             plan_bytes=len(plan),
-            admitted=self._quota.counts(),
+            admitted=self._quota.counts() if whole else self._quota.counts(recent),
+            whole=whole,
             in_hand=self._targets.in_hand,
             rests=self._targets.rests(time.monotonic()),
         )
 
     def _count_silent(self) -> None:
-        now, limit_s = time.monotonic(), self._silent_s()
+        now, far_s, near_s = time.monotonic(), self._silent_s(), self._near_silent_s()
         silent = set()
         places = self._silent_places()
         for host, address in self._members.items():
             heard = self._heard.get(host)
+            near = address.data_centre == self.cfg.data_centre
+            limit_s = near_s if near else far_s
             late = heard is None or now - heard.at > limit_s
             if late or address.data_centre in places:
                 silent.add(host)
                 self._targets.heard(host, {})
         for host in silent - self._silent:
-            logger.bind(peer=host, limit_s=limit_s).warning("peer lost")
+            logger.bind(peer=host, near_s=near_s, far_s=far_s).warning("peer lost")
         for host in self._silent - silent:
             logger.bind(peer=host).info("peer regained")
         self._silent = silent
@@ -461,7 +490,9 @@
         if self._members.get(beat.host) != address:
             self._set_members({**self._members, beat.host: address})
         fresh = beat.age_s < YOUNG_S
-        self._quota.heard(now, beat.host, beat.boot, beat.admitted, fresh, regained)
+        self._quota.heard(
+            now, beat.host, beat.boot, beat.admitted, fresh, regained, beat.whole
+        )
         self._targets.heard(beat.host, beat.in_hand)
         self._targets.heard_rests(now, beat.rests)
         behind = (
@@ -498,7 +529,7 @@
                 logger.bind(key=beat.plan_key, reason=str(exc)).info("plan not read")
                 entry = None
             if entry is not None:
-                self._plans.offer(entry.key, entry.value, "store")
+                self._plans.offer(entry.key, entry.value, f"store, by {beat.host}")
             if beat.plan_version <= self._plans.version:
                 return
         ask = PlanAsk(self._plans.version)
--- a/src/magnoliaroad/relay/plan_holder.py
+++ b/src/magnoliaroad/relay/plan_holder.py
@@ -1,5 +1,7 @@
 """The configuration that is in force on this host."""
 
+from collections.abc import Callable
+
 from loguru import logger
 
 from magnoliaroad.relay.directory import BadEntry, Directory
@@ -7,6 +9,9 @@
 from magnoliaroad.relay.plan import RelayPlan
 from magnoliaroad.store import StoreEntry, WatchBatch
 
+# Origin of what this host has read while it followed the store.
+STORE = "store"
+
 
 class PlanHolder(MirrorListener):
     """Takes newer configurations and never goes back to an older one.
@@ -14,11 +19,13 @@
     Attributes:
         plan: The configuration in force; ``None`` before the first.
         source: Key and value it was read from, for peers.
+        on_news: Is called when the store has brought a newer one.
     """
 
     def __init__(self, directory: Directory) -> None:
         self.plan: RelayPlan | None = None
         self.source: tuple[str, bytes] | None = None
+        self.on_news: Callable[[], None] = lambda: None
         self._directory = directory
 
     @property
@@ -31,12 +38,12 @@
     ) -> None:
         """Takes all entries that the operator wrote."""
         for entry in entries.values():
-            self.offer(entry.key, entry.value, "store")
+            self.offer(entry.key, entry.value, STORE)
 
     def on_batch(self, batch: WatchBatch) -> None:
         """Takes what the operator changed."""
         for entry in batch.changed:
-            self.offer(entry.key, entry.value, "store")
+            self.offer(entry.key, entry.value, STORE)
 
     def offer(self, key: str, value: bytes, origin: str) -> bool:
         """Takes the configuration in an entry if it is newer; returns whether."""
@@ -58,6 +65,8 @@
         ).info("configuration in force")
         self.plan = plan
         self.source = (key, value)
+        if origin == STORE:
+            self.on_news()
         return True
 
 
--- a/src/magnoliaroad/relay/quota.py
+++ b/src/magnoliaroad/relay/quota.py
@@ -29,10 +29,17 @@
 
 
 class _Peer(NamedTuple):
-    """What one boot of a peer has admitted so far, by team."""
+    """What one boot of a peer has admitted so far.
+
+    Attributes:
+        boot: Its incarnation.
+        counts: Counts by team.
+        whole: Whether a team that is not among ``counts`` has none.
+    """
 
     boot: str
     counts: dict[str, TeamCount]
+    whole: bool
 
 
 NOTHING = TeamCount(0, 0)
@@ -43,6 +50,7 @@
 
     __slots__ = (
         "at",
+        "changed_at",
         "counted",
         "others",
         "own",
@@ -53,7 +61,7 @@
     )
 
     def __init__(self, now: float, tokens: float) -> None:
-        self.at = now
+        self.at = self.changed_at = now
         self.tokens = tokens
         self.counted = 0
         self.started = 0
@@ -118,6 +126,7 @@
             return max(LEAST_WAIT_S, missing / rate)
         state.tokens -= 1.0
         state.counted += 1
+        state.changed_at = now
         state.passed += 1.0
         state.started += starts
         state.starting += starts
@@ -139,13 +148,18 @@
         if state is not None and team.rate > 0:
             state.tokens = min(state.tokens + 1.0, team.burst)
             state.counted -= 1
+            state.changed_at = state.at
+
+    def counts(self, since: float = float("-inf")) -> dict[str, TeamCount]:
+        """Returns what this host has admitted so far, by team.
 
-    def counts(self) -> dict[str, TeamCount]:
-        """Returns what this host has admitted so far, by team."""
+        Args:
+            since: Leaves out teams whose count has not changed after this time.
+        """
         return {
             name: TeamCount(state.counted, state.started)
             for name, state in self._teams.items()
-            if state.counted
+            if state.counted and state.changed_at >= since
         }
 
     def heard(
@@ -156,6 +170,7 @@
         counts: dict[str, TeamCount],
         fresh: bool,
         regained: bool = False,
+        whole: bool = True,
     ) -> None:
         """Takes over what a peer has admitted.
 
@@ -168,17 +183,31 @@
                 recent.
             regained: Whether the peer was out of contact. What it admitted meanwhile
                 was taken into account by the smaller rate.
+            whole: Whether ``counts`` has all teams, or those that changed lately.
         """
         before = self._peers.get(host)
-        known = before.counts if before is not None and before.boot == boot else {}
-        first = before is None or before.boot != boot
+        if before is None or before.boot != boot:
+            # Of a boot that is not fresh, the first counts are where others begin.
+            before = _Peer(boot, {}, whole=fresh)
         for name, count in counts.items():
-            before_count = known.get(name, NOTHING)
-            added = count.admitted - before_count.admitted
-            started = count.started - before_count.started
-            if (added or started) and (not first or fresh) and not regained:
-                self._add_remote(now, name, added, started)
-        self._peers[host] = _Peer(boot, dict(counts))
+            if not regained:
+                self._add_difference(now, name, count, before)
+        known = {**before.counts, **counts}
+        self._peers[host] = _Peer(boot, known, before.whole or whole)
+
+    def _add_difference(
+        self, now: float, name: str, count: TeamCount, peer: _Peer
+    ) -> None:
+        """Takes what ``peer`` admitted of a team since it was last heard."""
+        before = peer.counts.get(name)
+        if before is None:
+            if not peer.whole:
+                return
+            before = NOTHING
+        added = count.admitted - before.admitted
+        started = count.started - before.started
+        if added or started:
+            self._add_remote(now, name, added, started)
 
     def heard_team(
         self, now: float, team: RelayTeam, host: str, boot: str, count: TeamCount
@@ -197,11 +226,7 @@
         if team.rate <= 0 or peer is None or peer.boot != boot:
             return
         self._state(now, team)
-        before = peer.counts.get(team.name, NOTHING)
-        added = count.admitted - before.admitted
-        started = count.started - before.started
-        if added or started:
-            self._add_remote(now, team.name, added, started)
+        self._add_difference(now, team.name, count, peer)
         peer.counts[team.name] = count
 
     def low(self, now: float, team: RelayTeam) -> bool:
--- a/src/magnoliaroad/relay/team_teller.py
+++ b/src/magnoliaroad/relay/team_teller.py
@@ -11,7 +11,7 @@
 from magnoliaroad.rendezvous import first_choice
 
 # Time in which admissions of a team are gathered before all hosts are told.
-GATHER_S = 0.02
+GATHER_S = 0.05
 
 
 class TeamTeller:
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -44,6 +44,7 @@
         plan_key="",
         plan_bytes=0,
         admitted={},
+        whole=True,
         in_hand={},
         rests={},
     )
