Beats to other data centres come at random times

Now gaps vary by half, and a data centre counts as silent after 12 missing beats. Test: test_a_data_centre_is_not_silent_by_chance.

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -42,6 +42,7 @@
 # Silence of a whole data centre after which it counts as out of contact; five times a
 # small fleet's beat.
 ALONE_S = 0.5
+SILENT_BEATS = 12
 # Most hosts that are asked for tokens they may have borrowed.
 MOST_HOLDERS = 16
 # Time in which a change in the store reaches most hosts without their peers.
@@ -264,8 +265,8 @@
     def _silent_places(self) -> set[str]:
         """Returns the other data centres of which no host is heard.
 
-        Their hosts beat at different times, so silence of all shows a cut sooner than
-        that of each.
+        Their hosts beat at random times, so silence of all shows a cut sooner than
+        that of each: with ``SILENT_BEATS`` missing it is chance once in 100,000 looks.
         """
         last: dict[str, list[float]] = {}
         for host, address in self._members.items():
@@ -277,7 +278,11 @@
         return {
             place
             for place, times in last.items()
-            if now - max(times) > max(ALONE_S, 4 * interval_s / len(times))
+            if now - max(times)
+            > min(
+                self._silent_s(),
+                max(ALONE_S, SILENT_BEATS * interval_s / len(times)),
+            )
         }
 
     def _alone(self) -> bool:
@@ -405,7 +410,8 @@
             self._news.clear()
             far = told or now >= far_at
             if far:
-                far_at = now + self._far_interval_s()
+                # Spread: hosts start together, and would all fall silent together.
+                far_at = now + self._far_interval_s() * random.uniform(0.5, 1.5)
                 sent += 1
             beat = self._own_beat(whole=far and sent % WHOLE_EVERY == 1)
             for host, address in self._members.items():
