--- a/src/magnoliaroad/in_hand.py
+++ b/src/magnoliaroad/in_hand.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from magnoliaroad.set_within import set_within
+
 
 class InHand:
     """Number of requests in progress, and a wait for the last of them.
@@ -25,8 +27,4 @@
 
     async def wait_none(self, limit_s: float) -> bool:
         """Waits until no request is in progress; returns whether that came."""
-        try:
-            await asyncio.wait_for(self._none.wait(), limit_s)
-        except TimeoutError:
-            return False
-        return True
+        return await set_within(self._none, limit_s)
--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -86,19 +86,15 @@
     @property
     def reached(self) -> bool:
         """Whether a record host was heard lately."""
-        since = self._now() - self.cfg.silent_s
-        return any(at >= since for at in self._heard.values())
+        return any(map(self._hears, self._heard))
 
     def set_hosts(self, hosts: dict[str, PeerAddress]) -> None:
         """Takes over the record hosts that the store lists.
 
         Those that are heard stay: their entries may have lapsed with the store.
         """
-        since = self._now() - self.cfg.silent_s
-        for host, address in self._hosts.items():
-            if self._heard.get(host, 0.0) >= since:
-                hosts.setdefault(host, address)
-        self._hosts = hosts
+        kept = {host: a for host, a in self._hosts.items() if self._hears(host)}
+        self._hosts = {**kept, **hosts}
         self.listed = True
 
     def heard(self, here: RecordHostHere) -> bool:
@@ -115,8 +111,7 @@
 
     def unheard(self) -> list[str]:
         """Returns the hosts that were not heard lately."""
-        since = self._now() - self.cfg.silent_s
-        return [host for host in self._hosts if self._heard.get(host, 0.0) < since]
+        return [host for host in self._hosts if not self._hears(host)]
 
     async def keep(self, key: str, value: bytes, keep_s: float) -> None:
         """Returns once a record is synced on enough hosts, or is in the store.
@@ -293,13 +288,16 @@
 
     def _heard_hosts(self, key: str) -> list[str]:
         """Returns the hosts that were heard lately and take records, ranked."""
-        since = self._now() - self.cfg.silent_s
         return [
             host
             for host in rendezvous(key, self._hosts)
-            if self._heard.get(host, 0.0) >= since and host not in self._refusing
+            if self._hears(host) and host not in self._refusing
         ]
 
+    def _hears(self, host: str) -> bool:
+        """Whether a record host was heard lately."""
+        return self._heard.get(host, 0.0) >= self._now() - self.cfg.silent_s
+
 
 def _found(answers: list[RecordFound | None]) -> bytes | None:
     """Returns the record that is in one of ``answers``, if any."""
--- a/src/magnoliaroad/relay/announcer.py
+++ b/src/magnoliaroad/relay/announcer.py
@@ -1,7 +1,6 @@
 """Keeps this host's entry in the store."""
 
 import asyncio
-import contextlib
 import random
 from collections.abc import Callable
 
@@ -10,6 +9,7 @@
 
 from magnoliaroad.relay.host_entry import PREFIX, HostEntry
 from magnoliaroad.relay.settings import FleetSettings
+from magnoliaroad.set_within import set_within
 from magnoliaroad.store import LeaseLost, Store, StoreError
 
 # Wait after a failed call, in seconds.
@@ -78,10 +78,8 @@
     async def _rest(self) -> None:
         """Waits until the lease is to be renewed."""
         self._look.clear()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self.cfg.lease_s / 3):
-                await self._look.wait()
-                await asyncio.sleep(random.uniform(0.0, SPREAD_S))
+        if await set_within(self._look, self.cfg.lease_s / 3):
+            await asyncio.sleep(random.uniform(0.0, SPREAD_S))
 
     async def _register(self) -> None:
         lease = await self._store.grant_lease(self.cfg.lease_s)
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -59,7 +59,6 @@
         self.cfg = cfg
         self.store = ObservedStore(store)
         self.contact = StoreContact(self.store, PREFIX + cfg.name)
-        self.store.on_failure = self.contact.doubt
         address, _, port = cfg.listen.peers.rpartition(":")
         self.peers = PeerService(cfg.peers, cfg.name, address, int(port))
         self.plans = PlanHolder(directory)
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -1,7 +1,6 @@
 """Which hosts there are, and what they tell each other."""
 
 import asyncio
-import contextlib
 import random
 import time
 import uuid
@@ -30,6 +29,7 @@
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.set_within import set_within
 from magnoliaroad.store import Store, StoreEntry, StoreError
 from magnoliaroad.store.contact import StoreContact
 
@@ -42,6 +42,7 @@
 # Silence of a whole data centre after which it counts as out of contact; five times a
 # small fleet's beat.
 ALONE_S = 0.5
+# Beats of a whole data centre that are missing before it counts so.
 SILENT_BEATS = 12
 # Most hosts that are asked for tokens they may have borrowed.
 MOST_HOLDERS = 16
@@ -161,8 +162,8 @@
         """
         able = {
             host: beat.data_centre
-            for host, beat in self._in_contact().items()
-            if not beat.store_lost and not beat.slow
+            for host, beat in self._reaching_store().items()
+            if not beat.slow
         }
         if not (self.draining or self.store_gone() or self._judge.slow):
             able[self.cfg.name] = self.cfg.data_centre
@@ -191,17 +192,13 @@
         """Whether this host is the one that follows the store for its data centre."""
         if self.store_gone():
             return False
-        near = [
-            host
-            for host, beat in self._in_contact().items()
-            if beat.data_centre == self.cfg.data_centre and not beat.store_lost
-        ]
+        reaching = self._reaching_store().items()
+        near = [host for host, beat in reaching if self._is_near(beat)]
         return self.cfg.name == min([*near, self.cfg.name])
 
     def watches_closely(self) -> bool:
         """Whether this host notices for all others when its watches are deaf."""
-        able = [h for h, beat in self._in_contact().items() if not beat.store_lost]
-        return self.cfg.name == min([*able, self.cfg.name])
+        return self.cfg.name == min([*self._reaching_store(), self.cfg.name])
 
     def cut_off(self) -> bool:
         """Whether callers are served better by other hosts.
@@ -215,10 +212,7 @@
             return True
         if not self.store_gone() or self._records.reached:
             return self.isolated
-        near = any(
-            beat.data_centre == self.cfg.data_centre and not beat.store_lost
-            for beat in self._in_contact().values()
-        )
+        near = any(map(self._is_near, self._reaching_store().values()))
         return near or self.isolated
 
     def _spared(self) -> bool:
@@ -231,7 +225,7 @@
         near = {
             host: beat.slow
             for host, beat in self._in_contact().items()
-            if beat.data_centre == self.cfg.data_centre
+            if self._is_near(beat)
         }
         before = sum(slow for host, slow in near.items() if host < self.cfg.name)
         return before < MOST_SPARED * (len(near) + 1) - 1
@@ -257,9 +251,8 @@
         if not self.store_gone() or self._records.reached:
             return []
         able = [
-            (beat.data_centre != self.cfg.data_centre, host)
-            for host, beat in self._in_contact().items()
-            if not beat.store_lost
+            (not self._is_near(beat), host)
+            for host, beat in self._reaching_store().items()
         ]
         return [host for _, host in sorted(able)[:MOST_HELPERS]]
 
@@ -315,6 +308,15 @@
             if host not in self._silent and not heard.beat.draining
         }
 
+    def _reaching_store(self) -> dict[str, Beat]:
+        """Returns the newest beats of peers in contact that reach the store."""
+        beats = self._in_contact().items()
+        return {host: beat for host, beat in beats if not beat.store_lost}
+
+    def _is_near(self, peer: Beat | PeerAddress) -> bool:
+        """Whether a peer stands in this host's data centre."""
+        return peer.data_centre == self.cfg.data_centre
+
     async def ask_budget(self, holder: str, program: str) -> BudgetGiven | None:
         """Asks the host behind ``holder`` to lend unused tokens."""
         host, _, boot = holder.partition("#")
@@ -346,13 +348,10 @@
 
     async def _listed_soon(self, limit_s: float) -> bool:
         """Waits until the list is to be read; returns whether it is."""
-        try:
-            async with asyncio.timeout(limit_s):
-                await self._relist.wait()
-        except TimeoutError:
-            return False
-        self._relist.clear()
-        return True
+        asked = await set_within(self._relist, limit_s)
+        if asked:
+            self._relist.clear()
+        return asked
 
     async def read_list(self) -> None:
         """Reads the store's list of hosts.
@@ -417,18 +416,16 @@
                 sent += 1
             beat = self._own_beat(whole=far and sent % WHOLE_EVERY == 1)
             for host, address in self._members.items():
-                if far or address.data_centre == self.cfg.data_centre:
+                if far or self._is_near(address):
                     self._peers.send(host, beat)
             self._count_silent()
             self._greet_record_hosts()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self._near_s):
-                    await self._news.wait()
+            await set_within(self._news, self._near_s)
 
     def _set_intervals(self) -> None:
         """Sets the times between beats, which grow with the fleet."""
-        place, least_s = self.cfg.data_centre, self.cfg.fleet.beat_interval_s
-        near = sum(a.data_centre == place for a in self._members.values())
+        least_s = self.cfg.fleet.beat_interval_s
+        near = sum(map(self._is_near, self._members.values()))
         self._near_s = max(least_s, near / MOST_NEAR_BEATS_PER_S)
         far = len(self._members) - near
         self._far_s = max(self._near_s, far / MOST_FAR_BEATS_PER_S)
@@ -468,8 +465,7 @@
         places = self._silent_places()
         for host, address in self._members.items():
             heard = self._heard.get(host)
-            near = address.data_centre == self.cfg.data_centre
-            limit_s = near_s if near else far_s
+            limit_s = near_s if self._is_near(address) else far_s
             late = heard is None or now - heard.at > limit_s
             if late or address.data_centre in places:
                 silent.add(host)
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -1,7 +1,6 @@
 """The application that runs on a host with a disk."""
 
 import asyncio
-import contextlib
 import pathlib
 
 from loguru import logger
@@ -16,6 +15,7 @@
 from magnoliaroad.relay.metrics_server import MetricsServer
 from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.settings import RelaySettings
+from magnoliaroad.set_within import set_within
 from magnoliaroad.store import Store, StoreEntry, StoreError, WatchBatch
 from magnoliaroad.store.contact import StoreContact
 from magnoliaroad.store.observed import ObservedStore
@@ -42,13 +42,11 @@
         self.cfg = cfg
         self.store = ObservedStore(store)
         self.contact = StoreContact(self.store, PREFIX + cfg.name)
-        self.store.on_failure = self.contact.doubt
         self._directory = directory
         address, _, port = cfg.listen.peers.rpartition(":")
         self.peers = PeerService(cfg.peers, cfg.name, address, int(port))
         self._entry = HostEntry(cfg.data_centre, address, int(port), relays=False)
         self.announcer = Announcer(self.store, cfg.fleet, cfg.name, self._entry)
-        self.announcer.on_announced = self._announced
         self.contact.on_regained.append(self.announcer.look)
         folder = pathlib.Path(cfg.data_folder or "data") / "records"
         self.records = RecordService(cfg.records, folder, self.store, self.peers)
@@ -63,6 +61,7 @@
         self._addresses: dict[str, PeerAddress] = {}
         self._relays: set[str] = set()
         self._relist = asyncio.Event()
+        self.announcer.on_announced = self._relist.set
         self.peers.on(RelayHostHere, self._on_relay)
         self._retiring: asyncio.Task[None] | None = None
 
@@ -81,17 +80,12 @@
             await self.add_runtime_dependency(part)
         logger.bind(host=self.cfg.name).info("host started")
 
-    def _announced(self) -> None:
-        self._relist.set()
-
     @Service.task
     async def _list(self) -> None:
         while not self.should_stop:
             # Of two hosts that start together, the one whose entry comes later finds
             # the other on the list.
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(self.cfg.records.list_interval_s):
-                    await self._relist.wait()
+            await set_within(self._relist, self.cfg.records.list_interval_s)
             self._relist.clear()
             try:
                 batch = await self.store.list(PREFIX)
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from magnoliaroad.batched import batched
 from magnoliaroad.records.client import RecordClient
 from magnoliaroad.records.held import HeldValues
 from magnoliaroad.refusal import Refused
@@ -100,11 +101,8 @@
         self, turn_id: str, team: str, before: LoadedTurn, retention_s: float
     ) -> tuple[str, ...]:
         """Writes the chain before a turn anew; returns the ids of its records."""
-        size, now = self.cfg.part_bytes, self._now()
-        parts = [
-            before.text[start : start + size]
-            for start in range(0, len(before.text), size)
-        ]
+        now = self._now()
+        parts = list(batched(before.text, self.cfg.part_bytes))
         names = tuple(f"{turn_id}/{number}" for number in range(len(parts)))
         await asyncio.gather(
             *(
--- a/src/magnoliaroad/standins/kv_server.py
+++ b/src/magnoliaroad/standins/kv_server.py
@@ -9,6 +9,7 @@
 import msgpack
 from aiohttp import web
 
+from magnoliaroad.set_within import set_within
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.store import LeaseLost, StoreConflict
@@ -106,11 +107,5 @@
             left_s = deadline - time.monotonic()
             if batch.changed or batch.deleted or left_s <= 0:
                 return batch
-            await self._wait_for_change(min(left_s, 0.5))
+            await set_within(self._changed, min(left_s, 0.5))
         return self._stale.changes(prefix, after)
-
-    async def _wait_for_change(self, limit_s: float) -> None:
-        try:
-            await asyncio.wait_for(self._changed.wait(), limit_s)
-        except TimeoutError:
-            return
--- a/src/magnoliaroad/store/contact.py
+++ b/src/magnoliaroad/store/contact.py
@@ -9,7 +9,7 @@
 from mode import Service
 
 from magnoliaroad.store.errors import StoreError
-from magnoliaroad.store.interface import Store
+from magnoliaroad.store.observed import ObservedStore
 
 # Longest wait for an answer that shows contact: twice that of a store that answers
 # sixty times as slowly as usual.
@@ -26,7 +26,7 @@
     call notices nothing; ``doubt`` makes it ask.
 
     Args:
-        store: The store.
+        store: The store, whose failures make it be asked.
         key: Entry that is read to see whether the store answers.
         now: Clock in seconds.
 
@@ -37,13 +37,14 @@
     """
 
     def __init__(
-        self, store: Store, key: str, now: Callable[[], float] = time.monotonic
+        self, store: ObservedStore, key: str, now: Callable[[], float] = time.monotonic
     ) -> None:
         super().__init__()
         self.lost = False
         self.since = now()
         self.on_regained: list[Callable[[], None]] = []
         self._store = store
+        store.on_failure = self.doubt
         self._key = key
         self._now = now
         self._doubts = asyncio.Event()
