An entry is renewed also when it was asked for during a failed renewal

Cause (by reading): the wish to look was cleared before the wait, so one that came while a renewal failed was lost and the entry stayed lapsed for 15 s; denials of turns rely on entries being back within 2.5 s. Before: test_a_look_that_comes_while_a_renewal_fails_is_not_lost failed. After: passes.

--- a/src/magnoliaroad/relay/announcer.py
+++ b/src/magnoliaroad/relay/announcer.py
@@ -77,8 +77,8 @@
 
     async def _rest(self) -> None:
         """Waits until the lease is to be renewed."""
-        self._look.clear()
         if await set_within(self._look, self.cfg.lease_s / 3):
+            self._look.clear()
             await asyncio.sleep(random.uniform(0.0, SPREAD_S))
 
     async def _register(self) -> None:
--- /dev/null
+++ b/tests/relay/test_announcer.py
@@ -0,0 +1,45 @@
+"""A host's entry in the store, over the store's absence."""
+
+import asyncio
+
+import pytest
+
+from magnoliaroad.relay.announcer import RETRY_S, SPREAD_S, Announcer
+from magnoliaroad.relay.host_entry import PREFIX, HostEntry
+from magnoliaroad.relay.settings import FleetSettings
+from magnoliaroad.standins.faults import StoreFaults
+from magnoliaroad.standins.kv_state import KvState
+from magnoliaroad.standins.local_store import LocalStore
+from tests.fakes.loop import VirtualTimeLoop
+
+CFG = FleetSettings()
+
+
+@pytest.fixture
+def loop():
+    loop = VirtualTimeLoop()
+    yield loop
+    loop.close()
+
+
+def test_a_look_that_comes_while_a_renewal_fails_is_not_lost(loop):
+    async def run():
+        state = KvState()
+        store = LocalStore(state, loop.time)
+        entry = HostEntry("dc-1", "127.0.0.1", 1, relays=False)
+        announcer = Announcer(store, CFG, "a", entry)
+        await announcer.start()
+        await asyncio.sleep(1.0)
+        assert state.get(PREFIX + "a") is not None
+        store.faults = StoreFaults(down=True)
+        await asyncio.sleep(CFG.lease_s / 3 - 1.0 + RETRY_S / 2)
+        state.expire(loop.time() + 1000.0)
+        assert state.get(PREFIX + "a") is None
+        store.faults = StoreFaults()
+        announcer.look()
+        await asyncio.sleep(RETRY_S + SPREAD_S + 0.1)
+        there = state.get(PREFIX + "a") is not None
+        await announcer.stop()
+        assert there
+
+    loop.run_until_complete(run())
