--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -12,6 +12,8 @@
 from magnoliaroad.relay.announcer import Announcer
 from magnoliaroad.relay.budget_desk import BudgetDesk
 from magnoliaroad.relay.budget_ledger import BudgetLedger
+from magnoliaroad.relay.claim_desk import ClaimDesk
+from magnoliaroad.relay.claim_writer import ClaimWriter
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.directory import Directory
 from magnoliaroad.relay.fleet import FleetService
@@ -92,9 +94,9 @@
         self.plans.on_news = self.fleet.news
         self.announcer.on_announced = self.fleet.relist
         self.contact.on_regained.append(self.announcer.look)
+        self.claims = ClaimWriter(self.store, leases, cfg.turns)
         ledger = BudgetLedger(
-            self.store,
-            leases,
+            ClaimDesk(cfg.name, self.claims, self.peers, self.fleet.claim_writers),
             cfg.turns,
             self.fleet.holder,
             self.fleet.ask_budget,
@@ -144,6 +146,7 @@
             *self._mirrors,
             self.announcer,
             self.fleet,
+            self.claims,
             MetricsServer(self.cfg.listen.metrics),
             self.server,
         ):
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -11,12 +11,12 @@
 from magnoliaroad.relay.beat import BudgetGiven
 from magnoliaroad.relay.budget import BudgetRecord, claim_size, unpack_budget
 from magnoliaroad.relay.budget_share import BudgetShare
+from magnoliaroad.relay.claim_desk import ClaimDesk
+from magnoliaroad.relay.claim_messages import ClaimAsk
 from magnoliaroad.relay.refusals import BUDGET_SPENT, BUDGET_UNCERTAIN
 from magnoliaroad.relay.settings import TurnSettings
-from magnoliaroad.store import LeaseLost, Store, StoreConflict, StoreError
-from magnoliaroad.store.leases import LeasePool
+from magnoliaroad.store import StoreConflict, StoreError
 
-PREFIX = "budgets/"
 # Wait between tries of a call on the store.
 RETRY_S = 0.05
 # Time between looks for programs that are not used any more.
@@ -51,8 +51,7 @@
     """Hands out tokens of programs that were claimed in the store before.
 
     Args:
-        store: The store.
-        leases: Leases that end the records.
+        claims: Writes claims to the store.
         cfg: Time limits.
         holder: Incarnation of this host.
         ask: Asks another holder to lend what it does not use; returns ``None`` if it
@@ -65,8 +64,7 @@
 
     def __init__(
         self,
-        store: Store,
-        leases: LeasePool,
+        claims: ClaimDesk,
         cfg: TurnSettings,
         holder: str,
         ask: AskHolder,
@@ -77,8 +75,7 @@
         self.cfg = cfg
         self._holders = holders
         self._store_gone = store_gone
-        self._store = store
-        self._leases = leases
+        self._claims = claims
         self._holder = holder
         self._ask = ask
         self._now = now
@@ -167,23 +164,18 @@
         A write whose answer is lost does no harm: it can only have raised the claim
         of this host.
         """
-        lease = 0
+        event = "budget claimed"
+        claim = ClaimAsk(name, record.pack(), program.known.revision)
         try:
-            async with asyncio.timeout(self.cfg.claim_call_s):
-                lease = await self._leases.get(self.cfg.budget_retention_s)
-                revision = await self._store.put(
-                    PREFIX + name, record.pack(), program.known.revision, lease
-                )
+            revision = await self._claims.write(claim)
         except StoreConflict as exc:
+            event = "budget's record is another"
             if exc.current is None:
                 record, revision = BudgetRecord(record.limit, {}), 0
             else:
                 record = unpack_budget(exc.current.value)
                 revision = exc.current.revision
-        except LeaseLost:
-            self._leases.drop(lease)
-            return
-        except (StoreError, TimeoutError) as exc:
+        except StoreError as exc:
             reason = repr(exc)
             logger.bind(program=name, reason=reason).warning("budget not claimed yet")
             await asyncio.sleep(RETRY_S)
@@ -192,7 +184,7 @@
         program.share.claimed = record.claims.get(self._holder, 0)
         logger.bind(
             program=name, claims=record.claims, limit=record.limit, revision=revision
-        ).info("budget claimed")
+        ).info(event)
 
     def _program(self, name: str) -> _Program:
         now = self._now()
--- /dev/null
+++ b/src/magnoliaroad/relay/claim_desk.py
@@ -0,0 +1,93 @@
+"""Which host writes a claim of a budget to the store."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from magnoliaroad.peers import PeerError, Peers
+from magnoliaroad.relay.claim_messages import ClaimAsk, ClaimOutcome, ClaimTold
+from magnoliaroad.relay.claim_writer import PREFIX, ClaimWriter
+from magnoliaroad.rendezvous import first_choice
+from magnoliaroad.store import StoreConflict, StoreEntry, StoreError
+
+# Longest wait for another host's write beyond the time between its calls; ten usual
+# answers of the store, so that this host can still write the claim itself.
+SPARE_S = 0.1
+# Time in which a host that did not write a claim is not asked again; until then peers
+# have noticed that it is gone, or that it has lost the store.
+REST_S = 1.0
+
+
+class ClaimDesk:
+    """Has the claims of all hosts written by few, which write many in one call.
+
+    If such a host fails, this one writes the claim itself. Should both do so, the
+    second finds what the first has written.
+
+    Args:
+        name: Name of this host.
+        own: Writes what this host is asked to write.
+        peers: Connections between hosts.
+        writers: Returns the hosts that write for others.
+        now: Clock in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        own: ClaimWriter,
+        peers: Peers,
+        writers: Callable[[], list[str]],
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._name = name
+        self._own = own
+        self._peers = peers
+        self._writers = writers
+        self._now = now
+        self._resting: dict[str, float] = {}
+        peers.on(ClaimAsk, self._on_ask, ClaimTold)
+
+    async def write(self, claim: ClaimAsk) -> int:
+        """Returns the revision of the record that was written.
+
+        Raises:
+            StoreConflict: The record is not at the expected revision.
+            StoreError: The record may have been written or not.
+        """
+        writer = first_choice(claim.program, self._writers())
+        if writer is not None and writer != self._name and not self._rests(writer):
+            told = await self._ask(writer, claim)
+            if told is not None and told.outcome == ClaimOutcome.WRITTEN:
+                return told.revision
+            if told is not None and told.outcome == ClaimOutcome.CONFLICT:
+                key = PREFIX + claim.program
+                entry = StoreEntry(key, told.value, told.revision)
+                raise StoreConflict(key, entry if told.revision else None)
+            self._resting[writer] = self._now() + REST_S
+        return await self._own.write(claim)
+
+    def _rests(self, writer: str) -> bool:
+        return self._resting.get(writer, 0.0) > self._now()
+
+    async def _ask(self, writer: str, claim: ClaimAsk) -> ClaimTold | None:
+        limit_s = self._own.cfg.claim_gap_s + SPARE_S
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self._peers.call(writer, claim, limit_s)
+        except (PeerError, TimeoutError) as exc:
+            logger.bind(host=writer, program=claim.program, reason=repr(exc)).info(
+                "claim not written by its host"
+            )
+            return None
+
+    async def _on_ask(self, sender: str, ask: ClaimAsk) -> ClaimTold:
+        try:
+            return ClaimTold(ClaimOutcome.WRITTEN, await self._own.write(ask))
+        except StoreConflict as exc:
+            entry = exc.current or StoreEntry("", b"", 0)
+            return ClaimTold(ClaimOutcome.CONFLICT, entry.revision, entry.value)
+        except StoreError:
+            return ClaimTold(ClaimOutcome.FAILED)
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -50,6 +50,9 @@
 SETTLE_S = 0.2
 # Longest wait for a peer's answer.
 ASK_S = 0.3
+# Hosts for which one writes claims of budgets; 100 hosts start some 400 programs a
+# second at the size to design for.
+HOSTS_A_WRITER = 100
 # Wait after the list of hosts could not be read.
 LIST_RETRY_S = 1.0
 # Longest wait for the host's own entry before the list is read. Of two hosts that
@@ -170,6 +173,13 @@
         near = [host for host in able if able[host] == self.cfg.data_centre]
         return near or list(able) or [self.cfg.name]
 
+    def claim_writers(self) -> list[str]:
+        """Returns the hosts that write claims of budgets to the store for others."""
+        able = [host for host, beat in self._reaching_store().items() if not beat.slow]
+        if not (self.draining or self.store_gone() or self._judge.slow):
+            able.append(self.cfg.name)
+        return sorted(able)[: 1 + len(able) // HOSTS_A_WRITER]
+
     def hears(self, host: str) -> bool:
         """Whether a peer was heard lately."""
         return host in self._heard and host not in self._silent
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -57,6 +57,9 @@
         claim_call_s: Longest wait for one answer of the store to a claim; above its
             answers when it is slow (0.24 s), so that one lost answer leaves time to ask
             again.
+        claim_gap_s: Least time between two calls of a host that write claims; those
+            that come meanwhile share the next. Less than an engine needs to read a
+            prompt that it does not hold.
     """
 
     cache_bytes: int = 16_000_000
@@ -65,6 +68,7 @@
     store_patience_s: float = 2.0
     claim_s: float = 0.7
     claim_call_s: float = 0.3
+    claim_gap_s: float = 0.06
 
 
 class QuotaSettings(NamedTuple):
--- a/src/magnoliaroad/standins/kv_state.py
+++ b/src/magnoliaroad/standins/kv_state.py
@@ -1,11 +1,13 @@
 """State of the key-value stand-in; time is an argument of each call."""
 
 import itertools
+from collections.abc import Sequence
 
 from magnoliaroad.store import (
     LeaseLost,
     StoreConflict,
     StoreEntry,
+    StorePut,
     WatchBatch,
 )
 
@@ -57,6 +59,17 @@
         self.entries[key] = StoreEntry(key, value, self.revision)
         return self.revision
 
+    def put_many(self, puts: Sequence[StorePut]) -> Sequence[int]:
+        """Writes all of ``puts`` or, if an entry is not as expected, none."""
+        try:
+            for put in puts:
+                self._check(put.key, put.expected)
+        except StoreConflict as exc:
+            checked = {put.key for put in puts if put.expected is not None}
+            exc.entries = [e for key, e in self.entries.items() if key in checked]
+            raise
+        return [self.put(p.key, p.value, p.expected, p.lease) for p in puts]
+
     def delete(self, key: str, expected: int | None = None) -> None:
         """Deletes ``key``; see ``Store.delete``."""
         self._check(key, expected)
--- a/src/magnoliaroad/standins/local_store.py
+++ b/src/magnoliaroad/standins/local_store.py
@@ -2,14 +2,20 @@
 
 import asyncio
 import copy
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import TypeVar
 
 from typing_extensions import override
 
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
-from magnoliaroad.store import Store, StoreEntry, StoreUnavailable, WatchBatch
+from magnoliaroad.store import (
+    Store,
+    StoreEntry,
+    StorePut,
+    StoreUnavailable,
+    WatchBatch,
+)
 
 T = TypeVar("T")
 WATCH_LIMIT_S = 20.0
@@ -64,6 +70,10 @@
     ) -> int:
         return await self._run(lambda: self.state.put(key, value, expected, lease))
 
+    @override
+    async def put_many(self, puts: Sequence[StorePut]) -> Sequence[int]:
+        return await self._run(lambda: self.state.put_many(puts))
+
     @override
     async def delete(self, key: str, expected: int | None = None) -> None:
         await self._run(lambda: self.state.delete(key, expected))
--- a/src/magnoliaroad/store/entry.py
+++ b/src/magnoliaroad/store/entry.py
@@ -12,8 +12,15 @@
 
 
 class StorePut(NamedTuple):
-    """A key to be written, with the lease whose end deletes it."""
+    """A key to be written.
+
+    Attributes:
+        lease: The lease whose end deletes the entry.
+        expected: Revision the entry must have; 0 when it must not exist; ``None``
+            writes in any case.
+    """
 
     key: str
     value: bytes
     lease: int | None = None
+    expected: int | None = None
--- a/src/magnoliaroad/store/errors.py
+++ b/src/magnoliaroad/store/errors.py
@@ -1,5 +1,7 @@
 """Errors of the store, each with a verdict on the change it was to make."""
 
+from collections.abc import Sequence
+
 from magnoliaroad.store.entry import StoreEntry
 from magnoliaroad.verdict import Verdict
 
@@ -37,9 +39,16 @@
 
     Attributes:
         current: The entry as it stands; ``None`` when it does not exist.
+        entries: All entries that exist of those with an expected revision.
     """
 
-    def __init__(self, key: str, current: StoreEntry | None) -> None:
+    def __init__(
+        self,
+        key: str,
+        current: StoreEntry | None,
+        entries: Sequence[StoreEntry] = (),
+    ) -> None:
         self.current = current
+        self.entries = entries
         revision = 0 if current is None else current.revision
         super().__init__(f"{key!r} is at revision {revision}")
--- a/src/magnoliaroad/store/interface.py
+++ b/src/magnoliaroad/store/interface.py
@@ -44,14 +44,17 @@
             LeaseLost: ``lease`` has lapsed.
         """
 
-    async def put_many(self, puts: Sequence[StorePut]) -> None:
-        """Writes several keys in any case, in one call where the service can.
+    async def put_many(self, puts: Sequence[StorePut]) -> Sequence[int]:
+        """Writes several keys, in one call where the service can.
+
+        Returns their new revisions.
 
         Raises:
+            StoreConflict: An entry is not at the revision that is expected of it, or
+                another one is not; nothing or a part was written.
             LeaseLost: A lease has lapsed; nothing or a part was written.
         """
-        for put in puts:
-            await self.put(put.key, put.value, lease=put.lease)
+        return [await self.put(p.key, p.value, p.expected, p.lease) for p in puts]
 
     @abc.abstractmethod
     async def delete(self, key: str, expected: int | None = None) -> None:
--- a/src/magnoliaroad/store/observed.py
+++ b/src/magnoliaroad/store/observed.py
@@ -49,8 +49,8 @@
         return await self._observe("put", self._store.put(key, value, expected, lease))
 
     @override
-    async def put_many(self, puts: Sequence[StorePut]) -> None:
-        await self._observe("put_many", self._store.put_many(puts))
+    async def put_many(self, puts: Sequence[StorePut]) -> Sequence[int]:
+        return await self._observe("put_many", self._store.put_many(puts))
 
     @override
     async def delete(self, key: str, expected: int | None = None) -> None:
--- a/tests/platform/kv_standin.py
+++ b/tests/platform/kv_standin.py
@@ -63,7 +63,7 @@
         try:
             resp = await self._answer(req)
         except StoreConflict as exc:
-            items = [] if exc.current is None else [item(exc.current)]
+            items = [item(entry) for entry in exc.entries]
             resp = web.json_response({"items": items}, status=412)
         except LeaseLost:
             resp = web.Response(status=404)
@@ -131,8 +131,11 @@
             await asyncio.sleep(WATCH_STEP_S)
 
     def _txn(self, body):
-        for row in body["expected_rev"]:
-            self.state._check(row["key"], row["revision"])
+        rows = {row["key"]: row["revision"] for row in body["expected_rev"]}
+        now = {key: self.state.get(key) for key in rows}
+        for key, revision in rows.items():
+            if revision != (now[key].revision if now[key] else 0):
+                raise StoreConflict(key, now[key], list(filter(None, now.values())))
         for put in body["puts"]:
             if put["lease"] and put["lease"] not in self.state._deadline:
                 raise LeaseLost(str(put["lease"]))
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -99,6 +99,19 @@
     assert await store.get("a") is None
 
 
+async def test_several_puts_are_written_together_or_not_at_all(store):
+    first, second = await store.put_many(
+        [StorePut("a", b"1", expected=0), StorePut("b", b"1")]
+    )
+    assert (await store.get("a")).revision <= first
+    assert (await store.get("b")).revision <= second
+    with pytest.raises(StoreConflict) as caught:
+        await store.put_many([StorePut("c", b"1"), StorePut("a", b"2", expected=0)])
+    assert [entry.key for entry in caught.value.entries] == ["a"]
+    assert await store.get("c") is None
+    assert (await store.get("a")).value == b"1"
+
+
 async def test_a_list_has_all_pages(store):
     await store.put_many([StorePut(f"p/{n}", b"x") for n in range(40)])
     batch = await store.list("p/")
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -10,7 +10,9 @@
 from magnoliaroad.relay.beat import BudgetAsk
 from magnoliaroad.relay.budget import BudgetRecord, claim_size, unpack_budget
 from magnoliaroad.relay.budget_desk import BudgetDesk
-from magnoliaroad.relay.budget_ledger import PREFIX, BudgetLedger
+from magnoliaroad.relay.budget_ledger import BudgetLedger
+from magnoliaroad.relay.claim_desk import ClaimDesk
+from magnoliaroad.relay.claim_writer import PREFIX, ClaimWriter
 from magnoliaroad.relay.refusals import BUDGET_SPENT, BUDGET_UNCERTAIN
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.standins.faults import StoreFaults
@@ -40,10 +42,12 @@
         self.store = LocalStore(fleet.state, fleet.loop.time)
         self.peers = fleet.network.join(name)
         self.fleet = fleet
+        cfg = TurnSettings()
+        self.leases = LeasePool(self.store, fleet.loop.time)
+        writer = ClaimWriter(self.store, self.leases, cfg)
         self.ledger = BudgetLedger(
-            self.store,
-            LeasePool(self.store, fleet.loop.time),
-            TurnSettings(),
+            ClaimDesk(name, writer, self.peers, fleet.writers, fleet.loop.time),
+            cfg,
             self.holder,
             self.ask,
             fleet.holders,
@@ -81,6 +85,9 @@
         self.alive.remove(name)
         del self.hosts[name]
 
+    def writers(self):
+        return self.alive[:1]
+
     def holders(self):
         return [host.holder for host in self.hosts.values()]
 
@@ -194,7 +201,7 @@
     async def scenario():
         fleet = Fleet(loop, names=("a",))
         host = fleet.hosts["a"]
-        await host.ledger._leases.get(TurnSettings().budget_retention_s)
+        await host.leases.get(TurnSettings().budget_retention_s)
         host.store.faults = StoreFaults(lose_answers=True)
         loop.call_later(0.2, lambda: setattr(host.store, "faults", StoreFaults()))
         await spend(fleet, "a", MOST)
