A call on the store that its caller gives up makes contact be asked for

Claims end after 0.3 s by a limit of their own, which cancelled the call before the adapter's limit told of a failure, so each program still went to a host that believed it reached the store and was refused after two claims.

--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -122,7 +122,9 @@
         needed = tokens - program.share.available
         if record.free >= needed:
             if self._store_gone():
-                raise Refused(BUDGET_UNCERTAIN)
+                # It may be back within the time that a claim may take.
+                await asyncio.sleep(RETRY_S)
+                return
             size = claim_size(record, needed)
             await self._write(name, program, record.claim(self._holder, size))
             return
--- a/src/magnoliaroad/store/observed.py
+++ b/src/magnoliaroad/store/observed.py
@@ -1,5 +1,6 @@
 """A store whose calls are counted and whose failures are told."""
 
+import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
@@ -23,7 +24,7 @@
         store: The store.
 
     Attributes:
-        on_failure: Is called when a call was refused or not answered.
+        on_failure: Is called when a call was refused, not answered or given up.
     """
 
     def __init__(self, store: Store) -> None:
@@ -87,5 +88,10 @@
             outcome = type(exc).__name__
             self.on_failure()
             raise
+        except asyncio.CancelledError:
+            # Whoever called has a shorter limit than the adapter.
+            outcome = "given up"
+            self.on_failure()
+            raise
         finally:
             CALLS.inc({"call": name, "outcome": outcome})
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -210,6 +210,26 @@
     loop.run_until_complete(scenario())
 
 
+def test_a_claim_waits_a_moment_for_a_store_that_is_gone(loop):
+    async def scenario():
+        fleet = Fleet(loop, names=("a",))
+        host = fleet.hosts["a"]
+        gone = [True]
+        host.ledger._store_gone = lambda: gone[0]
+        loop.call_later(TurnSettings().claim_s / 2, gone.clear)
+        loop.call_later(TurnSettings().claim_s / 2, gone.append, False)
+        await spend(fleet, "a", MOST)
+        gone[0] = True
+        began = loop.time()
+        with pytest.raises(Refused) as caught:
+            await spend(fleet, "a", MOST, "q")
+        assert caught.value.refusal is BUDGET_UNCERTAIN
+        assert loop.time() - began <= TurnSettings().claim_s + 0.01
+        assert fleet.record("q") is None
+
+    loop.run_until_complete(scenario())
+
+
 def test_a_claim_that_is_not_answered_is_made_again_in_time(loop):
     """Incident inc-0bb2 at Sokol: each lost answer refused a turn."""
 
--- a/tests/relay/test_contact.py
+++ b/tests/relay/test_contact.py
@@ -7,7 +7,7 @@
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
-from magnoliaroad.store import StoreUnavailable
+from magnoliaroad.store import StorePut, StoreUnavailable
 from magnoliaroad.store.contact import RETRY_LIMIT_S, StoreContact
 from magnoliaroad.store.observed import ObservedStore
 from tests.fakes.loop import VirtualTimeLoop
@@ -83,6 +83,20 @@
     scenario(loop, body)
 
 
+def test_a_call_that_its_caller_gives_up_is_a_reason_to_ask(loop):
+    """Grown Sokol trouble-1: a silent store went unnoticed for five seconds."""
+
+    async def body(inner, store, contact):
+        inner.faults = StoreFaults(delay_s=30.0)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.3):
+                await store.put_many([StorePut("p", b"")])
+        await asyncio.sleep(0.6)
+        assert contact.lost
+
+    scenario(loop, body)
+
+
 def test_a_doubt_without_cause_changes_nothing(loop):
     async def body(inner, store, contact):
         began = contact.since
