Of two claims of a program one call writes one

All conditions hold before the first is written, so both were told that they had been written.

The later claim now waits for the next call, by which time the writer knows the first.

--- a/src/magnoliaroad/relay/claim_writer.py
+++ b/src/magnoliaroad/relay/claim_writer.py
@@ -75,9 +75,6 @@
             StoreConflict: The record is not at the expected revision.
             StoreError: The record may have been written or not.
         """
-        known = self._known.get(claim.program)
-        if known is not None and known.revision > claim.expected:
-            raise StoreConflict(known.key, known)
         waiting = _Waiting(claim)
         self._waiting.append(waiting)
         if self._pause is None:
@@ -96,9 +93,21 @@
         self._pause = None
         if not self._waiting:
             return
-        for batch in batched(self._waiting, MOST_CLAIMS):
+        # The service checks all that is expected before it writes, so of two claims
+        # of a program in one call the second would take the first away.
+        now: dict[str, _Waiting] = {}
+        later = []
+        for waiting in self._waiting:
+            known = self._known.get(waiting.claim.program)
+            if known is not None and known.revision > waiting.claim.expected:
+                waiting.fail(StoreConflict(known.key, known))
+            elif waiting.claim.program in now:
+                later.append(waiting)
+            else:
+                now[waiting.claim.program] = waiting
+        self._waiting = later
+        for batch in batched(list(now.values()), MOST_CLAIMS):
             self.add_future(self._send(batch))
-        self._waiting = []
         loop = asyncio.get_running_loop()
         self._pause = loop.call_later(self.cfg.claim_gap_s, self._send_waiting)
 
--- a/tests/relay/test_claims.py
+++ b/tests/relay/test_claims.py
@@ -139,6 +139,23 @@
     loop.run_until_complete(scenario())
 
 
+def test_of_claims_of_one_program_one_is_written(loop):
+    """Grown Tiltbox quiet-1: lines of a program began in two data centres at once."""
+
+    async def scenario():
+        fleet = Fleet(loop)
+        await fleet.hosts["a"].claim("warm")
+        values = {name: name.encode() for name in "abc"}
+        claims = [fleet.hosts[name].claim("p", values[name]) for name in "abc"]
+        told = await asyncio.gather(*claims, return_exceptions=True)
+        written = [v for v, t in zip(values.values(), told, strict=True) if t in (2, 3)]
+        assert written == [fleet.value("p")]
+        assert sum(isinstance(t, StoreConflict) for t in told) == 2
+        assert all(t.current.value == written[0] for t in told if t not in (2, 3))
+
+    loop.run_until_complete(scenario())
+
+
 def test_a_known_conflict_costs_no_call(loop):
     """A line of turns that comes through another data centre."""
 
