--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -493,6 +493,7 @@
         if regained:
             self._silent.discard(beat.host)
             logger.bind(peer=beat.host).info("peer regained")
+        self._doubt_as(beat)
         self._heard[beat.host] = _Heard(beat, now)
         address = PeerAddress(beat.host, beat.data_centre, beat.address, beat.port)
         if self._members.get(beat.host) != address:
@@ -510,6 +511,17 @@
         if behind and not self._asking:
             await self._catch_up(beat)
 
+    def _doubt_as(self, beat: Beat) -> None:
+        """Asks for the store when a peer of this data centre has just lost it.
+
+        Otherwise each host would notice by calls of its own, which requests wait for.
+        """
+        before = self._heard.get(beat.host)
+        known = before is not None and before.beat.store_lost
+        news = beat.store_lost and not known and self._is_near(beat)
+        if news and not self.store_gone():
+            self._contact.doubt()
+
     async def _catch_up(self, beat: Beat) -> None:
         """Asks a peer for what it knows and this host does not."""
         self._asking = True
--- a/src/magnoliaroad/store/contact.py
+++ b/src/magnoliaroad/store/contact.py
@@ -91,7 +91,7 @@
         """Returns why the store did not answer; ``None`` if it did."""
         try:
             async with asyncio.timeout(PROBE_S):
-                await self._store.get(self._key)
+                await self._store.ping(self._key)
         except (StoreError, TimeoutError) as exc:
             return repr(exc)
         return None
--- a/src/magnoliaroad/store/interface.py
+++ b/src/magnoliaroad/store/interface.py
@@ -18,6 +18,10 @@
     async def get(self, key: str) -> StoreEntry | None:
         """Returns the entry of ``key``, or ``None``."""
 
+    async def ping(self, key: str) -> None:
+        """Returns if the service answers a question for ``key``, however old."""
+        await self.get(key)
+
     @abc.abstractmethod
     async def list(self, prefix: str) -> WatchBatch:
         """Returns all entries under ``prefix`` and the store's revision."""
--- a/src/magnoliaroad/store/observed.py
+++ b/src/magnoliaroad/store/observed.py
@@ -35,6 +35,10 @@
     async def get(self, key: str) -> StoreEntry | None:
         return await self._observe("get", self._store.get(key))
 
+    @override
+    async def ping(self, key: str) -> None:
+        await self._observe("ping", self._store.ping(key))
+
     @override
     async def list(self, prefix: str) -> WatchBatch:
         return await self._observe("list", self._store.list(prefix))
--- a/tests/platform/kv_standin.py
+++ b/tests/platform/kv_standin.py
@@ -49,7 +49,8 @@
         await self._runner.cleanup()
 
     async def _handle(self, req):
-        self.calls.append(f"{req.method} {req.path}")
+        stale = " stale" if req.query.get("stale_ok") == "1" else ""
+        self.calls.append(f"{req.method} {req.path}{stale}")
         self.state.expire(time.monotonic())
         if self.fault == "busy":
             return web.Response(status=503)
--- a/tests/platform/test_adapter.py
+++ b/tests/platform/test_adapter.py
@@ -99,6 +99,17 @@
     assert await store.get("a") is None
 
 
+async def test_a_question_whether_the_store_answers_is_cheap(kv, store):
+    await store.ping("none")
+    await store.put("a", b"1")
+    await store.ping("a")
+    stale = [call for call in kv.calls if call.endswith(" stale")]
+    assert stale == ["GET /-/kv-key stale"] * 2
+    kv.fault = "busy"
+    with pytest.raises(StoreUnavailable):
+        await store.ping("a")
+
+
 async def test_several_puts_are_written_together_or_not_at_all(store):
     first, second = await store.put_many(
         [StorePut("a", b"1", expected=0), StorePut("b", b"1")]
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -8,7 +8,7 @@
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.relay.app import RelayApplication
 from magnoliaroad.relay.beat import Beat
-from magnoliaroad.relay.fleet import ALONE_S, FleetService, _Heard
+from magnoliaroad.relay.fleet import ALONE_S, HOSTS_A_WRITER, FleetService, _Heard
 from magnoliaroad.relay.pace_judge import SLOW_SAMPLES
 from magnoliaroad.relay.settings import RelayListen, RelaySettings
 from magnoliaroad.standins.kv_state import KvState
@@ -29,8 +29,8 @@
     return RelayApplication(cfg, store, None, PlainDirectory()).fleet
 
 
-def hear(fleet, host, data_centre, age_s=0.0, store_lost=False, slow=False):
-    beat = Beat(
+def beat_of(host, data_centre, store_lost=False, slow=False):
+    return Beat(
         host=host,
         boot="b",
         data_centre=data_centre,
@@ -49,6 +49,10 @@
         in_hand={},
         rests={},
     )
+
+
+def hear(fleet, host, data_centre, age_s=0.0, **changes):
+    beat = beat_of(host, data_centre, **changes)
     fleet._heard[host] = _Heard(beat, time.monotonic() - age_s)
     address = PeerAddress(host, data_centre, "127.0.0.1", 1)
     if fleet._members.get(host) != address:
@@ -75,6 +79,33 @@
     assert fleet.budget_hosts() == ["host-c"]
 
 
+async def test_claims_of_all_hosts_are_written_by_the_first_that_can(fleet):
+    hear(fleet, "host-a", "dc-2", store_lost=True)
+    hear(fleet, "host-b", "dc-2", slow=True)
+    hear(fleet, "host-z", "dc-1")
+    assert fleet.claim_writers() == ["host-m"]
+    hear(fleet, "host-c", "dc-2")
+    assert fleet.claim_writers() == ["host-c"]
+    for number in range(HOSTS_A_WRITER):
+        hear(fleet, f"host-{number}", "dc-2")
+    assert fleet.claim_writers() == ["host-0", "host-1"]
+
+
+async def test_a_store_that_a_near_peer_has_lost_is_asked_for_once(fleet):
+    """Grown Sokol trouble-1: each host noticed by a program of its own."""
+    doubts = []
+    fleet._contact.doubt = lambda: doubts.append("asked")
+    await fleet._on_beat("host-a", beat_of("host-a", "dc-1"))
+    await fleet._on_beat("host-b", beat_of("host-b", "dc-2", store_lost=True))
+    assert doubts == []
+    for _ in range(3):
+        await fleet._on_beat("host-a", beat_of("host-a", "dc-1", store_lost=True))
+    assert doubts == ["asked"]
+    fleet._contact.lost = True
+    await fleet._on_beat("host-c", beat_of("host-c", "dc-1", store_lost=True))
+    assert doubts == ["asked"]
+
+
 async def test_one_slow_host_of_three_turns_callers_away_and_not_all(fleet):
     hear(fleet, "host-a", "dc-1")
     hear(fleet, "host-b", "dc-1")
