--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -1,7 +1,9 @@
 """The program as a process, from its first line on."""
 
 import asyncio
+import shutil
 import signal
+import subprocess
 import sys
 
 from tests.soak.fleet import ROOT, catches_sigterm
@@ -18,3 +20,36 @@
         proc.send_signal(signal.SIGTERM)
         _, errors = await proc.communicate()
     assert proc.returncode == 0, errors
+
+
+DYING = """
+import os
+import shutil
+import signal
+import subprocess
+
+
+class Dying:
+    def __del__(self):
+        os.kill(os.getpid(), signal.SIGTERM)
+        # The handler runs here, where exceptions are ignored.
+        sum(range(1000))
+
+
+Dying()
+
+
+def main():
+    return 3
+"""
+
+
+def test_a_stop_during_a_destructor_is_not_lost(tmp_path):
+    """Imports run destructors, and callbacks of weak references, by the hundred."""
+    package = tmp_path / "magnoliaroad_platform"
+    package.mkdir()
+    (package / "__init__.py").touch()
+    (package / "main.py").write_text(DYING)
+    host = shutil.copy(ROOT / "platform" / "host.py", tmp_path)
+    done = subprocess.run([sys.executable, host], timeout=10.0, capture_output=True)
+    assert done.returncode == 0, done.stderr
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -57,6 +57,7 @@
         settings = self.folder / "settings.json"
         settings.write_text(json.dumps(self._settings()))
         self.starts += 1
+        self.started_at = time.monotonic()
         env = {**os.environ, "MAGNOLIAROAD_NODE_FILE": str(settings)}
         with (self.folder / f"log-{self.starts}.jsonl").open("w") as log:
             self.proc = await asyncio.create_subprocess_exec(
@@ -85,16 +86,19 @@
         await self.proc.wait()
 
     async def terminate(self):
-        """Sends SIGTERM; returns whether the process ended in time and well."""
+        """Sends SIGTERM; returns what was wrong with the end, or nothing."""
         began = time.monotonic()
+        age_s = began - self.started_at
         self.proc.send_signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
                 code = await self.proc.wait()
         except TimeoutError:
             await self.kill()
-            return False
-        return code == 0 and time.monotonic() - began < GRACE_S
+            return f"still ran after {GRACE_S} s, stopped at an age of {age_s:.2f} s"
+        took_s = time.monotonic() - began
+        well = code == 0 and took_s < GRACE_S
+        return "" if well else f"ended with {code} after {took_s:.1f} s"
 
     async def pause(self, seconds):
         self.proc.send_signal(signal.SIGSTOP)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -65,10 +65,10 @@
     if member is None:
         return
     member.paused = True
-    ended = await member.terminate()
+    wrong = await member.terminate()
     member.paused = False
-    if not ended:
-        broken.append(f"{member.name}: did not end well after SIGTERM")
+    if wrong:
+        broken.append(f"{member.name}: SIGTERM: {wrong}")
     await member.start()
 
 
