A refusal is logged with team, route, program and what decided it

Cause: docs/OPERATIONS.md leads from a refused request's id to its program and team, and the line of the refusal had neither, nor the tokens and hosts that a limit was decided by.

--- a/src/magnoliaroad/refusal.py
+++ b/src/magnoliaroad/refusal.py
@@ -27,8 +27,14 @@
 
 
 class Refused(Exception):
-    """Ends the handling of a request with a refusal."""
+    """Ends the handling of a request with a refusal.
 
-    def __init__(self, refusal: Refusal) -> None:
+    Attributes:
+        refusal: What the caller is told.
+        inputs: What decided it, for the log.
+    """
+
+    def __init__(self, refusal: Refusal, **inputs: object) -> None:
         self.refusal = refusal
+        self.inputs = inputs
         super().__init__(refusal.message)
--- a/src/magnoliaroad/relay/quota.py
+++ b/src/magnoliaroad/relay/quota.py
@@ -235,6 +235,24 @@
             return False
         return self._state(now, team).tokens < LOW_PART * team.burst
 
+    def view(self, name: str) -> dict[str, object]:
+        """Returns what decides about a team's requests, for the log.
+
+        Its tokens, this host's part of them, requests admitted lately by all hosts,
+        programs begun lately, and how many hosts there are and are out of contact.
+        """
+        state = self._teams.get(name)
+        if state is None:
+            return {}
+        return {
+            "tokens": round(state.tokens, 1),
+            "share": round(self._share(state), 2),
+            "lately": round(state.passed, 1),
+            "starting": round(state.starting, 1),
+            "hosts": self._hosts,
+            "silent": self._silent,
+        }
+
     def count(self, name: str) -> TeamCount:
         """Returns what this host has admitted of a team so far."""
         state = self._teams.get(name)
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -144,6 +144,10 @@
                 call.program, call.budget, call.output_tokens
             )
 
+    def _over_limit(self, team: RelayTeam, wait_s: float) -> Refused:
+        view = self.parts.quota.view(team.name)
+        return Refused(over_limit(team.name, wait_s), limit=team.rate, **view)
+
     async def _take_token(self, team: RelayTeam) -> None:
         cfg, quota = self.parts.cfg.quota, self.parts.quota
         starts = self._may_start()
@@ -155,11 +159,11 @@
                 break
             if starts:
                 if not await self.parts.budgets.knows(self.call.program):
-                    raise Refused(over_limit(team.name, wait_s))
+                    raise self._over_limit(team, wait_s)
                 starts = False
                 continue
             if now + wait_s > patient_until:
-                raise Refused(over_limit(team.name, wait_s))
+                raise self._over_limit(team, wait_s)
             # Spread, so that those who wait do not pass together.
             await asyncio.sleep(wait_s * random.uniform(1.0, 1.3))
         self._counted = True
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -10,6 +10,7 @@
 from magnoliaroad.in_hand import InHand
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import admit
+from magnoliaroad.relay.call import RelayCall
 from magnoliaroad.relay.dialect import BadCall
 from magnoliaroad.relay.idle import awaits_request
 from magnoliaroad.relay.metrics import IN_HAND, LATENCY, REFUSALS, REQUESTS
@@ -25,6 +26,8 @@
 # Largest line and head of a request.
 MAX_HEAD_BYTES = 65_536
 BACKLOG = 1024
+# Most characters of a path that a log line has.
+MOST_PATH = 80
 # Time that a connection without a request stays open while the host stops, in
 # seconds; a caller sends its request within a few round trips of connecting.
 FRESH_S = 0.4
@@ -129,6 +132,7 @@
         began = time.monotonic()
         kind = "none"
         run = None
+        about: dict[str, object] = {}
         request_id = self.parts.dialect.request_id(req.headers)
         with self.in_hand:
             IN_HAND.set({}, self.in_hand.count)
@@ -137,17 +141,20 @@
                 call = self.parts.dialect.read_call(
                     req.method, req.raw_path, req.headers, body
                 )
+                about |= _describe_call(call)
                 admitted = admit(self.parts.plans, call)
                 kind = admitted.route.kind.value
+                about |= {"route": admitted.route.name, "team": admitted.team_name}
                 run = RelayRun(self.parts, admitted, req, began, self._closing())
                 resp = await run.run()
             except BadCall as exc:
-                resp = self._refuse(request_id, bad_call(str(exc)), began)
+                resp = self._refuse(request_id, bad_call(str(exc)), began, about)
             except Refused as exc:
                 if run is not None and run.resp is not None:
                     self._abort(req, request_id, exc)
                     return run.resp
-                resp = self._refuse(request_id, exc.refusal, began)
+                about |= exc.inputs
+                resp = self._refuse(request_id, exc.refusal, began, about)
             except (ConnectionError, asyncio.CancelledError):
                 logger.bind(
                     request=request_id,
@@ -162,13 +169,19 @@
                 if run is not None and run.resp is not None:
                     self._abort(req, request_id, exc)
                     return run.resp
-                resp = self._refuse(request_id, TARGET_FAILED, began)
+                resp = self._refuse(request_id, TARGET_FAILED, began, about)
         took_s = time.monotonic() - began
         REQUESTS.inc({"kind": kind, "status": str(resp.status)})
         LATENCY.observe({"kind": kind}, took_s)
         return resp
 
-    def _refuse(self, request_id: str, refusal: Refusal, began: float) -> web.Response:
+    def _refuse(
+        self,
+        request_id: str,
+        refusal: Refusal,
+        began: float,
+        about: dict[str, object],
+    ) -> web.Response:
         REFUSALS.inc({"code": refusal.code})
         logger.bind(
             request=request_id,
@@ -178,6 +191,7 @@
             retry_after_s=refusal.retry_after_s,
             plan=self.parts.plans.version,
             took_s=round(time.monotonic() - began, 4),
+            **about,
         ).info("refused")
         headers = self.parts.dialect.refusal_headers(request_id, refusal)
         resp = web.Response(
@@ -204,3 +218,12 @@
     return web.BaseRequest(
         message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
     )
+
+
+def _describe_call(call: RelayCall) -> dict[str, object]:
+    """Returns what a log line about a call says of it."""
+    return {
+        "path": call.path[:MOST_PATH],
+        "program": call.program,
+        "previous_turn": call.previous_turn,
+    }
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 import pytest
+from loguru import logger
 
 from magnoliaroad.relay.app import SETTLED_S
 from tests.platform.deployment import KEY, Deployment, config
@@ -103,6 +104,45 @@
     assert status == 503
 
 
+@pytest.fixture
+def logged():
+    """Events logged with their fields."""
+    lines = []
+
+    def take(message):
+        record = message.record
+        lines.append({"event": record["message"], **record["extra"]})
+
+    number = logger.add(take, level="INFO")
+    yield lines
+    logger.remove(number)
+
+
+async def test_a_refusal_is_logged_with_what_decided_it(tmp_path, app_targets, logged):
+    limited = [
+        {"name": "league", "api_keys": [KEY], "rate_per_s": 0.5, "burst": 1},
+    ]
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        deployment.kv.write("op/config", config(version=4, tenants=limited))
+        await deployment.until(lambda: deployment.relays[0].plans.version == 4)
+        statuses = set()
+        for _ in range(40):
+            status, _, _ = await deployment.call("/safe/x", Magnoliaroad_Program_Id="p")
+            statuses.add(status)
+        await deployment.call("/none/x")
+    assert statuses == {200, 429}
+    refused = [line for line in logged if line["event"] == "refused"]
+    limit = next(line for line in refused if line["code"] == "over_limit")
+    assert limit["team"] == "league"
+    assert limit["route"] == "safe"
+    assert limit["program"] == "p"
+    assert limit["limit"] == 0.5
+    assert limit["tokens"] < 0
+    assert (limit["hosts"], limit["silent"]) == (1, 0)
+    assert refused[-1]["path"] == "/none/x"
+    assert KEY not in str(refused)
+
+
 async def test_full_targets_make_a_refusal_that_says_when_to_come_back(
     tmp_path, app_targets
 ):
