Who is in contact is decided by a book of hosts without input and output

The book takes times as arguments; no rule has changed. Virtual loops of tests end their tasks: destroyed later, they made reports of unrelated failures fail.

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -4,7 +4,6 @@
 import random
 import time
 import uuid
-from typing import NamedTuple
 
 from loguru import logger
 from mode import Service
@@ -21,6 +20,7 @@
     TargetsAsk,
     TargetsTold,
 )
+from magnoliaroad.relay.host_book import HostBook
 from magnoliaroad.relay.host_entry import PREFIX, unpack_host
 from magnoliaroad.relay.metrics import LAG
 from magnoliaroad.relay.pace_judge import PaceJudge
@@ -39,11 +39,6 @@
 MOST_HELPERS = 2
 # Time between checks of contact.
 CHECK_S = 0.2
-# Silence of a whole data centre after which it counts as out of contact; five times a
-# small fleet's beat.
-ALONE_S = 0.5
-# Beats of a whole data centre that are missing before it counts so.
-SILENT_BEATS = 12
 # Most hosts that are asked for tokens they may have borrowed.
 MOST_HOLDERS = 16
 # Time in which a change in the store reaches most hosts without their peers.
@@ -65,22 +60,11 @@
 # Largest configuration that peers tell; larger ones are read from the store, as all
 # hosts would ask one peer at the same time, whose link takes 4 MB a second.
 TOLD_BYTES = 60_000
-# Beats a second that a host sends at most to its own data centre and to the others;
-# larger fleets beat less often.
-MOST_NEAR_BEATS_PER_S = 50.0
-MOST_FAR_BEATS_PER_S = 35.0
 # Each so many beats have the counts of all teams; the others those that changed since
 # two beats before, so that one may be lost.
 WHOLE_EVERY = 8
 
 
-class _Heard(NamedTuple):
-    """The newest beat of a peer and when it came."""
-
-    beat: Beat
-    at: float
-
-
 class FleetService(Service):
     """Learns of other hosts and exchanges beats with them.
 
@@ -128,11 +112,7 @@
         self._follower = follower
         self._records = records
         self._began = time.monotonic()
-        self._members: dict[str, PeerAddress] = {}
-        self._heard: dict[str, _Heard] = {}
-        self._silent: set[str] = set()
-        # Times between beats to hosts of this data centre, and of others.
-        self._near_s = self._far_s = cfg.fleet.beat_interval_s
+        self._book = HostBook(cfg, self._began)
         self._asking = False
         peers.on(Beat, self._on_beat)
         peers.on(RecordHostHere, self._on_record_host)
@@ -165,7 +145,7 @@
         """
         able = {
             host: beat.data_centre
-            for host, beat in self._reaching_store().items()
+            for host, beat in self._book.reaching_store().items()
             if not beat.slow
         }
         if not (self.draining or self.store_gone() or self._judge.slow):
@@ -175,40 +155,42 @@
 
     def claim_writers(self) -> list[str]:
         """Returns the hosts that write claims of budgets to the store for others."""
-        able = [host for host, beat in self._reaching_store().items() if not beat.slow]
+        able = [
+            host for host, beat in self._book.reaching_store().items() if not beat.slow
+        ]
         if not (self.draining or self.store_gone() or self._judge.slow):
             able.append(self.cfg.name)
         return sorted(able)[: 1 + len(able) // HOSTS_A_WRITER]
 
     def hears(self, host: str) -> bool:
         """Whether a peer was heard lately."""
-        return host in self._heard and host not in self._silent
+        return self._book.hears(host)
 
     def peers_known(self) -> list[str]:
         """Returns the other relay hosts."""
-        return list(self._members)
+        return list(self._book.members)
 
     def count_hosts(self) -> list[str]:
         """Returns the hosts in contact that are fit to keep counts of teams."""
-        fit = [host for host, beat in self._in_contact().items() if not beat.slow]
+        fit = [host for host, beat in self._book.in_contact().items() if not beat.slow]
         return [*fit, *([] if self.draining else [self.cfg.name])]
 
     def holders(self) -> list[str]:
         """Returns the names under which hosts in contact claim budgets."""
-        beats = self._in_contact().values()
+        beats = self._book.in_contact().values()
         return [f"{beat.host}#{beat.boot}" for beat in beats][:MOST_HOLDERS]
 
     def follows_store(self) -> bool:
         """Whether this host is the one that follows the store for its data centre."""
         if self.store_gone():
             return False
-        reaching = self._reaching_store().items()
-        near = [host for host, beat in reaching if self._is_near(beat)]
+        reaching = self._book.reaching_store().items()
+        near = [host for host, beat in reaching if self._book.is_near(beat)]
         return self.cfg.name == min([*near, self.cfg.name])
 
     def watches_closely(self) -> bool:
         """Whether this host notices for all others when its watches are deaf."""
-        return self.cfg.name == min([*self._reaching_store(), self.cfg.name])
+        return self.cfg.name == min([*self._book.reaching_store(), self.cfg.name])
 
     def cut_off(self) -> bool:
         """Whether callers are served better by other hosts.
@@ -222,7 +204,7 @@
             return True
         if not self.store_gone() or self._records.reached:
             return self.isolated
-        near = any(map(self._is_near, self._reaching_store().values()))
+        near = any(map(self._book.is_near, self._book.reaching_store().values()))
         return near or self.isolated
 
     def _spared(self) -> bool:
@@ -234,8 +216,8 @@
             return False
         near = {
             host: beat.slow
-            for host, beat in self._in_contact().items()
-            if self._is_near(beat)
+            for host, beat in self._book.in_contact().items()
+            if self._book.is_near(beat)
         }
         before = sum(slow for host, slow in near.items() if host < self.cfg.name)
         return before < MOST_SPARED * (len(near) + 1) - 1
@@ -261,40 +243,11 @@
         if not self.store_gone() or self._records.reached:
             return []
         able = [
-            (not self._is_near(beat), host)
-            for host, beat in self._reaching_store().items()
+            (not self._book.is_near(beat), host)
+            for host, beat in self._book.reaching_store().items()
         ]
         return [host for _, host in sorted(able)[:MOST_HELPERS]]
 
-    def _silent_places(self) -> set[str]:
-        """Returns the other data centres of which no host is heard.
-
-        Their hosts beat at random times, so silence of all shows a cut sooner than
-        that of each: with ``SILENT_BEATS`` missing it is chance once in 100,000 looks.
-        """
-        last: dict[str, list[float]] = {}
-        for host, address in self._members.items():
-            heard = self._heard.get(host)
-            at = self._began if heard is None else heard.at
-            last.setdefault(address.data_centre, []).append(at)
-        last.pop(self.cfg.data_centre, None)
-        now, interval_s = time.monotonic(), self._far_s
-        return {
-            place
-            for place, times in last.items()
-            if now - max(times)
-            > min(
-                self._silent_s(),
-                max(ALONE_S, SILENT_BEATS * interval_s / len(times)),
-            )
-        }
-
-    def _alone(self) -> bool:
-        """Whether no other data centre is heard, though others are known."""
-        known = {address.data_centre for address in self._members.values()}
-        known.discard(self.cfg.data_centre)
-        return bool(known) and self._silent_places() == known
-
     @Service.task
     async def _watch_contact(self) -> None:
         """Doubts the store when other signs of life are missing.
@@ -303,7 +256,7 @@
         """
         while not self.should_stop:
             await asyncio.sleep(CHECK_S)
-            alone = self._alone()
+            alone = self._book.alone(time.monotonic())
             if alone or (self._records.hosts and not self._records.reached):
                 self._contact.doubt()
             isolated = alone and self.store_gone()
@@ -311,26 +264,10 @@
                 logger.bind(isolated=isolated).warning("contact changed")
             self.isolated = isolated
 
-    def _in_contact(self) -> dict[str, Beat]:
-        return {
-            host: heard.beat
-            for host, heard in self._heard.items()
-            if host not in self._silent and not heard.beat.draining
-        }
-
-    def _reaching_store(self) -> dict[str, Beat]:
-        """Returns the newest beats of peers in contact that reach the store."""
-        beats = self._in_contact().items()
-        return {host: beat for host, beat in beats if not beat.store_lost}
-
-    def _is_near(self, peer: Beat | PeerAddress) -> bool:
-        """Whether a peer stands in this host's data centre."""
-        return peer.data_centre == self.cfg.data_centre
-
     async def ask_budget(self, holder: str, program: str) -> BudgetGiven | None:
         """Asks the host behind ``holder`` to lend unused tokens."""
         host, _, boot = holder.partition("#")
-        heard = self._heard.get(host)
+        heard = self._book.heard.get(host)
         if heard is None or heard.beat.boot != boot:
             return None
         try:
@@ -353,7 +290,7 @@
                 continue
             while True:
                 interval_s = self.cfg.fleet.list_interval_s * random.uniform(0.7, 1.0)
-                if await self._listed_soon(interval_s) or self._silent:
+                if await self._listed_soon(interval_s) or self._book.silent:
                     break
 
     async def _listed_soon(self, limit_s: float) -> bool:
@@ -380,16 +317,12 @@
             elif host != self.cfg.name:
                 listed[host] = known.peer(host)
         self._records.set_hosts(record_hosts)
-        now = time.monotonic()
-        for host, address in self._members.items():
-            heard = self._heard.get(host)
-            if host not in listed and heard and now - heard.at < self._silent_s():
-                listed[host] = address
-        for host in self._members.keys() - listed.keys():
+        members = self._book.merged(time.monotonic(), listed)
+        for host in self._book.members.keys() - members.keys():
             logger.bind(host=host).info("host gone")
-            self._heard.pop(host, None)
+            self._book.forget(host)
             self._quota.forget(host)
-        self._set_members(listed)
+        self._set_members(members)
 
     def _greet_record_hosts(self) -> None:
         """Tells record hosts that are not heard that this host is there."""
@@ -402,13 +335,12 @@
     async def _on_record_host(self, sender: str, here: RecordHostHere) -> None:
         if self._records.heard(here):
             logger.bind(host=here.host).info("record host known")
-            self._set_members(self._members)
+            self._set_members(self._book.members)
 
     def _set_members(self, members: dict[str, PeerAddress]) -> None:
-        for host in members.keys() - self._members.keys():
+        for host in members.keys() - self._book.members.keys():
             logger.bind(host=host).info("host known")
-        self._members = members
-        self._set_intervals()
+        self._book.set_members(members)
         self._peers.learn([*members.values(), *self._records.hosts.values()])
         self._targets.forget_hosts(members)
 
@@ -422,32 +354,18 @@
             far = told or now >= far_at
             if far:
                 # Spread: hosts start together, and would all fall silent together.
-                far_at = now + self._far_s * random.uniform(0.5, 1.5)
+                far_at = now + self._book.far_s * random.uniform(0.5, 1.5)
                 sent += 1
             beat = self._own_beat(whole=far and sent % WHOLE_EVERY == 1)
-            for host, address in self._members.items():
-                if far or self._is_near(address):
+            for host, address in self._book.members.items():
+                if far or self._book.is_near(address):
                     self._peers.send(host, beat)
             self._count_silent()
             self._greet_record_hosts()
-            await set_within(self._news, self._near_s)
-
-    def _set_intervals(self) -> None:
-        """Sets the times between beats, which grow with the fleet."""
-        least_s = self.cfg.fleet.beat_interval_s
-        near = sum(map(self._is_near, self._members.values()))
-        self._near_s = max(least_s, near / MOST_NEAR_BEATS_PER_S)
-        far = len(self._members) - near
-        self._far_s = max(self._near_s, far / MOST_FAR_BEATS_PER_S)
-
-    def _near_silent_s(self) -> float:
-        return max(self.cfg.quota.silent_s, 4 * self._near_s)
-
-    def _silent_s(self) -> float:
-        return max(self.cfg.quota.silent_s, 4 * self._far_s)
+            await set_within(self._news, self._book.near_s)
 
     def _own_beat(self, whole: bool) -> Beat:
-        recent = time.monotonic() - 3 * self._far_s
+        recent = time.monotonic() - 3 * self._book.far_s
         plan_key, plan = self._plans.source or ("", b"")
         return Beat(
             host=self.cfg.name,
@@ -470,34 +388,27 @@
         )
 
     def _count_silent(self) -> None:
-        now, far_s, near_s = time.monotonic(), self._silent_s(), self._near_silent_s()
-        silent = set()
-        places = self._silent_places()
-        for host, address in self._members.items():
-            heard = self._heard.get(host)
-            limit_s = near_s if self._is_near(address) else far_s
-            late = heard is None or now - heard.at > limit_s
-            if late or address.data_centre in places:
-                silent.add(host)
-                self._targets.heard(host, {})
-        for host in silent - self._silent:
-            logger.bind(peer=host, near_s=near_s, far_s=far_s).warning("peer lost")
-        for host in self._silent - silent:
+        book = self._book
+        changed = book.count_silent(time.monotonic())
+        for host in book.silent:
+            self._targets.heard(host, {})
+        for host in changed.lost:
+            logger.bind(
+                peer=host, near_s=book.near_silent_s, far_s=book.far_silent_s
+            ).warning("peer lost")
+        for host in changed.regained:
             logger.bind(peer=host).info("peer regained")
-        self._silent = silent
-        self._quota.set_hosts(len(self._members) + 1, len(silent))
+        self._quota.set_hosts(len(book.members) + 1, len(book.silent))
 
     async def _on_beat(self, sender: str, beat: Beat) -> None:
         now = time.monotonic()
-        regained = beat.host in self._silent and beat.host in self._heard
+        self._doubt_as(beat)
+        regained = self._book.hear(now, beat)
         if regained:
-            self._silent.discard(beat.host)
             logger.bind(peer=beat.host).info("peer regained")
-        self._doubt_as(beat)
-        self._heard[beat.host] = _Heard(beat, now)
         address = PeerAddress(beat.host, beat.data_centre, beat.address, beat.port)
-        if self._members.get(beat.host) != address:
-            self._set_members({**self._members, beat.host: address})
+        if self._book.members.get(beat.host) != address:
+            self._set_members({**self._book.members, beat.host: address})
         fresh = beat.age_s < YOUNG_S
         self._quota.heard(
             now, beat.host, beat.boot, beat.admitted, fresh, regained, beat.whole
@@ -516,9 +427,9 @@
 
         Otherwise each host would notice by calls of its own, which requests wait for.
         """
-        before = self._heard.get(beat.host)
+        before = self._book.heard.get(beat.host)
         known = before is not None and before.beat.store_lost
-        news = beat.store_lost and not known and self._is_near(beat)
+        news = beat.store_lost and not known and self._book.is_near(beat)
         if news and not self.store_gone():
             self._contact.doubt()
 
--- a/tests/fakes/loop.py
+++ b/tests/fakes/loop.py
@@ -25,3 +25,13 @@
 
     def time(self):
         return self._jumping.now
+
+    def close(self):
+        # Tasks that are left would be destroyed later, while other code runs: Python
+        # 3.11 then fails if that code parses a source, as pytest's reports do.
+        left = asyncio.all_tasks(self) if not self.is_closed() else ()
+        for task in left:
+            task.cancel()
+        if left:
+            self.run_until_complete(asyncio.wait(left))
+        super().close()
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -8,7 +8,8 @@
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.relay.app import RelayApplication
 from magnoliaroad.relay.beat import Beat
-from magnoliaroad.relay.fleet import ALONE_S, HOSTS_A_WRITER, FleetService, _Heard
+from magnoliaroad.relay.fleet import HOSTS_A_WRITER, FleetService
+from magnoliaroad.relay.host_book import ALONE_S, Heard
 from magnoliaroad.relay.pace_judge import SLOW_SAMPLES
 from magnoliaroad.relay.settings import RelayListen, RelaySettings
 from magnoliaroad.standins.kv_state import KvState
@@ -53,10 +54,10 @@
 
 def hear(fleet, host, data_centre, age_s=0.0, **changes):
     beat = beat_of(host, data_centre, **changes)
-    fleet._heard[host] = _Heard(beat, time.monotonic() - age_s)
+    fleet._book.heard[host] = Heard(beat, time.monotonic() - age_s)
     address = PeerAddress(host, data_centre, "127.0.0.1", 1)
-    if fleet._members.get(host) != address:
-        fleet._set_members({**fleet._members, host: address})
+    if fleet._book.members.get(host) != address:
+        fleet._set_members({**fleet._book.members, host: address})
 
 
 def make_slow(fleet):
@@ -124,10 +125,10 @@
     hear(fleet, "host-a", "dc-1")
     for number in range(20):
         hear(fleet, f"host-{number}", "dc-2", age_s=ALONE_S + 0.1)
-    assert fleet._far_s < 0.6
-    assert fleet._alone()
+    assert fleet._book.far_s < 0.6
+    assert fleet._book.alone(time.monotonic())
     hear(fleet, "host-7", "dc-2", age_s=0.2)
-    assert not fleet._alone()
+    assert not fleet._book.alone(time.monotonic())
 
 
 async def test_the_first_host_in_contact_with_the_store_follows_it(fleet):
@@ -146,14 +147,14 @@
     chance = random.Random(elsewhere)
     for number in range(elsewhere):
         hear(fleet, f"host-{number}", f"dc-{2 + number % 2}")
-    interval_s = fleet._far_s
+    interval_s = fleet._book.far_s
     for _ in range(1000):
         for number in range(elsewhere):
             # Age of the newest of beats with gaps of half to one and a half intervals.
             gap_s = interval_s * chance.choices((0.5, 1.0, 1.5), (1, 2, 3))[0]
             age_s = chance.uniform(0.0, gap_s)
             hear(fleet, f"host-{number}", f"dc-{2 + number % 2}", age_s=age_s)
-        assert not fleet._silent_places()
+        assert not fleet._book.silent_places(time.monotonic())
 
 
 async def test_hosts_of_a_silent_data_centre_count_as_out_of_contact_at_once(fleet):
@@ -161,7 +162,7 @@
     for number in range(60):
         hear(fleet, f"host-{number}", f"dc-{2 + number % 2}", age_s=0.8)
     hear(fleet, "host-1", "dc-3")
-    assert fleet._silent_s() > 4.0
+    assert fleet._book.far_silent_s > 4.0
     fleet._count_silent()
-    assert len(fleet._silent) == 30
+    assert len(fleet._book.silent) == 30
     assert fleet._quota._reach() == 32 / 62
