Peers hear which targets only wait for their entries to return

The log: i-6d28bacece is removed at 13.61 s; front-sofia-b-1, whose store was back since 12.09 s, gives it until 13.99 s to return, and tells four peers at 13.82 s all it knows, this target among it; they keep it until they list the entries at 19 s. Ruled out: a deaf watch, as front-sofia-a-1 saw the removal after 2 ms.

--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -107,10 +107,13 @@
     Attributes:
         revision: Revision of the newest change among them.
         entries: Key, value and revision of each.
+        lapsing: Keys of those whose entries are gone, perhaps only with the store's
+            absence, and the time that they still have to return.
     """
 
     revision: int
     entries: list[tuple[str, bytes, int]]
+    lapsing: dict[str, float]
 
 
 class BudgetAsk(NamedTuple):
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -30,7 +30,7 @@
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.set_within import set_within
-from magnoliaroad.store import Store, StoreEntry, StoreError
+from magnoliaroad.store import Store, StoreError
 from magnoliaroad.store.contact import StoreContact
 
 # Incarnations this young have all their counts from the current window, in seconds.
@@ -445,8 +445,7 @@
                 ask = TargetsAsk(self._follower.revision)
                 told = await self._peers.call(beat.host, ask, ASK_S)
                 logger.bind(host=beat.host, revision=told.revision).info("targets told")
-                entries = [StoreEntry(*entry) for entry in told.entries]
-                self._follower.hear(told.revision, entries)
+                self._follower.hear(*told)
         except PeerError as exc:
             logger.bind(host=beat.host, reason=str(exc)).info("peer did not tell")
         finally:
@@ -469,8 +468,7 @@
             self._plans.offer(told.key, told.value, beat.host)
 
     async def _on_targets_ask(self, sender: str, ask: TargetsAsk) -> TargetsTold:
-        revision, entries = self._follower.tell()
-        return TargetsTold(revision, [tuple(entry) for entry in entries])
+        return self._follower.tell()
 
     async def _on_plan_ask(self, sender: str, ask: PlanAsk) -> PlanTold:
         if self._plans.source is None or self._plans.version <= ask.version:
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -1,10 +1,11 @@
 """Keeps the table of targets as the store lists them."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 
 from loguru import logger
 
+from magnoliaroad.relay.beat import TargetsTold
 from magnoliaroad.relay.directory import BadEntry, Directory
 from magnoliaroad.relay.mirror import MirrorListener
 from magnoliaroad.relay.target_table import TargetTable
@@ -69,21 +70,33 @@
         if batch.deleted:
             self.revision = max(self.revision, batch.revision)
 
-    def tell(self) -> tuple[int, list[StoreEntry]]:
-        """Returns the newest revision and all entries, for a peer."""
-        return self.revision, list(self._entries.values())
+    def tell(self) -> TargetsTold:
+        """Returns what a peer needs to know."""
+        now, prefix = self._now(), self._directory.target_prefix
+        lapsing = {prefix + name: until - now for name, until in self._lapsing.items()}
+        entries = [tuple(entry) for entry in self._entries.values()]
+        return TargetsTold(self.revision, entries, lapsing)
 
-    def hear(self, revision: int, entries: list[StoreEntry]) -> None:
-        """Takes the entries that a peer knows, if they are newer than this host's.
+    def hear(
+        self,
+        revision: int,
+        entries: Sequence[tuple[str, bytes, int]],
+        lapsing: Mapping[str, float],
+    ) -> None:
+        """Takes what a peer knows, if it is newer than what this host knows.
 
-        What the peer lacks is gone if it knew of later changes.
+        What the peer lacks is gone if it knew of later changes. What waits there to
+        return waits here as long, or stays away.
         """
         if revision <= self.revision:
             return
         now = self._now()
-        told = {entry.key: entry for entry in entries}
-        for entry in entries:
-            self._set(entry)
+        told = {key: StoreEntry(key, value, at) for key, value, at in entries}
+        for key, entry in told.items():
+            if key not in lapsing:
+                self._set(entry)
+            elif key in self._entries:
+                self._lapsing.setdefault(self._name(key), now + lapsing[key])
         for key, known in list(self._entries.items()):
             if key not in told and known.revision < revision:
                 self._remove(key, now)
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -112,6 +112,44 @@
     assert usable(other_table) == ["b"]
 
 
+@pytest.fixture
+def after_store_loss(follower, clock):
+    """A host that has just listed all entries after the store was away."""
+    follower.on_snapshot(entries(a="ready", b="ready"), 1, after_loss=False)
+    clock.now = 10.0
+    follower.on_snapshot(entries(a="ready", b="ready"), 3, after_loss=True)
+    return follower
+
+
+def test_peers_do_not_keep_what_only_waits_to_return(after_store_loss, clock):
+    """Sokol trouble-1 --seed 756709199705: removed 1.5 s after the store was back."""
+    other_table = TargetTable()
+    other = TargetFollower(PlainDirectory(), other_table, 1.9, clock)
+    other.hear(*after_store_loss.tell())
+    clock.now = 11.5
+    after_store_loss.on_batch(WatchBatch((), ("targets/a",), 5))
+    clock.now = 11.7
+    other.hear(*after_store_loss.tell())
+    assert usable(other_table) == ["a", "b"]
+    clock.now = 11.95
+    after_store_loss.sweep()
+    other.sweep()
+    assert usable(other_table) == ["b"]
+
+
+def test_what_waits_to_return_elsewhere_does_not_return_where_it_is_gone(
+    after_store_loss, clock
+):
+    other_table = TargetTable()
+    other = TargetFollower(PlainDirectory(), other_table, 1.9, clock)
+    other.on_snapshot(entries(a="ready", b="ready"), 3, after_loss=False)
+    other.on_batch(WatchBatch((), ("targets/a",), 4))
+    after_store_loss.on_batch(WatchBatch((), ("targets/a",), 4))
+    after_store_loss.on_batch(WatchBatch(tuple(entries(6, c="ready").values()), (), 6))
+    other.hear(*after_store_loss.tell())
+    assert usable(other_table) == ["b", "c"]
+
+
 def test_peers_hear_what_a_new_list_lacks(follower, clock):
     follower.on_snapshot(entries(a="ready", b="ready"), 1, after_loss=False)
     other_table = TargetTable()
@@ -132,13 +170,13 @@
 def test_a_peer_that_knows_later_changes_is_believed(follower, table):
     follower.on_snapshot(entries(1, a="ready", b="ready"), 1, after_loss=False)
     told = list(entries(5, b="draining", c="ready").values())
-    follower.hear(5, told)
+    follower.hear(5, told, {})
     assert usable(table) == ["c"]
 
 
 def test_a_peer_that_knows_less_changes_nothing(follower, table):
     follower.on_snapshot(entries(7, a="ready", b="ready"), 1, after_loss=False)
-    follower.hear(5, list(entries(5, b="draining").values()))
+    follower.hear(5, list(entries(5, b="draining").values()), {})
     assert usable(table) == ["a", "b"]
 
 
