--- a/src/magnoliaroad/relay/claim_writer.py
+++ b/src/magnoliaroad/relay/claim_writer.py
@@ -24,7 +24,6 @@
 PREFIX = "budgets/"
 # Most claims of one call; the platform's store takes this many entries.
 MOST_CLAIMS = 32
-
 # Records that are remembered; the programs of two minutes at 80 a second.
 MOST_KNOWN = 10_000
 
