--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -223,7 +223,7 @@
 def _describe_call(call: RelayCall) -> dict[str, object]:
     """Returns what a log line about a call says of it."""
     return {
-        "path": call.path[:MOST_PATH],
+        "path": call.path.partition("?")[0][:MOST_PATH],
         "program": call.program,
         "previous_turn": call.previous_turn,
     }
