--- a/tests/path/test_killed.py
+++ b/tests/path/test_killed.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import os
-import socket
 import sys
 
 import aiohttp
@@ -17,6 +16,7 @@
 from magnoliaroad.standins.service_server import ServiceServer
 from magnoliaroad.store.client import HttpStore
 from magnoliaroad.store.settings import StoreSettings
+from tests.fakes.ports import free_port
 
 # A run that takes this long has hung; it fails instead of blocking the suite.
 HANG_S = 90
@@ -90,10 +90,11 @@
             stderr=asyncio.subprocess.DEVNULL,
             env=os.environ | {"PYTHONPATH": "src"},
         )
-        await self._wait_ready(self.urls[host])
+        await self._wait_ready(host, self.urls[host])
 
-    async def _wait_ready(self, url):
+    async def _wait_ready(self, host, url):
         while True:
+            assert self.procs[host].returncode is None, f"{host} has ended"
             try:
                 async with (
                     aiohttp.ClientSession() as session,
@@ -105,12 +106,6 @@
                 await asyncio.sleep(0.05)
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 async def wait_until(condition):
     while not condition():
         await asyncio.sleep(0.02)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import itertools
-import socket
 
 import aiohttp
 from magnoliaroad_platform.dialect import PlatformDialect
@@ -13,15 +12,14 @@
 from magnoliaroad.relay.record_app import RecordApplication
 from magnoliaroad.relay.settings import DrainSettings, RelayListen, RelaySettings
 from magnoliaroad.store.settings import StoreSettings
+from tests.fakes.ports import free_port
 from tests.platform.kv_standin import KvStandin
 
 KEY = "secret-of-league"
 
 
 def free_address():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
+    return f"127.0.0.1:{free_port()}"
 
 
 def route(name, prefix, kind, service, **changes):
