A conflict of a claim ends also where a call writes one entry

Cause, found by reading: a conflict told of its entries only at stores that write several in a call. At others the claim was taken for one that another stood in the way of, and sent again without a pause and without end. A conflict now always names its own entry; one that names nothing in the way fails the claims, which their hosts repeat after a pause.

--- a/src/magnoliaroad/relay/claim_writer.py
+++ b/src/magnoliaroad/relay/claim_writer.py
@@ -150,13 +150,11 @@
             self._known.add(program, entry)
             waiting.fail(StoreConflict(key, entries.get(key)))
         logger.bind(claims=len(batch), left=len(rest)).info("claims conflict")
-        if len(rest) < len(batch):
-            batches = [rest] if rest else []
-        else:
-            # The service told of nothing that stands in the way.
-            batches = [[waiting] for waiting in rest]
-        for part in batches:
-            self.add_future(self._send(part))
+        if len(rest) == len(batch):
+            # Written again they would conflict again.
+            self._fail(rest, StoreUnavailable(f"a conflict without a cause: {exc}"))
+        elif rest:
+            self.add_future(self._send(rest))
 
     def _fail(self, batch: Sequence[_Waiting], exc: StoreError) -> None:
         logger.bind(claims=len(batch), reason=repr(exc)).info("claims not written")
--- a/src/magnoliaroad/store/errors.py
+++ b/src/magnoliaroad/store/errors.py
@@ -39,7 +39,8 @@
 
     Attributes:
         current: The entry as it stands; ``None`` when it does not exist.
-        entries: All entries that exist of those with an expected revision.
+        entries: Entries that exist of those with an expected revision; at least
+            ``current``.
     """
 
     def __init__(
@@ -49,6 +50,6 @@
         entries: Sequence[StoreEntry] = (),
     ) -> None:
         self.current = current
-        self.entries = entries
+        self.entries = entries or ([] if current is None else [current])
         revision = 0 if current is None else current.revision
         super().__init__(f"{key!r} is at revision {revision}")
--- a/tests/relay/test_claims.py
+++ b/tests/relay/test_claims.py
@@ -13,7 +13,7 @@
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
-from magnoliaroad.store import StoreConflict, StoreError
+from magnoliaroad.store import Store, StoreConflict, StoreError
 from magnoliaroad.store.leases import LeasePool
 from tests.fakes.loop import VirtualTimeLoop
 from tests.fakes.peers import PeerNetwork
@@ -139,6 +139,30 @@
     loop.run_until_complete(scenario())
 
 
+class OneByOneStore(CountedStore):
+    """A service whose calls write one entry each."""
+
+    async def put_many(self, puts):
+        self.writes.append([put.key for put in puts])
+        return await Store.put_many(self, puts)
+
+
+def test_a_conflict_ends_at_a_service_that_writes_one_by_one(loop):
+    async def scenario():
+        fleet = Fleet(loop, "a")
+        host = fleet.hosts["a"]
+        host.store = OneByOneStore(fleet.state, loop.time)
+        host.writer = ClaimWriter(host.store, LeasePool(host.store, loop.time), CFG)
+        host.desk._own = host.writer
+        fleet.state.put(PREFIX + "p", b"first")
+        with pytest.raises(StoreConflict) as caught:
+            await asyncio.wait_for(host.claim("p"), 1.0)
+        assert caught.value.current.value == b"first"
+        assert len(host.store.writes) == 1
+
+    loop.run_until_complete(scenario())
+
+
 def test_of_claims_of_one_program_one_is_written(loop):
     """Grown Tiltbox quiet-1: lines of a program began in two data centres at once."""
 
