--- a/src/magnoliaroad/peers/interface.py
+++ b/src/magnoliaroad/peers/interface.py
@@ -1,10 +1,13 @@
 """What other parts may ask of the connections between hosts."""
 
 import abc
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from magnoliaroad.peers.address import PeerAddress
+from magnoliaroad.peers.errors import PeerError
+from magnoliaroad.verdict import Verdict
 
 Handler = Callable[[str, Any], Awaitable[Any]]
 
@@ -37,6 +40,19 @@
                 have acted on the message.
         """
 
+    async def call_within(self, host: str, message: Any, limit_s: float) -> Any:
+        """Does as ``call``; the limit holds for connecting, too.
+
+        Raises:
+            PeerError: As for ``call``.
+        """
+        try:
+            async with asyncio.timeout(limit_s):
+                return await self.call(host, message, limit_s)
+        except TimeoutError as exc:
+            text = f"{host}: no reply within {limit_s} s"
+            raise PeerError(text, Verdict.MAY_HAVE_RUN) from exc
+
     @abc.abstractmethod
     def send(self, host: str, message: Any) -> None:
         """Sends ``message`` one way; it may be lost without notice."""
--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -260,9 +260,8 @@
         helps = isinstance(ask, KeepForMe | FetchForMe)
         limit_s = self.cfg.help_s if helps else self.cfg.call_s
         try:
-            async with asyncio.timeout(limit_s):
-                return await self._peers.call(host, ask, limit_s)
-        except (PeerError, TimeoutError) as exc:
+            return await self._peers.call_within(host, ask, limit_s)
+        except PeerError as exc:
             self._heard.pop(host, None)
             logger.bind(host=host, key=ask.key, reason=repr(exc)).info(
                 "record host not reached"
--- a/src/magnoliaroad/relay/budget_desk.py
+++ b/src/magnoliaroad/relay/budget_desk.py
@@ -1,6 +1,5 @@
 """Where a host gets tokens of a program's budget."""
 
-import asyncio
 import itertools
 import time
 from collections.abc import Callable
@@ -115,9 +114,9 @@
         if home is None or home == self._name:
             return self._ledger.knows(program)
         try:
-            async with asyncio.timeout(KNOWN_S):
-                answer = await self._peers.call(home, ProgramAsk(program), KNOWN_S)
-        except (PeerError, TimeoutError) as exc:
+            ask = ProgramAsk(program)
+            answer = await self._peers.call_within(home, ask, KNOWN_S)
+        except PeerError as exc:
             logger.bind(host=home, program=program, reason=repr(exc)).info(
                 "budget's host not reached"
             )
@@ -130,9 +129,8 @@
     async def _take(self, home: str, ask: BudgetTake) -> TakeOutcome | None:
         limit_s = self._ledger.cfg.claim_s + CALL_SPARE_S
         try:
-            async with asyncio.timeout(limit_s):
-                taken = await self._peers.call(home, ask, limit_s)
-        except (PeerError, TimeoutError) as exc:
+            taken = await self._peers.call_within(home, ask, limit_s)
+        except PeerError as exc:
             logger.bind(host=home, program=ask.program, reason=repr(exc)).info(
                 "budget's host not reached"
             )
--- a/src/magnoliaroad/relay/claim_desk.py
+++ b/src/magnoliaroad/relay/claim_desk.py
@@ -1,6 +1,5 @@
 """Which host writes a claim of a budget to the store."""
 
-import asyncio
 import time
 from collections.abc import Callable
 
@@ -75,9 +74,8 @@
     async def _ask(self, writer: str, claim: ClaimAsk) -> ClaimTold | None:
         limit_s = self._own.cfg.claim_gap_s + SPARE_S
         try:
-            async with asyncio.timeout(limit_s):
-                return await self._peers.call(writer, claim, limit_s)
-        except (PeerError, TimeoutError) as exc:
+            return await self._peers.call_within(writer, claim, limit_s)
+        except PeerError as exc:
             logger.bind(host=writer, program=claim.program, reason=repr(exc)).info(
                 "claim not written by its host"
             )
--- /dev/null
+++ b/tests/peers/test_interface.py
@@ -0,0 +1,30 @@
+"""What the interface between hosts adds to its adapters."""
+
+import asyncio
+from typing import NamedTuple
+
+import pytest
+
+from magnoliaroad.peers import PeerError
+from magnoliaroad.verdict import Verdict
+from tests.fakes import PeerNetwork, VirtualTimeLoop
+from tests.fakes.peers import FakePeers
+
+
+class Ping(NamedTuple):
+    number: int
+
+
+class SlowToConnect(FakePeers):
+    async def call(self, host, message, timeout_s=None):
+        await asyncio.sleep(60.0)
+
+
+def test_a_limit_holds_for_connecting_too():
+    loop = VirtualTimeLoop()
+    peers = SlowToConnect(PeerNetwork(), "a", "kolkata-1")
+    with pytest.raises(PeerError) as caught:
+        loop.run_until_complete(peers.call_within("b", Ping(1), 0.2))
+    assert caught.value.verdict is Verdict.MAY_HAVE_RUN
+    assert loop.time() == pytest.approx(0.2)
+    loop.close()
