--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -143,24 +143,25 @@
         to their own data centre, so a program's budget is counted there: no turn
         waits for another data centre, and a cut takes no claims along.
         """
-        able = {
-            host: beat.data_centre
-            for host, beat in self._book.reaching_store().items()
-            if not beat.slow
-        }
-        if not (self.draining or self.store_gone() or self._judge.slow):
-            able[self.cfg.name] = self.cfg.data_centre
+        able = self._fit_for_store()
         near = [host for host in able if able[host] == self.cfg.data_centre]
         return near or list(able) or [self.cfg.name]
 
     def claim_writers(self) -> list[str]:
         """Returns the hosts that write claims of budgets to the store for others."""
-        able = [
-            host for host, beat in self._book.reaching_store().items() if not beat.slow
-        ]
+        able = sorted(self._fit_for_store())
+        return able[: 1 + len(able) // HOSTS_A_WRITER]
+
+    def _fit_for_store(self) -> dict[str, str]:
+        """Returns hosts that reach the store and are not slow, with data centres."""
+        fit = {
+            host: beat.data_centre
+            for host, beat in self._book.reaching_store().items()
+            if not beat.slow
+        }
         if not (self.draining or self.store_gone() or self._judge.slow):
-            able.append(self.cfg.name)
-        return sorted(able)[: 1 + len(able) // HOSTS_A_WRITER]
+            fit[self.cfg.name] = self.cfg.data_centre
+        return fit
 
     def hears(self, host: str) -> bool:
         """Whether a peer was heard lately."""
--- a/src/magnoliaroad/relay/team_teller.py
+++ b/src/magnoliaroad/relay/team_teller.py
@@ -6,6 +6,7 @@
 
 from magnoliaroad.peers import Peers
 from magnoliaroad.relay.beat import HostCount, TeamAdmitted, TeamTold
+from magnoliaroad.relay.plan import RelayTeam
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.quota import QuotaBook
 from magnoliaroad.rendezvous import first_choice
@@ -77,21 +78,23 @@
                 self._hear(told.team, host, count)
 
     def _hear(self, name: str, host: str, count: HostCount) -> None:
-        plan = self._plans.plan
-        team = None if plan is None else plan.teams.get(name)
+        team = self._team(name)
         if team is not None and self._hears(host):
             now = time.monotonic()
             self._quota.heard_team(now, team, host, count.boot, count.count)
 
     def _look(self, name: str) -> None:
-        plan = self._plans.plan
-        team = None if plan is None else plan.teams.get(name)
+        team = self._team(name)
         if team is None or name in self._gathering:
             return
         if self._quota.low(time.monotonic(), team):
             self._gathering.add(name)
             asyncio.get_running_loop().call_later(GATHER_S, self._tell, name)
 
+    def _team(self, name: str) -> RelayTeam | None:
+        plan = self._plans.plan
+        return None if plan is None else plan.teams.get(name)
+
     def _tell(self, name: str) -> None:
         self._gathering.discard(name)
         counts = {
--- a/tests/relay/test_announcer.py
+++ b/tests/relay/test_announcer.py
@@ -2,26 +2,16 @@
 
 import asyncio
 
-import pytest
-
 from magnoliaroad.relay.announcer import RETRY_S, SPREAD_S, Announcer
 from magnoliaroad.relay.host_entry import PREFIX, HostEntry
 from magnoliaroad.relay.settings import FleetSettings
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
-from tests.fakes.loop import VirtualTimeLoop
 
 CFG = FleetSettings()
 
 
-@pytest.fixture
-def loop():
-    loop = VirtualTimeLoop()
-    yield loop
-    loop.close()
-
-
 def test_a_look_that_comes_while_a_renewal_fails_is_not_lost(loop):
     async def run():
         state = KvState()
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -19,20 +19,12 @@
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
 from magnoliaroad.store.leases import LeasePool
-from tests.fakes.loop import VirtualTimeLoop
 from tests.fakes.peers import PeerNetwork
 
 LIMIT = 4000
 MOST = 500
 
 
-@pytest.fixture
-def loop():
-    loop = VirtualTimeLoop()
-    yield loop
-    loop.close()
-
-
 class Host:
     """A host's desk and ledger on shared fakes."""
 
--- a/tests/relay/test_claims.py
+++ b/tests/relay/test_claims.py
@@ -15,7 +15,6 @@
 from magnoliaroad.standins.local_store import LocalStore
 from magnoliaroad.store import Store, StoreConflict, StoreError
 from magnoliaroad.store.leases import LeasePool
-from tests.fakes.loop import VirtualTimeLoop
 from tests.fakes.peers import PeerNetwork
 
 CFG = TurnSettings()
@@ -23,13 +22,6 @@
 ANSWER_S = 0.004
 
 
-@pytest.fixture
-def loop():
-    loop = VirtualTimeLoop()
-    yield loop
-    loop.close()
-
-
 class CountedStore(LocalStore):
     """Counts the calls that write."""
 
--- a/tests/relay/test_contact.py
+++ b/tests/relay/test_contact.py
@@ -10,14 +10,6 @@
 from magnoliaroad.store import StorePut, StoreUnavailable
 from magnoliaroad.store.contact import RETRY_LIMIT_S, StoreContact
 from magnoliaroad.store.observed import ObservedStore
-from tests.fakes.loop import VirtualTimeLoop
-
-
-@pytest.fixture
-def loop():
-    loop = VirtualTimeLoop()
-    yield loop
-    loop.close()
 
 
 def scenario(loop, body):
