Send nothing more to targets that say in an answer that they leave

Cause: the header Server-Leaving was not read, so a target whose entry still says 'ready' got requests until its entry changed. Marks hold for one start of a target (id and start time), at placement of every try, and peers hear them with the next message. Ruled out: holding drain_ms before moving work away, since a caller's request is placed after it was sent, a mark set at once keeps the bound without a timer.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -130,6 +130,7 @@
             turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
             programs=HeldValues(MOST_PROGRAMS, lambda _: 1),
+            news=self.fleet.news,
         )
         self.server = RelayServer(parts, self._ready)
         self._mirrors = (
@@ -157,6 +158,7 @@
     async def _sweep(self) -> None:
         while not self.should_stop:
             self.follower.sweep()
+            self.table.leaving.sweep(time.monotonic(), self.table.targets)
             await asyncio.sleep(SWEEP_S)
 
     async def drain(self) -> None:
--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -3,6 +3,7 @@
 import enum
 from typing import NamedTuple
 
+from magnoliaroad.relay.leaving import LeavingTarget
 from magnoliaroad.relay.quota import TeamCount
 from magnoliaroad.relay.target_table import TargetRest
 
@@ -28,6 +29,7 @@
         whole: Whether ``admitted`` has all teams, or those that changed lately.
         in_hand: Requests in hand, by target.
         rests: Targets that failed at the sender lately.
+        leaving: Targets that have said that they leave.
     """
 
     host: str
@@ -47,6 +49,7 @@
     whole: bool
     in_hand: dict[str, int]
     rests: dict[str, TargetRest]
+    leaving: list[LeavingTarget] = []
 
 
 class TeamAdmitted(NamedTuple):
--- a/src/magnoliaroad/relay/dialect.py
+++ b/src/magnoliaroad/relay/dialect.py
@@ -34,6 +34,7 @@
         instance: Target that answered; empty if it does not say.
         load: The target's load, if it tells.
         encoded: Whether the body was changed by an encoding.
+        leaving: Whether the target that answered is about to stop.
     """
 
     request_id: str
@@ -42,6 +43,7 @@
     instance: str
     load: TargetLoad | None
     encoded: bool
+    leaving: bool = False
 
 
 class BadCall(ValueError):
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -386,6 +386,7 @@
             whole=whole,
             in_hand=self._targets.in_hand,
             rests=self._targets.rests(time.monotonic()),
+            leaving=self._targets.leaving.marked(),
         )
 
     def _count_silent(self) -> None:
@@ -416,6 +417,7 @@
         )
         self._targets.heard(beat.host, beat.in_hand)
         self._targets.heard_rests(now, beat.rests)
+        self._hear_leaving(now, beat)
         behind = (
             beat.plan_version > self._plans.version
             or beat.targets_revision > self._follower.revision
@@ -423,6 +425,12 @@
         if behind and not self._asking:
             await self._catch_up(beat)
 
+    def _hear_leaving(self, now: float, beat: Beat) -> None:
+        if self._targets.leaving.mark_all(beat.leaving, now):
+            logger.bind(
+                peer=beat.host, targets=[start.name for start in beat.leaving]
+            ).info("targets leave")
+
     def _doubt_as(self, beat: Beat) -> None:
         """Asks for the store when a peer of this data centre has just lost it.
 
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -1,5 +1,6 @@
 """What the handling of a request needs."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from magnoliaroad.records.held import HeldValues
@@ -19,6 +20,7 @@
 
     Attributes:
         programs: Programs of which this host has admitted requests lately.
+        news: Makes peers hear at once of what this host has learnt.
     """
 
     cfg: RelaySettings
@@ -31,3 +33,4 @@
     turns: TurnLedger
     budgets: BudgetDesk
     programs: HeldValues[bool]
+    news: Callable[[], None]
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -301,6 +301,8 @@
         self, target: RelayTarget, answer: TargetAnswer, sent_before: bool
     ) -> Opened:
         head = self.parts.dialect.read_answer(answer.headers)
+        if head.leaving:
+            self._note_leaving(target, head)
         if head.request_id and head.request_id != self.call.request_id:
             text = f"answer to {head.request_id!r}"
             raise TargetError(text, Verdict.MAY_HAVE_RUN)
@@ -317,6 +319,22 @@
             return opened
         return await self._read_whole(opened)
 
+    def _note_leaving(self, target: RelayTarget, head: AnswerHead) -> None:
+        """Marks the target that answered, which need not be the one asked."""
+        table = self.parts.table
+        if head.instance and head.instance != target.name:
+            known = table.targets.get(head.instance)
+            if known is None:
+                return
+            target = known
+        if table.leaving.mark(target, time.monotonic()):
+            logger.bind(
+                request=self.call.request_id,
+                target=target.name,
+                started_ms=target.started_ms,
+            ).info("target leaves")
+            self.parts.news()
+
     async def _read_whole(self, opened: Opened) -> Opened:
         parts, size = [], 0
         async for piece in opened.answer.pieces():
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from magnoliaroad.relay.leaving import LeavingTargets
 from magnoliaroad.relay.target import RelayTarget, TargetState
 
 # A target whose events take this many times as long as the usual one's is slow; a
@@ -35,9 +36,16 @@
 
 
 class TargetTable:
-    """Targets by name, with the work in hand and recent failures of each."""
+    """Targets by name, with the work in hand and recent failures of each.
+
+    Attributes:
+        targets: The targets that the store lists, by name.
+        in_hand: Requests of this host in progress, by target.
+        leaving: Targets that have said that they leave.
+    """
 
     def __init__(self) -> None:
+        self.leaving = LeavingTargets()
         self.targets: dict[str, RelayTarget] = {}
         self.in_hand: dict[str, int] = {}
         self._remote: dict[str, dict[str, int]] = {}
@@ -64,12 +72,15 @@
     def usable(self, service: str, now: float) -> list[RelayTarget]:
         """Returns the targets of ``service`` that take new work.
 
-        Targets that failed lately or are slow are left out if others are there.
+        Targets that failed lately or are slow are left out if others are there;
+        those that leave always are.
         """
         ready = [
             target
             for target in self.targets.values()
-            if target.service == service and target.state is TargetState.READY
+            if target.service == service
+            and target.state is TargetState.READY
+            and target not in self.leaving
         ]
         sound = [t for t in ready if self._rests_until.get(t.name, 0.0) <= now]
         return self._fast(sound, now) or sound or ready
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -16,6 +16,7 @@
     Attributes:
         runs: Requests that it ran: method, path, headers, body.
         open: Requests that are being answered.
+        leaving: Value of the header that says that it leaves, on all its answers.
     """
 
     def __init__(self, name="i-1", service="lm", events=3):
@@ -26,6 +27,7 @@
         self.runs = []
         self.open = 0
         self.left = 0
+        self.leaving = None
         self._server = None
         self.address = ""
 
@@ -101,7 +103,8 @@
         status = 500 if act == "error" else 200
         seal = "" if act == "unsealed" else f"Magnoliaroad-Response-Seal: {SEAL}"
         if act == "cut":
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: 50\r\n{seal}\r\n"
+            lines = ["HTTP/1.1 200 OK", "Content-Length: 50", seal, *self._says()]
+            head = "\r\n".join([*lines, ""])
             writer.write(
                 f"{head}Magnoliaroad-Request-Id: {request_id}\r\n\r\n".encode()
             )
@@ -123,6 +126,7 @@
             "Transfer-Encoding: chunked",
             f"Magnoliaroad-Request-Id: {request_id}",
             f"Magnoliaroad-Response-Seal: {SEAL}",
+            *self._says(),
         ]
         writer.write("\r\n".join([*lines, "", ""]).encode())
         for number in range(1, self.events + 1):
@@ -137,11 +141,15 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    def _says(self):
+        return [] if self.leaving is None else [f"server-leaving: {self.leaving}"]
+
     def _plain(self, writer, status, request_id, body, extra):
         lines = [
             f"HTTP/1.1 {status} X",
             f"Content-Length: {len(body)}",
             f"Magnoliaroad-Request-Id: {request_id}",
+            *self._says(),
         ]
         if extra:
             lines.append(extra)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -544,3 +544,81 @@
         await late.start()
         deployment.relays.append(late)
         await deployment.until(lambda: late.records.reached, 2.0)
+
+
+@pytest.mark.parametrize("act", ["ok", "full", "moved", "error", "unsealed", "cut"])
+async def test_a_target_that_says_it_leaves_gets_no_further_request(
+    tmp_path, app_targets, act
+):
+    """Its entry says ``ready`` all the while."""
+    for target in app_targets:
+        target.script = [act, "ok"]
+    leaving = app_targets[0]
+    leaving.leaving = "1"
+    async with Deployment(tmp_path, *app_targets) as deployment:
+        table = deployment.relays[0].table
+        while leaving.name not in {start.name for start in table.leaving.marked()}:
+            await deployment.call("/pay/x", "POST", b"m")
+        runs = len(leaving.runs)
+        results = [await deployment.call("/pay/x", "POST", b"m") for _ in range(6)]
+        assert [status for status, _, _ in results[1:]] == [200] * 5
+        assert len(leaving.runs) == runs
+
+
+async def test_a_stream_of_a_target_that_leaves_ends_and_the_next_goes_elsewhere(
+    tmp_path,
+):
+    targets = [TargetStandin("i-1"), TargetStandin("i-2")]
+    async with Deployment(tmp_path, *targets) as deployment:
+        await deployment.start_records()
+        _, first, _ = await deployment.turn(program="p")
+        busy = next(target for target in targets if target.runs)
+        busy.leaving = "1"
+        status, second, body = await deployment.turn(
+            program="p", Magnoliaroad_Previous_Turn=first
+        )
+        assert status == 200
+        assert body.endswith(b"word3\n\n")
+        status, _, _ = await deployment.turn(
+            program="p", Magnoliaroad_Previous_Turn=second
+        )
+        assert status == 200
+        assert len(busy.runs) == 2
+
+
+async def test_peers_hear_which_target_leaves(tmp_path, app_targets):
+    app_targets[0].leaving = app_targets[1].leaving = "1"
+    async with Deployment(tmp_path, *app_targets, hosts=2) as deployment:
+        first, second = deployment.relays
+        for _ in range(2):
+            await deployment.call("/safe/x")
+        await deployment.until(lambda: len(second.table.leaving.marked()) == 2)
+        status, headers, _ = await deployment.call("/pay/x", "POST", b"m", relay=1)
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert sum(len(target.runs) for target in app_targets) == 2
+
+
+async def test_a_new_start_under_the_id_of_a_target_that_left_is_used(tmp_path):
+    target = TargetStandin("i-app", "app")
+    target.leaving = "1"
+    async with Deployment(tmp_path, target) as deployment:
+        await deployment.call("/safe/x")
+        target.leaving = None
+        assert (await deployment.call("/safe/x"))[0] == 503
+        deployment.kv.write("servers/i-app", target.entry(born=2000))
+        table = deployment.relays[0].table
+        await deployment.until(lambda: table.targets["i-app"].started_ms == 2000)
+        assert (await deployment.call("/safe/x"))[0] == 200
+
+
+async def test_an_odd_value_of_the_leaving_header_marks_nothing_and_is_logged_once(
+    tmp_path, logged
+):
+    target = TargetStandin("i-app", "app")
+    target.leaving = "soon"
+    async with Deployment(tmp_path, target) as deployment:
+        for _ in range(3):
+            assert (await deployment.call("/safe/x"))[0] == 200
+    odd = [line for line in logged if line["event"] == "header not understood"]
+    assert [line["value"] for line in odd] == ["soon"]
--- /dev/null
+++ b/tests/relay/test_leaving.py
@@ -0,0 +1,99 @@
+"""Targets that say in an answer that they leave get no further requests."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from magnoliaroad.relay.leaving import KEPT_S, LeavingTarget, LeavingTargets
+from magnoliaroad.relay.target import RelayTarget, TargetState
+from magnoliaroad.relay.target_table import TargetTable
+
+
+def target(name, started_ms=1, state=TargetState.READY):
+    return RelayTarget(name, "lm", "10.0.0.1:80", "dc-1", 8, state, started_ms)
+
+
+def usable(table, now=0.0):
+    return sorted(target.name for target in table.usable("lm", now))
+
+
+def test_a_leaving_target_gets_nothing_though_its_entry_says_ready():
+    table = TargetTable()
+    table.set(target("a"))
+    table.set(target("b"))
+    assert table.leaving.mark(target("a"), 0.0)
+    assert not table.leaving.mark(target("a"), 1.0)
+    table.set(target("a"))
+    assert usable(table) == ["b"]
+
+
+def test_a_new_start_under_the_same_id_is_another_target():
+    table = TargetTable()
+    table.set(target("a", started_ms=1))
+    table.leaving.mark(target("a", started_ms=1), 0.0)
+    table.set(target("a", started_ms=2))
+    assert usable(table) == ["a"]
+
+
+def test_if_all_targets_leave_none_is_used():
+    table = TargetTable()
+    table.set(target("a"))
+    table.failed("a", 0.0, 0.5, 4.0)
+    table.leaving.mark(target("a"), 0.0)
+    assert usable(table) == []
+
+
+def test_a_mark_outlives_an_entry_that_lapses_and_returns():
+    table = TargetTable()
+    table.set(target("a"))
+    table.leaving.mark(target("a"), 0.0)
+    table.drop("a")
+    table.leaving.sweep(KEPT_S - 1.0, table.targets)
+    table.set(target("a"))
+    assert usable(table) == []
+    table.leaving.sweep(KEPT_S, table.targets)
+    table.drop("a")
+    table.leaving.sweep(2 * KEPT_S + 1.0, table.targets)
+    assert table.leaving.marked() == []
+
+
+def test_peers_take_over_marks():
+    here, there = LeavingTargets(), LeavingTargets()
+    here.mark(target("a", started_ms=7), 0.0)
+    assert there.mark_all([["a", 7]], 0.0) == 1
+    assert there.mark_all(here.marked(), 0.0) == 0
+    assert target("a", started_ms=7) in there
+    assert there.marked() == [LeavingTarget("a", 7)]
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["mark", "set", "drop", "fail", "work", "pace", "sweep"]),
+        st.sampled_from("abc"),
+        st.floats(0.0, 3.0),
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+def test_no_schedule_makes_a_marked_target_usable(steps):
+    table, marked, now = TargetTable(), set(), 0.0
+    for act, name, passed_s in steps:
+        now += passed_s
+        if act == "mark":
+            table.leaving.mark(target(name), now)
+            marked.add(name)
+        elif act == "set":
+            table.set(target(name))
+        elif act == "drop":
+            table.drop(name)
+        elif act == "fail":
+            table.failed(name, now, 0.5, 4.0)
+        elif act == "work":
+            table.worked(name)
+        elif act == "pace":
+            table.paced(name, passed_s, now)
+        else:
+            table.leaving.sweep(now, table.targets)
+        if now < KEPT_S:
+            assert not marked & set(usable(table, now))
