Have one host count each team's requests for the whole fleet

Cause: each admission of a team near its limit was told to all hosts, so the cost of one small team grew with the fleet, and every host guessed its part of the bucket. Now the host that ranks first for a team decides, for one message an admission; the others learn its counts with the heartbeats and decide by their share when it does not answer. A bucket that peers used before a team's first request here was taken for full; found by the new test. Ruled out: telling only hosts of the team's callers, which still guess.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -27,7 +27,7 @@
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
-from magnoliaroad.relay.team_teller import TeamTeller
+from magnoliaroad.relay.team_limiter import TeamLimiter
 from magnoliaroad.relay.turn_ledger import TurnLedger
 from magnoliaroad.store import Store
 from magnoliaroad.store.contact import StoreContact
@@ -65,7 +65,7 @@
         self.peers = PeerService(cfg.peers, cfg.name, address, int(port))
         self.plans = PlanHolder(directory)
         self.table = TargetTable()
-        self.quota = QuotaBook(cfg.quota, time.monotonic())
+        self.quota = QuotaBook(cfg.quota, time.monotonic(), self.plans.find_team)
         self.follower = TargetFollower(directory, self.table, cfg.follow.lapse_grace_s)
         leases = LeasePool(self.store)
         self.records = RecordClient(
@@ -114,19 +114,11 @@
             cfg=cfg,
             dialect=dialect,
             plans=self.plans,
-            quota=self.quota,
+            limiter=TeamLimiter(
+                cfg.name, self.peers, self.plans, self.quota, self.fleet.count_hosts
+            ),
             table=self.table,
             client=self.client,
-            teller=TeamTeller(
-                cfg.name,
-                self.fleet.boot,
-                self.peers,
-                self.plans,
-                self.quota,
-                self.fleet.count_hosts,
-                self.fleet.peers_known,
-                self.fleet.hears,
-            ),
             turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
             programs=HeldValues(MOST_PROGRAMS, lambda _: 1),
--- a/src/magnoliaroad/relay/beat.py
+++ b/src/magnoliaroad/relay/beat.py
@@ -52,39 +52,6 @@
     leaving: list[LeavingTarget] = []
 
 
-class TeamAdmitted(NamedTuple):
-    """Tells the host that keeps a team's counts of an admission.
-
-    Attributes:
-        team: The team.
-        boot: Incarnation of the sender.
-        count: What it has admitted since its start.
-    """
-
-    team: str
-    boot: str
-    count: TeamCount
-
-
-class HostCount(NamedTuple):
-    """What one incarnation of a host has admitted of a team."""
-
-    boot: str
-    count: TeamCount
-
-
-class TeamTold(NamedTuple):
-    """Tells all hosts what others have admitted of a team near its limit.
-
-    Attributes:
-        team: The team.
-        counts: Counts by host.
-    """
-
-    team: str
-    counts: dict[str, HostCount]
-
-
 class PlanAsk(NamedTuple):
     """Asks a peer for its configuration."""
 
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -7,10 +7,9 @@
 from magnoliaroad.relay.budget_desk import BudgetDesk
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.plan_holder import PlanHolder
-from magnoliaroad.relay.quota import QuotaBook
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.target_table import TargetTable
-from magnoliaroad.relay.team_teller import TeamTeller
+from magnoliaroad.relay.team_limiter import TeamLimiter
 from magnoliaroad.relay.turn_ledger import TurnLedger
 from magnoliaroad.targets import TargetClient
 
@@ -26,10 +25,9 @@
     cfg: RelaySettings
     dialect: Dialect
     plans: PlanHolder
-    quota: QuotaBook
+    limiter: TeamLimiter
     table: TargetTable
     client: TargetClient
-    teller: TeamTeller
     turns: TurnLedger
     budgets: BudgetDesk
     programs: HeldValues[bool]
--- a/src/magnoliaroad/relay/plan_holder.py
+++ b/src/magnoliaroad/relay/plan_holder.py
@@ -6,7 +6,7 @@
 
 from magnoliaroad.relay.directory import BadEntry, Directory
 from magnoliaroad.relay.mirror import MirrorListener
-from magnoliaroad.relay.plan import RelayPlan
+from magnoliaroad.relay.plan import RelayPlan, RelayTeam
 from magnoliaroad.store import StoreEntry, WatchBatch
 
 # Origin of what this host has read while it followed the store.
@@ -33,6 +33,10 @@
         """Version in force; -1 before the first."""
         return -1 if self.plan is None else self.plan.version
 
+    def find_team(self, name: str) -> RelayTeam | None:
+        """Returns a team of the configuration in force; ``None`` if it has none."""
+        return None if self.plan is None else self.plan.teams.get(name)
+
     def on_snapshot(
         self, entries: dict[str, StoreEntry], revision: int, after_loss: bool
     ) -> None:
--- a/src/magnoliaroad/relay/quota.py
+++ b/src/magnoliaroad/relay/quota.py
@@ -1,5 +1,6 @@
 """Rates and bursts of teams, shared by hosts that tell each other their counts."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 from magnoliaroad.relay.plan import RelayTeam
@@ -11,8 +12,6 @@
 START_WINDOW_S = 0.5
 # Least wait that is asked for, in seconds; shorter ones bring callers back at once.
 LEAST_WAIT_S = 0.05
-# Part of the burst below which all hosts are told of each admission.
-LOW_PART = 0.7
 UNKNOWN = float("inf")
 
 
@@ -83,10 +82,17 @@
     Args:
         cfg: Settings of the shares.
         now: Time in seconds.
+        find_team: Returns the team of a name; ``None`` if it is not known yet.
     """
 
-    def __init__(self, cfg: QuotaSettings, now: float) -> None:
+    def __init__(
+        self,
+        cfg: QuotaSettings,
+        now: float,
+        find_team: Callable[[str], RelayTeam | None] = lambda name: None,
+    ) -> None:
         self.cfg = cfg
+        self._find_team = find_team
         self._began = now
         self._hosts = 1
         self._silent = 0
@@ -209,33 +215,7 @@
         if added or started:
             self._add_remote(now, name, added, started)
 
-    def heard_team(
-        self, now: float, team: RelayTeam, host: str, boot: str, count: TeamCount
-    ) -> None:
-        """Takes over what a peer has admitted of one team.
-
-        Args:
-            now: Time in seconds.
-            team: The team with its limit.
-            host: The peer; one whose first message has not come yet is left out, as
-                its other counts are not known.
-            boot: Its incarnation.
-            count: What it has admitted since its start.
-        """
-        peer = self._peers.get(host)
-        if team.rate <= 0 or peer is None or peer.boot != boot:
-            return
-        self._state(now, team)
-        self._add_difference(now, team.name, count, peer)
-        peer.counts[team.name] = count
-
-    def low(self, now: float, team: RelayTeam) -> bool:
-        """Returns whether a team has used much of its burst."""
-        if team.rate <= 0:
-            return False
-        return self._state(now, team).tokens < LOW_PART * team.burst
-
-    def view(self, name: str) -> dict[str, object]:
+    def view(self, name: str) -> dict[str, float]:
         """Returns what decides about a team's requests, for the log.
 
         Its tokens, this host's part of them, requests admitted lately by all hosts,
@@ -258,23 +238,17 @@
         state = self._teams.get(name)
         return NOTHING if state is None else TeamCount(state.counted, state.started)
 
-    def counts_of(self, name: str) -> dict[str, tuple[str, TeamCount]]:
-        """Returns what each peer has admitted of a team, with its incarnation."""
-        return {
-            host: (peer.boot, peer.counts[name])
-            for host, peer in self._peers.items()
-            if name in peer.counts
-        }
-
     def forget(self, host: str) -> None:
         """Drops what was known of a peer that is gone."""
         self._peers.pop(host, None)
 
     def _add_remote(self, now: float, name: str, added: int, started: int) -> None:
-        state = self._teams.get(name)
-        if state is None:
-            # Its limit, and so its bucket, is known from its first request here.
-            state = self._teams[name] = _TeamState(now, UNKNOWN)
+        team = self._find_team(name)
+        if team is not None and team.rate > 0:
+            state = self._state(now, team)
+        else:
+            # Its bucket is known from its first request here.
+            state = self._teams.setdefault(name, _TeamState(now, UNKNOWN))
         if state.tokens != UNKNOWN:
             state.tokens -= added
         state.others += added
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -29,6 +29,7 @@
 from magnoliaroad.relay.reservation import Reservation
 from magnoliaroad.relay.route_kind import RouteKind
 from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.relay.team_limiter import TeamDecision
 from magnoliaroad.relay.turn import LoadedTurn
 from magnoliaroad.targets import (
     TargetAnswer,
@@ -106,7 +107,7 @@
         self._closing = closing
         self._before: LoadedTurn | None = None
         self._reservation: Reservation | None = None
-        self._counted = False
+        self._admission: TeamDecision | None = None
         self._key = self.call.program or self.call.session or self.call.request_id
         self._service = pick_service(self.route, self._key)
         self._scanner = EventScanner()
@@ -144,30 +145,29 @@
                 call.program, call.budget, call.output_tokens
             )
 
-    def _over_limit(self, team: RelayTeam, wait_s: float) -> Refused:
-        view = self.parts.quota.view(team.name)
-        return Refused(over_limit(team.name, wait_s), limit=team.rate, **view)
+    def _over_limit(self, team: RelayTeam, decision: TeamDecision) -> Refused:
+        refusal = over_limit(team.name, decision.wait_s)
+        counter = decision.host
+        return Refused(refusal, limit=team.rate, counter=counter, **decision.view)
 
     async def _take_token(self, team: RelayTeam) -> None:
-        cfg, quota = self.parts.cfg.quota, self.parts.quota
+        cfg = self.parts.cfg.quota
         starts = self._may_start()
         patient_until = min(self.began + cfg.longest_wait_s, self.ends)
         while True:
-            now = time.monotonic()
-            wait_s = quota.admit(now, team, starts)
-            if not wait_s:
+            decision = await self.parts.limiter.admit(team, starts)
+            if not decision.wait_s:
                 break
             if starts:
                 if not await self.parts.budgets.knows(self.call.program):
-                    raise self._over_limit(team, wait_s)
+                    raise self._over_limit(team, decision)
                 starts = False
                 continue
-            if now + wait_s > patient_until:
-                raise self._over_limit(team, wait_s)
+            if time.monotonic() + decision.wait_s > patient_until:
+                raise self._over_limit(team, decision)
             # Spread, so that those who wait do not pass together.
-            await asyncio.sleep(wait_s * random.uniform(1.0, 1.3))
-        self._counted = True
-        self.parts.teller.admitted(team.name)
+            await asyncio.sleep(decision.wait_s * random.uniform(1.0, 1.3))
+        self._admission = decision
         if self.call.program:
             self.parts.programs.add(self.call.program, True)
 
@@ -179,8 +179,8 @@
         return call.program not in self.parts.programs
 
     def _settle(self) -> None:
-        if self._counted and not self.sent:
-            self.parts.quota.refund(self.admitted.team)
+        if self._admission is not None and not self.sent:
+            self.parts.limiter.refund(self.admitted.team, self._admission)
         if self._reservation is None:
             return
         service = self.admitted.plan.services.get(self._service)
--- /dev/null
+++ b/src/magnoliaroad/relay/team_limiter.py
@@ -0,0 +1,115 @@
+"""Admits requests of teams at the host that counts them for the whole fleet."""
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from loguru import logger
+
+from magnoliaroad.peers import PeerError, Peers
+from magnoliaroad.relay.plan import RelayTeam
+from magnoliaroad.relay.plan_holder import PlanHolder
+from magnoliaroad.relay.quota import QuotaBook
+from magnoliaroad.relay.team_messages import AdmitAnswer, AdmitAsk, AdmitUndo
+from magnoliaroad.rendezvous import first_choice
+
+# Longest wait for the host that counts a team, in seconds; several times what a
+# host at work takes to answer. Then this host decides by what it knows itself.
+ASK_S = 0.15
+
+
+class TeamDecision(NamedTuple):
+    """Whether a request may pass.
+
+    Attributes:
+        wait_s: 0 if it may, else seconds until one may.
+        host: Host that has counted it.
+        view: What decided, for the log.
+    """
+
+    wait_s: float
+    host: str
+    view: dict[str, float]
+
+
+class TeamLimiter:
+    """Asks one host for each team, the same on all hosts, whether requests may pass.
+
+    Answers the load pattern of many small teams whose callers come to all hosts of a
+    large fleet: no host has to guess its part of a bucket, and an admission costs one
+    message however many hosts there are. The other hosts learn the counts with the
+    heartbeats, so that whichever counts next goes on from them.
+
+    If the team's host does not answer, this one decides from its own view of the
+    bucket, in which it may use its share of the demand.
+
+    Args:
+        name: Name of this host.
+        peers: Connections between hosts.
+        plans: Configuration in force.
+        quota: Counts and buckets of this host.
+        hosts: Returns the hosts in contact that are fit to count, this one included.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        peers: Peers,
+        plans: PlanHolder,
+        quota: QuotaBook,
+        hosts: Callable[[], list[str]],
+    ) -> None:
+        self._name = name
+        self._peers = peers
+        self._plans = plans
+        self._quota = quota
+        self._hosts = hosts
+        peers.on(AdmitAsk, self._on_ask, AdmitAnswer)
+        peers.on(AdmitUndo, self._on_undo)
+
+    async def admit(self, team: RelayTeam, starts: bool) -> TeamDecision:
+        """Returns whether a request of ``team`` may pass, and counts it if so.
+
+        Args:
+            team: The team with its limit.
+            starts: Whether the request starts a program.
+        """
+        if team.rate <= 0:
+            return TeamDecision(0.0, self._name, {})
+        home = first_choice(team.name, self._hosts())
+        if home is not None and home != self._name:
+            try:
+                ask = AdmitAsk(team.name, starts)
+                answer = await self._peers.call_within(home, ask, ASK_S)
+            except PeerError as exc:
+                logger.bind(host=home, team=team.name, reason=repr(exc)).info(
+                    "team's host not reached"
+                )
+            else:
+                if answer.known:
+                    return TeamDecision(answer.wait_s, home, answer.view)
+        return self._decide(team, starts)
+
+    def refund(self, team: RelayTeam, decision: TeamDecision) -> None:
+        """Gives back the token of a request that was not sent."""
+        if decision.host == self._name:
+            self._quota.refund(team)
+        else:
+            self._peers.send(decision.host, AdmitUndo(team.name))
+
+    def _decide(self, team: RelayTeam, starts: bool) -> TeamDecision:
+        wait_s = self._quota.admit(time.monotonic(), team, starts)
+        view = self._quota.view(team.name) if wait_s else {}
+        return TeamDecision(wait_s, self._name, view)
+
+    async def _on_ask(self, sender: str, ask: AdmitAsk) -> AdmitAnswer:
+        team = self._plans.find_team(ask.team)
+        if team is None:
+            return AdmitAnswer(False, 0.0, {})
+        decision = self._decide(team, ask.starts)
+        return AdmitAnswer(True, decision.wait_s, decision.view)
+
+    async def _on_undo(self, sender: str, undo: AdmitUndo) -> None:
+        team = self._plans.find_team(undo.team)
+        if team is not None:
+            self._quota.refund(team)
--- a/tests/relay/test_quota.py
+++ b/tests/relay/test_quota.py
@@ -13,8 +13,6 @@
 OVERAGE = 0.1
 SLACK = 20
 BEAT_S = 0.1
-# Time from an admission to when all hosts know of it.
-TELL_S = 0.06
 TEAM = RelayTeam("league", rate=40.0, burst=40.0)
 
 
@@ -29,7 +27,6 @@
         self.boots = dict.fromkeys(names, "1")
         self.cut = self.cut_before = set()
         self.regained = False
-        self.telling = {}
         self.passed = []
         self.refused = 0
         for book in self.books.values():
@@ -42,14 +39,12 @@
             self.now += step_s
             if int(self.now / step_s) % int(self.beat_s / step_s) == 0:
                 self.beat()
-            self.tell_due(team)
-            for name, book in self.books.items():
+            for name in self.books:
                 if self.random.random() < demand.get(name, 0.0) * step_s:
-                    if book.admit(self.now, team):
+                    if self.decide(name, team):
                         self.refused += 1
                     else:
                         self.passed.append(self.now)
-                        self.tell(name, team)
 
     def beat(self):
         if self.cut != self.cut_before:
@@ -66,32 +61,18 @@
                 back = self.regained
                 book.heard(self.now, other, self.boots[other], counts, True, back)
 
-    def tell(self, name, team):
-        """Tells the team's host of an admission, and all a moment later if need be."""
-        if self.cut != self.cut_before:
-            # Hosts that were cut off count as heard from their first beat on.
-            return
-        home = next(iter(self.books))
-        if home != name and (home in self.cut) == (name in self.cut):
-            count = self.books[name].count(team.name)
-            self.books[home].heard_team(self.now, team, name, self.boots[name], count)
-        if self.books[home].low(self.now, team):
-            self.telling.setdefault(home, self.now + TELL_S)
-
-    def tell_due(self, team):
-        if self.cut != self.cut_before:
-            return
-        for home, due in list(self.telling.items()):
-            if due > self.now:
-                continue
-            del self.telling[home]
-            counts = self.books[home].counts_of(team.name)
-            counts[home] = (self.boots[home], self.books[home].count(team.name))
-            for name, book in self.books.items():
-                if (home in self.cut) == (name in self.cut):
-                    for host, (boot, count) in counts.items():
-                        if host != name:
-                            book.heard_team(self.now, team, host, boot, count)
+    def decide(self, name, team):
+        """Has the team's host decide, or this one if it cannot reach that host.
+
+        A side of a cut has a host of its own for the team once the cut has shown.
+        """
+        known_side = name in self.cut_before
+        home = next(
+            host for host in self.books if (host in self.cut_before) == known_side
+        )
+        if (home in self.cut) != (name in self.cut):
+            home = name
+        return self.books[home].admit(self.now, team)
 
     def worst_window(self):
         return max(
@@ -167,20 +148,20 @@
 
 
 def test_parts_of_the_counts_say_as_much_as_all_of_them():
-    heard, teller = QuotaBook(QuotaSettings(), 0.0), QuotaBook(QuotaSettings(), 0.0)
-    heard.heard(0.0, "peer", "1", {}, fresh=True)
+    parts, wholes = QuotaBook(QuotaSettings(), 0.0), QuotaBook(QuotaSettings(), 0.0)
+    teller = QuotaBook(QuotaSettings(), 0.0)
+    for book in (parts, wholes):
+        book.heard(0.0, "peer", "1", {}, fresh=True)
     other = TEAM._replace(name="other")
     for step in range(40):
         now = step * 0.1
         teller.admit(now, other if step % 7 else TEAM)
         counts = teller.counts(since=now - 0.25)
-        heard.heard(now, "peer", "1", counts, fresh=False, whole=False)
-    seen = {name: count for name, (_, count) in _counts_of_all(heard).items()}
-    assert seen == teller.counts()
-
-
-def _counts_of_all(book):
-    return {name: book.counts_of(name)["peer"] for name in ("league", "other")}
+        parts.heard(now, "peer", "1", counts, fresh=False, whole=False)
+        wholes.heard(now, "peer", "1", teller.counts(), fresh=False)
+    for team in (TEAM, other):
+        assert parts.admit(now, team) == wholes.admit(now, team)
+        assert parts.view(team.name) == wholes.view(team.name)
 
 
 def test_the_first_part_of_an_old_peers_counts_is_where_others_begin():
@@ -262,3 +243,13 @@
     assert book.admit(0.0, TEAM) == 0.0
     book.heard(0.1, "old", "1", {"league": TeamCount(5100, 10)}, fresh=False)
     assert book.admit(0.1, TEAM) > 0.0
+
+
+def test_what_peers_admitted_counts_before_a_teams_first_request_here():
+    """A host that counts a team after its predecessor was lost."""
+    teams = {TEAM.name: TEAM}
+    book = QuotaBook(QuotaSettings(start_burst=1.0), 0.0, teams.get)
+    book.heard(0.0, "peer", "1", {}, fresh=True)
+    book.heard(0.1, "peer", "1", {TEAM.name: TeamCount(40, 4)}, fresh=True)
+    admitted = sum(not book.admit(0.1, TEAM) for _ in range(100))
+    assert admitted <= QuotaSettings().slack
