Pass heartbeats on through two forwarders of each data centre

Cause: every relay host told every other one its state and kept a connection to each with a heartbeat a second, so a fleet at rest spent most of its processor time on itself. In fleets of more than 24 hosts a host now tells two forwarders of its data centre, which send digests of what has changed. Idle connections close after 2 s and have no heartbeats meanwhile; one-way messages are handled without a task each, and packed once for all receivers. Record hosts tell the forwarders that asked. Ruled out: everybody to everybody at rarer intervals (15 s until a silent host is out of use at 171 hosts).

--- a/src/magnoliaroad/peers/interface.py
+++ b/src/magnoliaroad/peers/interface.py
@@ -2,14 +2,14 @@
 
 import abc
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from magnoliaroad.peers.address import PeerAddress
 from magnoliaroad.peers.errors import PeerError
 from magnoliaroad.verdict import Verdict
 
-Handler = Callable[[str, Any], Awaitable[Any]]
+Handler = Callable[[str, Any], Any]
 
 
 class Peers(abc.ABC):
@@ -21,7 +21,9 @@
 
         Args:
             kind: ``NamedTuple`` type of the message.
-            handler: Returns the reply, or ``None`` for one-way messages.
+            handler: Coroutine function that returns the reply, or ``None`` for
+                one-way messages; or a plain function for one-way messages, which is
+                called as they arrive.
             reply: ``NamedTuple`` type of the reply.
         """
 
@@ -57,6 +59,11 @@
     def send(self, host: str, message: Any) -> None:
         """Sends ``message`` one way; it may be lost without notice."""
 
+    def send_all(self, hosts: Iterable[str], message: Any) -> None:
+        """Sends ``message`` one way to each of ``hosts``."""
+        for host in hosts:
+            self.send(host, message)
+
     @abc.abstractmethod
     def learn(self, addresses: list[PeerAddress]) -> None:
         """Replaces the known addresses of other hosts."""
--- a/src/magnoliaroad/peers/link.py
+++ b/src/magnoliaroad/peers/link.py
@@ -66,10 +66,10 @@
         finally:
             self._waiting.pop(number, None)
 
-    def send(self, tag: str, fields: Any) -> None:
-        """Sends a one-way message."""
+    def send(self, data: bytes) -> None:
+        """Sends a one-way message, which was packed as a frame."""
         self._used = time.monotonic()
-        self._write(Frame(FrameKind.SEND, 0, tag, fields))
+        self._write_bytes(data)
 
     def close(self) -> None:
         """Ends the connection; waiting calls fail as maybe acted on."""
@@ -85,12 +85,15 @@
                 fut.set_exception(PeerError("connection lost", Verdict.MAY_HAVE_RUN))
 
     def _write(self, frame: Frame) -> None:
+        self._write_bytes(pack_frame(frame))
+
+    def _write_bytes(self, data: bytes) -> None:
         if self.closed or self._writer is None:
             raise PeerError("connection closed", Verdict.NOT_RUN)
         if self._writer.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
             self.close()
             raise PeerError("the peer does not read", Verdict.NOT_RUN)
-        self._writer.write(pack_frame(frame))
+        self._writer.write(data)
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         frames = FrameReader()
@@ -110,6 +113,7 @@
             fut.set_result(frame)
 
     async def _keep_alive(self) -> None:
+        asked = time.monotonic()
         while not self.closed:
             await asyncio.sleep(self.cfg.heartbeat_interval_s)
             now = time.monotonic()
@@ -119,4 +123,6 @@
                 LOST.inc({"reason": "silent" if silent else "idle"})
                 self.close()
                 return
-            self._write(Frame(FrameKind.HEARTBEAT, 0, self._sender))
+            if self._used >= asked or self._waiting:
+                asked = now
+                self._write(Frame(FrameKind.HEARTBEAT, 0, self._sender))
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import inspect
+from collections.abc import Iterable
 from typing import Any
 
 from loguru import logger
@@ -36,6 +38,7 @@
         self.port = port
         self._catalogue = MessageCatalogue()
         self._handlers: dict[Any, Handler] = {}
+        self._plain: dict[str, Handler] = {}
         self._addresses: dict[str, PeerAddress] = _seed_addresses(cfg)
         self._links: dict[str, PeerLink] = {}
         self._dialling: dict[str, asyncio.Lock] = {}
@@ -48,7 +51,10 @@
         self._catalogue.add(kind)
         if reply is not None:
             self._catalogue.add(reply)
-        self._handlers[kind] = handler
+        if inspect.iscoroutinefunction(handler):
+            self._handlers[kind] = handler
+        else:
+            self._plain[kind.__name__] = handler
 
     @override
     def expect(self, *replies: Any) -> None:
@@ -91,7 +97,22 @@
                 self._spawn(self._send(host, message))
             return
         with contextlib.suppress(PeerError):
-            link.send(*self._catalogue.pack(message))
+            link.send(self._packed(message))
+
+    @override
+    def send_all(self, hosts: Iterable[str], message: Any) -> None:
+        data = b""
+        for host in hosts:
+            link = self._links.get(host)
+            if link is None or link.closed:
+                self.send(host, message)
+                continue
+            data = data or self._packed(message)
+            with contextlib.suppress(PeerError):
+                link.send(data)
+
+    def _packed(self, message: Any) -> bytes:
+        return pack_frame(Frame(FrameKind.SEND, 0, *self._catalogue.pack(message)))
 
     async def on_start(self) -> None:
         """Starts listening."""
@@ -110,12 +131,12 @@
             task.cancel()
 
     async def _send(self, host: str, message: Any) -> None:
-        tag, fields = self._catalogue.pack(message)
         try:
             link = await self._link(host)
-            link.send(tag, fields)
+            link.send(self._packed(message))
         except PeerError as exc:
-            logger.bind(host=host, message=tag, reason=str(exc)).debug("message lost")
+            name = type(message).__name__
+            logger.bind(host=host, message=name, reason=str(exc)).debug("message lost")
 
     async def _link(self, host: str) -> PeerLink:
         lock = self._dialling.setdefault(host, asyncio.Lock())
@@ -136,16 +157,16 @@
     ) -> None:
         frames = FrameReader()
         sender = ""
+        # The other end closes a connection that is idle.
+        limit_s = self.cfg.silence_timeout_s + self.cfg.idle_timeout_s
         self._inbound.add(writer)
         try:
-            while data := await asyncio.wait_for(
-                reader.read(READ_BYTES), self.cfg.silence_timeout_s
-            ):
+            while data := await asyncio.wait_for(reader.read(READ_BYTES), limit_s):
                 for frame in frames.feed(data):
                     if frame.kind == FrameKind.HEARTBEAT:
                         sender = frame.tag
                         writer.write(pack_frame(frame))
-                    else:
+                    elif frame.kind != FrameKind.SEND or not self._tell(sender, frame):
                         self._spawn(self._handle(sender, frame, writer))
         except (OSError, ValueError, TimeoutError) as exc:
             logger.bind(host=sender, reason=repr(exc)).debug("peer connection ended")
@@ -153,6 +174,23 @@
             self._inbound.discard(writer)
             writer.transport.abort()
 
+    def _tell(self, sender: str, frame: Frame) -> bool:
+        """Calls the plain function that takes a one-way message, if one does."""
+        handler = self._plain.get(frame.tag)
+        if handler is None:
+            return False
+        try:
+            handler(sender, self._catalogue.unpack(frame.tag, frame.fields))
+        except UnknownMessage as exc:
+            logger.bind(host=sender, message=frame.tag, reason=str(exc)).warning(
+                "message not understood"
+            )
+        except Exception as exc:
+            logger.bind(host=sender, message=frame.tag).opt(exception=exc).error(
+                "handler failed"
+            )
+        return True
+
     async def _handle(
         self, sender: str, frame: Frame, writer: asyncio.StreamWriter
     ) -> None:
--- a/src/magnoliaroad/peers/settings.py
+++ b/src/magnoliaroad/peers/settings.py
@@ -12,7 +12,8 @@
         call_timeout_s: Longest wait for a reply.
         heartbeat_interval_s: Time between heartbeats on a connection in use.
         silence_timeout_s: Silence after which a connection is replaced.
-        idle_timeout_s: Time without messages after which a connection is closed.
+        idle_timeout_s: Time without messages after which a connection is closed. It
+            has no heartbeats meanwhile, so this is below ``silence_timeout_s``.
     """
 
     seeds: tuple[str, ...] = ()
@@ -20,4 +21,4 @@
     call_timeout_s: float = 2.0
     heartbeat_interval_s: float = 1.0
     silence_timeout_s: float = 2.5
-    idle_timeout_s: float = 10.0
+    idle_timeout_s: float = 2.0
--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -1,6 +1,7 @@
 """A relay host's way to the record hosts and the store behind them."""
 
 import asyncio
+import math
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -73,6 +74,8 @@
         self._hosts: dict[str, PeerAddress] = {}
         self._heard: dict[str, float] = {}
         self._refusing: set[str] = set()
+        self._failed: dict[str, float] = {}
+        self._here: dict[str, RecordHostHere] = {}
         self.listed = False
         peers.expect(RecordFound)
         peers.on(KeepForMe, self._on_keep_for, RecordKept)
@@ -97,9 +100,22 @@
         self._hosts = {**kept, **hosts}
         self.listed = True
 
-    def heard(self, here: RecordHostHere) -> bool:
-        """Takes a record host's message; returns whether the host is new."""
-        self._heard[here.host] = self._now()
+    def heard(self, here: RecordHostHere, age_s: float = 0.0) -> bool:
+        """Takes a record host's message; returns whether the host is new.
+
+        Args:
+            here: The message.
+            age_s: Time since it came, if another host has passed it on. It says
+                nothing if it came before the last call on the host that failed.
+        """
+        at = self._now() - age_s
+        if at <= max(
+            self._heard.get(here.host, -math.inf),
+            self._failed.get(here.host, -math.inf),
+        ):
+            return False
+        self._heard[here.host] = at
+        self._here[here.host] = here
         if here.accepts:
             self._refusing.discard(here.host)
         else:
@@ -109,6 +125,15 @@
         self._hosts[here.host] = address
         return new
 
+    def told(self) -> list[tuple[RecordHostHere, int]]:
+        """Returns the last messages of hosts heard lately, with ages in ms."""
+        now = self._now()
+        return [
+            (here, int((now - self._heard[host]) * 1000))
+            for host, here in self._here.items()
+            if self._hears(host)
+        ]
+
     def unheard(self) -> list[str]:
         """Returns the hosts that were not heard lately."""
         return [host for host in self._hosts if not self._hears(host)]
@@ -263,6 +288,7 @@
             return await self._peers.call_within(host, ask, limit_s)
         except PeerError as exc:
             self._heard.pop(host, None)
+            self._failed[host] = self._now()
             logger.bind(host=host, key=ask.key, reason=repr(exc)).info(
                 "record host not reached"
             )
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -20,6 +20,8 @@
     TargetsAsk,
     TargetsTold,
 )
+from magnoliaroad.relay.beat_router import BeatRouter
+from magnoliaroad.relay.digest import WHOLE_EVERY, Digest
 from magnoliaroad.relay.host_book import HostBook
 from magnoliaroad.relay.host_entry import PREFIX, unpack_host
 from magnoliaroad.relay.metrics import LAG
@@ -60,9 +62,10 @@
 # Largest configuration that peers tell; larger ones are read from the store, as all
 # hosts would ask one peer at the same time, whose link takes 4 MB a second.
 TOLD_BYTES = 60_000
-# Each so many beats have the counts of all teams; the others those that changed since
-# two beats before, so that one may be lost.
-WHOLE_EVERY = 8
+# Time between a forwarder's messages to record hosts, in seconds.
+ASK_RECORDS_S = 1.0
+# Name under which the work of all other hosts is known to a host that does not forward.
+FLEET = "fleet"
 
 
 class FleetService(Service):
@@ -113,12 +116,24 @@
         self._records = records
         self._began = time.monotonic()
         self._book = HostBook(cfg, self._began)
+        self._router = BeatRouter(cfg, self._book)
+        self._told_in_hand: dict[str, int] = {}
+        self._asked_records_at = 0.0
+        self._fit: tuple[object, dict[str, str]] = (None, {})
+        self._counting: tuple[object, list[str]] = (None, [])
         self._asking = False
+        self._catching: asyncio.Task[None] | None = None
         peers.on(Beat, self._on_beat)
+        peers.on(Digest, self._on_digest)
         peers.on(RecordHostHere, self._on_record_host)
         peers.on(PlanAsk, self._on_plan_ask, PlanTold)
         peers.on(TargetsAsk, self._on_targets_ask, TargetsTold)
 
+    async def on_stop(self) -> None:
+        """Ends what is asked of peers."""
+        if self._catching is not None:
+            self._catching.cancel()
+
     @property
     def holder(self) -> str:
         """Name under which this incarnation claims budgets."""
@@ -154,27 +169,31 @@
 
     def _fit_for_store(self) -> dict[str, str]:
         """Returns hosts that reach the store and are not slow, with data centres."""
-        fit = {
-            host: beat.data_centre
-            for host, beat in self._book.reaching_store().items()
-            if not beat.slow
-        }
-        if not (self.draining or self.store_gone() or self._judge.slow):
-            fit[self.cfg.name] = self.cfg.data_centre
-        return fit
-
-    def hears(self, host: str) -> bool:
-        """Whether a peer was heard lately."""
-        return self._book.hears(host)
-
-    def peers_known(self) -> list[str]:
-        """Returns the other relay hosts."""
-        return list(self._book.members)
+        able = not (self.draining or self.store_gone() or self._judge.slow)
+        state = (self._book.version, able)
+        if self._fit[0] != state:
+            fit = {
+                host: beat.data_centre
+                for host, beat in self._book.reaching_store().items()
+                if not beat.slow
+            }
+            if able:
+                fit[self.cfg.name] = self.cfg.data_centre
+            self._fit = (state, fit)
+        return self._fit[1]
 
     def count_hosts(self) -> list[str]:
-        """Returns the hosts in contact that are fit to keep counts of teams."""
-        fit = [host for host, beat in self._book.in_contact().items() if not beat.slow]
-        return [*fit, *([] if self.draining else [self.cfg.name])]
+        """Returns the hosts in contact that are fit to count teams' requests.
+
+        The list is the same object as long as nothing has changed.
+        """
+        state = (self._book.version, self.draining)
+        if self._counting[0] != state:
+            contacts = self._book.in_contact().items()
+            fit = [host for host, beat in contacts if not beat.slow]
+            own = [] if self.draining else [self.cfg.name]
+            self._counting = (state, [*fit, *own])
+        return self._counting[1]
 
     def holders(self) -> list[str]:
         """Returns the names under which hosts in contact claim budgets."""
@@ -325,25 +344,39 @@
             self._quota.forget(host)
         self._set_members(members)
 
-    def _greet_record_hosts(self) -> None:
-        """Tells record hosts that are not heard that this host is there."""
+    def _greet_record_hosts(self, now: float) -> None:
+        """Tells record hosts that this host is there.
+
+        Those that are not heard are told in a small fleet, and all of them by
+        forwarders of a large one, which pass on what they answer.
+        """
+        hosts = self._records.unheard()
+        if self._book.forwarded:
+            due = now - self._asked_records_at >= ASK_RECORDS_S
+            if not due or not (self._router.forwards or not self._records.reached):
+                return
+            self._asked_records_at = now
+            hosts = list(self._records.hosts)
         here = RelayHostHere(
             self.cfg.name, self.cfg.data_centre, self._peers.address, self._peers.port
         )
-        for host in self._records.unheard():
-            self._peers.send(host, here)
+        self._peers.send_all(hosts, here)
+
+    def _on_record_host(self, sender: str, here: RecordHostHere) -> None:
+        self._hear_record_host(here, 0.0)
 
-    async def _on_record_host(self, sender: str, here: RecordHostHere) -> None:
-        if self._records.heard(here):
+    def _hear_record_host(self, here: RecordHostHere, age_s: float) -> None:
+        if self._records.heard(here, age_s):
             logger.bind(host=here.host).info("record host known")
             self._set_members(self._book.members)
 
     def _set_members(self, members: dict[str, PeerAddress]) -> None:
         for host in members.keys() - self._book.members.keys():
             logger.bind(host=host).info("host known")
-        self._book.set_members(members)
+        self._book.set_members(time.monotonic(), members)
         self._peers.learn([*members.values(), *self._records.hosts.values()])
-        self._targets.forget_hosts(members)
+        if not self._book.forwarded:
+            self._targets.forget_hosts(members)
 
     @Service.task
     async def _beat(self) -> None:
@@ -358,13 +391,28 @@
                 far_at = now + self._book.far_s * random.uniform(0.5, 1.5)
                 sent += 1
             beat = self._own_beat(whole=far and sent % WHOLE_EVERY == 1)
-            for host, address in self._book.members.items():
-                if far or self._book.is_near(address):
-                    self._peers.send(host, beat)
+            self._tell(now, beat, far)
             self._count_silent()
-            self._greet_record_hosts()
+            self._look_ahead()
+            self._greet_record_hosts(now)
             await set_within(self._news, self._book.near_s)
 
+    def _tell(self, now: float, beat: Beat, far: bool) -> None:
+        """Sends this host's beat, and digests if it forwards those of others."""
+        forwarded = self._router.forwards
+        told = self._router.recipients(now, far)
+        if self._router.forwards != forwarded:
+            logger.bind(forwards=self._router.forwards).info("forwarding changed")
+            self._targets.heard_all({})
+        self._told_in_hand = dict(beat.in_hand)
+        self._peers.send_all(told.beat, beat)
+        if told.far:
+            self._peers.send_all(told.far, self._router.far_digest(now, beat))
+        if told.near:
+            records = self._records.told()
+            digest = self._router.near_digest(now, beat, records)
+            self._peers.send_all(told.near, digest)
+
     def _own_beat(self, whole: bool) -> Beat:
         recent = time.monotonic() - 3 * self._book.far_s
         plan_key, plan = self._plans.source or ("", b"")
@@ -392,7 +440,7 @@
     def _count_silent(self) -> None:
         book = self._book
         changed = book.count_silent(time.monotonic())
-        for host in book.silent:
+        for host in book.silent if self._router.forwards else ():
             self._targets.heard(host, {})
         for host in changed.lost:
             logger.bind(
@@ -400,12 +448,45 @@
             ).warning("peer lost")
         for host in changed.regained:
             logger.bind(peer=host).info("peer regained")
+        for place in book.places_silent:
+            self._router.forget_place(place)
+            self._targets.heard(place, {})
         self._quota.set_hosts(len(book.members) + 1, len(book.silent))
 
-    async def _on_beat(self, sender: str, beat: Beat) -> None:
+    def _on_beat(self, sender: str, beat: Beat) -> None:
+        self._hear_beat(time.monotonic(), beat)
+        if self._router.forwards:
+            self._targets.heard(beat.host, beat.in_hand)
+
+    def _on_digest(self, sender: str, digest: Digest) -> None:
         now = time.monotonic()
+        for beat in digest.beats:
+            if beat.host != self.cfg.name and beat.host in digest.ages:
+                age_s = digest.ages[beat.host] / 1000
+                self._hear_beat(now, self._book.with_work(beat), age_s)
+        for host in self._book.hear_ages(now, digest.ages):
+            logger.bind(peer=host, forwarder=sender).info("peer regained")
+        for here, age_ms in digest.record_hosts:
+            self._hear_record_host(here, age_ms / 1000)
+        if digest.onward:
+            self._router.hear_far(digest)
+            if self._router.forwards:
+                self._targets.heard(digest.data_centre, digest.in_hand)
+        elif not self._router.forwards:
+            others = {
+                name: count - self._told_in_hand.get(name, 0)
+                for name, count in digest.in_hand.items()
+            }
+            self._targets.heard_all({FLEET: others})
+
+    def _hear_beat(self, now: float, beat: Beat, age_s: float = 0.0) -> None:
+        """Takes the beat of a peer, which came to this host or its forwarder."""
+        if self._book.is_older(now - age_s, beat):
+            return
         self._doubt_as(beat)
-        regained = self._book.hear(now, beat)
+        if self._book.meets(beat):
+            self._router.met()
+        regained = self._book.hear(now - age_s, beat)
         if regained:
             logger.bind(peer=beat.host).info("peer regained")
         address = PeerAddress(beat.host, beat.data_centre, beat.address, beat.port)
@@ -415,15 +496,10 @@
         self._quota.heard(
             now, beat.host, beat.boot, beat.admitted, fresh, regained, beat.whole
         )
-        self._targets.heard(beat.host, beat.in_hand)
         self._targets.heard_rests(now, beat.rests)
         self._hear_leaving(now, beat)
-        behind = (
-            beat.plan_version > self._plans.version
-            or beat.targets_revision > self._follower.revision
-        )
-        if behind and not self._asking:
-            await self._catch_up(beat)
+        if self._is_ahead(beat):
+            self._start_catching_up(beat)
 
     def _hear_leaving(self, now: float, beat: Beat) -> None:
         if self._targets.leaving.mark_all(beat.leaving, now):
@@ -442,9 +518,24 @@
         if news and not self.store_gone():
             self._contact.doubt()
 
+    def _is_ahead(self, beat: Beat) -> bool:
+        newer_plan = beat.plan_version > self._plans.version
+        return newer_plan or beat.targets_revision > self._follower.revision
+
+    def _look_ahead(self) -> None:
+        """Asks a peer again for what an earlier one did not tell."""
+        ahead = [b for b in self._book.in_contact().values() if self._is_ahead(b)]
+        near = [beat for beat in ahead if self._book.is_near(beat)]
+        if ahead:
+            self._start_catching_up(random.choice(near or ahead))
+
+    def _start_catching_up(self, beat: Beat) -> None:
+        if not self._asking:
+            self._asking = True
+            self._catching = asyncio.create_task(self._catch_up(beat))
+
     async def _catch_up(self, beat: Beat) -> None:
         """Asks a peer for what it knows and this host does not."""
-        self._asking = True
         try:
             if beat.plan_version > self._plans.version:
                 await self._learn_plan(beat)
@@ -457,6 +548,8 @@
                 self._follower.hear(*told)
         except PeerError as exc:
             logger.bind(host=beat.host, reason=str(exc)).info("peer did not tell")
+        except Exception as exc:
+            logger.bind(host=beat.host).opt(exception=exc).error("not caught up")
         finally:
             self._asking = False
 
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import pathlib
+import time
 
 from loguru import logger
 from mode import Service
@@ -11,6 +12,7 @@
 from magnoliaroad.records.service import RecordService
 from magnoliaroad.relay.announcer import Announcer
 from magnoliaroad.relay.directory import Directory, Retirement
+from magnoliaroad.relay.host_book import DIRECT_HOSTS
 from magnoliaroad.relay.host_entry import PREFIX, HostEntry, unpack_host
 from magnoliaroad.relay.metrics_server import MetricsServer
 from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
@@ -24,6 +26,9 @@
 EMPTY_S = 3.0
 # Wait after a failed call on the store, in seconds.
 RETRY_S = 0.3
+# Time for which a relay host that has asked is told that this host is there, in
+# seconds; several times the interval at which forwarders ask.
+ASKED_S = 3.0
 # A retirement may be asked for seconds ahead, so this watch may stay open for long.
 RETIREMENT_WATCH_S = 20.0
 
@@ -60,6 +65,7 @@
         )
         self._addresses: dict[str, PeerAddress] = {}
         self._relays: set[str] = set()
+        self._asked_at: dict[str, float] = {}
         self._relist = asyncio.Event()
         self.announcer.on_announced = self._relist.set
         self.peers.on(RelayHostHere, self._on_relay)
@@ -104,6 +110,7 @@
             )
 
     async def _on_relay(self, sender: str, here: RelayHostHere) -> None:
+        self._asked_at[here.host] = time.monotonic()
         peer = PeerAddress(*here)
         if self._addresses.get(here.host) != peer:
             self._learn(
@@ -127,10 +134,20 @@
             )
             # A turn is denied once all hosts on the store's list deny it, so records
             # are taken only by hosts that are on it.
-            for host in self._relays if self.announcer.announced else ():
-                self.peers.send(host, here)
+            if self.announcer.announced:
+                self.peers.send_all(self._told(time.monotonic()), here)
             await asyncio.sleep(self.cfg.records.here_interval_s)
 
+    def _told(self, now: float) -> list[str]:
+        """Returns the relay hosts that are told that this host is there.
+
+        In a large fleet those that have asked lately pass it on to the others.
+        """
+        asking = [h for h, at in self._asked_at.items() if now - at < ASKED_S]
+        if len(self._relays) < DIRECT_HOSTS or not asking:
+            return list(self._relays)
+        return asking
+
     def on_snapshot(
         self, entries: dict[str, StoreEntry], revision: int, after_loss: bool
     ) -> None:
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -132,6 +132,10 @@
         """Takes over what a peer has in hand at targets."""
         self._remote[host] = in_hand
 
+    def heard_all(self, in_hand: dict[str, dict[str, int]]) -> None:
+        """Replaces what all other hosts have in hand, by host or group of hosts."""
+        self._remote = in_hand
+
     def forget_hosts(self, kept: Iterable[str]) -> None:
         """Drops what hosts other than ``kept`` had in hand."""
         kept = set(kept)
--- a/src/magnoliaroad/relay/team_limiter.py
+++ b/src/magnoliaroad/relay/team_limiter.py
@@ -64,6 +64,8 @@
         self._plans = plans
         self._quota = quota
         self._hosts = hosts
+        self._ranked: list[str] = []
+        self._homes: dict[str, str | None] = {}
         peers.on(AdmitAsk, self._on_ask, AdmitAnswer)
         peers.on(AdmitUndo, self._on_undo)
 
@@ -76,7 +78,7 @@
         """
         if team.rate <= 0:
             return TeamDecision(0.0, self._name, {})
-        home = first_choice(team.name, self._hosts())
+        home = self._home(team.name)
         if home is not None and home != self._name:
             try:
                 ask = AdmitAsk(team.name, starts)
@@ -97,6 +99,15 @@
         else:
             self._peers.send(decision.host, AdmitUndo(team.name))
 
+    def _home(self, team: str) -> str | None:
+        hosts = self._hosts()
+        if hosts is not self._ranked:
+            self._ranked = hosts
+            self._homes.clear()
+        if team not in self._homes:
+            self._homes[team] = first_choice(team, hosts)
+        return self._homes[team]
+
     def _decide(self, team: RelayTeam, starts: bool) -> TeamDecision:
         wait_s = self._quota.admit(time.monotonic(), team, starts)
         view = self._quota.view(team.name) if wait_s else {}
