--- a/src/magnoliaroad/relay/placement.py
+++ b/src/magnoliaroad/relay/placement.py
@@ -4,13 +4,16 @@
 
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.target_table import TargetTable
-from magnoliaroad.rendezvous import rendezvous
+from magnoliaroad.rendezvous import first_choice, rendezvous
 
 # A session leaves its target when that has this factor and this many requests more
 # than the mean. Answers the load pattern of several long programs on one engine:
 # reading a history anew costs about as much as a batch that is a third larger.
 CROWDED_FACTOR = 1.3
 CROWDED_MARGIN = 4
+# Part of a plain target's slots up to which it has room to spare; some targets slow
+# down when they are nearly full.
+ROOMY_PART = 0.5
 
 
 def by_session(
@@ -41,9 +44,24 @@
     table: TargetTable,
     targets: Sequence[RelayTarget],
     data_centre: str,
-    key: str,
+    host: str,
 ) -> RelayTarget:
-    """Returns the target with most room; among equals one of ``data_centre``."""
+    """Returns the target with most room, or the one that ``host`` usually takes.
+
+    The usual one is a target of the data centre that is less than half full; a
+    request runs there as fast as on an empty one. Answers the load pattern of a large
+    fleet whose hosts have few requests each: spread over all targets, nearly every
+    request would need a new connection. Hosts have different targets as their usual
+    ones.
+    """
+    roomy = {
+        target.name: target
+        for target in targets
+        if target.data_centre == data_centre
+        and table.load(target.name) < ROOMY_PART * target.slots
+    }
+    if roomy:
+        return roomy[first_choice(host, roomy)]
 
     def cost(target: RelayTarget) -> tuple[float, bool]:
         filled = table.load(target.name) / max(1, target.slots)
@@ -51,4 +69,4 @@
 
     best = min(cost(target) for target in targets)
     equals = {target.name: target for target in targets if cost(target) == best}
-    return equals[rendezvous(key, equals)[0]]
+    return equals[first_choice(host, equals)]
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -253,7 +253,7 @@
         if self.streams:
             target = by_session(table, usable, self._key, here)
         else:
-            target = by_load(table, usable, here, self.call.request_id)
+            target = by_load(table, usable, here, self.parts.cfg.name)
         logger.bind(
             request=self.call.request_id,
             target=target.name,
