Leave the store to others while a host has just started

Cause: each host of a fleet that starts together followed the store for itself until it heard others, at a call for each target that registered. Ruled out: stale reads for the first list, which cost a tenth; they may be seconds old, and a restarted host would use a withdrawn key or a target that has left.

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -45,6 +45,9 @@
 MOST_HOLDERS = 16
 # Time in which a change in the store reaches most hosts without their peers.
 SETTLE_S = 0.2
+# Time after its start in which a host hears of others, in seconds: they know its
+# entry, and tell it of themselves a few intervals later.
+HEARING_S = 2.0
 # Longest wait for a peer's answer.
 ASK_S = 0.3
 # Hosts for which one writes claims of budgets; 100 hosts start some 400 programs a
@@ -122,6 +125,7 @@
         self._fit: tuple[object, dict[str, str]] = (None, {})
         self._counting: tuple[object, list[str]] = (None, [])
         self._asking = False
+        self._listed = False
         self._catching: asyncio.Task[None] | None = None
         peers.on(Beat, self._on_beat)
         peers.on(Digest, self._on_digest)
@@ -201,8 +205,14 @@
         return [f"{beat.host}#{beat.boot}" for beat in beats][:MOST_HOLDERS]
 
     def follows_store(self) -> bool:
-        """Whether this host is the one that follows the store for its data centre."""
-        if self.store_gone():
+        """Whether this host is the one that follows the store for its data centre.
+
+        One that has just started waits until it can have heard others. Answers the
+        load pattern of a whole fleet that starts: every host would follow the store
+        while targets register, at a call for each change.
+        """
+        young = time.monotonic() - self._began < HEARING_S
+        if self.store_gone() or (young and (self._book.members or not self._listed)):
             return False
         reaching = self._book.reaching_store().items()
         near = [host for host, beat in reaching if self._book.is_near(beat)]
@@ -336,6 +346,7 @@
                 record_hosts[host] = known.peer(host)
             elif host != self.cfg.name:
                 listed[host] = known.peer(host)
+        self._listed = True
         self._records.set_hosts(record_hosts)
         members = self._book.merged(time.monotonic(), listed)
         for host in self._book.members.keys() - members.keys():
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -8,7 +8,7 @@
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.relay.app import RelayApplication
 from magnoliaroad.relay.beat import Beat
-from magnoliaroad.relay.fleet import HOSTS_A_WRITER, FleetService
+from magnoliaroad.relay.fleet import HEARING_S, HOSTS_A_WRITER, FleetService
 from magnoliaroad.relay.host_book import ALONE_S, Heard
 from magnoliaroad.relay.pace_judge import SLOW_SAMPLES
 from magnoliaroad.relay.settings import RelayListen, RelaySettings
@@ -132,9 +132,20 @@
     assert not fleet._book.alone(time.monotonic())
 
 
+async def test_a_host_that_has_just_started_leaves_the_store_to_others(fleet):
+    assert not fleet.follows_store()
+    await fleet.read_list()
+    assert fleet.follows_store()
+    hear(fleet, "host-z", "dc-1")
+    assert not fleet.follows_store()
+    fleet._began -= HEARING_S
+    assert fleet.follows_store()
+
+
 async def test_the_first_host_in_contact_with_the_store_follows_it(fleet):
     hear(fleet, "host-a", "dc-1", store_lost=True)
     hear(fleet, "host-b", "dc-2")
+    fleet._began -= HEARING_S
     assert fleet.follows_store()
     assert not fleet.watches_closely()
     hear(fleet, "host-c", "dc-1")
