--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -47,7 +47,7 @@
 SETTLE_S = 0.2
 # Time after its start in which a host hears of others, in seconds: they know its
 # entry, and tell it of themselves a few intervals later.
-HEARING_S = 2.0
+HEARING_S = 1.0
 # Longest wait for a peer's answer.
 ASK_S = 0.3
 # Hosts for which one writes claims of budgets; 100 hosts start some 400 programs a
