--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -10,8 +10,10 @@
 
     Entries are ``"ok"``, ``"full"`` (not run), ``"moved"`` (421), ``"wrong_id"``,
     ``"unsealed"``, ``"error"`` (a 500 of its own), ``"reset"``, ``"silent"``,
-    ``"cut"`` (breaks off within the body), ``"extra"`` (an answer too much) and
-    ``"slow"``. The last one stays in force.
+    ``"cut"`` (breaks off within the body), ``"extra"`` (an answer too much),
+    ``"again"`` (the answer before this one comes once more, first), ``"slow"``,
+    ``"slowly"`` (a stream with pauses) and ``"trickle"`` (one that sends a byte now
+    and then and no end). The last one stays in force.
 
     Attributes:
         runs: Requests that it ran: method, path, headers, body.
@@ -77,6 +79,10 @@
         if act == "moved":
             self._plain(writer, 421, request_id, b"", "Magnoliaroad-Instance-Id: x")
             return True
+        if act == "again":
+            before = self.runs[-1][2]["magnoliaroad-request-id"]
+            seal = f"Magnoliaroad-Response-Seal: {SEAL}"
+            self._plain(writer, 200, before, b"before", seal)
         self.runs.append((method, path, lower, body))
         self.open += 1
         try:
@@ -137,7 +143,10 @@
             event = f"id: {number}\ndata: word{number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(0.005)
+            await asyncio.sleep(0.3 if act == "slowly" else 0.005)
+            while act == "trickle" and not writer.transport.is_closing():
+                writer.write(b"1\r\n:\r\n")
+                await asyncio.sleep(0.05)
         writer.write(b"0\r\n\r\n")
         return True
 
--- /dev/null
+++ b/tests/platform/test_failures.py
@@ -0,0 +1,85 @@
+"""Failures of similar systems that the users have named, at the callers' end."""
+
+import asyncio
+
+import pytest
+
+from tests.platform.deployment import Deployment, config
+from tests.platform.target_standin import TargetStandin
+
+
+@pytest.mark.parametrize("path", ["/pay/x", "/safe/x", "/stream/x"])
+async def test_a_late_copy_on_a_connection_in_use_reaches_no_other_caller(
+    tmp_path, path
+):
+    target = TargetStandin("i-1", "lm" if path.startswith("/stream") else "app")
+    target.script = ["ok", "again", "ok"]
+    async with Deployment(tmp_path, target) as deployment:
+        await deployment.start_records()
+        for _ in range(3):
+            status, _, body = await deployment.call(path, "POST", b"m")
+            assert body is None or b"before" not in body
+            if status == 200:
+                assert body
+
+
+async def test_a_slow_but_sound_stream_is_not_cut(tmp_path):
+    target = TargetStandin("i-lm", events=5)
+    target.script = ["slowly"]
+    async with Deployment(tmp_path, target) as deployment:
+        await deployment.start_records()
+        status, _, body = await deployment.turn()
+    assert status == 200
+    assert body.endswith(b"word5\n\n")
+
+
+async def test_a_stalled_stream_that_sends_a_byte_now_and_then_ends(tmp_path):
+    """The route's time limit of 2 s ends it, and it does not look whole."""
+    target = TargetStandin("i-lm")
+    target.script = ["trickle"]
+    async with Deployment(tmp_path, target) as deployment:
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        status, _, body = await deployment.turn(Magnoliaroad_Deadline_Ms="9000")
+        assert (status, body) == (200, None)
+        assert 1.5 < loop.time() - began < 2.4
+
+
+async def test_requests_just_accepted_are_answered_in_a_planned_stop(tmp_path):
+    target = TargetStandin("i-app", "app")
+    async with Deployment(tmp_path, target) as deployment:
+        relay = deployment.relays[0]
+        statuses = []
+
+        async def send():
+            while not relay.server.draining or len(statuses) < 200:
+                status, headers, _ = await deployment.call("/pay/x", "POST", b"m")
+                statuses.append(status)
+                if headers.get("Connection") == "close" or len(statuses) > 2000:
+                    return
+
+        callers = [asyncio.create_task(send()) for _ in range(20)]
+        await deployment.until(lambda: len(statuses) > 40)
+        await relay.drain()
+        await asyncio.gather(*callers)
+    assert set(statuses) == {200}
+
+
+async def test_after_a_restart_no_key_or_target_that_is_gone_is_used(tmp_path):
+    targets = [TargetStandin("i-1", "app"), TargetStandin("i-2", "app")]
+    async with Deployment(tmp_path, *targets) as deployment:
+        assert (await deployment.call("/safe/x"))[0] == 200
+        await deployment.relays.pop().stop()
+        deployment.kv.write("servers/i-1", targets[0].entry(state="draining"))
+        runs = len(targets[0].runs)
+        teams = [{"name": "league", "api_keys": ["new"]}]
+        deployment.kv.write("op/config", config(9, tenants=teams))
+        relay = deployment.application(1)
+        await relay.start()
+        deployment.relays.append(relay)
+        await deployment.until(relay._ready)
+        assert (await deployment.call("/safe/x"))[0] == 401
+        for _ in range(4):
+            status, _, _ = await deployment.call("/safe/x", Authorization="Bearer new")
+            assert status == 200
+        assert len(targets[0].runs) == runs
