Send no turn to an engine without a free slot while another has one

Cause: a session stayed at its engine up to four requests above 1.3 times the mean, which is more than the 8 slots of the large fleet's engines: a turn waited there while others had room. If all are crowded the emptiest is taken. Ruled out: a margin by slots, as a batch of three instead of one costs less than reading a history anew.

--- a/src/magnoliaroad/relay/placement.py
+++ b/src/magnoliaroad/relay/placement.py
@@ -7,8 +7,8 @@
 from magnoliaroad.rendezvous import first_choice, rendezvous
 
 # A session leaves its target when that has this factor and this many requests more
-# than the mean. Answers the load pattern of several long programs on one engine:
-# reading a history anew costs about as much as a batch that is a third larger.
+# than the mean, or no slot left. Reading a history anew costs about as much as a batch
+# that is a third larger.
 CROWDED_FACTOR = 1.3
 CROWDED_MARGIN = 4
 # Part of a plain target's slots up to which it has room to spare; some targets slow
@@ -24,6 +24,9 @@
 ) -> RelayTarget:
     """Returns the target that has a session's prompt in memory, unless crowded.
 
+    Answers the load patterns of several long programs on one engine, and of engines
+    with few slots: a turn does not wait for a slot while another engine has one free.
+
     All hosts of a data centre rank targets alike, so a program that moves between
     them stays at its engine without a message. Targets of the data centre come first:
     callers come to their own, so its streams outlive a cut of its links, and long
@@ -31,13 +34,13 @@
     """
     by_name = {target.name: target for target in targets}
     mean = sum(table.load(name) for name in by_name) / len(by_name)
-    limit = mean * CROWDED_FACTOR + CROWDED_MARGIN
     ranked = rendezvous(session, by_name)
     ranked.sort(key=lambda name: by_name[name].data_centre != data_centre)
     for name in ranked:
-        if table.load(name) <= limit:
+        limit = mean * CROWDED_FACTOR + CROWDED_MARGIN
+        if table.load(name) <= max(mean, min(limit, by_name[name].slots - 1)):
             return by_name[name]
-    return by_name[ranked[0]]
+    return by_name[min(ranked, key=table.load)]
 
 
 def by_load(
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -351,3 +351,28 @@
     filled(table, "a", "b")
     table.heard_rests(0.0, {"a": TargetRest(1, 0.5), "b": TargetRest(1, 0.5)})
     assert usable(table, 0.1) == ["a", "b"]
+
+
+@pytest.mark.parametrize("slots", [8, 12, 16, 64])
+@pytest.mark.parametrize("filled_part", [0.3, 0.6, 0.85])
+def test_no_turn_waits_for_a_slot_while_another_target_has_one(slots, filled_part):
+    """Large fleet, engines with 8 slots: sessions by hash, all turns in progress."""
+    table = TargetTable()
+    targets = filled(table, *(f"t-{n}" for n in range(30)), slots=slots)
+    for number in range(int(30 * slots * filled_part)):
+        target = by_session(table, targets, f"session-{number}", "dc-1")
+        assert table.load(target.name) < slots
+        table.begin(target.name)
+
+
+@pytest.mark.parametrize("slots", [8, 64])
+def test_most_sessions_stay_where_their_history_is(slots):
+    table = TargetTable()
+    targets = filled(table, *(f"t-{n}" for n in range(30)), slots=slots)
+    alone = {n: by_session(table, targets, f"s-{n}", "dc-1").name for n in range(400)}
+    stayed = 0
+    for number in range(int(30 * slots * 0.3)):
+        target = by_session(table, targets, f"s-{number % 400}", "dc-1")
+        table.begin(target.name)
+        stayed += target.name == alone[number % 400]
+    assert stayed >= 0.7 * int(30 * slots * 0.3)
