Let few hosts of a large data centre count, and keep their connections

Cause: in a large fleet a host has few requests for each counting host, so nearly every question to one opened a connection. An eighth of a data centre's hosts count teams and budgets now, and idle connections stay open for 10 s without heartbeats; the first call on one that has gone dead fails and closes it. Ruled out: heartbeats on all connections, 340 a second at 171 hosts.

--- a/src/magnoliaroad/peers/link.py
+++ b/src/magnoliaroad/peers/link.py
@@ -54,7 +54,7 @@
         Raises:
             PeerError: The connection ended or ``timeout_s`` was over.
         """
-        self._used = time.monotonic()
+        began = self._used = time.monotonic()
         number = next(self._numbers)
         fut: asyncio.Future[Frame] = asyncio.get_running_loop().create_future()
         self._waiting[number] = fut
@@ -62,6 +62,10 @@
             self._write(Frame(FrameKind.REQUEST, number, tag, fields))
             return await asyncio.wait_for(fut, timeout_s)
         except TimeoutError as exc:
+            # One that was idle before may have gone dead meanwhile.
+            if self._heard < began - self.cfg.silence_timeout_s:
+                LOST.inc({"reason": "silent"})
+                self.close()
             raise PeerError(f"{tag}: no reply", Verdict.MAY_HAVE_RUN) from exc
         finally:
             self._waiting.pop(number, None)
@@ -113,11 +117,15 @@
             fut.set_result(frame)
 
     async def _keep_alive(self) -> None:
-        asked = time.monotonic()
+        asked = self._heard
+        unanswered: float | None = None
         while not self.closed:
             await asyncio.sleep(self.cfg.heartbeat_interval_s)
             now = time.monotonic()
-            silent = now - self._heard > self.cfg.silence_timeout_s
+            if unanswered is not None and self._heard >= unanswered:
+                unanswered = None
+            limit_s = self.cfg.silence_timeout_s - self.cfg.heartbeat_interval_s
+            silent = unanswered is not None and now - unanswered > limit_s
             idle = now - self._used > self.cfg.idle_timeout_s
             if silent or (idle and not self._waiting):
                 LOST.inc({"reason": "silent" if silent else "idle"})
@@ -125,4 +133,5 @@
                 return
             if self._used >= asked or self._waiting:
                 asked = now
+                unanswered = unanswered or now
                 self._write(Frame(FrameKind.HEARTBEAT, 0, self._sender))
--- a/src/magnoliaroad/peers/settings.py
+++ b/src/magnoliaroad/peers/settings.py
@@ -13,7 +13,8 @@
         heartbeat_interval_s: Time between heartbeats on a connection in use.
         silence_timeout_s: Silence after which a connection is replaced.
         idle_timeout_s: Time without messages after which a connection is closed. It
-            has no heartbeats meanwhile, so this is below ``silence_timeout_s``.
+            has no heartbeats meanwhile; one that has gone dead shows by the first call
+            that is not answered.
     """
 
     seeds: tuple[str, ...] = ()
@@ -21,4 +22,4 @@
     call_timeout_s: float = 2.0
     heartbeat_interval_s: float = 1.0
     silence_timeout_s: float = 2.5
-    idle_timeout_s: float = 2.0
+    idle_timeout_s: float = 10.0
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -1,6 +1,7 @@
 """Which hosts there are, and what they tell each other."""
 
 import asyncio
+import math
 import random
 import time
 import uuid
@@ -31,6 +32,7 @@
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.rendezvous import rendezvous
 from magnoliaroad.set_within import set_within
 from magnoliaroad.store import Store, StoreError
 from magnoliaroad.store.contact import StoreContact
@@ -53,6 +55,10 @@
 # Hosts for which one writes claims of budgets; 100 hosts start some 400 programs a
 # second at the size to design for.
 HOSTS_A_WRITER = 100
+# Part of a large data centre's hosts that count teams and budgets for the others, and
+# the least number of them.
+COUNTERS_PART = 1 / 8
+LEAST_COUNTERS = 3
 # Wait after the list of hosts could not be read.
 LIST_RETRY_S = 1.0
 # Longest wait for the host's own entry before the list is read. Of two hosts that
@@ -164,8 +170,18 @@
         """
         able = self._fit_for_store()
         near = [host for host in able if able[host] == self.cfg.data_centre]
+        near = self._few(near) if self._book.forwarded else near
         return near or list(able) or [self.cfg.name]
 
+    def _few(self, hosts: list[str]) -> list[str]:
+        """Returns the hosts of a large data centre that count for the others.
+
+        Answers the load pattern of many hosts with few requests each: spread over all
+        peers, nearly every question would need a new connection.
+        """
+        most = max(LEAST_COUNTERS, math.ceil(len(hosts) * COUNTERS_PART))
+        return rendezvous("counters", hosts)[:most]
+
     def claim_writers(self) -> list[str]:
         """Returns the hosts that write claims of budgets to the store for others."""
         able = sorted(self._fit_for_store())
@@ -193,10 +209,16 @@
         """
         state = (self._book.version, self.draining)
         if self._counting[0] != state:
-            contacts = self._book.in_contact().items()
-            fit = [host for host, beat in contacts if not beat.slow]
-            own = [] if self.draining else [self.cfg.name]
-            self._counting = (state, [*fit, *own])
+            places: dict[str, list[str]] = {}
+            for host, beat in self._book.in_contact().items():
+                if not beat.slow:
+                    places.setdefault(beat.data_centre, []).append(host)
+            if not self.draining:
+                places.setdefault(self.cfg.data_centre, []).append(self.cfg.name)
+            if self._book.forwarded:
+                places = {place: self._few(fit) for place, fit in places.items()}
+            counting = [host for fit in places.values() for host in fit]
+            self._counting = (state, counting)
         return self._counting[1]
 
     def holders(self) -> list[str]:
--- a/tests/peers/test_silent_link.py
+++ b/tests/peers/test_silent_link.py
@@ -15,6 +15,10 @@
     number: int
 
 
+class Word(NamedTuple):
+    text: str
+
+
 class SilencingProxy:
     """Passes bytes on until it is told to lose track of the open connections."""
 
@@ -95,3 +99,37 @@
             await a.call("b", Count(1), timeout_s=30.0)
         assert await a.call("b", Count(1), timeout_s=30.0) == Count(100)
         await again.stop()
+
+
+async def test_an_idle_connection_has_no_heartbeats_and_is_used_again():
+    async with two_hosts() as (a, _, proxy):
+        await a.call("b", Count(1))
+        await asyncio.sleep(0.1)
+        link = a._links["b"]
+        heard = link._heard
+        await asyncio.sleep(0.5)
+        assert link._heard == heard
+        assert await a.call("b", Count(1)) == Count(2)
+        assert proxy.connections == 1
+
+
+async def test_a_connection_that_went_dead_while_idle_costs_one_call():
+    async with two_hosts() as (a, _, proxy):
+        await a.call("b", Count(1))
+        await asyncio.sleep(0.5)
+        proxy.silence()
+        with pytest.raises(PeerError):
+            await a.call("b", Count(1), timeout_s=0.05)
+        assert await a.call("b", Count(2), timeout_s=1.0) == Count(3)
+
+
+async def test_one_way_messages_reach_a_plain_function_in_order():
+    async with two_hosts() as (a, b, _):
+        heard = []
+        b.on(Word, lambda sender, word: heard.append((sender, word.text)))
+        a.on(Word, lambda sender, word: None)
+        await a.call("b", Count(1))
+        a.send_all(["b", "nobody"], Word("one"))
+        a.send("b", Word("two"))
+        await a.call("b", Count(1))
+        assert heard == [("a", "one"), ("a", "two")]
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -8,7 +8,12 @@
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.relay.app import RelayApplication
 from magnoliaroad.relay.beat import Beat
-from magnoliaroad.relay.fleet import HEARING_S, HOSTS_A_WRITER, FleetService
+from magnoliaroad.relay.fleet import (
+    HEARING_S,
+    HOSTS_A_WRITER,
+    LEAST_COUNTERS,
+    FleetService,
+)
 from magnoliaroad.relay.host_book import ALONE_S, Heard
 from magnoliaroad.relay.pace_judge import SLOW_SAMPLES
 from magnoliaroad.relay.settings import RelayListen, RelaySettings
@@ -178,3 +183,15 @@
     fleet._count_silent()
     assert len(fleet._book.silent) == 30
     assert fleet._quota._reach() == 32 / 62
+
+
+async def test_few_hosts_of_a_large_fleet_count_for_the_others(fleet):
+    for number in range(60):
+        hear(fleet, f"host-{number}", f"dc-{1 + number % 3}")
+    assert len(fleet.count_hosts()) == 3 * LEAST_COUNTERS
+    assert len(fleet.budget_hosts()) == LEAST_COUNTERS
+    assert fleet.count_hosts() is fleet.count_hosts()
+    lost = fleet.budget_hosts()[0]
+    hear(fleet, lost, "dc-1", slow=True, store_lost=True)
+    assert lost not in {*fleet.budget_hosts(), *fleet.count_hosts()}
+    assert len(fleet.count_hosts()) == 3 * LEAST_COUNTERS
