Keep plain calls on one target only where hosts outnumber targets

With few hosts each keeps connections to all targets anyway, and a failing target met all calls of its host.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -122,6 +122,7 @@
             turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
             programs=HeldValues(MOST_PROGRAMS, lambda _: 1),
+            host_count=self.fleet.host_count,
             news=self.fleet.news,
         )
         self.server = RelayServer(parts, self._ready)
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -202,6 +202,10 @@
             self._fit = (state, fit)
         return self._fit[1]
 
+    def host_count(self) -> int:
+        """Returns how many relay hosts are known, this one included."""
+        return len(self._book.members) + 1
+
     def count_hosts(self) -> list[str]:
         """Returns the hosts in contact that are fit to count teams' requests.
 
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -19,6 +19,7 @@
 
     Attributes:
         programs: Programs of which this host has admitted requests lately.
+        host_count: Returns how many relay hosts there are.
         news: Makes peers hear at once of what this host has learnt.
     """
 
@@ -31,4 +32,5 @@
     turns: TurnLedger
     budgets: BudgetDesk
     programs: HeldValues[bool]
+    host_count: Callable[[], int]
     news: Callable[[], None]
--- a/src/magnoliaroad/relay/placement.py
+++ b/src/magnoliaroad/relay/placement.py
@@ -47,24 +47,31 @@
     table: TargetTable,
     targets: Sequence[RelayTarget],
     data_centre: str,
-    host: str,
+    request: str,
+    usual_for: str | None = None,
 ) -> RelayTarget:
-    """Returns the target with most room, or the one that ``host`` usually takes.
+    """Returns the target with most room; among equals one of ``data_centre``.
 
-    The usual one is a target of the data centre that is less than half full; a
-    request runs there as fast as on an empty one. Answers the load pattern of a large
-    fleet whose hosts have few requests each: spread over all targets, nearly every
-    request would need a new connection. Hosts have different targets as their usual
-    ones.
+    Args:
+        table: The targets and their load.
+        targets: Those to choose from.
+        data_centre: Where this host stands.
+        request: Id of the request, by which equals are told apart.
+        usual_for: Name of a host with few requests: it takes the target of the data
+            centre that is usual for it while that is less than half full. A request
+            runs there as fast as on an empty one. Answers the load pattern of a large
+            fleet: spread over all targets, nearly every request of a host would need a
+            new connection.
     """
-    roomy = {
-        target.name: target
-        for target in targets
-        if target.data_centre == data_centre
-        and table.load(target.name) < ROOMY_PART * target.slots
-    }
-    if roomy:
-        return roomy[first_choice(host, roomy)]
+    if usual_for is not None:
+        roomy = {
+            target.name: target
+            for target in targets
+            if target.data_centre == data_centre
+            and table.load(target.name) < ROOMY_PART * target.slots
+        }
+        if roomy:
+            return roomy[first_choice(usual_for, roomy)]
 
     def cost(target: RelayTarget) -> tuple[float, bool]:
         filled = table.load(target.name) / max(1, target.slots)
@@ -72,4 +79,4 @@
 
     best = min(cost(target) for target in targets)
     equals = {target.name: target for target in targets if cost(target) == best}
-    return equals[first_choice(host, equals)]
+    return equals[first_choice(request, equals)]
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -50,6 +50,9 @@
 REST_S = 0.5
 MOST_REST_S = 4.0
 MISDIRECTED = 421
+# Hosts for each target of a plain service from which on a host keeps to one of them:
+# each then has so few requests that connections to all would idle out.
+HOSTS_A_TARGET = 2
 # Largest answer of a plain service that is read whole before it is passed on, so
 # that a broken one can still be told from a whole one.
 WHOLE_BYTES = 262_144
@@ -253,7 +256,9 @@
         if self.streams:
             target = by_session(table, usable, self._key, here)
         else:
-            target = by_load(table, usable, here, self.parts.cfg.name)
+            few = self.parts.host_count() > HOSTS_A_TARGET * len(usable)
+            usual_for = self.parts.cfg.name if few else None
+            target = by_load(table, usable, here, self.call.request_id, usual_for)
         logger.bind(
             request=self.call.request_id,
             target=target.name,
