Write records to the store less often where there are many record hosts

The delay grows with their number up to three times. Ruled out: fewer record hosts for all records, which concentrates slow disks.

--- a/src/magnoliaroad/records/pending.py
+++ b/src/magnoliaroad/records/pending.py
@@ -29,11 +29,13 @@
 
     Attributes:
         size: Bytes of all records that wait.
+        delay_s: Added to the ages at which records are due.
     """
 
     def __init__(self, cfg: RecordSettings) -> None:
         self.cfg = cfg
         self.size = 0
+        self.delay_s = 0.0
         self._records: dict[str, PendingRecord] = {}
 
     def __len__(self) -> int:
@@ -50,7 +52,8 @@
         if record.key in self._records:
             return
         age_s = self.cfg.store_after_s if first else self.cfg.partner_after_s
-        self._records[record.key] = PendingRecord(record, now + age_s, tuple(partners))
+        due_at = now + age_s + self.delay_s
+        self._records[record.key] = PendingRecord(record, due_at, tuple(partners))
         self.size += len(record.value)
 
     def get(self, key: str) -> bytes | None:
@@ -78,7 +81,8 @@
         for pending in ordered:
             size += len(pending.record.value)
             full = size > self.cfg.batch_bytes or len(batch) >= self.cfg.batch_count
-            early = pending.due_at > now + self.cfg.store_after_s and not everything
+            soon_s = self.cfg.store_after_s + self.delay_s
+            early = pending.due_at > now + soon_s and not everything
             if batch and (full or early):
                 break
             batch.append(pending)
--- a/src/magnoliaroad/records/service.py
+++ b/src/magnoliaroad/records/service.py
@@ -82,6 +82,10 @@
         """Closes the journal."""
         self._journal.close()
 
+    def set_hosts(self, hosts: int) -> None:
+        """Takes how many record hosts there are; many write less often."""
+        self._pending.delay_s = self.cfg.delay_s(hosts)
+
     async def empty(self) -> bool:
         """Stops taking records and writes all to the store; returns whether done."""
         self.accepts = False
--- a/src/magnoliaroad/records/settings.py
+++ b/src/magnoliaroad/records/settings.py
@@ -2,6 +2,11 @@
 
 from typing import NamedTuple
 
+# Record hosts that write without delay, and the longest delay of more, as a multiple of
+# the age at which they write.
+HOSTS_WITHOUT_DELAY = 8
+MOST_DELAY = 3.0
+
 
 class RecordSettings(NamedTuple):
     """How records are kept until the store holds them.
@@ -41,6 +46,16 @@
     help_s: float = 0.6
     list_interval_s: float = 45.0
 
+    def delay_s(self, hosts: int) -> float:
+        """Returns what ``hosts`` record hosts add to the ages above.
+
+        Answers the load pattern of many record hosts with few records each: every one
+        would write a call a second. The partner still writes before as many disks may
+        be lost once more: 6 s on the users' deployments with so many.
+        """
+        factor = min(MOST_DELAY, max(1.0, hosts / HOSTS_WITHOUT_DELAY))
+        return self.store_after_s * (factor - 1.0)
+
     @property
     def copies(self) -> int:
         """Disks that hold a record; one more than may be lost, and at least two."""
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -120,6 +120,7 @@
     def _learn(self, addresses: dict[str, PeerAddress], relays: set[str]) -> None:
         self._addresses = addresses
         self._relays = relays
+        self.records.set_hosts(len(addresses.keys() - relays))
         self.peers.learn(list(addresses.values()))
 
     @Service.task
--- a/tests/records/test_pending.py
+++ b/tests/records/test_pending.py
@@ -1,3 +1,5 @@
+import pytest
+
 from magnoliaroad.records.journal import JournalRecord
 from magnoliaroad.records.pending import PendingRecords
 from magnoliaroad.records.settings import RecordSettings
@@ -59,3 +61,22 @@
     pending.pop("a")
     pending.pop("a")
     assert pending.size == 0
+
+
+@pytest.mark.parametrize(
+    ("hosts", "delay_s"), [(1, 0.0), (8, 0.0), (16, 1.0), (99, 2.0)]
+)
+def test_many_record_hosts_write_less_often(hosts, delay_s):
+    pending = PendingRecords(CFG)
+    pending.delay_s = CFG.delay_s(hosts)
+    pending.add(0.0, record("a"), (), True)
+    pending.add(0.5, record("b"), (), True)
+    pending.add(0.5, record("c"), (), False)
+    assert pending.batch(CFG.store_after_s + delay_s - 0.01) == []
+    assert keys(pending.batch(CFG.store_after_s + delay_s)) == ["a", "b"]
+    assert keys(pending.batch(CFG.partner_after_s + delay_s + 0.5)) == ["a", "b", "c"]
+
+
+def test_records_are_in_the_store_before_as_many_disks_may_be_lost_again():
+    """``catch_up_s`` is 6 s where there are more than eight record hosts."""
+    assert CFG.partner_after_s + CFG.delay_s(1000) < 6.0
