--- a/src/magnoliaroad/records/pending.py
+++ b/src/magnoliaroad/records/pending.py
@@ -6,6 +6,10 @@
 from magnoliaroad.records.journal import JournalRecord
 from magnoliaroad.records.settings import RecordSettings
 
+# Part of the time between a record's first host and its partners in which a call takes
+# records along.
+PARTNERS_PART = 0.9
+
 
 class PendingRecord(NamedTuple):
     """A record that the store may not hold yet.
@@ -81,7 +85,9 @@
         for pending in ordered:
             size += len(pending.record.value)
             full = size > self.cfg.batch_bytes or len(batch) >= self.cfg.batch_count
-            soon_s = self.cfg.store_after_s + self.delay_s
+            # Partners are due later than that, so they do not write as well.
+            apart_s = self.cfg.partner_after_s - self.cfg.store_after_s
+            soon_s = min(self.cfg.store_after_s + self.delay_s, PARTNERS_PART * apart_s)
             early = pending.due_at > now + soon_s and not everything
             if batch and (full or early):
                 break
--- a/src/magnoliaroad/records/settings.py
+++ b/src/magnoliaroad/records/settings.py
@@ -5,7 +5,7 @@
 # Record hosts that write without delay, and the longest delay of more, as a multiple of
 # the age at which they write.
 HOSTS_WITHOUT_DELAY = 8
-MOST_DELAY = 3.0
+MOST_DELAY = 2.0
 
 
 class RecordSettings(NamedTuple):
