--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -16,12 +16,9 @@
     Beat,
     BudgetAsk,
     BudgetGiven,
-    PlanAsk,
-    PlanTold,
-    TargetsAsk,
-    TargetsTold,
 )
 from magnoliaroad.relay.beat_router import BeatRouter
+from magnoliaroad.relay.catch_up import ASK_S, CatchUp
 from magnoliaroad.relay.digest import WHOLE_EVERY, Digest
 from magnoliaroad.relay.host_book import HostBook
 from magnoliaroad.relay.host_entry import PREFIX, unpack_host
@@ -45,13 +42,9 @@
 CHECK_S = 0.2
 # Most hosts that are asked for tokens they may have borrowed.
 MOST_HOLDERS = 16
-# Time in which a change in the store reaches most hosts without their peers.
-SETTLE_S = 0.2
 # Time after its start in which a host hears of others, in seconds: they know its
 # entry, and tell it of themselves a few intervals later.
 HEARING_S = 1.0
-# Longest wait for a peer's answer.
-ASK_S = 0.3
 # Hosts for which one writes claims of budgets; 100 hosts start some 400 programs a
 # second at the size to design for.
 HOSTS_A_WRITER = 100
@@ -68,9 +61,6 @@
 PACE_STEP_S = 0.1
 # Largest part of a data centre's hosts that turn callers away because they are slow.
 MOST_SPARED = 0.34
-# Largest configuration that peers tell; larger ones are read from the store, as all
-# hosts would ask one peer at the same time, whose link takes 4 MB a second.
-TOLD_BYTES = 60_000
 # Time between a forwarder's messages to record hosts, in seconds.
 ASK_RECORDS_S = 1.0
 # Name under which the work of all other hosts is known to a host that does not forward.
@@ -130,19 +120,15 @@
         self._asked_records_at = 0.0
         self._fit: tuple[object, dict[str, str]] = (None, {})
         self._counting: tuple[object, list[str]] = (None, [])
-        self._asking = False
         self._listed = False
-        self._catching: asyncio.Task[None] | None = None
+        self._catch_up = CatchUp(store, peers, plans, follower, contact)
         peers.on(Beat, self._on_beat)
         peers.on(Digest, self._on_digest)
         peers.on(RecordHostHere, self._on_record_host)
-        peers.on(PlanAsk, self._on_plan_ask, PlanTold)
-        peers.on(TargetsAsk, self._on_targets_ask, TargetsTold)
 
     async def on_stop(self) -> None:
         """Ends what is asked of peers."""
-        if self._catching is not None:
-            self._catching.cancel()
+        self._catch_up.stop()
 
     @property
     def holder(self) -> str:
@@ -430,7 +416,7 @@
             beat = self._own_beat(whole=far and sent % WHOLE_EVERY == 1)
             self._tell(now, beat, far)
             self._count_silent()
-            self._look_ahead()
+            self._catch_up.look(self._book)
             self._greet_record_hosts(now)
             await set_within(self._news, self._book.near_s)
 
@@ -535,8 +521,7 @@
         )
         self._targets.heard_rests(now, beat.rests)
         self._hear_leaving(now, beat)
-        if self._is_ahead(beat):
-            self._start_catching_up(beat)
+        self._catch_up.hear(beat)
 
     def _hear_leaving(self, now: float, beat: Beat) -> None:
         if self._targets.leaving.mark_all(beat.leaving, now):
@@ -554,62 +539,3 @@
         news = beat.store_lost and not known and self._book.is_near(beat)
         if news and not self.store_gone():
             self._contact.doubt()
-
-    def _is_ahead(self, beat: Beat) -> bool:
-        newer_plan = beat.plan_version > self._plans.version
-        return newer_plan or beat.targets_revision > self._follower.revision
-
-    def _look_ahead(self) -> None:
-        """Asks a peer again for what an earlier one did not tell."""
-        ahead = [b for b in self._book.in_contact().values() if self._is_ahead(b)]
-        near = [beat for beat in ahead if self._book.is_near(beat)]
-        if ahead:
-            self._start_catching_up(random.choice(near or ahead))
-
-    def _start_catching_up(self, beat: Beat) -> None:
-        if not self._asking:
-            self._asking = True
-            self._catching = asyncio.create_task(self._catch_up(beat))
-
-    async def _catch_up(self, beat: Beat) -> None:
-        """Asks a peer for what it knows and this host does not."""
-        try:
-            if beat.plan_version > self._plans.version:
-                await self._learn_plan(beat)
-            # A change that reaches all hosts by the store takes a moment.
-            await asyncio.sleep(SETTLE_S)
-            if beat.targets_revision > self._follower.revision:
-                ask = TargetsAsk(self._follower.revision)
-                told = await self._peers.call(beat.host, ask, ASK_S)
-                logger.bind(host=beat.host, revision=told.revision).info("targets told")
-                self._follower.hear(*told)
-        except PeerError as exc:
-            logger.bind(host=beat.host, reason=str(exc)).info("peer did not tell")
-        except Exception as exc:
-            logger.bind(host=beat.host).opt(exception=exc).error("not caught up")
-        finally:
-            self._asking = False
-
-    async def _learn_plan(self, beat: Beat) -> None:
-        if beat.plan_bytes > TOLD_BYTES and not self.store_gone():
-            try:
-                entry = await self._store.get(beat.plan_key)
-            except StoreError as exc:
-                logger.bind(key=beat.plan_key, reason=str(exc)).info("plan not read")
-                entry = None
-            if entry is not None:
-                self._plans.offer(entry.key, entry.value, f"store, by {beat.host}")
-            if beat.plan_version <= self._plans.version:
-                return
-        ask = PlanAsk(self._plans.version)
-        told = await self._peers.call(beat.host, ask, ASK_S)
-        if told.key:
-            self._plans.offer(told.key, told.value, beat.host)
-
-    async def _on_targets_ask(self, sender: str, ask: TargetsAsk) -> TargetsTold:
-        return self._follower.tell()
-
-    async def _on_plan_ask(self, sender: str, ask: PlanAsk) -> PlanTold:
-        if self._plans.source is None or self._plans.version <= ask.version:
-            return PlanTold("", b"")
-        return PlanTold(*self._plans.source)
