--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -119,7 +119,8 @@
         self._told_in_hand: dict[str, int] = {}
         self._asked_records_at = 0.0
         self._fit: tuple[object, dict[str, str]] = (None, {})
-        self._counting: tuple[object, list[str]] = (None, [])
+        self._counting: list[str] = []
+        self._counting_for: object = None
         self._listed = False
         self._catch_up = CatchUp(store, peers, plans, follower, contact)
         peers.on(Beat, self._on_beat)
@@ -193,23 +194,32 @@
         return len(self._book.members) + 1
 
     def count_hosts(self) -> list[str]:
-        """Returns the hosts in contact that are fit to count teams' requests.
+        """Returns the hosts that count teams' requests, the same on all hosts.
 
-        The list is the same object as long as nothing has changed.
+        Hosts that are listed and were not heard yet are among them for a moment:
+        after many hosts have started again at once, each would otherwise count for
+        itself. The list is the same object as long as nothing has changed.
         """
-        state = (self._book.version, self.draining)
-        if self._counting[0] != state:
-            places: dict[str, list[str]] = {}
-            for host, beat in self._book.in_contact().items():
-                if not beat.slow:
-                    places.setdefault(beat.data_centre, []).append(host)
-            if not self.draining:
-                places.setdefault(self.cfg.data_centre, []).append(self.cfg.name)
-            if self._book.forwarded:
-                places = {place: self._few(fit) for place, fit in places.items()}
-            counting = [host for fit in places.values() for host in fit]
-            self._counting = (state, counting)
-        return self._counting[1]
+        now = time.monotonic()
+        state = (self._book.version, self.draining, int(now))
+        if self._counting_for != state:
+            self._counting_for = state
+            counting = self._choose_counting(now)
+            if counting != self._counting:
+                self._counting = counting
+        return self._counting
+
+    def _choose_counting(self, now: float) -> list[str]:
+        contacts = self._book.in_contact()
+        places: dict[str, list[str]] = {}
+        for place, hosts in self._book.candidates(now).items():
+            slow = {host for host in hosts if host in contacts and contacts[host].slow}
+            places[place] = [host for host in hosts if host not in slow]
+        if not self.draining:
+            places.setdefault(self.cfg.data_centre, []).append(self.cfg.name)
+        if self._book.forwarded:
+            places = {place: self._few(fit) for place, fit in places.items()}
+        return sorted(host for fit in places.values() for host in fit)
 
     def holders(self) -> list[str]:
         """Returns the names under which hosts in contact claim budgets."""
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -14,7 +14,7 @@
     LEAST_COUNTERS,
     FleetService,
 )
-from magnoliaroad.relay.host_book import ALONE_S, Heard
+from magnoliaroad.relay.host_book import ALONE_S, UNHEARD_S, Heard
 from magnoliaroad.relay.pace_judge import SLOW_SAMPLES
 from magnoliaroad.relay.settings import RelayListen, RelaySettings
 from magnoliaroad.standins.kv_state import KvState
@@ -185,6 +185,17 @@
     assert fleet._quota._reach() == 32 / 62
 
 
+async def test_listed_hosts_count_teams_until_they_could_be_heard(fleet):
+    """All hosts killed at once: none has heard another when requests come."""
+    address = PeerAddress("host-a", "dc-2", "127.0.0.1", 1)
+    fleet._set_members({"host-a": address})
+    fleet._count_silent()
+    assert fleet.count_hosts() == ["host-a", "host-m"]
+    fleet._book._known_at["host-a"] -= UNHEARD_S
+    fleet._counting_for = None
+    assert fleet.count_hosts() == ["host-m"]
+
+
 async def test_few_hosts_of_a_large_fleet_count_for_the_others(fleet):
     for number in range(60):
         hear(fleet, f"host-{number}", f"dc-{1 + number % 3}")
