One way to send to peers, one limit for missing digests, no dead method

Read once more: send() and send_all() each dialled, the time after which a data centre without digests is silent stood twice, HostBook.hears had lost its last caller, and candidates() said only half of its use.

--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -89,15 +89,7 @@
 
     @override
     def send(self, host: str, message: Any) -> None:
-        link = self._links.get(host)
-        if link is None or link.closed:
-            lock = self._dialling.get(host)
-            # A peer that does not answer must not gather waiting messages.
-            if lock is None or not lock.locked():
-                self._spawn(self._send(host, message))
-            return
-        with contextlib.suppress(PeerError):
-            link.send(self._packed(message))
+        self.send_all((host,), message)
 
     @override
     def send_all(self, hosts: Iterable[str], message: Any) -> None:
@@ -105,7 +97,10 @@
         for host in hosts:
             link = self._links.get(host)
             if link is None or link.closed:
-                self.send(host, message)
+                lock = self._dialling.get(host)
+                # A peer that does not answer must not gather waiting messages.
+                if lock is None or not lock.locked():
+                    self._spawn(self._send(host, message))
                 continue
             data = data or self._packed(message)
             with contextlib.suppress(PeerError):
--- a/src/magnoliaroad/relay/host_book.py
+++ b/src/magnoliaroad/relay/host_book.py
@@ -137,7 +137,7 @@
         """Takes when a forwarder last heard hosts; returns those regained."""
         regained = []
         # What only another forwarder heard a little later is no sign of life.
-        limit_s = min(self.near_silent_s, max(ALONE_S, SILENT_DIGESTS * self.near_s))
+        limit_s = min(self.near_silent_s, self._digests_silent_s)
         for host, age_ms in ages_ms.items():
             heard, at = self.heard.get(host), now - age_ms / 1000
             if heard is None or heard.at >= at:
@@ -160,7 +160,10 @@
         }
 
     def candidates(self, now: float) -> dict[str, list[str]]:
-        """Returns the other hosts that may forward beats, by data centre."""
+        """Returns the other hosts that may forward or count, by data centre.
+
+        They are in contact, or on the list for too short a time to be heard.
+        """
         places: dict[str, list[str]] = {}
         for host, address in self.members.items():
             fresh = now - self._known_at[host] < UNHEARD_S
@@ -179,10 +182,6 @@
         self._returned.discard(host)
         self.version += 1
 
-    def hears(self, host: str) -> bool:
-        """Whether a peer was heard lately."""
-        return host in self.heard and host not in self.silent
-
     def heard_within(self, now: float, host: str) -> bool:
         """Whether a peer's last beat is not older than silence may be."""
         heard = self.heard.get(host)
@@ -241,9 +240,14 @@
             if now - max(times) > self._place_silent_s(len(times))
         }
 
+    @property
+    def _digests_silent_s(self) -> float:
+        """Time without digests about a data centre after which it is silent."""
+        return max(ALONE_S, SILENT_DIGESTS * self.near_s)
+
     def _place_silent_s(self, hosts: int) -> float:
         if self.forwarded:
-            return max(ALONE_S, SILENT_DIGESTS * self.near_s)
+            return self._digests_silent_s
         beats_s = SILENT_BEATS * self.far_s / hosts
         return min(self.far_silent_s, max(ALONE_S, beats_s))
 
