Log a fingerprint of requests, so that tries of one request can be told

Each try of a caller has its own id, so the logs could not tell one request that ends target after target from a run of unrelated failures. 'placed', 'target failed' and 'refused' now carry a fingerprint of team, method, path and body.

--- a/src/magnoliaroad/quarantine/__init__.py
+++ b/src/magnoliaroad/quarantine/__init__.py
@@ -4,7 +4,7 @@
 from magnoliaroad.quarantine.crash_watch import CrashWatch
 from magnoliaroad.quarantine.detector import PoisonDetector
 from magnoliaroad.quarantine.entry import QuarantineEntry, QuarantineState
-from magnoliaroad.quarantine.fingerprint import fingerprint_of
+from magnoliaroad.quarantine.fingerprint import exact_fingerprint, fingerprint_of
 from magnoliaroad.quarantine.messages import CrashReport
 from magnoliaroad.quarantine.service import QuarantineService
 from magnoliaroad.quarantine.settings import QuarantineSettings
@@ -18,5 +18,6 @@
     "QuarantineSettings",
     "QuarantineEntry",
     "QuarantineState",
+    "exact_fingerprint",
     "fingerprint_of",
 ]
--- a/src/magnoliaroad/quarantine/fingerprint.py
+++ b/src/magnoliaroad/quarantine/fingerprint.py
@@ -44,6 +44,24 @@
     return xxhash.xxh3_128_hexdigest(f"{route}\n{masked}".encode())
 
 
+def exact_fingerprint(team: str, method: str, path: str, body: bytes) -> str:
+    """Returns the fingerprint of a request whose body has no known format.
+
+    Args:
+        team: Team that sends it; empty for none.
+        method: HTTP method.
+        path: Path and query.
+        body: Whole body.
+
+    Returns:
+        The same text, 32 hexadecimal digits, for requests that are the same to the
+        byte but for their headers.
+    """
+    digest = xxhash.xxh3_128(f"{team}\n{method} {path}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
 def _parsed(body: bytes) -> Any:
     text = body.decode(errors="replace")
     if len(body) > MAX_BYTES:
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 from loguru import logger
 
+from magnoliaroad.quarantine import exact_fingerprint
 from magnoliaroad.refusal import Refused
 from magnoliaroad.relay.admission import Admitted
 from magnoliaroad.relay.dialect import AnswerHead
@@ -114,6 +115,10 @@
         self._key = self.call.program or self.call.session or self.call.request_id
         self._service = pick_service(self.route, self._key)
         self._scanner = EventScanner()
+        call = self.call
+        self.fingerprint = exact_fingerprint(
+            admitted.team_name, call.method, call.path, call.body
+        )
 
     @property
     def streams(self) -> bool:
@@ -268,6 +273,7 @@
             excluded=len(excluded),
             program=self.call.program,
             parts=self.call.prompt_parts,
+            fingerprint=self.fingerprint,
         ).info("placed")
         return target
 
@@ -368,6 +374,7 @@
             verdict=exc.verdict.value,
             reason=str(exc),
             rest_s=rest_s,
+            fingerprint=self.fingerprint,
         ).warning("target failed")
 
     async def _pass_whole(self, opened: Opened) -> web.StreamResponse:
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -146,6 +146,7 @@
                 kind = admitted.route.kind.value
                 about |= {"route": admitted.route.name, "team": admitted.team_name}
                 run = RelayRun(self.parts, admitted, req, began, self._closing())
+                about["fingerprint"] = run.fingerprint
                 resp = await run.run()
             except BadCall as exc:
                 resp = self._refuse(request_id, bad_call(str(exc)), began, about)
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -19,6 +19,10 @@
         runs: Requests that it ran: method, path, headers, body.
         open: Requests that are being answered.
         leaving: Value of the header that says that it leaves, on all its answers.
+        poison: Body that ends the target when it begins to run it; ``None`` for none.
+        down_s: Time that it stays away then.
+        crashed_at: Times of the event loop at which it ended so.
+        on_start: Is called when it has started again, as a new incarnation.
     """
 
     def __init__(self, name="i-1", service="lm", events=3):
@@ -30,6 +34,12 @@
         self.open = 0
         self.left = 0
         self.leaving = None
+        self.poison = None
+        self.down_s = 0.5
+        self.crashed_at = []
+        self.on_start = lambda: None
+        self._writers = set()
+        self._restart = None
         self._server = None
         self.address = ""
 
@@ -40,8 +50,25 @@
         return self
 
     async def stop(self):
+        if self._restart is not None:
+            self._restart.cancel()
         self._server.close()
 
+    def crash(self):
+        """Ends all connections at once, and starts again after a while."""
+        loop = asyncio.get_running_loop()
+        self.crashed_at.append(loop.time())
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._restart = loop.create_task(self._start_again())
+
+    async def _start_again(self):
+        await asyncio.sleep(self.down_s)
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        self.on_start()
+
     def entry(self, **changes):
         fields = {
             "service": self.service,
@@ -52,17 +79,19 @@
             "state": "ready",
             "cold_remaining_ms": 0,
             "call_seq": 1,
-            "born": 1000,
+            "born": 1000 + len(self.crashed_at),
         }
         return {**fields, **changes}
 
     async def _serve(self, reader, writer):
+        self._writers.add(writer)
         try:
             while await self._one(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _one(self, reader, writer):
@@ -84,6 +113,9 @@
             seal = f"Magnoliaroad-Response-Seal: {SEAL}"
             self._plain(writer, 200, before, b"before", seal)
         self.runs.append((method, path, lower, body))
+        if body == self.poison:
+            self.crash()
+            return False
         self.open += 1
         try:
             return await self._run(act, reader, writer, request_id, path)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -7,7 +7,6 @@
 
 import aiohttp
 import pytest
-from loguru import logger
 
 from magnoliaroad.relay.app import SETTLED_S
 from tests.platform.deployment import KEY, Deployment, config
@@ -104,20 +103,6 @@
     assert status == 503
 
 
-@pytest.fixture
-def logged():
-    """Events logged with their fields."""
-    lines = []
-
-    def take(message):
-        record = message.record
-        lines.append({"event": record["message"], **record["extra"]})
-
-    number = logger.add(take, level="INFO")
-    yield lines
-    logger.remove(number)
-
-
 async def test_a_refusal_is_logged_with_what_decided_it(tmp_path, app_targets, logged):
     limited = [
         {"name": "league", "api_keys": [KEY], "rate_per_s": 0.5, "burst": 1},
