--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,6 +1,8 @@
 import asyncio
 import functools
 import inspect
+import re
+from pathlib import Path
 
 import pytest
 
@@ -23,6 +25,21 @@
     item.obj = within_limit
 
 
+def known_failures(text):
+    """Returns the ids of the tests that a list of known failures names."""
+    return set(re.findall(r"^  test: (\S+)$", text, re.MULTILINE))
+
+
+def pytest_collection_modifyitems(items):
+    # A test that passes although it is listed fails, so that its entry is taken out.
+    path = Path(__file__).parents[1] / "KNOWN-RED.txt"
+    listed = known_failures(path.read_text() if path.exists() else "")
+    for item in items:
+        if item.nodeid in listed:
+            mark = pytest.mark.xfail(reason="KNOWN-RED.txt", strict=True)
+            item.add_marker(mark)
+
+
 @pytest.fixture
 def loop():
     loop = asyncio.new_event_loop()
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -102,6 +102,15 @@
             await target.stop()
         await self.kv.stop()
 
+    async def restart_relays(self):
+        """Stops all relay hosts, then starts them again under the same names."""
+        for relay in self.relays:
+            await relay.stop()
+        self.relays = [self.application(number) for number in range(self.hosts)]
+        for relay in self.relays:
+            await relay.start()
+        await self.until(lambda: all(relay._ready() for relay in self.relays))
+
     def settings(self, name, **listen):
         return RelaySettings(
             name=name,
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -1,9 +1,18 @@
 """Requests that crash the targets which run them, seen from callers and targets."""
 
+import asyncio
+
+import pytest
+
 from tests.platform.deployment import Deployment
 from tests.platform.target_standin import TargetStandin
 
+# The platform's bounds: time within which what crashed a third target is known on all
+# hosts, and how often it may still reach a target after that.
+CONTACT_S = 3.0
+MOST_SENT_AFTER = 3
 POISON = b"poison"
+AGAIN_S = 0.3
 
 
 def crash_on_poison(deployment):
@@ -16,6 +25,52 @@
         )
 
 
+async def send_again(deployment, path, until):
+    """Sends one request again and again, to each host in turn, with a new id."""
+    loop = asyncio.get_running_loop()
+    sent = []
+    while loop.time() < until:
+        relay = len(sent) % len(deployment.relays)
+        sent.append(asyncio.create_task(deployment.call(path, "POST", POISON, relay)))
+        await asyncio.sleep(AGAIN_S)
+    return await asyncio.gather(*sent, return_exceptions=True)
+
+
+def crashes(deployment):
+    return sorted(at for target in deployment.targets for at in target.crashed_at)
+
+
+def sent_after_the_third(deployment):
+    times = crashes(deployment)
+    return [at for at in times if at > times[2] + CONTACT_S] if len(times) > 2 else []
+
+
+@pytest.mark.parametrize(("path", "service"), [("/stream/t", "lm"), ("/pay/x", "app")])
+async def test_a_request_that_crashes_each_target_is_kept_from_targets(
+    tmp_path, path, service
+):
+    targets = [TargetStandin(f"i-{n}", service) for n in range(4)]
+    async with Deployment(tmp_path, *targets, hosts=3) as deployment:
+        crash_on_poison(deployment)
+        loop = asyncio.get_running_loop()
+        await send_again(deployment, path, loop.time() + CONTACT_S + 4.0)
+        assert len(sent_after_the_third(deployment)) <= MOST_SENT_AFTER
+
+
+async def test_a_crashing_request_is_known_after_all_hosts_have_started_again(tmp_path):
+    targets = [TargetStandin(f"i-{n}", "lm") for n in range(4)]
+    async with Deployment(tmp_path, *targets, hosts=2) as deployment:
+        crash_on_poison(deployment)
+        loop = asyncio.get_running_loop()
+        await send_again(deployment, "/stream/t", loop.time() + 3.0)
+        await deployment.restart_relays()
+        began = loop.time()
+        await send_again(deployment, "/stream/t", began + CONTACT_S + 2.0)
+        in_contact = [at for at in crashes(deployment) if at > began + CONTACT_S]
+        assert len(in_contact) <= MOST_SENT_AFTER
+        assert len(sent_after_the_third(deployment)) <= MOST_SENT_AFTER
+
+
 async def test_the_logs_tie_the_tries_of_one_request_together(tmp_path, logged):
     targets = [TargetStandin(f"i-{n}", "app") for n in range(2)]
     async with Deployment(tmp_path, *targets, hosts=2) as deployment:
