Quarantine needs no owned groups: hosts that detect are passed in

The relay has no owned groups, so it could not use the quarantine. Who detects and who is told are arguments now; the list in the store is read by a part of its own. No change of behaviour: tests/quarantine, tests/entry and tests/cli pass with their checks as they were.

--- a/src/magnoliaroad/app.py
+++ b/src/magnoliaroad/app.py
@@ -15,13 +15,16 @@
 from magnoliaroad.once import OnceService
 from magnoliaroad.peers import PeerService
 from magnoliaroad.programs import ProgramService
-from magnoliaroad.quarantine import QuarantineService
+from magnoliaroad.quarantine import ListWatch, QuarantineService
 from magnoliaroad.routing import PlacementService
 from magnoliaroad.settings import HostSettings
 from magnoliaroad.store import Store
 from magnoliaroad.store.client import HttpStore
 from magnoliaroad.targets import TargetClient
 
+# Key whose group's owner looks for requests that crash targets.
+DETECTOR_KEY = "quarantine"
+
 
 class HostApplication(Service):
     """Builds the parts of a host, starts them in order and stops them.
@@ -75,7 +78,15 @@
         )
         self.once = OnceService(cfg.once, cfg.name, self.groups, self.peers)
         self.quarantine = QuarantineService(
-            cfg.quarantine, cfg.name, self.groups, self.peers, self.store
+            cfg.quarantine,
+            cfg.name,
+            self.peers,
+            self.store,
+            self._detectors,
+            lambda: [peer.host for peer in self.peers.addresses()],
+        )
+        self.quarantine_list = ListWatch(
+            self.store, cfg.quarantine.watch_s, self.quarantine.take
         )
         self.placement = PlacementService(
             cfg.routing,
@@ -102,6 +113,7 @@
             self.programs,
             self.once,
             self.quarantine,
+            self.quarantine_list,
             self.placement,
             self.entry,
         ):
@@ -124,6 +136,11 @@
         """Frees the store's connections after all parts have stopped."""
         await self.store.close()
 
+    def _detectors(self) -> list[str]:
+        """Returns the host that looks for requests that crash targets."""
+        owner = self.groups.owner_of(self.groups.group_of(DETECTOR_KEY))
+        return [] if owner is None else [owner.host]
+
     def _folder(self, name: str) -> pathlib.Path | None:
         folder = self.cfg.data_folder
         return None if folder is None else pathlib.Path(folder) / name
--- a/src/magnoliaroad/cli/quarantine_clear.py
+++ b/src/magnoliaroad/cli/quarantine_clear.py
@@ -6,7 +6,8 @@
 
 from magnoliaroad.cli.store_command import DONE, StoreCommand
 from magnoliaroad.quarantine import QuarantineSettings
-from magnoliaroad.quarantine.service import cleared, save_entries
+from magnoliaroad.quarantine.entry import cleared
+from magnoliaroad.quarantine.stored_list import save_entries
 from magnoliaroad.store import Store
 
 
--- a/src/magnoliaroad/cli/quarantine_list.py
+++ b/src/magnoliaroad/cli/quarantine_list.py
@@ -4,7 +4,7 @@
 
 from magnoliaroad.cli.store_command import DONE, StoreCommand
 from magnoliaroad.quarantine import Blocklist
-from magnoliaroad.quarantine.service import read_list
+from magnoliaroad.quarantine.stored_list import read_list
 from magnoliaroad.store import Store
 
 
--- a/src/magnoliaroad/quarantine/entry.py
+++ b/src/magnoliaroad/quarantine/entry.py
@@ -32,3 +32,8 @@
     decided_at: float
     until: float
     route: str = ""
+
+
+def cleared(fingerprint: str, now: float, block_s: float) -> QuarantineEntry:
+    """Returns the entry that ends the one on ``fingerprint``."""
+    return QuarantineEntry(fingerprint, QuarantineState.CLEARED, now, now + block_s)
--- a/src/magnoliaroad/quarantine/service.py
+++ b/src/magnoliaroad/quarantine/service.py
@@ -1,6 +1,5 @@
 """Reports crashes to the detector and refuses what it has blocked."""
 
-import asyncio
 import collections
 import time
 from collections.abc import Callable, Iterable
@@ -9,17 +8,16 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
-from magnoliaroad.groups import Groups
 from magnoliaroad.peers import Peers
 from magnoliaroad.quarantine import metrics
-from magnoliaroad.quarantine.blocklist import (
-    Blocklist,
-    pack_entries,
-    unpack_entries,
-)
+from magnoliaroad.quarantine.blocklist import Blocklist
 from magnoliaroad.quarantine.crash_watch import CrashWatch
 from magnoliaroad.quarantine.detector import PoisonDetector
-from magnoliaroad.quarantine.entry import QuarantineEntry, QuarantineState
+from magnoliaroad.quarantine.entry import (
+    QuarantineEntry,
+    QuarantineState,
+    cleared,
+)
 from magnoliaroad.quarantine.messages import (
     CrashReport,
     QuarantineOffer,
@@ -27,27 +25,26 @@
 )
 from magnoliaroad.quarantine.refusals import quarantined, waits_alone
 from magnoliaroad.quarantine.settings import QuarantineSettings
+from magnoliaroad.quarantine.stored_list import RETRY_S, save_entries
 from magnoliaroad.refusal import Refusal
 from magnoliaroad.rendezvous import rendezvous
-from magnoliaroad.store import PrefixFollower, Store, StoreConflict, StoreError
+from magnoliaroad.store import Store, StoreError
 
-LIST_KEY = "quarantine/list"
-DETECTOR_KEY = "quarantine"
 TICK_S = 0.25
 # Peers that a host passes a decision on to.
 FANOUT = 5
-RETRY_S = 1.0
 
 
 class QuarantineService(Service):
-    """Watches for crashes; one host at a time detects for all.
+    """Watches for crashes; few hosts at a time detect for all.
 
     Args:
         cfg: Settings of the quarantine.
         host: Name of this host.
-        groups: Chooses the host that detects.
         peers: Reaches other hosts.
         store: Keeps the decisions.
+        detectors: Returns the hosts that are told of crashes; this one if none.
+        hosts: Returns the other hosts that decisions are passed on to.
         clock: Returns the time in seconds since 1970.
     """
 
@@ -55,9 +52,10 @@
         self,
         cfg: QuarantineSettings,
         host: str,
-        groups: Groups,
         peers: Peers,
         store: Store,
+        detectors: Callable[[], list[str]],
+        hosts: Callable[[], list[str]],
         clock: Callable[[], float] = time.time,
     ) -> None:
         super().__init__()
@@ -66,8 +64,9 @@
         self.blocklist = Blocklist()
         self._watch_crashes = CrashWatch(cfg)
         self._detector = PoisonDetector(cfg)
-        self._groups = groups
         self._peers = peers
+        self._detectors = detectors
+        self._hosts = hosts
         self._store = store
         self._now = clock
         self._in_flight: collections.Counter[str] = collections.Counter()
@@ -120,7 +119,7 @@
     def _end_well(self, fingerprint: str, now: float) -> None:
         self._watch_crashes.ended_well(fingerprint, now)
         if self.blocklist.state_of(fingerprint, now) is QuarantineState.ALONE:
-            self._to_detector(SuspectCleared(fingerprint))
+            self._to_detectors(SuspectCleared(fingerprint))
 
     @Service.task
     async def _tick(self) -> None:
@@ -133,18 +132,6 @@
             self.blocklist.expire(now)
             metrics.BLOCKED.set({}, self._count_blocked(now))
 
-    @Service.task
-    async def _watch_list(self) -> None:
-        follower = PrefixFollower(self._store, LIST_KEY, self.cfg.watch_s)
-        while not self.should_stop:
-            try:
-                batch = await follower.next()
-            except StoreError:
-                await self.sleep(RETRY_S)
-                continue
-            for entry in batch.changed:
-                self._take(unpack_entries(entry.value))
-
     @Service.task
     async def _save(self) -> None:
         while not self.should_stop:
@@ -166,13 +153,14 @@
             route=report.route,
             fingerprints=list(report.fingerprints),
         ).warning("requests lost with their target")
-        self._to_detector(report)
+        self._to_detectors(report)
 
-    def _to_detector(self, message: CrashReport | SuspectCleared) -> None:
-        owner = self._groups.owner_of(self._groups.group_of(DETECTOR_KEY))
-        if owner is not None and owner.host != self.host:
-            self._peers.send(owner.host, message)
-        elif isinstance(message, CrashReport):
+    def _to_detectors(self, message: CrashReport | SuspectCleared) -> None:
+        detectors = self._detectors() or [self.host]
+        self._peers.send_all([h for h in detectors if h != self.host], message)
+        if self.host not in detectors:
+            return
+        if isinstance(message, CrashReport):
             self._detector.report(message, self._now())
         else:
             self._clear(message.fingerprint)
@@ -181,18 +169,17 @@
         if not entries:
             return
         self._unsaved += entries
-        self._pass_on(self._take(entries))
+        self._pass_on(self.take(entries))
 
     def _pass_on(self, news: list[QuarantineEntry]) -> None:
         """Sends what is new here to a few peers, which do the same."""
         if not news:
             return
-        names = [peer.host for peer in self._peers.addresses()]
         key = f"{self.host}/{news[0].fingerprint}/{news[0].decided_at}"
-        for host in rendezvous(key, names)[:FANOUT]:
+        for host in rendezvous(key, self._hosts())[:FANOUT]:
             self._peers.send(host, QuarantineOffer(tuple(news)))
 
-    def _take(self, entries: Iterable[QuarantineEntry]) -> list[QuarantineEntry]:
+    def take(self, entries: Iterable[QuarantineEntry]) -> list[QuarantineEntry]:
         """Takes in decisions; returns those that were news."""
         news = self.blocklist.merge(entries)
         for entry in news:
@@ -200,7 +187,7 @@
             if entry.state is QuarantineState.CLEARED:
                 self._detector.clear([entry.fingerprint], entry.decided_at)
             elif self._watch_crashes.is_well(entry.fingerprint):
-                self._to_detector(SuspectCleared(entry.fingerprint))
+                self._to_detectors(SuspectCleared(entry.fingerprint))
         return news
 
     def _clear(self, fingerprint: str) -> None:
@@ -226,39 +213,4 @@
         self._clear(message.fingerprint)
 
     async def _on_offer(self, sender: str, offer: QuarantineOffer) -> None:
-        self._pass_on(self._take(offer.entries))
-
-
-def cleared(fingerprint: str, now: float, block_s: float) -> QuarantineEntry:
-    """Returns the entry that ends the one on ``fingerprint``."""
-    return QuarantineEntry(fingerprint, QuarantineState.CLEARED, now, now + block_s)
-
-
-async def read_list(store: Store) -> tuple[Blocklist, int]:
-    """Returns the list in the store and its revision there."""
-    entry = await store.get(LIST_KEY)
-    if entry is None:
-        return Blocklist(), 0
-    return Blocklist(unpack_entries(entry.value)), entry.revision
-
-
-async def save_entries(
-    store: Store, entries: Iterable[QuarantineEntry], now: float
-) -> Blocklist:
-    """Merges ``entries`` into the store's list and returns the result.
-
-    Raises:
-        StoreError: The store did not take the change, or may have; saving the
-            same entries again does no harm.
-    """
-    entries = list(entries)
-    while True:
-        blocklist, revision = await read_list(store)
-        blocklist.merge(entries)
-        blocklist.expire(now)
-        try:
-            value = pack_entries(blocklist.all())
-            await store.put(LIST_KEY, value, expected=revision)
-            return blocklist
-        except StoreConflict:
-            await asyncio.sleep(0)
+        self._pass_on(self.take(offer.entries))
--- /dev/null
+++ b/src/magnoliaroad/quarantine/stored_list.py
@@ -0,0 +1,86 @@
+"""The decisions as the store keeps them."""
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from mode import Service
+
+from magnoliaroad.quarantine.blocklist import (
+    Blocklist,
+    pack_entries,
+    unpack_entries,
+)
+from magnoliaroad.quarantine.entry import QuarantineEntry
+from magnoliaroad.store import PrefixFollower, Store, StoreConflict, StoreError
+
+PREFIX = "quarantine/"
+LIST_KEY = PREFIX + "list"
+# Wait after a failed call, in seconds.
+RETRY_S = 1.0
+
+
+class ListWatch(Service):
+    """Watches the list and hands on what stands there.
+
+    Args:
+        store: The store.
+        watch_s: Longest time that one watch stays open, in seconds.
+        take: Takes the entries of each version of the list.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        watch_s: float,
+        take: Callable[[list[QuarantineEntry]], object],
+    ) -> None:
+        super().__init__()
+        self._store = store
+        self._watch_s = watch_s
+        self._take = take
+
+    @Service.task
+    async def _watch(self) -> None:
+        follower = PrefixFollower(self._store, LIST_KEY, self._watch_s)
+        while not self.should_stop:
+            try:
+                batch = await follower.next()
+            except StoreError:
+                await self.sleep(RETRY_S)
+                continue
+            for entry in batch.changed:
+                self._take(unpack_entries(entry.value))
+
+
+async def read_list(store: Store) -> tuple[Blocklist, int]:
+    """Returns the list in the store and its revision there.
+
+    Raises:
+        StoreError: The store did not answer.
+    """
+    entry = await store.get(LIST_KEY)
+    if entry is None:
+        return Blocklist(), 0
+    return Blocklist(unpack_entries(entry.value)), entry.revision
+
+
+async def save_entries(
+    store: Store, entries: Iterable[QuarantineEntry], now: float
+) -> Blocklist:
+    """Merges ``entries`` into the store's list and returns the result.
+
+    Raises:
+        StoreError: The store did not take the change, or may have; saving the
+            same entries again does no harm.
+    """
+    entries = list(entries)
+    while True:
+        blocklist, revision = await read_list(store)
+        blocklist.merge(entries)
+        blocklist.expire(now)
+        try:
+            value = pack_entries(blocklist.all())
+            await store.put(LIST_KEY, value, expected=revision)
+            return blocklist
+        except StoreConflict:
+            await asyncio.sleep(0)
--- a/tests/quarantine/test_poison.py
+++ b/tests/quarantine/test_poison.py
@@ -4,13 +4,13 @@
 from pytest_bdd import given, parsers, scenarios, then, when
 from returns.pipeline import is_successful
 
-from magnoliaroad.quarantine import QuarantineService, QuarantineSettings
-from magnoliaroad.quarantine.service import cleared, save_entries
+from magnoliaroad.quarantine import ListWatch, QuarantineService, QuarantineSettings
+from magnoliaroad.quarantine.entry import cleared
+from magnoliaroad.quarantine.stored_list import save_entries
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
 from tests.fakes import PeerNetwork, VirtualTimeLoop
-from tests.fakes.groups import FakeGroupTable
 
 HOSTS = ("a", "b", "c")
 REQUESTS = ("P", "A", "B", "C", "D")
@@ -24,21 +24,23 @@
         self.cfg = QuarantineSettings(block_s=60.0)
         self.loop = VirtualTimeLoop()
         self.network = PeerNetwork()
-        self.table = FakeGroupTable()
         self.store = LocalStore(KvState(), self.loop.time)
         self.hosts = {
             host: QuarantineService(
                 self.cfg,
                 host,
-                self.table.join(host),
                 self.network.join(host),
                 self.store,
+                lambda: [HOSTS[0]],
+                lambda host=host: [name for name in HOSTS if name != host],
                 self.loop.time,
             )
             for host in HOSTS
         }
         for host in self.hosts.values():
             self.run(host.start())
+            watch = ListWatch(self.store, self.cfg.watch_s, host.take)
+            self.run(host.add_runtime_dependency(watch))
 
     def run(self, work):
         return self.loop.run_until_complete(work)
