Quarantine: decide sooner, on late reports and after lost evidence

tests/quarantine/test_detector.py: of its cases those of late reports, lost evidence, incarnations and of two always lost together cannot hold on the code before, which has no such inputs.

--- a/src/magnoliaroad/quarantine/blocklist.py
+++ b/src/magnoliaroad/quarantine/blocklist.py
@@ -7,9 +7,15 @@
 
 from magnoliaroad.quarantine.entry import QuarantineEntry, QuarantineState
 
+# Time in which a decision that a request runs alone gives way to one that it is
+# refused, in seconds: a host with less evidence may decide a moment later.
+YIELD_S = 2.0
+# Entries that are kept at most, the newest; far below the store's 1 MB a value.
+MOST_ENTRIES = 2_000
+
 
 class Blocklist:
-    """Sentences by fingerprint; merging is idempotent and commutative."""
+    """Decisions by fingerprint; merging is idempotent and commutative."""
 
     def __init__(self, entries: Iterable[QuarantineEntry] = ()) -> None:
         self._entries: dict[str, QuarantineEntry] = {}
@@ -25,8 +31,8 @@
         return news
 
     def expire(self, now: float) -> None:
-        """Drops entries that have ended."""
-        kept = [s for s in self._entries.values() if s.until > now]
+        """Drops entries that have ended, and the oldest where there are too many."""
+        kept = [entry for entry in self.all() if entry.until > now][-MOST_ENTRIES:]
         self._entries = {entry.fingerprint: entry for entry in kept}
 
     def state_of(self, fingerprint: str, now: float) -> QuarantineState:
@@ -52,7 +58,8 @@
 
 
 def _order(entry: QuarantineEntry) -> tuple[float, str, float, str]:
-    return entry.decided_at, entry.state, entry.until, entry.route
+    yields_s = YIELD_S if entry.state is QuarantineState.ALONE else 0.0
+    return entry.decided_at - yields_s, entry.state, entry.until, entry.route
 
 
 def pack_entries(entries: Iterable[QuarantineEntry]) -> bytes:
--- a/src/magnoliaroad/quarantine/crash_watch.py
+++ b/src/magnoliaroad/quarantine/crash_watch.py
@@ -7,6 +7,8 @@
 
 
 class _Loss:
+    """Requests that were lost at one incarnation of a target."""
+
     def __init__(self, at: float, route: str) -> None:
         self.at = at
         self.route = route
@@ -18,7 +20,7 @@
 
     def __init__(self, cfg: QuarantineSettings) -> None:
         self.cfg = cfg
-        self._losses: dict[str, _Loss] = {}
+        self._losses: dict[tuple[str, int], _Loss] = {}
         self._well: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     def ended_well(self, fingerprint: str, now: float) -> None:
@@ -28,22 +30,25 @@
         if len(self._well) > self.cfg.remembered:
             self._well.popitem(last=False)
 
-    def lost(self, target: str, route: str, fingerprint: str, now: float) -> None:
+    def lost(
+        self, target: str, incarnation: int, route: str, fingerprint: str, now: float
+    ) -> None:
         """Takes note that a request was lost with its connection."""
-        loss = self._losses.setdefault(target, _Loss(now, route))
+        loss = self._losses.setdefault((target, incarnation), _Loss(now, route))
         loss.fingerprints.add(fingerprint)
 
-    def is_well(self, fingerprint: str) -> bool:
-        """Returns whether such a request has ended well on this host."""
-        return fingerprint in self._well
+    def is_well(self, fingerprint: str, now: float) -> bool:
+        """Returns whether such a request has ended well on this host lately."""
+        ended_at = self._well.get(fingerprint, float("-inf"))
+        return now - ended_at <= self.cfg.evidence_s
 
     def due(self, now: float) -> list[CrashReport]:
         """Returns the reports on crashes that are old enough to be whole."""
         ended = [t for t, s in self._losses.items() if now - s.at >= self.cfg.gather_s]
-        reports = [self._report(target) for target in ended]
+        reports = [self._report(*target, now) for target in ended]
         return [report for report in reports if report.fingerprints]
 
-    def _report(self, target: str) -> CrashReport:
-        loss = self._losses.pop(target)
-        suspects = sorted(f for f in loss.fingerprints if f not in self._well)
-        return CrashReport(target, loss.at, tuple(suspects), loss.route)
+    def _report(self, target: str, incarnation: int, now: float) -> CrashReport:
+        loss = self._losses.pop((target, incarnation))
+        suspects = sorted(f for f in loss.fingerprints if not self.is_well(f, now))
+        return CrashReport(target, loss.at, tuple(suspects), loss.route, incarnation)
--- a/src/magnoliaroad/quarantine/detector.py
+++ b/src/magnoliaroad/quarantine/detector.py
@@ -4,80 +4,146 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from magnoliaroad.quarantine.blocklist import Blocklist
 from magnoliaroad.quarantine.entry import QuarantineEntry, QuarantineState
 from magnoliaroad.quarantine.messages import CrashReport
 from magnoliaroad.quarantine.settings import QuarantineSettings
 
-CRASHES_TO_BLOCK = 2
+# Crashes in which a request was lost before it is under suspicion.
+CRASHES_TO_SUSPECT = 2
+# Crashes that are kept as evidence at most; the oldest go first.
+MOST_CRASHES = 1_000
 
 
 class Crash(NamedTuple):
-    """One crash of a target, put together from the hosts' reports."""
+    """One crash of a target, put together from the hosts' reports.
+
+    Attributes:
+        target: Name of the target.
+        incarnation: Its incarnation; 0 if unknown.
+        at: When the first report came, in seconds.
+        route: Route on which the requests were lost.
+        suspects: Fingerprints of what was lost.
+        due_at: When it is decided on, in seconds; ``None`` if it was.
+    """
 
     target: str
+    incarnation: int
     at: float
     route: str
     suspects: frozenset[str]
+    due_at: float | None
 
 
 class PoisonDetector:
-    """Looks for the request that was lost in each of two crashes.
+    """Looks for the request that was lost in several crashes.
 
-    Where several were lost in both, each is to run alone until one of them
-    crashes a target without the others.
+    Where several were lost in the same crashes, each is to run alone until one of
+    them crashes a target without the others.
     """
 
     def __init__(self, cfg: QuarantineSettings) -> None:
         self.cfg = cfg
-        self._gathering: list[tuple[float, Crash]] = []
-        self._settled: list[Crash] = []
+        self._crashes: list[Crash] = []
         self._cleared_at: dict[str, float] = {}
 
     def report(self, report: CrashReport, now: float) -> None:
         """Takes in what a host lost; reports of one crash are merged."""
         suspects = frozenset(report.fingerprints)
-        span_s = self.cfg.gather_s + self.cfg.settle_s
-        for index, (arrived, crash) in enumerate(self._gathering):
-            if crash.target == report.target and abs(crash.at - report.at) <= span_s:
-                merged = crash._replace(suspects=crash.suspects | suspects)
-                self._gathering[index] = (arrived, merged)
-                return
-        crash = Crash(report.target, report.at, report.route, suspects)
-        self._gathering.append((now, crash))
+        due_at = now + self.cfg.settle_s
+        for index, crash in enumerate(self._crashes):
+            if not self._is_of(report, crash, now):
+                continue
+            if suspects - crash.suspects:
+                known = crash.due_at
+                self._crashes[index] = crash._replace(
+                    suspects=crash.suspects | suspects,
+                    due_at=due_at if known is None else known,
+                )
+            return
+        self._crashes.append(
+            Crash(
+                report.target, report.incarnation, now, report.route, suspects, due_at
+            )
+        )
+        del self._crashes[:-MOST_CRASHES]
 
     def clear(self, fingerprints: Iterable[str], now: float) -> None:
         """Drops what was held against ``fingerprints`` until ``now``."""
         for fingerprint in fingerprints:
             self._cleared_at[fingerprint] = now
 
-    def due(self, now: float) -> list[QuarantineEntry]:
-        """Returns the entries that crashes reported long enough ago lead to."""
-        self._forget(now)
-        ready = [c for at, c in self._gathering if now - at >= self.cfg.settle_s]
-        self._gathering = [
-            (at, c) for at, c in self._gathering if now - at < self.cfg.settle_s
-        ]
-        return [entry for crash in ready for entry in self._decide(crash, now)]
+    def due(self, now: float, known: Blocklist) -> list[QuarantineEntry]:
+        """Returns the entries that crashes reported long enough ago lead to.
 
-    def _decide(self, crash: Crash, now: float) -> list[QuarantineEntry]:
-        self._settled.append(crash)
-        counts = self._counts()
-        repeated = [f for f in sorted(crash.suspects) if counts[f] >= CRASHES_TO_BLOCK]
-        state = QuarantineState.BLOCKED if len(repeated) == 1 else QuarantineState.ALONE
-        if state is QuarantineState.BLOCKED:
-            self._clear_company_of(repeated[0], now)
+        Args:
+            now: Time in seconds.
+            known: Decisions in force, which need not be made again.
+        """
+        self._forget(now)
+        entries = []
+        for index, crash in enumerate(self._crashes):
+            if crash.due_at is not None and crash.due_at <= now:
+                self._crashes[index] = crash._replace(due_at=None)
+                entries += self._decide(crash, now, known)
+        return entries
+
+    def _is_of(self, report: CrashReport, crash: Crash, now: float) -> bool:
+        if crash.target != report.target or crash.incarnation != report.incarnation:
+            return False
+        span_s = self.cfg.gather_s + self.cfg.settle_s
+        return crash.incarnation != 0 or now - crash.at <= span_s
+
+    def _decide(
+        self, crash: Crash, now: float, known: Blocklist
+    ) -> list[QuarantineEntry]:
+        counts = {
+            fingerprint: count
+            for fingerprint, count in self._count(crash, now, known).items()
+            if known.state_of(fingerprint, now) is not QuarantineState.BLOCKED
+        }
+        least = self.cfg.crashes_to_block
+        enough = {f for f, count in counts.items() if count >= least}
+        blocked = enough if len(enough) == 1 else set()
+        blocked = blocked | {f for f, count in counts.items() if count > least}
+        for fingerprint in blocked:
+            self._clear_company_of(fingerprint, now)
+        suspects = sorted(f for f, n in counts.items() if n >= CRASHES_TO_SUSPECT)
         until = now + self.cfg.block_s
-        return [QuarantineEntry(f, state, now, until, crash.route) for f in repeated]
+        entries = []
+        for fingerprint in suspects:
+            state = QuarantineState.ALONE
+            if fingerprint in blocked:
+                state = QuarantineState.BLOCKED
+            if known.state_of(fingerprint, now) is not state:
+                entry = QuarantineEntry(fingerprint, state, now, until, crash.route)
+                entries.append(entry)
+        return entries
+
+    def _count(self, crash: Crash, now: float, known: Blocklist) -> dict[str, int]:
+        """Returns the crashes in which each of those lost in ``crash`` was lost.
+
+        One that was under suspicion before was lost in earlier crashes, also where
+        the evidence went with the host that had it.
+        """
+        counts = self._counts()
+        for fingerprint in crash.suspects & counts.keys():
+            entry = known.get(fingerprint)
+            suspected = known.state_of(fingerprint, now) is QuarantineState.ALONE
+            if suspected and entry.decided_at < crash.at:
+                least = CRASHES_TO_SUSPECT + 1
+                counts[fingerprint] = max(counts[fingerprint], least)
+        return {f: counts[f] for f in crash.suspects if f in counts}
 
     def _clear_company_of(self, cause: str, now: float) -> None:
-        crashes = [crash for crash in self._settled if cause in crash.suspects]
+        crashes = [crash for crash in self._crashes if cause in crash.suspects]
         company = {f for crash in crashes for f in crash.suspects} - {cause}
         self.clear(company, now)
 
     def _counts(self) -> collections.Counter[str]:
         held = [
             fingerprint
-            for crash in self._settled
+            for crash in self._crashes
             for fingerprint in crash.suspects
             if crash.at > self._cleared_at.get(fingerprint, float("-inf"))
         ]
@@ -85,5 +151,5 @@
 
     def _forget(self, now: float) -> None:
         before = now - self.cfg.evidence_s
-        self._settled = [crash for crash in self._settled if crash.at >= before]
+        self._crashes = [crash for crash in self._crashes if crash.at >= before]
         self._cleared_at = {f: at for f, at in self._cleared_at.items() if at >= before}
--- a/src/magnoliaroad/quarantine/messages.py
+++ b/src/magnoliaroad/quarantine/messages.py
@@ -14,12 +14,15 @@
         fingerprints: Their fingerprints, none of which has ended well on the
             host before.
         route: Route of the target.
+        incarnation: Start of the target in milliseconds since 1970, which tells two
+            crashes of one target apart; 0 if unknown.
     """
 
     target: str
     at: float
     fingerprints: tuple[str, ...]
     route: str = ""
+    incarnation: int = 0
 
 
 class SuspectCleared(NamedTuple):
--- a/src/magnoliaroad/quarantine/service.py
+++ b/src/magnoliaroad/quarantine/service.py
@@ -95,7 +95,12 @@
         self._in_flight[fingerprint] += 1
 
     def ended(
-        self, target: str, fingerprint: str, crashed: bool | None, route: str = ""
+        self,
+        target: str,
+        fingerprint: str,
+        crashed: bool | None,
+        route: str = "",
+        incarnation: int = 0,
     ) -> None:
         """Takes note of how a request ended.
 
@@ -106,13 +111,14 @@
                 ``None`` where that says nothing about the request, as when it
                 was not sent or its caller left.
             route: Route of the request.
+            incarnation: Start of the target in milliseconds since 1970; 0 if unknown.
         """
         now = self._now()
         self._in_flight[fingerprint] -= 1
         if not self._in_flight[fingerprint]:
             del self._in_flight[fingerprint]
         if crashed:
-            self._watch_crashes.lost(target, route, fingerprint, now)
+            self._watch_crashes.lost(target, incarnation, route, fingerprint, now)
         elif crashed is not None:
             self._end_well(fingerprint, now)
 
@@ -128,7 +134,7 @@
             now = self._now()
             for report in self._watch_crashes.due(now):
                 self._report(report)
-            self._announce(self._detector.due(now))
+            self._announce(self._detector.due(now, self.blocklist))
             self.blocklist.expire(now)
             metrics.BLOCKED.set({}, self._count_blocked(now))
 
@@ -186,7 +192,7 @@
             logger.bind(**entry._asdict()).warning("quarantine decided")
             if entry.state is QuarantineState.CLEARED:
                 self._detector.clear([entry.fingerprint], entry.decided_at)
-            elif self._watch_crashes.is_well(entry.fingerprint):
+            elif self._watch_crashes.is_well(entry.fingerprint, self._now()):
                 self._to_detectors(SuspectCleared(entry.fingerprint))
         return news
 
--- /dev/null
+++ b/tests/quarantine/test_detector.py
@@ -0,0 +1,144 @@
+"""The pure half of finding requests that crash targets."""
+
+import pytest
+
+from magnoliaroad.quarantine import (
+    Blocklist,
+    CrashReport,
+    CrashWatch,
+    PoisonDetector,
+    QuarantineEntry,
+    QuarantineSettings,
+    QuarantineState,
+)
+
+CFG = QuarantineSettings(crashes_to_block=3)
+ALONE, BLOCKED = QuarantineState.ALONE, QuarantineState.BLOCKED
+SETTLED_S = CFG.settle_s + 0.01
+
+
+class Detecting:
+    """A detector with the decisions that it has made."""
+
+    def __init__(self, cfg=CFG, known=()):
+        self.detector = PoisonDetector(cfg)
+        self.known = Blocklist(known)
+        self.now = 100.0
+
+    def crash(self, target, fingerprints, born=1):
+        report = CrashReport(target, self.now, tuple(fingerprints), "chat", born)
+        self.detector.report(report, self.now)
+
+    def decide(self, wait_s=SETTLED_S):
+        self.now += wait_s
+        entries = self.detector.due(self.now, self.known)
+        self.known.merge(entries)
+        return {entry.fingerprint: entry.state for entry in entries}
+
+    def states(self):
+        return {entry.fingerprint: entry.state for entry in self.known.all()}
+
+
+def test_the_second_crash_makes_suspect_and_the_third_blocks():
+    fleet = Detecting()
+    fleet.crash("t1", "P")
+    assert fleet.decide() == {}
+    fleet.crash("t2", "P")
+    assert fleet.decide() == {"P": ALONE}
+    fleet.crash("t3", "P")
+    assert fleet.decide() == {"P": BLOCKED}
+
+
+def test_requests_lost_beside_it_are_not_blocked():
+    fleet = Detecting()
+    for target, lost in (("t1", "PAB"), ("t2", "PBC"), ("t3", "PAD")):
+        fleet.crash(target, lost)
+        fleet.decide()
+    assert fleet.states()["P"] is BLOCKED
+    blocked = [f for f, state in fleet.states().items() if state is BLOCKED]
+    assert blocked == ["P"]
+
+
+def test_of_two_that_are_always_lost_together_both_are_blocked_in_the_end():
+    fleet = Detecting()
+    for number in range(4):
+        assert BLOCKED not in fleet.states().values()
+        fleet.crash(f"t{number}", "PA")
+        fleet.decide()
+    assert fleet.states() == {"P": BLOCKED, "A": BLOCKED}
+
+
+def test_suspicion_counts_where_the_evidence_went_with_its_host():
+    earlier = QuarantineEntry("P", ALONE, 90.0, 1000.0)
+    fleet = Detecting(known=[earlier])
+    fleet.crash("t3", "PA")
+    assert fleet.decide() == {"P": BLOCKED}
+
+
+def test_two_reports_of_one_crash_count_once_however_late():
+    fleet = Detecting()
+    fleet.crash("t1", "P")
+    fleet.decide()
+    fleet.now += 30.0
+    fleet.crash("t1", "PA")
+    assert fleet.decide() == {}
+    fleet.crash("t1", "P", born=2)
+    assert fleet.decide() == {"P": ALONE}
+
+
+def test_a_late_report_of_a_crash_counts_for_what_only_it_names():
+    fleet = Detecting()
+    fleet.crash("t1", "P")
+    fleet.crash("t2", "A")
+    fleet.decide()
+    fleet.crash("t2", "P")
+    assert fleet.decide() == {"P": ALONE}
+
+
+def test_without_incarnations_a_later_crash_of_a_target_is_another():
+    fleet = Detecting()
+    fleet.crash("t1", "P", born=0)
+    fleet.crash("t1", "P", born=0)
+    assert fleet.decide() == {}
+    fleet.now += 5.0
+    fleet.crash("t1", "P", born=0)
+    assert fleet.decide() == {"P": ALONE}
+
+
+def test_old_crashes_do_not_count():
+    fleet = Detecting()
+    fleet.crash("t1", "P")
+    fleet.decide()
+    fleet.now += CFG.evidence_s
+    fleet.crash("t2", "P")
+    assert fleet.decide() == {}
+
+
+@pytest.mark.parametrize("order", [1, -1])
+def test_a_decision_of_less_evidence_a_moment_later_does_not_unblock(order):
+    blocked = QuarantineEntry("P", BLOCKED, 100.0, 1000.0)
+    alone = QuarantineEntry("P", ALONE, 101.0, 1000.0)
+    blocklist = Blocklist([blocked, alone][::order])
+    assert blocklist.state_of("P", 102.0) is BLOCKED
+
+
+def test_losses_at_two_incarnations_of_a_target_are_two_crashes():
+    watch = CrashWatch(CFG)
+    watch.lost("t1", 1, "chat", "P", 100.0)
+    watch.lost("t1", 2, "chat", "P", 100.1)
+    watch.lost("t1", 2, "chat", "A", 100.1)
+    reports = watch.due(101.0)
+    assert [(r.incarnation, r.fingerprints) for r in reports] == [
+        (1, ("P",)),
+        (2, ("A", "P")),
+    ]
+
+
+def test_what_ended_well_long_ago_may_be_the_cause_now():
+    watch = CrashWatch(CFG)
+    watch.ended_well("P", 100.0)
+    watch.lost("t1", 1, "chat", "P", 101.0)
+    assert watch.due(102.0) == []
+    later = 101.0 + CFG.evidence_s
+    watch.lost("t1", 1, "chat", "P", later)
+    assert [report.fingerprints for report in watch.due(later + 1.0)] == [("P",)]
