Say of an idempotent request only then that it has not run

Callers saw 503 'the targets did not take the request' for a look-up that a target may have run: after a lost connection no other target was left, and the refusal of requests that were never taken was used. The answer is 502 now wherever a target may have run the request.

--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -12,7 +12,7 @@
 from returns.pipeline import is_successful
 
 from magnoliaroad.quarantine import exact_fingerprint
-from magnoliaroad.refusal import Refused
+from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import Admitted
 from magnoliaroad.relay.dialect import AnswerHead
 from magnoliaroad.relay.event_scanner import EventScanner
@@ -147,11 +147,16 @@
     def _refuse_quarantined(self) -> None:
         """Raises ``Refused`` for a request that may crash targets."""
         result = self.parts.quarantine.check(self.fingerprint)
-        if is_successful(result):
-            return
-        if self.sent:
-            raise Refused(TARGET_FAILED)
-        raise Refused(unavailable(result.failure()))
+        if not is_successful(result):
+            raise self._refused(unavailable(result.failure()))
+
+    def _refused(self, refusal: Refusal) -> Refused:
+        """Returns the end of a request that no further target gets.
+
+        Args:
+            refusal: What its caller is told if no target may have run it.
+        """
+        return Refused(TARGET_FAILED if self.sent else refusal)
 
     async def _prepare(self) -> None:
         call, team = self.call, self.admitted.team
@@ -259,7 +264,7 @@
                 if answer is not None:
                     answer.close()
                 self._end(target, crashed)
-        raise Refused(ALL_REFUSED)
+        raise self._refused(ALL_REFUSED)
 
     def _begin(self, target: RelayTarget) -> None:
         self.parts.table.begin(target.name)
@@ -292,7 +297,7 @@
             if target.name not in excluded
         ]
         if not usable:
-            raise Refused(NO_TARGET if not excluded else ALL_REFUSED)
+            raise self._refused(ALL_REFUSED if excluded else NO_TARGET)
         here = self.parts.cfg.data_centre
         if self.streams:
             target = by_session(table, usable, self._key, here)
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -73,6 +73,15 @@
     assert len(app_targets[1].runs) == 6
 
 
+async def test_an_idempotent_request_that_may_have_run_is_not_said_not_to(tmp_path):
+    target = TargetStandin("i-app", "app")
+    target.script = ["reset"]
+    async with Deployment(tmp_path, target) as deployment:
+        status, headers, _ = await deployment.call("/safe/x")
+    assert len(target.runs) == 1
+    assert status == 502
+
+
 @pytest.fixture
 def deaf_address():
     """An address whose host answers no attempt to connect."""
