Bound what a log line tells of a target's bytes that are no answer

The connection is closed at once (a head) or at the route's time limit (a body), the caller gets 502 or a cut answer, and the next request is served: all held in the new test for payments, look-ups and streams. What did not: the line 'target failed' quoted all bytes of a bad head and the request's headers, 71,138 characters. An error is told in 200 characters now, without the headers; the test failed before.

--- a/src/magnoliaroad/targets/answer.py
+++ b/src/magnoliaroad/targets/answer.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from magnoliaroad.targets.errors import AnswerCut
+from magnoliaroad.targets.errors import AnswerCut, describe_error
 
 
 class TargetAnswer:
@@ -39,7 +39,7 @@
                 if piece:
                     yield piece
         except (aiohttp.ClientError, TimeoutError) as exc:
-            raise AnswerCut(f"answer cut off: {exc!r}") from exc
+            raise AnswerCut(f"answer cut off: {describe_error(exc)}") from exc
 
     def close(self) -> None:
         """Gives the connection back if the answer is complete, else ends it."""
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -10,7 +10,7 @@
 
 from magnoliaroad.targets.answer import TargetAnswer
 from magnoliaroad.targets.connector import GuardedConnector
-from magnoliaroad.targets.errors import TargetError
+from magnoliaroad.targets.errors import TargetError, describe_error
 from magnoliaroad.targets.request import TargetRequest
 from magnoliaroad.targets.settings import TargetSettings
 from magnoliaroad.verdict import Verdict
@@ -126,8 +126,10 @@
                     trace_request_ctx=sending,
                 )
         except NOT_SENT as exc:
-            raise TargetError(f"{req.url}: {exc!r}", Verdict.NOT_RUN) from exc
+            raise TargetError(
+                f"{req.url}: {describe_error(exc)}", Verdict.NOT_RUN
+            ) from exc
         except (aiohttp.ClientError, TimeoutError) as exc:
             verdict = Verdict.MAY_HAVE_RUN if sending.begun else Verdict.NOT_RUN
-            raise TargetError(f"{req.url}: {exc!r}", verdict) from exc
+            raise TargetError(f"{req.url}: {describe_error(exc)}", verdict) from exc
         return TargetAnswer(resp, self.cfg.silence_timeout_s)
--- a/src/magnoliaroad/targets/errors.py
+++ b/src/magnoliaroad/targets/errors.py
@@ -1,7 +1,19 @@
 """Errors of requests to targets."""
 
+import aiohttp
+
 from magnoliaroad.verdict import Verdict
 
+# Most characters of what is told of an error: one about bytes that are no answer
+# quotes all of them.
+MOST_DETAIL = 200
+
+
+def describe_error(exc: BaseException) -> str:
+    """Returns what went wrong, without the request's headers."""
+    detail = exc.message if isinstance(exc, aiohttp.ClientResponseError) else str(exc)
+    return f"{type(exc).__name__}: {detail[:MOST_DETAIL]}"
+
 
 class TargetError(Exception):
     """A request to a target that got no whole answer.
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -12,8 +12,9 @@
     ``"unsealed"``, ``"error"`` (a 500 of its own), ``"reset"``, ``"silent"``,
     ``"cut"`` (breaks off within the body), ``"extra"`` (an answer too much),
     ``"again"`` (the answer before this one comes once more, first), ``"slow"``,
-    ``"slowly"`` (a stream with pauses) and ``"trickle"`` (one that sends a byte now
-    and then and no end). The last one stays in force.
+    ``"slowly"`` (a stream with pauses), ``"trickle"`` (one that sends a byte now and
+    then and no end), and ``"endless_noise"``, ``"endless_head"`` and ``"endless_body"``
+    (bytes until the caller closes). The last one stays in force.
 
     Attributes:
         runs: Requests that it ran: method, path, headers, body.
@@ -134,6 +135,8 @@
                 return False
             except TimeoutError:
                 pass
+        if act.startswith("endless"):
+            return await self._endless(act, writer, request_id)
         if act == "wrong_id":
             request_id = "another"
         if path.startswith("/stream/"):
@@ -157,6 +160,18 @@
             self._plain(writer, 200, request_id, b"extra", seal)
         return True
 
+    async def _endless(self, act, writer, request_id):
+        head = f"HTTP/1.1 200 OK\r\nMagnoliaroad-Request-Id: {request_id}\r\n"
+        if act == "endless_body":
+            head += f"Magnoliaroad-Response-Seal: {SEAL}\r\n\r\n"
+        if act != "endless_noise":
+            writer.write(head.encode())
+        piece = b"X-Note: " + b"y" * 990 + b"\r\n" if "head" in act else b"z" * 1000
+        while not writer.transport.is_closing():
+            writer.write(piece)
+            await writer.drain()
+        return False
+
     async def _stream(self, act, writer, request_id):
         lines = [
             "HTTP/1.1 200 OK",
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -7,6 +7,9 @@
 from tests.platform.deployment import Deployment, config
 from tests.platform.target_standin import TargetStandin
 
+# Longest log line about a request, in characters.
+MOST_LINE = 1000
+
 
 @pytest.mark.parametrize("path", ["/pay/x", "/safe/x", "/stream/x"])
 async def test_a_late_copy_on_a_connection_in_use_reaches_no_other_caller(
@@ -83,3 +86,28 @@
             status, _, _ = await deployment.call("/safe/x", Authorization="Bearer new")
             assert status == 200
         assert len(targets[0].runs) == runs
+
+
+@pytest.mark.parametrize("path", ["/pay/x", "/safe/x", "/stream/x"])
+@pytest.mark.parametrize("act", ["endless_noise", "endless_head", "endless_body"])
+async def test_bytes_without_end_are_no_answer_and_the_connection_is_closed(
+    tmp_path, path, act, logged
+):
+    """The route's time limit of 2 s ends a body; a head ends at its largest size."""
+    target = TargetStandin("i-1", "lm" if path.startswith("/stream") else "app")
+    target.script = [act, "ok"]
+    async with Deployment(tmp_path, target) as deployment:
+        await deployment.start_records()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        status, _, body = await deployment.call(path, "POST", b"m")
+        assert loop.time() - began < 2.4
+        if act == "endless_body":
+            assert (status, body) == (200, None)
+        else:
+            assert status == 502
+        for line in logged:
+            assert len(str(line)) < MOST_LINE
+        await deployment.until(lambda: not target.open)
+        await asyncio.sleep(1.0)
+        assert (await deployment.call(path, "POST", b"n"))[0] == 200
