Count a request as lost also where its target fell silent and is gone

A target that loses power, or to which the connection had gone silent before, resets nothing, and a request that ends such targets was sent on for ever. What was sent and not answered counts now, once the target's entry is gone, or is a new start's, without its having said that it leaves. How a request ended is a type (RequestEnd) instead of true, false and none.

test_it_is_kept_from_targets_that_fall_silent_when_they_run_it failed before.

--- a/src/magnoliaroad/entry/chat_run.py
+++ b/src/magnoliaroad/entry/chat_run.py
@@ -22,7 +22,13 @@
 from magnoliaroad.quarantine import fingerprint_of
 from magnoliaroad.routing import Job, Placement, Usage
 from magnoliaroad.routing.prefix import prefix_digests
-from magnoliaroad.targets import AnswerCut, TargetAnswer, TargetError, looks_crashed
+from magnoliaroad.targets import (
+    AnswerCut,
+    RequestEnd,
+    TargetAnswer,
+    TargetError,
+    end_of,
+)
 from magnoliaroad.verdict import Verdict
 
 OPEN_ANSWER_TOKENS = 1024
@@ -146,20 +152,18 @@
 
     async def _run_at(self, turn: Turn, placement: Placement) -> Completion:
         name = placement.target.name
-        usage, crashed = Usage(), None
+        usage, end = Usage(), RequestEnd.UNKNOWN
         self.parts.quarantine.started(name, self._fingerprint)
         try:
             completion = await self._ask(turn, placement)
-            usage, crashed = completion.usage, False
+            usage, end = completion.usage, RequestEnd.WELL
             return completion
         except TargetError as exc:
-            usage, crashed = Usage(failed=True), looks_crashed(exc) or None
+            usage, end = Usage(failed=True), end_of(exc)
             raise
         finally:
             self.parts.placement.release(placement, usage)
-            self.parts.quarantine.ended(
-                name, self._fingerprint, crashed, self.chat.model
-            )
+            self.parts.quarantine.ended(name, self._fingerprint, end, self.chat.model)
 
     async def _ask(self, turn: Turn, placement: Placement) -> Completion:
         self.progress.verdict = Verdict.MAY_HAVE_RUN
--- a/src/magnoliaroad/entry/plain_run.py
+++ b/src/magnoliaroad/entry/plain_run.py
@@ -18,7 +18,7 @@
 from magnoliaroad.once import Attempt, Conclusion, StoredAnswer
 from magnoliaroad.quarantine import fingerprint_of
 from magnoliaroad.routing import Placement, Usage
-from magnoliaroad.targets import TargetAnswer, TargetError, looks_crashed
+from magnoliaroad.targets import RequestEnd, TargetAnswer, TargetError, end_of
 from magnoliaroad.verdict import Verdict
 
 
@@ -150,12 +150,12 @@
 
     def _release(self, placement: Placement, failure: BaseException | None) -> None:
         failed = isinstance(failure, TargetError)
-        crashed = None if failure else False
-        if failed and looks_crashed(failure):
-            crashed = True
+        end = RequestEnd.UNKNOWN if failure else RequestEnd.WELL
+        if failed:
+            end = end_of(failure)
         self.parts.placement.release(placement, Usage(failed=failed))
         self.parts.quarantine.ended(
-            placement.target.name, self._fingerprint, crashed, self.call.route.name
+            placement.target.name, self._fingerprint, end, self.call.route.name
         )
 
     def _note_failure(self, placement: Placement, exc: TargetError) -> None:
--- a/src/magnoliaroad/quarantine/crash_watch.py
+++ b/src/magnoliaroad/quarantine/crash_watch.py
@@ -1,10 +1,36 @@
 """Finds crashes of targets in the requests that a host loses."""
 
 import collections
+from typing import NamedTuple
 
 from magnoliaroad.quarantine.messages import CrashReport
 from magnoliaroad.quarantine.settings import QuarantineSettings
 
+# Time for which a request that got no answer may still turn out to have been lost with
+# its target, in seconds: a platform drops the entry of a silent target within it.
+UNANSWERED_S = 10.0
+
+
+class TargetStart(NamedTuple):
+    """One start of a target.
+
+    Attributes:
+        target: Name of the target.
+        incarnation: Start in milliseconds since 1970; 0 if unknown.
+    """
+
+    target: str
+    incarnation: int
+
+
+class _Unanswered(NamedTuple):
+    """A request of which nothing was heard after it was sent."""
+
+    at: float
+    start: TargetStart
+    route: str
+    fingerprint: str
+
 
 class _Loss:
     """Requests that were lost at one incarnation of a target."""
@@ -20,7 +46,11 @@
 
     def __init__(self, cfg: QuarantineSettings) -> None:
         self.cfg = cfg
-        self._losses: dict[tuple[str, int], _Loss] = {}
+        self._losses: dict[TargetStart, _Loss] = {}
+        self._unanswered: collections.deque[_Unanswered] = collections.deque(
+            maxlen=cfg.remembered
+        )
+        self._ended_at: dict[TargetStart, float] = {}
         self._well: collections.OrderedDict[str, float] = collections.OrderedDict()
 
     def ended_well(self, fingerprint: str, now: float) -> None:
@@ -31,12 +61,31 @@
             self._well.popitem(last=False)
 
     def lost(
-        self, target: str, incarnation: int, route: str, fingerprint: str, now: float
+        self, start: TargetStart, route: str, fingerprint: str, now: float
     ) -> None:
         """Takes note that a request was lost with its connection."""
-        loss = self._losses.setdefault((target, incarnation), _Loss(now, route))
+        loss = self._losses.setdefault(start, _Loss(now, route))
         loss.fingerprints.add(fingerprint)
 
+    def unanswered(
+        self, start: TargetStart, route: str, fingerprint: str, now: float
+    ) -> None:
+        """Takes note that nothing was heard of a target; it may have crashed.
+
+        A target that loses power, or whose connection has gone silent, resets none.
+        """
+        if start in self._ended_at:
+            self.lost(start, route, fingerprint, now)
+        else:
+            self._unanswered.append(_Unanswered(now, start, route, fingerprint))
+
+    def target_ended(self, start: TargetStart, now: float) -> None:
+        """Takes note that a target is gone that did not say that it leaves."""
+        self._ended_at[start] = now
+        for request in self._unanswered:
+            if request.start == start and now - request.at <= UNANSWERED_S:
+                self.lost(start, request.route, request.fingerprint, now)
+
     def is_well(self, fingerprint: str, now: float) -> bool:
         """Returns whether such a request has ended well on this host lately."""
         ended_at = self._well.get(fingerprint, float("-inf"))
@@ -44,11 +93,20 @@
 
     def due(self, now: float) -> list[CrashReport]:
         """Returns the reports on crashes that are old enough to be whole."""
+        self._forget(now)
         ended = [t for t, s in self._losses.items() if now - s.at >= self.cfg.gather_s]
-        reports = [self._report(*target, now) for target in ended]
+        reports = [self._report(start, now) for start in ended]
         return [report for report in reports if report.fingerprints]
 
-    def _report(self, target: str, incarnation: int, now: float) -> CrashReport:
-        loss = self._losses.pop((target, incarnation))
+    def _report(self, start: TargetStart, now: float) -> CrashReport:
+        loss = self._losses.pop(start)
         suspects = sorted(f for f in loss.fingerprints if not self.is_well(f, now))
-        return CrashReport(target, loss.at, tuple(suspects), loss.route, incarnation)
+        return CrashReport(
+            start.target, loss.at, tuple(suspects), loss.route, start.incarnation
+        )
+
+    def _forget(self, now: float) -> None:
+        before = now - UNANSWERED_S
+        while self._unanswered and self._unanswered[0].at < before:
+            self._unanswered.popleft()
+        self._ended_at = {s: at for s, at in self._ended_at.items() if at >= before}
--- a/src/magnoliaroad/quarantine/service.py
+++ b/src/magnoliaroad/quarantine/service.py
@@ -11,7 +11,7 @@
 from magnoliaroad.peers import Peers
 from magnoliaroad.quarantine import metrics
 from magnoliaroad.quarantine.blocklist import Blocklist
-from magnoliaroad.quarantine.crash_watch import CrashWatch
+from magnoliaroad.quarantine.crash_watch import CrashWatch, TargetStart
 from magnoliaroad.quarantine.detector import PoisonDetector
 from magnoliaroad.quarantine.entry import (
     QuarantineEntry,
@@ -31,6 +31,7 @@
 from magnoliaroad.refusal import Refusal
 from magnoliaroad.rendezvous import rendezvous
 from magnoliaroad.store import Store, StoreError
+from magnoliaroad.targets import RequestEnd
 
 TICK_S = 0.25
 # Peers that a host passes a decision on to.
@@ -120,7 +121,7 @@
         self,
         target: str,
         fingerprint: str,
-        crashed: bool | None,
+        end: RequestEnd,
         route: str = "",
         incarnation: int = 0,
     ) -> None:
@@ -129,9 +130,7 @@
         Args:
             target: Name of the target.
             fingerprint: Fingerprint of the request.
-            crashed: Whether its connection was lost before the answer was whole;
-                ``None`` where that says nothing about the request, as when it
-                was not sent or its caller left.
+            end: What is known of its end.
             route: Route of the request.
             incarnation: Start of the target in milliseconds since 1970; 0 if unknown.
         """
@@ -139,11 +138,19 @@
         self._in_flight[fingerprint] -= 1
         if not self._in_flight[fingerprint]:
             del self._in_flight[fingerprint]
-        if crashed:
-            self._watch_crashes.lost(target, incarnation, route, fingerprint, now)
-        elif crashed is not None:
+        watch, start = self._watch_crashes, TargetStart(target, incarnation)
+        if end is RequestEnd.LOST:
+            watch.lost(start, route, fingerprint, now)
+        elif end is RequestEnd.UNANSWERED:
+            watch.unanswered(start, route, fingerprint, now)
+        elif end is RequestEnd.WELL:
             self._end_well(fingerprint, now)
 
+    def target_ended(self, target: str, incarnation: int) -> None:
+        """Takes note that a target is gone without having said that it leaves."""
+        start = TargetStart(target, incarnation)
+        self._watch_crashes.target_ended(start, self._now())
+
     def _end_well(self, fingerprint: str, now: float) -> None:
         self._watch_crashes.ended_well(fingerprint, now)
         if self.blocklist.state_of(fingerprint, now) is QuarantineState.ALONE:
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -28,6 +28,7 @@
 from magnoliaroad.relay.quota import QuotaBook
 from magnoliaroad.relay.server import RelayServer
 from magnoliaroad.relay.settings import RelaySettings
+from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.team_limiter import TeamLimiter
@@ -105,6 +106,7 @@
         self.announcer = Announcer(self.store, cfg.fleet, cfg.name, entry)
         self.plans.on_news = self.fleet.news
         self.quarantine.on_news = self.fleet.news
+        self.follower.on_end = self._note_target_end
         self.announcer.on_announced = self.fleet.relist
         self.contact.on_regained.append(self.announcer.look)
         self.claims = ClaimWriter(self.store, leases, cfg.turns)
@@ -183,6 +185,9 @@
         await self.store.close()
         logger.bind(host=self.cfg.name).info("host stopped")
 
+    def _note_target_end(self, target: RelayTarget) -> None:
+        self.quarantine.target_ended(target.name, target.started_ms)
+
     def _mirror(self, prefix: str, listener: MirrorListener) -> PrefixMirror:
         fleet, cfg = self.fleet, self.cfg.follow
         return PrefixMirror(
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -35,13 +35,14 @@
 from magnoliaroad.relay.team_limiter import TeamDecision
 from magnoliaroad.relay.turn import LoadedTurn
 from magnoliaroad.targets import (
+    RequestEnd,
     TargetAnswer,
     TargetError,
     TargetFull,
     TargetRequest,
     WrongTarget,
+    end_of,
 )
-from magnoliaroad.targets.crash import looks_crashed
 from magnoliaroad.verdict import Verdict
 
 # Targets that refuse or cannot be reached do not count as attempts; a request
@@ -241,7 +242,7 @@
             self._refuse_quarantined()
             target = self._place(excluded)
             self._begin(target)
-            answer, crashed = None, None
+            answer, end = None, None
             try:
                 opened = await self._try(target, attempts)
                 answer = opened.answer
@@ -249,10 +250,10 @@
                     {"kind": self.route.kind.value}, time.monotonic() - self.began
                 )
                 yield opened
-                crashed = False
+                end = RequestEnd.WELL
                 return
             except TargetError as exc:
-                crashed = looks_crashed(exc) or None
+                end = end_of(exc)
                 excluded.add(target.name)
                 attempts += exc.verdict is not Verdict.NOT_RUN
                 self._note_failure(target, exc)
@@ -263,25 +264,27 @@
             finally:
                 if answer is not None:
                     answer.close()
-                self._end(target, crashed)
+                self._end(target, end)
         raise self._refused(ALL_REFUSED)
 
     def _begin(self, target: RelayTarget) -> None:
         self.parts.table.begin(target.name)
         self.parts.quarantine.started(target.name, self.fingerprint)
 
-    def _end(self, target: RelayTarget, crashed: bool | None) -> None:
+    def _end(self, target: RelayTarget, end: RequestEnd | None) -> None:
         """Takes note that a request has ended at a target.
 
         Args:
             target: The target.
-            crashed: Whether it seems to have crashed; ``None`` where nothing is known.
+            end: How it ended; ``None`` if its caller left or its time was over.
         """
+        if end is None:
+            end = RequestEnd.UNANSWERED if self.sent else RequestEnd.UNKNOWN
         self.parts.table.end(target.name)
         self.parts.quarantine.ended(
             target.name,
             self.fingerprint,
-            crashed,
+            end,
             self.route.name,
             target.started_ms,
         )
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -8,6 +8,7 @@
 from magnoliaroad.relay.beat import TargetsTold
 from magnoliaroad.relay.directory import BadEntry, Directory
 from magnoliaroad.relay.mirror import MirrorListener
+from magnoliaroad.relay.target import RelayTarget, TargetState
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.store import StoreEntry, WatchBatch
 
@@ -21,6 +22,8 @@
     Attributes:
         known: Whether the list was read at least once.
         revision: Revision of the newest change that was applied.
+        on_end: Is called with a target that is gone, or has started again, without
+            having said that it leaves.
     """
 
     def __init__(
@@ -31,6 +34,7 @@
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.known = False
+        self.on_end: Callable[[RelayTarget], None] = lambda target: None
         self.revision = 0
         self._entries: dict[str, StoreEntry] = {}
         self._directory = directory
@@ -128,6 +132,8 @@
             self._drop(name, "its entry cannot be read")
             return
         before = self._table.targets.get(name)
+        if before is not None and before.started_ms != target.started_ms:
+            self._note_end(before)
         if before != target:
             self._table.set(target)
             logger.bind(
@@ -148,8 +154,14 @@
 
     def _drop(self, name: str, reason: str) -> None:
         if name in self._table.targets:
+            self._note_end(self._table.targets[name])
             self._table.drop(name)
             logger.bind(target=name, reason=reason).info("target gone")
 
+    def _note_end(self, target: RelayTarget) -> None:
+        leaves = target in self._table.leaving
+        if target.state is TargetState.READY and not leaves:
+            self.on_end(target)
+
     def _name(self, key: str) -> str:
         return key.removeprefix(self._directory.target_prefix)
--- a/src/magnoliaroad/targets/__init__.py
+++ b/src/magnoliaroad/targets/__init__.py
@@ -2,7 +2,6 @@
 
 from magnoliaroad.targets.answer import TargetAnswer
 from magnoliaroad.targets.client import TargetClient
-from magnoliaroad.targets.crash import looks_crashed
 from magnoliaroad.targets.errors import (
     AnswerCut,
     TargetError,
@@ -10,6 +9,7 @@
     WrongTarget,
 )
 from magnoliaroad.targets.request import TargetRequest
+from magnoliaroad.targets.request_end import RequestEnd, end_of
 
 __all__ = [
     "AnswerCut",
@@ -19,5 +19,6 @@
     "TargetFull",
     "TargetRequest",
     "WrongTarget",
-    "looks_crashed",
+    "RequestEnd",
+    "end_of",
 ]
--- a/tests/platform/kv_standin.py
+++ b/tests/platform/kv_standin.py
@@ -150,6 +150,10 @@
     def write(self, key, document):
         self.state.put(key, json.dumps(document).encode())
 
+    def delete(self, key):
+        """Takes an entry away, as when its lease has ended."""
+        self.state.delete(key, None)
+
 
 def item(entry):
     return {
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -23,6 +23,8 @@
         poison: Body that ends the target when it begins to run it; ``None`` for none.
         down_s: Time that it stays away then.
         crashed_at: Times of the event loop at which it ended so.
+        falls_silent: Whether its connections stay open then, without another byte.
+        on_crash: Is called when it ends so.
         on_start: Is called when it has started again, as a new incarnation.
     """
 
@@ -38,6 +40,8 @@
         self.poison = None
         self.down_s = 0.5
         self.crashed_at = []
+        self.falls_silent = False
+        self.on_crash = lambda: None
         self.on_start = lambda: None
         self._writers = set()
         self._restart = None
@@ -60,8 +64,9 @@
         loop = asyncio.get_running_loop()
         self.crashed_at.append(loop.time())
         self._server.close()
-        for writer in self._writers:
+        for writer in () if self.falls_silent else self._writers:
             writer.transport.abort()
+        self.on_crash()
         self._restart = loop.create_task(self._start_again())
 
     async def _start_again(self):
@@ -116,6 +121,8 @@
         self.runs.append((method, path, lower, body))
         if body == self.poison:
             self.crash()
+            while self.falls_silent and await reader.read(1):
+                pass
             return False
         self.open += 1
         try:
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -1,6 +1,7 @@
 """Requests that crash the targets which run them, seen from callers and targets."""
 
 import asyncio
+import functools
 import time
 
 import pytest
@@ -29,13 +30,14 @@
         )
 
 
-async def send_again(deployment, path, until):
+async def send_again(deployment, path, until, **headers):
     """Sends one request again and again, to each host in turn, with a new id."""
     loop = asyncio.get_running_loop()
     sent = []
     while loop.time() < until:
         relay = len(sent) % len(deployment.relays)
-        sent.append(asyncio.create_task(deployment.call(path, "POST", POISON, relay)))
+        call = deployment.call(path, "POST", POISON, relay, **headers)
+        sent.append(asyncio.create_task(call))
         await asyncio.sleep(AGAIN_S)
     return await asyncio.gather(*sent, return_exceptions=True)
 
@@ -78,6 +80,23 @@
         assert len(sent_after_the_third(deployment)) <= MOST_SENT_AFTER
 
 
+async def test_it_is_kept_from_targets_that_fall_silent_when_they_run_it(tmp_path):
+    """Their connections stay open; only their entries tell that they have ended."""
+    targets = [TargetStandin(f"i-{n}", "app") for n in range(4)]
+    async with Deployment(tmp_path, *targets, hosts=3) as deployment:
+        crash_on_poison(deployment)
+        for target in targets:
+            target.falls_silent = True
+            target.on_crash = functools.partial(
+                deployment.kv.delete, f"servers/{target.name}"
+            )
+        loop = asyncio.get_running_loop()
+        headers = {"Magnoliaroad_Deadline_Ms": "300"}
+        until = loop.time() + CONTACT_S + 4.0
+        await send_again(deployment, "/pay/x", until, **headers)
+        assert len(sent_after_the_third(deployment)) <= MOST_SENT_AFTER
+
+
 async def send_until_refused(deployment, path):
     for _ in range(20):
         status, headers, _ = await deployment.call(path, "POST", POISON)
--- a/tests/quarantine/test_detector.py
+++ b/tests/quarantine/test_detector.py
@@ -11,6 +11,7 @@
     QuarantineSettings,
     QuarantineState,
 )
+from magnoliaroad.quarantine.crash_watch import UNANSWERED_S, TargetStart
 
 CFG = QuarantineSettings(crashes_to_block=3)
 ALONE, BLOCKED = QuarantineState.ALONE, QuarantineState.BLOCKED
@@ -124,9 +125,9 @@
 
 def test_losses_at_two_incarnations_of_a_target_are_two_crashes():
     watch = CrashWatch(CFG)
-    watch.lost("t1", 1, "chat", "P", 100.0)
-    watch.lost("t1", 2, "chat", "P", 100.1)
-    watch.lost("t1", 2, "chat", "A", 100.1)
+    watch.lost(TargetStart("t1", 1), "chat", "P", 100.0)
+    watch.lost(TargetStart("t1", 2), "chat", "P", 100.1)
+    watch.lost(TargetStart("t1", 2), "chat", "A", 100.1)
     reports = watch.due(101.0)
     assert [(r.incarnation, r.fingerprints) for r in reports] == [
         (1, ("P",)),
@@ -137,8 +138,31 @@
 def test_what_ended_well_long_ago_may_be_the_cause_now():
     watch = CrashWatch(CFG)
     watch.ended_well("P", 100.0)
-    watch.lost("t1", 1, "chat", "P", 101.0)
+    watch.lost(TargetStart("t1", 1), "chat", "P", 101.0)
     assert watch.due(102.0) == []
     later = 101.0 + CFG.evidence_s
-    watch.lost("t1", 1, "chat", "P", later)
+    watch.lost(TargetStart("t1", 1), "chat", "P", later)
     assert [report.fingerprints for report in watch.due(later + 1.0)] == [("P",)]
+
+
+T1 = TargetStart("t1", 1)
+
+
+@pytest.mark.parametrize("order", ["request first", "target first"])
+def test_what_was_unanswered_when_its_target_ended_was_lost_with_it(order):
+    watch = CrashWatch(CFG)
+    if order == "target first":
+        watch.target_ended(T1, 100.0)
+    watch.unanswered(T1, "chat", "P", 101.0)
+    watch.unanswered(TargetStart("t2", 1), "chat", "A", 101.0)
+    if order == "request first":
+        watch.target_ended(T1, 104.0)
+    assert [(r.target, r.fingerprints) for r in watch.due(105.0)] == [("t1", ("P",))]
+    assert watch.due(106.0) == []
+
+
+def test_what_was_unanswered_long_before_has_another_cause():
+    watch = CrashWatch(CFG)
+    watch.unanswered(T1, "chat", "P", 100.0)
+    watch.target_ended(T1, 100.5 + UNANSWERED_S)
+    assert watch.due(101.0 + UNANSWERED_S) == []
--- a/tests/quarantine/test_poison.py
+++ b/tests/quarantine/test_poison.py
@@ -10,6 +10,7 @@
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
+from magnoliaroad.targets import RequestEnd
 from tests.fakes import PeerNetwork, VirtualTimeLoop
 
 HOSTS = ("a", "b", "c")
@@ -52,7 +53,7 @@
         for request in requests.split():
             self.hosts[host].started(target, request)
         for request in requests.split():
-            self.hosts[host].ended(target, request, crashed=True)
+            self.hosts[host].ended(target, request, RequestEnd.LOST)
 
     def end_well(self, host: str, requests: str) -> None:
         self.run(self._end_well(host, requests))
@@ -60,7 +61,7 @@
     async def _end_well(self, host: str, requests: str) -> None:
         for request in requests.split():
             self.hosts[host].started("t3", request)
-            self.hosts[host].ended("t3", request, crashed=False)
+            self.hosts[host].ended("t3", request, RequestEnd.WELL)
 
     def blocked(self, host: str) -> set[str]:
         checks = {r: self.hosts[host].check(r) for r in REQUESTS}
@@ -143,5 +144,5 @@
     assert is_successful(host.check(one))
     host.started("t1", one)
     assert host.check(other).failure().code == "suspect_waits"
-    host.ended("t1", one, crashed=None)
+    host.ended("t1", one, RequestEnd.UNKNOWN)
     assert is_successful(host.check(other))
--- a/tests/relay/test_quarantine.py
+++ b/tests/relay/test_quarantine.py
@@ -21,6 +21,7 @@
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
+from magnoliaroad.targets import RequestEnd
 from tests.fakes import PeerNetwork, VirtualTimeLoop
 from tests.fakes.wire import Wire, WireFaults
 
@@ -164,7 +165,7 @@
         lost += [(self.random.choice(list(self.hosts.values())), f) for f in company]
         for where, what in lost:
             where.quarantine.started(target, what)
-            where.quarantine.ended(target, what, True, "chat", born)
+            where.quarantine.ended(target, what, RequestEnd.LOST, "chat", born)
         known_by = (self.crashed_at[2:3] or [now])[0] + CONTACT_S
         if now > known_by and now > host.disturbed_until:
             self.sent_in_contact.append(now)
@@ -271,7 +272,7 @@
                 host = sim.random.choice(list(sim.hosts.values()))
                 assert is_successful(host.quarantine.check(fingerprint))
                 host.quarantine.started("t", fingerprint)
-                host.quarantine.ended("t", fingerprint, False)
+                host.quarantine.ended("t", fingerprint, RequestEnd.WELL)
         else:
             pytest.fail("it was never refused")
 
