Soak: a request that ends targets comes again at any host

One request in fifty of the soak's callers ends the target that begins to run it, and it comes five times a second while the faults end. Of those sent by hosts in contact later than 3 s after the third end, at most 3 may reach a target, as the platform bounds it.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -11,6 +11,8 @@
 EVENT_TOKENS = 10
 PROMISES = (402, 408, 421, 429, 503)
 LIMIT = aiohttp.ClientTimeout(4.0)
+# Body of a request that ends each target which begins to run it.
+POISON = b"poison"
 
 
 class Callers:
@@ -23,6 +25,8 @@
         promised: Requests that were said not to have run.
         tokens: Tokens received, by program.
         answered: Requests that were answered with success.
+        poison: Times of the tries of the request that ends targets which went to a host
+            in contact, by request id.
     """
 
     def __init__(self, fleet, chance):
@@ -34,13 +38,16 @@
         self.tokens = {}
         self.promised = set()
         self.answered = 0
+        self.poison = {}
         self._numbers = itertools.count(1)
 
     async def work(self, ends):
         loop = asyncio.get_running_loop()
         while loop.time() < ends:
             draw = self.chance.random()
-            if draw < 0.35:
+            if draw < 0.02:
+                await self.plain("/pay/x", "POST", POISON)
+            elif draw < 0.35:
                 await self.plain("/pay/x", "POST", b"money")
             elif draw < 0.5:
                 await self.plain("/safe/x", "GET", b"")
@@ -87,6 +94,9 @@
 
     async def _send(self, request_id, path, method, body, headers, program=None):
         relay = self.chance.choice(self.fleet.relays)
+        now = asyncio.get_running_loop().time()
+        if body == POISON and relay.in_contact(now):
+            self.poison[request_id] = now
         headers = {
             "Host": "arcade.example",
             "Authorization": f"Bearer {KEY}",
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -1,7 +1,9 @@
 """The real programs as processes, with stand-ins and links around them."""
 
 import asyncio
+import functools
 import json
+import math
 import os
 import signal
 import sys
@@ -14,11 +16,14 @@
 from tests.platform.deployment import config, free_address
 from tests.platform.kv_standin import KvStandin
 from tests.platform.target_standin import TargetStandin
+from tests.soak.callers import POISON
 
 ROOT = Path(__file__).parents[2]
 DATA_CENTRES = ("dc-1", "dc-2")
 # Longest time in which a process that got SIGTERM has to end, in seconds.
 GRACE_S = 8.0
+# Time after a disruption until a host is in contact again, in seconds.
+CONTACT_S = 3.0
 
 
 def catches_sigterm(pid):
@@ -48,6 +53,15 @@
         self.proc = None
         self.starts = 0
         self.paused = False
+        self.disturbed_until = 0.0
+
+    def disturbed(self):
+        """Takes note of the end of a disruption of this host."""
+        self.disturbed_until = asyncio.get_running_loop().time() + CONTACT_S
+
+    def in_contact(self, at):
+        """Returns whether nothing has disturbed this host or its store lately."""
+        return at > max(self.disturbed_until, self.fleet.store_disturbed_until)
 
     async def start(self):
         host, _, port = self.fleet.kv.url.removeprefix("http://").partition(":")
@@ -58,6 +72,7 @@
         settings.write_text(json.dumps(self._settings()))
         self.starts += 1
         self.started_at = time.monotonic()
+        self.disturbed()
         env = {**os.environ, "MAGNOLIAROAD_NODE_FILE": str(settings)}
         with (self.folder / f"log-{self.starts}.jsonl").open("w") as log:
             self.proc = await asyncio.create_subprocess_exec(
@@ -82,6 +97,7 @@
         }
 
     async def kill(self):
+        self.disturbed_until = math.inf
         self.proc.send_signal(signal.SIGKILL)
         await self.proc.wait()
 
@@ -89,6 +105,7 @@
         """Sends SIGTERM; returns what was wrong with the end, or nothing."""
         began = time.monotonic()
         age_s = began - self.started_at
+        self.disturbed_until = math.inf
         self.proc.send_signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
@@ -101,11 +118,13 @@
         return "" if well else f"ended with {code} after {took_s:.1f} s"
 
     async def pause(self, seconds):
+        self.disturbed_until = math.inf
         self.proc.send_signal(signal.SIGSTOP)
         self.paused = True
         await asyncio.sleep(seconds)
         self.proc.send_signal(signal.SIGCONT)
         self.paused = False
+        self.disturbed()
 
     async def is_ready(self, session):
         try:
@@ -127,6 +146,7 @@
         self.targets = [TargetStandin(f"i-app{n}", "app") for n in range(3)]
         self.targets += [TargetStandin(f"i-lm{n}", "lm", events=6) for n in range(3)]
         self.counts = relays, records
+        self.store_disturbed_until = 0.0
         self.relays = []
         self.records = []
 
@@ -139,7 +159,9 @@
         self.kv.write("op/config", config(self.version))
         for target in self.targets:
             await target.start()
-            self.kv.write(f"servers/{target.name}", target.entry())
+            self.register(target)
+            target.poison = POISON
+            target.on_start = functools.partial(self.register, target)
         relays, records = self.counts
         for kind, count in (("relay", relays), ("records", records)):
             for number in range(count):
@@ -161,6 +183,10 @@
             await target.stop()
         await self.kv.stop()
 
+    def register(self, target):
+        """Writes a target's entry."""
+        self.kv.write(f"servers/{target.name}", target.entry())
+
     async def until_ready(self, limit_s=20.0):
         async with asyncio.timeout(limit_s):
             for relay in self.relays:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -6,18 +6,24 @@
 
 import argparse
 import asyncio
+import math
 import random
 import sys
 import tempfile
 from pathlib import Path
 
 from tests.platform.deployment import KEY, config
-from tests.soak.callers import Callers
-from tests.soak.fleet import Fleet
+from tests.soak.callers import POISON, Callers
+from tests.soak.fleet import CONTACT_S, Fleet
 
 CALLERS = 12
 # Time without new faults after which everything must be served again.
 RECOVERY_S = 8.0
+# Time between tries of a request that ends targets, in seconds.
+AGAIN_S = 0.2
+# Tries of a request that ends targets which hosts in contact may send after it has
+# ended the third and is known; the platform's bound.
+MOST_SENT_AFTER = 3
 
 
 async def soak(seed: int, seconds: float, folder: Path) -> list[str]:
@@ -31,7 +37,7 @@
         await asyncio.gather(*(callers.work(ends + 1.0) for _ in range(CALLERS)))
         await faults
         await _recover(fleet, callers)
-        return callers.broken + _check_targets(fleet, callers)
+        return callers.broken + _check_targets(fleet, callers) + _check_poison(callers)
 
 
 async def _disturb(fleet, chance, ends, broken):
@@ -81,14 +87,19 @@
 async def _cut_store(fleet, chance, broken):
     member = chance.choice(fleet.members)
     member.link.cut()
+    member.disturbed_until = math.inf
     await asyncio.sleep(chance.uniform(0.3, 3.0))
     member.link.heal()
+    member.disturbed()
 
 
 async def _store(fleet, chance, broken):
     fleet.kv.fault = chance.choice(("busy", "many", "reset", "lost"))
+    fleet.store_disturbed_until = math.inf
     await asyncio.sleep(chance.uniform(0.2, 2.0))
     fleet.kv.fault = None
+    loop = asyncio.get_running_loop()
+    fleet.store_disturbed_until = loop.time() + CONTACT_S
 
 
 async def _target(fleet, chance, broken):
@@ -114,7 +125,11 @@
     for target in fleet.targets:
         target.script = ["ok"]
     await fleet.until_ready()
-    await asyncio.sleep(RECOVERY_S)
+    loop = asyncio.get_running_loop()
+    recovered = loop.time() + RECOVERY_S
+    while loop.time() < recovered:
+        await callers.plain("/pay/x", "POST", POISON)
+        await asyncio.sleep(AGAIN_S)
     before = callers.answered
     for _ in range(20):
         await callers.plain("/pay/x", "POST", b"money")
@@ -144,6 +159,24 @@
     return broken
 
 
+def _check_poison(callers):
+    """Returns what is wrong if the request that ends targets was sent on too often."""
+    times = sorted(at for target in callers.fleet.targets for at in target.crashed_at)
+    if len(times) < 3:
+        return []
+    known_by = times[2] + CONTACT_S
+    ran = {
+        headers["magnoliaroad-request-id"]
+        for target in callers.fleet.targets
+        for _, _, headers, _ in target.runs
+    }
+    late = [r for r, sent_at in callers.poison.items() if sent_at > known_by]
+    late = [request_id for request_id in late if request_id in ran]
+    if len(late) <= MOST_SENT_AFTER:
+        return []
+    return [f"sent {len(late)} times after it was known, {len(times)} targets ended"]
+
+
 def main() -> int:
     """Soaks with each seed; prints what broke and returns how many seeds did."""
     parser = argparse.ArgumentParser()
