Quarantine wakes its host only when there is a crash to decide on

Its two tasks woke each host eight times a second for nothing. Decisions that have ended are dropped when the digest is read.

'python -m bench relay' runs again: its heartbeat had lacked fields since they were added.

--- a/bench/relay.py
+++ b/bench/relay.py
@@ -61,7 +61,25 @@
     catalogue = MessageCatalogue([Beat])
     counts = {f"team-{n}": TeamCount(n, n) for n in range(teams)}
     held = {f"target-{n}": 3 for n in range(8)}
-    beat = Beat("h", "b", "dc", "1", 1, 1.0, False, False, 1, 1, counts, held)
+    beat = Beat(
+        host="h",
+        boot="b",
+        data_centre="dc",
+        address="1",
+        port=1,
+        age_s=1.0,
+        draining=False,
+        store_lost=False,
+        slow=False,
+        targets_revision=1,
+        plan_version=1,
+        plan_key="op/config",
+        plan_bytes=10_000,
+        admitted=counts,
+        whole=True,
+        in_hand=held,
+        rests={},
+    )
 
     def work() -> None:
         data = msgpack.packb(catalogue.pack(beat))
--- a/src/magnoliaroad/quarantine/blocklist.py
+++ b/src/magnoliaroad/quarantine/blocklist.py
@@ -1,5 +1,6 @@
 """The decisions in force, merged from any order of arrival."""
 
+import math
 from collections.abc import Iterable
 
 import msgpack
@@ -21,6 +22,7 @@
     def __init__(self, entries: Iterable[QuarantineEntry] = ()) -> None:
         self._entries: dict[str, QuarantineEntry] = {}
         self._digest: int | None = 0
+        self._first_end = math.inf
         self.merge(entries)
 
     def merge(self, entries: Iterable[QuarantineEntry]) -> list[QuarantineEntry]:
@@ -31,14 +33,17 @@
                 self._entries[entry.fingerprint] = entry
                 news.append(entry)
                 self._digest = None
+                self._first_end = min(self._first_end, entry.until)
         return news
 
     def expire(self, now: float) -> None:
         """Drops entries that have ended, and the oldest where there are too many."""
+        if now < self._first_end and len(self._entries) <= MOST_ENTRIES:
+            return
         kept = [entry for entry in self.all() if entry.until > now][-MOST_ENTRIES:]
-        if len(kept) < len(self._entries):
-            self._entries = {entry.fingerprint: entry for entry in kept}
-            self._digest = None
+        self._entries = {entry.fingerprint: entry for entry in kept}
+        self._first_end = min((entry.until for entry in kept), default=math.inf)
+        self._digest = None
 
     def state_of(self, fingerprint: str, now: float) -> QuarantineState:
         """Returns how requests with ``fingerprint`` are treated at ``now``."""
--- a/src/magnoliaroad/quarantine/crash_watch.py
+++ b/src/magnoliaroad/quarantine/crash_watch.py
@@ -74,6 +74,7 @@
 
         A target that loses power, or whose connection has gone silent, resets none.
         """
+        self._forget(now)
         if start in self._ended_at:
             self.lost(start, route, fingerprint, now)
         else:
@@ -81,9 +82,10 @@
 
     def target_ended(self, start: TargetStart, now: float) -> None:
         """Takes note that a target is gone that did not say that it leaves."""
+        self._forget(now)
         self._ended_at[start] = now
         for request in self._unanswered:
-            if request.start == start and now - request.at <= UNANSWERED_S:
+            if request.start == start:
                 self.lost(start, request.route, request.fingerprint, now)
 
     def is_well(self, fingerprint: str, now: float) -> bool:
@@ -91,9 +93,13 @@
         ended_at = self._well.get(fingerprint, float("-inf"))
         return now - ended_at <= self.cfg.evidence_s
 
+    @property
+    def pending(self) -> bool:
+        """Whether there are losses that were not reported yet."""
+        return bool(self._losses)
+
     def due(self, now: float) -> list[CrashReport]:
         """Returns the reports on crashes that are old enough to be whole."""
-        self._forget(now)
         ended = [t for t, s in self._losses.items() if now - s.at >= self.cfg.gather_s]
         reports = [self._report(start, now) for start in ended]
         return [report for report in reports if report.fingerprints]
--- a/src/magnoliaroad/quarantine/detector.py
+++ b/src/magnoliaroad/quarantine/detector.py
@@ -73,6 +73,11 @@
         for fingerprint in fingerprints:
             self._cleared_at[fingerprint] = now
 
+    @property
+    def pending(self) -> bool:
+        """Whether there are crashes to decide on."""
+        return any(crash.due_at is not None for crash in self._crashes)
+
     def due(self, now: float, known: Blocklist) -> list[QuarantineEntry]:
         """Returns the entries that crashes reported long enough ago lead to.
 
--- a/src/magnoliaroad/quarantine/service.py
+++ b/src/magnoliaroad/quarantine/service.py
@@ -1,5 +1,6 @@
 """Reports crashes to the detector and refuses what it has blocked."""
 
+import asyncio
 import collections
 import time
 from collections.abc import Callable, Iterable
@@ -33,6 +34,7 @@
 from magnoliaroad.store import Store, StoreError
 from magnoliaroad.targets import RequestEnd
 
+# Time between looks for crashes whose reports are due, in seconds.
 TICK_S = 0.25
 # Peers that a host passes a decision on to.
 FANOUT = 5
@@ -79,6 +81,8 @@
         self._now = clock
         self._in_flight: collections.Counter[str] = collections.Counter()
         self._unsaved: list[QuarantineEntry] = []
+        self._crashes = asyncio.Event()
+        self._to_save = asyncio.Event()
         peers.on(CrashReport, self._on_report)
         peers.on(SuspectCleared, self._on_cleared)
         peers.on(QuarantineOffer, self._on_offer)
@@ -87,6 +91,7 @@
     @property
     def digest(self) -> int:
         """A number that is the same on hosts that know the same; 0 for nothing."""
+        self.blocklist.expire(self._now())
         return self.blocklist.digest
 
     async def ask(self, host: str, limit_s: float) -> None:
@@ -145,11 +150,15 @@
             watch.unanswered(start, route, fingerprint, now)
         elif end is RequestEnd.WELL:
             self._end_well(fingerprint, now)
+        if watch.pending:
+            self._crashes.set()
 
     def target_ended(self, target: str, incarnation: int) -> None:
         """Takes note that a target is gone without having said that it leaves."""
         start = TargetStart(target, incarnation)
         self._watch_crashes.target_ended(start, self._now())
+        if self._watch_crashes.pending:
+            self._crashes.set()
 
     def _end_well(self, fingerprint: str, now: float) -> None:
         self._watch_crashes.ended_well(fingerprint, now)
@@ -157,29 +166,31 @@
             self._to_detectors(SuspectCleared(fingerprint))
 
     @Service.task
-    async def _tick(self) -> None:
+    async def _decide(self) -> None:
+        """Reports and decides while there are crashes to decide on."""
         while not self.should_stop:
-            await self.sleep(TICK_S)
+            await self._crashes.wait()
+            await asyncio.sleep(TICK_S)
             now = self._now()
             for report in self._watch_crashes.due(now):
                 self._report(report)
             self._announce(self._detector.due(now, self.blocklist))
-            self.blocklist.expire(now)
-            metrics.BLOCKED.set({}, self._count_blocked(now))
+            if not (self._watch_crashes.pending or self._detector.pending):
+                self._crashes.clear()
 
     @Service.task
     async def _save(self) -> None:
         while not self.should_stop:
-            await self.sleep(TICK_S)
-            if not self._unsaved:
-                continue
+            await self._to_save.wait()
+            self._to_save.clear()
             entries, self._unsaved = self._unsaved, []
             try:
                 await save_entries(self._store, entries, self._now())
             except StoreError as exc:
                 self._unsaved += entries
                 logger.bind(reason=str(exc)).warning("quarantine not saved")
-                await self.sleep(RETRY_S)
+                await asyncio.sleep(RETRY_S)
+                self._to_save.set()
 
     def _report(self, report: CrashReport) -> None:
         metrics.CRASHES.inc({})
@@ -196,14 +207,19 @@
         if self.host not in detectors:
             return
         if isinstance(message, CrashReport):
-            self._detector.report(message, self._now())
+            self._detect(message)
         else:
             self._clear(message.fingerprint)
 
+    def _detect(self, report: CrashReport) -> None:
+        self._detector.report(report, self._now())
+        self._crashes.set()
+
     def _announce(self, entries: list[QuarantineEntry]) -> None:
         if not entries:
             return
         self._unsaved += entries
+        self._to_save.set()
         self._pass_on(self.take(entries))
 
     def _pass_on(self, news: list[QuarantineEntry]) -> None:
@@ -224,6 +240,7 @@
             elif self._watch_crashes.is_well(entry.fingerprint, self._now()):
                 self._to_detectors(SuspectCleared(entry.fingerprint))
         if news:
+            metrics.BLOCKED.set({}, self._count_blocked(self._now()))
             self.on_news()
         return news
 
@@ -244,7 +261,7 @@
         return states.count(QuarantineState.BLOCKED)
 
     async def _on_report(self, sender: str, report: CrashReport) -> None:
-        self._detector.report(report, self._now())
+        self._detect(report)
 
     async def _on_cleared(self, sender: str, message: SuspectCleared) -> None:
         self._clear(message.fingerprint)
--- a/tests/quarantine/test_detector.py
+++ b/tests/quarantine/test_detector.py
@@ -161,6 +161,13 @@
     assert watch.due(106.0) == []
 
 
+def test_what_is_unanswered_long_after_a_start_has_ended_has_another_cause():
+    watch = CrashWatch(CFG)
+    watch.target_ended(T1, 100.0)
+    watch.unanswered(T1, "chat", "P", 100.5 + UNANSWERED_S)
+    assert watch.due(102.0 + UNANSWERED_S) == []
+
+
 def test_what_was_unanswered_long_before_has_another_cause():
     watch = CrashWatch(CFG)
     watch.unanswered(T1, "chat", "P", 100.0)
