--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -154,21 +154,30 @@
         sender = ""
         # The other end closes a connection that is idle.
         limit_s = self.cfg.silence_timeout_s + self.cfg.idle_timeout_s
+        loop = asyncio.get_running_loop()
         self._inbound.add(writer)
         try:
-            while data := await asyncio.wait_for(reader.read(READ_BYTES), limit_s):
-                for frame in frames.feed(data):
-                    if frame.kind == FrameKind.HEARTBEAT:
-                        sender = frame.tag
-                        writer.write(pack_frame(frame))
-                    elif frame.kind != FrameKind.SEND or not self._tell(sender, frame):
-                        self._spawn(self._handle(sender, frame, writer))
+            # One limit that is moved costs less than a new one for each message.
+            async with asyncio.timeout(limit_s) as limit:
+                while data := await reader.read(READ_BYTES):
+                    limit.reschedule(loop.time() + limit_s)
+                    for frame in frames.feed(data):
+                        sender = self._take(sender, frame, writer)
         except (OSError, ValueError, TimeoutError) as exc:
             logger.bind(host=sender, reason=repr(exc)).debug("peer connection ended")
         finally:
             self._inbound.discard(writer)
             writer.transport.abort()
 
+    def _take(self, sender: str, frame: Frame, writer: asyncio.StreamWriter) -> str:
+        """Handles a frame; returns who sends on this connection, once it is known."""
+        if frame.kind == FrameKind.HEARTBEAT:
+            writer.write(pack_frame(frame))
+            return frame.tag
+        if frame.kind != FrameKind.SEND or not self._tell(sender, frame):
+            self._spawn(self._handle(sender, frame, writer))
+        return sender
+
     def _tell(self, sender: str, frame: Frame) -> bool:
         """Calls the plain function that takes a one-way message, if one does."""
         handler = self._plain.get(frame.tag)
