--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -33,6 +33,7 @@
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.team_limiter import TeamLimiter
 from magnoliaroad.relay.turn_ledger import TurnLedger
+from magnoliaroad.set_within import set_within
 from magnoliaroad.store import Store
 from magnoliaroad.store.contact import StoreContact
 from magnoliaroad.store.leases import LeasePool
@@ -40,7 +41,10 @@
 from magnoliaroad.targets import TargetClient
 from magnoliaroad.targets.settings import TargetSettings
 
+# Time between looks for targets whose entries did not return, in seconds.
 SWEEP_S = 0.1
+# The same while none waits to return; marks of targets that are gone are dropped then.
+IDLE_SWEEP_S = 5.0
 # Contact with the store after which its list of hosts is whole: a host whose entry
 # has lapsed asks the store once in 0.8 s and writes its entry 0.3 s later.
 SETTLED_S = 2.5
@@ -170,7 +174,10 @@
         while not self.should_stop:
             self.follower.sweep()
             self.table.leaving.sweep(time.monotonic(), self.table.targets)
-            await asyncio.sleep(SWEEP_S)
+            if self.follower.lapses.is_set():
+                await asyncio.sleep(SWEEP_S)
+            else:
+                await set_within(self.follower.lapses, IDLE_SWEEP_S)
 
     async def drain(self) -> None:
         """Turns callers away and ends work in hand."""
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -1,5 +1,6 @@
 """Keeps the table of targets as the store lists them."""
 
+import asyncio
 import time
 from collections.abc import Callable, Mapping, Sequence
 
@@ -22,6 +23,7 @@
     Attributes:
         known: Whether the list was read at least once.
         revision: Revision of the newest change that was applied.
+        lapses: Is set while targets wait for their entries to return.
         on_end: Is called with a target that is gone, or has started again, without
             having said that it leaves.
     """
@@ -34,6 +36,7 @@
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.known = False
+        self.lapses = asyncio.Event()
         self.on_end: Callable[[RelayTarget], None] = lambda target: None
         self.revision = 0
         self._entries: dict[str, StoreEntry] = {}
@@ -100,7 +103,7 @@
             if key not in lapsing:
                 self._set(entry)
             elif key in self._entries:
-                self._lapsing.setdefault(self._name(key), now + lapsing[key])
+                self._let_lapse(self._name(key), now + lapsing[key])
         for key, known in list(self._entries.items()):
             if key not in told and known.revision < revision:
                 self._remove(key, now)
@@ -117,6 +120,13 @@
                 self.revision = max(self.revision, self._snapshot_revision)
                 self._drop(name, "did not return after the store was away")
 
+        if not self._lapsing:
+            self.lapses.clear()
+
+    def _let_lapse(self, name: str, until: float) -> None:
+        self._lapsing.setdefault(name, until)
+        self.lapses.set()
+
     def _set(self, entry: StoreEntry) -> None:
         known = self._entries.get(entry.key)
         name = self._name(entry.key)
@@ -147,7 +157,7 @@
     def _remove(self, key: str, now: float) -> None:
         name = self._name(key)
         if now < self._grace_until:
-            self._lapsing.setdefault(name, self._grace_until)
+            self._let_lapse(name, self._grace_until)
             return
         self._entries.pop(key, None)
         self._drop(name, "removed")
