Grant part of each budget from a record host of each data centre

Cause: a budget could only be claimed in the store, so programs that began while it was away were refused after 0.70 s, and half of each budget was lost with a killed host.

Half of the store's part is claimed as before; the rest of a budget is divided between the data centres, where a record host grants it from its disk. A turn that no source can serve is refused at once, and a claim of an incarnation that has ended no longer keeps a program waiting.

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -148,6 +148,14 @@
         """Returns the known hosts that are not live."""
         return [host for host in self._hosts if not self._is_live(host)]
 
+    def live_hosts_in(self, data_centre: str) -> list[str]:
+        """Returns the live record hosts of a data centre, by name."""
+        return sorted(
+            host
+            for host, address in self._hosts.items()
+            if address.data_centre == data_centre and self._is_live(host)
+        )
+
     async def keep(self, key: str, value: bytes, ttl_s: float) -> None:
         """Returns once enough hosts have synced a record, or the store holds it.
 
--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -9,6 +9,8 @@
 import xxhash
 from loguru import logger
 
+from magnoliaroad.synced_folder import sync_folder
+
 
 class JournalRecord(NamedTuple):
     """A record in the journal.
@@ -93,6 +95,8 @@
         self._segment += 1
         path = self.folder / f"{self._segment:08}.log"
         self._file = os.open(path, os.O_CREAT | os.O_WRONLY | os.O_TRUNC, 0o600)
+        # A file whose folder was not synced may be gone after a power failure.
+        sync_folder(self.folder)
         self._segment_size = 0
         self._unstored.setdefault(self._segment, set())
         self._remove_if_stored(previous)
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -19,6 +19,7 @@
 from magnoliaroad.relay.claim_writer import ClaimWriter
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.entry_decoder import EntryDecoder
+from magnoliaroad.relay.escrow_client import EscrowClient
 from magnoliaroad.relay.fleet import FleetService
 from magnoliaroad.relay.host_entry import PREFIX, HostEntry
 from magnoliaroad.relay.metrics_server import MetricsServer
@@ -117,6 +118,7 @@
         self.claims = ClaimWriter(self.store, leases, cfg.turns)
         ledger = BudgetLedger(
             ClaimRouter(cfg.name, self.claims, self.peers, self.fleet.claim_writers),
+            EscrowClient(cfg, self.records, self.peers),
             cfg.turns,
             self.fleet.holder,
             self.fleet.ask_budget,
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -1,6 +1,7 @@
 """Claims parts of programs' token budgets in the store and accounts for their use."""
 
 import asyncio
+import enum
 import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -9,9 +10,12 @@
 
 from magnoliaroad.refusal import Refused
 from magnoliaroad.relay.budget import BudgetRecord, claim_size, unpack_budget
+from magnoliaroad.relay.budget_parts import divide_budget
 from magnoliaroad.relay.budget_share import BudgetShare
 from magnoliaroad.relay.claim_messages import ClaimWriteRequest
 from magnoliaroad.relay.claim_router import ClaimRouter
+from magnoliaroad.relay.escrow_client import EscrowClient
+from magnoliaroad.relay.escrow_messages import EscrowRequest
 from magnoliaroad.relay.fleet_messages import BudgetLoanReply
 from magnoliaroad.relay.refusals import BUDGET_SPENT, BUDGET_UNCERTAIN
 from magnoliaroad.relay.settings import TurnSettings
@@ -37,6 +41,31 @@
     revision: int
 
 
+class _Need(NamedTuple):
+    """Tokens that a turn lacks.
+
+    Attributes:
+        limit: The program's budget as stated by the caller.
+        turn_tokens: Most tokens that the turn may generate.
+        missing: Those of them that this host's share does not have.
+    """
+
+    limit: int
+    turn_tokens: int
+    missing: int
+
+
+class _StorePart(enum.Enum):
+    """What an attempt to claim in the store has shown.
+
+    ``CLAIMED`` also stands for a record that turned out to be another.
+    """
+
+    CLAIMED = "claimed"
+    EXHAUSTED = "exhausted"
+    UNKNOWN = "unknown"
+
+
 class _ProgramState:
     """State of one program at this host.
 
@@ -57,6 +86,7 @@
 
     Args:
         claims: Writes claims to the store.
+        escrow: Draws from the parts of budgets that the store does not hold.
         cfg: Time limits.
         holder: Incarnation of this host, under which it claims.
         borrow_from: Asks another holder to lend its unused tokens of a program;
@@ -70,6 +100,7 @@
     def __init__(
         self,
         claims: ClaimRouter,
+        escrow: EscrowClient,
         cfg: TurnSettings,
         holder: str,
         borrow_from: BorrowFunc,
@@ -81,6 +112,7 @@
         self._holders = holders
         self._store_unavailable = store_unavailable
         self._claims = claims
+        self._escrow = escrow
         self._holder = holder
         self._borrow_from = borrow_from
         self._now = now
@@ -102,13 +134,17 @@
         Raises:
             Refused: The budget is spent, or it cannot be claimed now.
         """
+        if limit < tokens:
+            raise Refused(BUDGET_SPENT)
         program = self._program(name)
         if program.share.reserve(self._now(), tokens):
             return program.share
         try:
             async with asyncio.timeout(self.cfg.claim_s), program.lock:
                 while not program.share.reserve(self._now(), tokens):
-                    await self._claim(name, program, limit, tokens)
+                    missing = tokens - program.share.available
+                    need = _Need(limit, tokens, missing)
+                    await self._get_tokens(name, program, need)
                 return program.share
         except TimeoutError as exc:
             raise Refused(BUDGET_UNCERTAIN) from exc
@@ -122,32 +158,47 @@
         program = self._programs.get(name)
         return BudgetLoanReply(0 if program is None else program.share.lend())
 
+    async def _get_tokens(self, name: str, program: _ProgramState, need: _Need) -> None:
+        """Adds tokens to this host's share, from the first source that has some.
+
+        Returns without tokens if the store may have some at the next call.
+
+        Raises:
+            Refused: No source has tokens now.
+        """
+        unclaimed = await self._claim(name, program, need)
+        if unclaimed is _StorePart.CLAIMED:
+            return
+        drawn = await self._escrow.draw(
+            EscrowRequest(name, need.limit, need.turn_tokens, need.missing)
+        )
+        program.share.borrowed += drawn.tokens
+        if drawn.tokens or await self._borrow(name, program):
+            return
+        if unclaimed is _StorePart.UNKNOWN and not self._store_unavailable():
+            await asyncio.sleep(RETRY_INTERVAL_S)
+            return
+        certain = unclaimed is _StorePart.EXHAUSTED and drawn.complete
+        raise Refused(BUDGET_SPENT if certain else BUDGET_UNCERTAIN)
+
     async def _claim(
-        self, name: str, program: _ProgramState, limit: int, tokens: int
-    ) -> None:
+        self, name: str, program: _ProgramState, need: _Need
+    ) -> _StorePart:
+        """Claims tokens of the store's part of a budget, if it has enough."""
         if program.stored is None:
-            program.stored = _StoredRecord(BudgetRecord(limit, {}), 0)
-        record, _ = program.stored
-        needed = tokens - program.share.available
-        if record.free >= needed:
-            if self._store_unavailable():
-                # The store may be back within the time limit of the claim.
-                await asyncio.sleep(RETRY_INTERVAL_S)
-                return
-            size = claim_size(record, needed)
-            await self._write(name, program, record.with_claim(self._holder, size))
-            return
-        others = [holder for holder in record.claims if holder != self._holder]
-        if not others and not program.share.lent:
-            raise Refused(BUDGET_SPENT)
-        listed = {self._holder, *others}
-        others += [holder for holder in self._holders() if holder not in listed]
-        if not await self._borrow(name, program, record, others):
-            raise Refused(BUDGET_SPENT)
+            parts = divide_budget(
+                need.limit, need.turn_tokens, self._escrow.data_centres
+            )
+            program.stored = _StoredRecord(BudgetRecord(parts.store, {}), 0)
+        record, revision = program.stored
+        if not record.free:
+            return _StorePart.EXHAUSTED
+        if self._store_unavailable():
+            return _StorePart.UNKNOWN
+        size = claim_size(record, need.missing)
+        return await self._write(name, program, record.with_claim(self._holder, size))
 
-    async def _borrow(
-        self, name: str, program: _ProgramState, record: BudgetRecord, others: list[str]
-    ) -> bool:
+    async def _borrow(self, name: str, program: _ProgramState) -> bool:
         """Borrows unused tokens from other holders; returns whether there were any.
 
         The claims in the store do not change: a claim covers its tokens whichever host
@@ -158,6 +209,10 @@
             Refused: No holder lent tokens and some could not be reached, so it is
                 uncertain whether the budget is spent.
         """
+        record = program.stored.record
+        others = [holder for holder in record.claims if holder != self._holder]
+        listed = {self._holder, *others}
+        others += [holder for holder in self._holders() if holder not in listed]
         replies = await asyncio.gather(*(self._borrow_from(o, name) for o in others))
         lent = sum(reply.lent for reply in replies if reply is not None)
         program.share.borrowed += lent
@@ -173,7 +228,7 @@
 
     async def _write(
         self, name: str, program: _ProgramState, record: BudgetRecord
-    ) -> None:
+    ) -> _StorePart:
         """Writes ``record``; after a conflict, reads the record that is stored.
 
         A write whose reply is lost does no harm: it can only have raised the claim of
@@ -193,13 +248,13 @@
         except StoreError as exc:
             reason = repr(exc)
             logger.bind(program=name, reason=reason).warning("budget not claimed yet")
-            await asyncio.sleep(RETRY_INTERVAL_S)
-            return
+            return _StorePart.UNKNOWN
         program.stored = _StoredRecord(record, revision)
         program.share.claimed = record.claims.get(self._holder, 0)
         logger.bind(
             program=name, claims=record.claims, limit=record.limit, revision=revision
         ).info(event)
+        return _StorePart.CLAIMED
 
     def _program(self, name: str) -> _ProgramState:
         now = self._now()
--- /dev/null
+++ b/src/magnoliaroad/relay/escrow_disk.py
@@ -0,0 +1,88 @@
+"""The files in which an escrow host keeps its grants."""
+
+import os
+import pathlib
+import uuid
+from typing import NamedTuple
+
+import msgpack
+
+from magnoliaroad.records.journal import Journal, JournalRecord
+from magnoliaroad.synced_folder import sync_folder
+
+# Size at which a new segment of the journal is started, in bytes.
+SEGMENT_BYTES = 200_000
+IDENTITY_FILE = "identity"
+
+
+class DiskIdentity(NamedTuple):
+    """Identifier of a disk, kept on it.
+
+    Attributes:
+        disk: Random identifier.
+        settled: Whether tokens may be granted from this disk; see ``EscrowOffice``.
+    """
+
+    disk: str
+    settled: bool
+
+
+class EscrowDisk:
+    """Keeps the identity of a disk, and the tokens granted of each program.
+
+    Args:
+        folder: Folder of the files.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._folder = folder
+        self._journal = Journal(folder, SEGMENT_BYTES)
+
+    def recover(self) -> dict[str, int]:
+        """Returns the tokens that earlier runs granted, by program."""
+        return {
+            record.key: msgpack.unpackb(record.value)
+            for record in self._journal.recover()
+        }
+
+    def load_identity(self) -> DiskIdentity:
+        """Returns the identity of the disk; an empty disk gets a new one."""
+        path = self._folder / IDENTITY_FILE
+        if path.exists():
+            return DiskIdentity(*msgpack.unpackb(path.read_bytes()))
+        identity = DiskIdentity(uuid.uuid4().hex, False)
+        self.save_identity(identity)
+        return identity
+
+    def save_identity(self, identity: DiskIdentity) -> None:
+        """Writes and syncs the identity of the disk."""
+        path = self._folder / IDENTITY_FILE
+        draft = path.with_suffix(".new")
+        with draft.open("wb") as file:
+            file.write(msgpack.packb(identity))
+            file.flush()
+            os.fsync(file.fileno())
+        draft.replace(path)
+        sync_folder(self._folder)
+
+    def save_grants(self, totals: dict[str, int], ttl_s: float) -> None:
+        """Writes and syncs the tokens granted, by program.
+
+        Raises:
+            OSError: Writing or syncing failed.
+        """
+        self._journal.append(
+            [
+                JournalRecord(program, msgpack.packb(total), ttl_s)
+                for program, total in totals.items()
+            ]
+        )
+
+    def forget(self, programs: list[str]) -> None:
+        """Lets the grants of ``programs`` be removed from the disk."""
+        for program in programs:
+            self._journal.mark_stored(program)
+
+    def close(self) -> None:
+        """Closes the open file."""
+        self._journal.close()
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -57,6 +57,9 @@
 # Hosts to which crashes of targets are reported; more than one, so that the loss of a
 # host loses no evidence.
 CRASH_DETECTORS = 2
+# Age of a heartbeat below which no later incarnation of its host has started, in
+# seconds; a host takes longer to start.
+INCARNATION_FRESH_S = 0.4
 # Longest wait after the list of hosts could not be read, in seconds.
 LIST_RETRY_S = 1.0
 # Longest wait for the host's own entry before the list is read, in seconds. Of two
@@ -173,8 +176,17 @@
         """
         able = self._find_fit_hosts()
         near = [host for host in able if able[host] == self.cfg.data_centre]
-        near = self._pick_counters(near) if self._tracker.uses_forwarders else near
-        return near or list(able) or [self.cfg.name]
+        near = near or list(able) or self._find_near_hosts() or [self.cfg.name]
+        return self._pick_counters(near) if self._tracker.uses_forwarders else near
+
+    def _find_near_hosts(self) -> list[str]:
+        """Returns the hosts of this data centre in contact that are not slow."""
+        near = [
+            host
+            for host, heartbeat in self._tracker.in_contact().items()
+            if self._tracker.is_near(heartbeat) and not heartbeat.slow
+        ]
+        return near if self.draining else [*near, self.cfg.name]
 
     def _pick_counters(self, hosts: list[str]) -> list[str]:
         """Returns the hosts of a large data centre that count for the others.
@@ -367,8 +379,12 @@
         """Asks the incarnation ``holder`` to lend unused tokens of a program."""
         host, _, boot = holder.partition("#")
         received = self._tracker.latest.get(host)
-        if received is None or received.heartbeat.boot != boot:
+        if received is None:
             return None
+        if received.heartbeat.boot != boot:
+            # A later incarnation would have stopped this one's heartbeats.
+            age_s = time.monotonic() - received.received_at
+            return BudgetLoanReply(0) if age_s < INCARNATION_FRESH_S else None
         try:
             return await self._peers.call(
                 host, BudgetLoanRequest(program), ANSWER_TIMEOUT_S
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -13,6 +13,7 @@
 from magnoliaroad.records.service import RecordService
 from magnoliaroad.relay.announcer import Announcer
 from magnoliaroad.relay.entry_decoder import EntryDecoder, Retirement
+from magnoliaroad.relay.escrow_service import EscrowService
 from magnoliaroad.relay.heartbeat_tracker import MAX_DIRECT_HOSTS
 from magnoliaroad.relay.host_entry import PREFIX, HostEntry, unpack_host
 from magnoliaroad.relay.metrics_server import MetricsServer
@@ -54,8 +55,13 @@
         self._entry = HostEntry(cfg.data_centre, address, int(port), relays=False)
         self.announcer = Announcer(self.store, cfg.fleet, cfg.name, self._entry)
         self.contact.on_regained.append(self.announcer.renew_soon)
-        folder = pathlib.Path(cfg.data_folder or "data") / "records"
-        self.records = RecordService(cfg.records, folder, self.store, self.peers)
+        folder = pathlib.Path(cfg.data_folder or "data")
+        self.records = RecordService(
+            cfg.records, folder / "records", self.store, self.peers
+        )
+        self.escrow = EscrowService(
+            cfg, folder / "escrow", self.store, self.peers, self._read_host_names
+        )
         self.mirror = PrefixMirror(
             self.store,
             decoder.retirement_prefix,
@@ -75,9 +81,11 @@
     async def on_start(self) -> None:
         """Starts the services, each after those that it depends on."""
         metrics = MetricsServer(self.cfg.listen.metrics)
-        # ``records`` is first: it reads its journal before peers can ask for records.
+        # ``records`` and ``escrow`` are first: they read their files before peers can
+        # ask for anything.
         for part in (
             self.records,
+            self.escrow,
             self.peers,
             self.contact,
             self.announcer,
@@ -87,6 +95,10 @@
             await self.add_runtime_dependency(part)
         logger.bind(host=self.cfg.name).info("host started")
 
+    async def _read_host_names(self) -> set[str]:
+        batch = await self.store.list(PREFIX)
+        return {entry.key.removeprefix(PREFIX) for entry in batch.changed}
+
     @Service.task
     async def _list_hosts(self) -> None:
         while not self.should_stop:
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -165,6 +165,9 @@
         listen: Addresses to listen on.
         store: The platform's key-value service.
         data_folder: Folder for data on disk; ``None`` stores nothing on disk.
+        data_centres: All data centres of the installation. Each has a part of every
+            budget for times without the store; none if it is empty.
+        first_start: Whether the whole installation starts for the first time.
     """
 
     name: str
@@ -172,6 +175,8 @@
     listen: RelayListen
     store: StoreSettings
     data_folder: str | None = None
+    data_centres: tuple[str, ...] = ()
+    first_start: bool = False
     peers: PeerSettings = PeerSettings()
     targets: TargetTiming = TargetTiming()
     turns: TurnSettings = TurnSettings()
