Place programs by load and keep them on their target

Cause: a session went where its hash pointed, two engines to each data centre, whatever their load; and when an engine was lost and came back, its sessions left and returned, so that their prompts were computed twice while streams on the other engines slowed down to 1.5 s from 0.5 s.

A program's home host remembers which target serves it. A new program goes to the target with the fewest requests, one in the own data centre first, and stays there until that target is overloaded or gone.

Ruled out: programs that loop without end as the load of the burst (30 of 400 turns belong to programs beyond a third of their budget).

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -26,6 +26,7 @@
 from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.plan_holder import PlanHolder
+from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.quarantine_mirror import QuarantineMirror
 from magnoliaroad.relay.quota import TeamTokenBuckets
 from magnoliaroad.relay.server import RelayServer
@@ -146,6 +147,9 @@
             turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
             quarantine=self.quarantine,
+            program_targets=ProgramTargets(
+                cfg.name, self.peers, self.fleet.budget_hosts
+            ),
             programs=LruCache(MAX_REMEMBERED_PROGRAMS, lambda _: 1),
             host_count=self.fleet.host_count,
             notify_peers=self.fleet.send_heartbeat_soon,
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -8,6 +8,7 @@
 from magnoliaroad.relay.budget_router import BudgetRouter
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.plan_holder import PlanHolder
+from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.team_limiter import TeamLimiter
@@ -20,6 +21,7 @@
 
     Attributes:
         quarantine: Refuses requests that crash targets.
+        program_targets: The target that serves each program.
         programs: Programs of which this host has recently admitted requests.
         host_count: Returns the number of relay hosts.
         notify_peers: Sends this host's state to its peers without waiting for the next
@@ -35,6 +37,7 @@
     turns: TurnLedger
     budgets: BudgetRouter
     quarantine: QuarantineService
+    program_targets: ProgramTargets
     programs: LruCache[bool]
     host_count: Callable[[], int]
     notify_peers: Callable[[], None]
--- a/src/magnoliaroad/relay/placement.py
+++ b/src/magnoliaroad/relay/placement.py
@@ -11,6 +11,10 @@
 # target costs about as much as a batch that is a third larger.
 OVERLOAD_FACTOR = 1.3
 OVERLOAD_MARGIN = 4
+# Requests more than the mean times a factor that a target of this data centre may have
+# before a new program goes to another data centre, where a partition would end it.
+FAR_FACTOR = 0.3
+FAR_MARGIN = 2
 # Part of a plain target's slots that may be in use while the target counts as having
 # spare slots; some targets slow down when they are nearly full.
 SPARE_SLOTS_FRACTION = 0.5
@@ -33,16 +37,59 @@
     centre, so its streams survive a network partition, and long prompts stay within it.
     """
     by_name = {target.name: target for target in targets}
-    mean = sum(table.load(name) for name in by_name) / len(by_name)
+    mean = _mean_load(table, targets)
     ranked = rendezvous(session, by_name)
     ranked.sort(key=lambda name: by_name[name].data_centre != data_centre)
     for name in ranked:
-        limit = mean * OVERLOAD_FACTOR + OVERLOAD_MARGIN
-        if table.load(name) <= max(mean, min(limit, by_name[name].slots - 1)):
+        if not _is_overloaded(table, by_name[name], mean):
             return by_name[name]
     return by_name[min(ranked, key=table.load)]
 
 
+def choose_by_program(
+    table: TargetTable,
+    targets: Sequence[RelayTarget],
+    program: str,
+    placed: str,
+    data_centre: str,
+) -> RelayTarget:
+    """Returns the target that serves a program, or the one to serve it from now on.
+
+    For the load pattern of bursts, and of targets that end, are replaced or are added
+    under load. A new program goes where the fewest requests are. It stays there, so its
+    prompt is computed once, also when the set of targets changes; only a target that is
+    overloaded loses it.
+
+    Args:
+        table: The targets and their load.
+        targets: Those to choose from.
+        program: The program; breaks ties between equally loaded targets.
+        placed: Name of the target that served its last turn; empty if unknown.
+        data_centre: Data centre of this host, whose targets are preferred.
+    """
+    mean = _mean_load(table, targets)
+    for target in targets:
+        if target.name == placed and not _is_overloaded(table, target, mean):
+            return target
+    by_name = {target.name: target for target in targets}
+    far_load = FAR_MARGIN + FAR_FACTOR * mean
+
+    def cost(name: str) -> float:
+        far = by_name[name].data_centre != data_centre
+        return table.load(name) + far * far_load
+
+    return by_name[min(rendezvous(program, by_name), key=cost)]
+
+
+def _mean_load(table: TargetTable, targets: Sequence[RelayTarget]) -> float:
+    return sum(table.load(target.name) for target in targets) / len(targets)
+
+
+def _is_overloaded(table: TargetTable, target: RelayTarget, mean: float) -> bool:
+    limit = min(mean * OVERLOAD_FACTOR + OVERLOAD_MARGIN, target.slots - 1)
+    return table.load(target.name) > max(mean, limit)
+
+
 def choose_least_loaded(
     table: TargetTable,
     targets: Sequence[RelayTarget],
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -18,7 +18,11 @@
 from magnoliaroad.relay.event_scanner import EventScanner
 from magnoliaroad.relay.metrics import FIRST_BYTE, SENDS
 from magnoliaroad.relay.parts import RelayParts
-from magnoliaroad.relay.placement import choose_by_session, choose_least_loaded
+from magnoliaroad.relay.placement import (
+    choose_by_program,
+    choose_by_session,
+    choose_least_loaded,
+)
 from magnoliaroad.relay.plan import RelayTeam, pick_service
 from magnoliaroad.relay.refusals import (
     NO_TARGET,
@@ -115,6 +119,7 @@
         self._req = req
         self._close_connection = close_connection
         self._previous: LoadedTurn | None = None
+        self._placed = ""
         self._reservation: Reservation | None = None
         self._admission: AdmissionDecision | None = None
         self._affinity_key = (
@@ -170,6 +175,8 @@
             self._previous = await self.parts.turns.load(
                 call.previous_turn, self.admitted.team_name
             )
+        if self.streams and call.program:
+            self._placed = await self.parts.program_targets.find(call.program)
         if self.streams and call.budget is not None and call.program:
             self._reservation = await self.parts.budgets.reserve(
                 call.program, call.budget, call.output_tokens
@@ -313,7 +320,7 @@
             raise self._refusal_error(TARGETS_FULL if excluded else NO_TARGET)
         data_centre = self.parts.cfg.data_centre
         if self.streams:
-            target = choose_by_session(table, usable, self._affinity_key, data_centre)
+            target = self._choose_stream_target(usable)
         else:
             few_requests = self.parts.host_count() > HOSTS_PER_TARGET * len(usable)
             affinity_host = self.parts.cfg.name if few_requests else None
@@ -333,6 +340,15 @@
         ).info("placed")
         return target
 
+    def _choose_stream_target(self, usable: list[RelayTarget]) -> RelayTarget:
+        table, data_centre = self.parts.table, self.parts.cfg.data_centre
+        program = self.call.program
+        if not program:
+            return choose_by_session(table, usable, self._affinity_key, data_centre)
+        target = choose_by_program(table, usable, program, self._placed, data_centre)
+        self.parts.program_targets.assign(program, target.name)
+        return target
+
     async def _send(self, target: RelayTarget, attempts: int) -> OpenAnswer:
         remaining_s = self.deadline - time.monotonic() - self.parts.cfg.targets.margin_s
         if remaining_s < MIN_SEND_TIME_S:
