Keep plain calls in their data centre while it has spare slots

Cause: the least loaded target took a call wherever it was, so two thirds of all plain calls crossed data centres; a data centre that was cut off lost them, and a lost call that may not be repeated ends its program.

--- a/src/magnoliaroad/relay/placement.py
+++ b/src/magnoliaroad/relay/placement.py
@@ -97,7 +97,10 @@
     request: str,
     affinity_host: str | None = None,
 ) -> RelayTarget:
-    """Returns the least loaded target; among equals one of ``data_centre``.
+    """Returns a target of ``data_centre`` with spare slots, or the least loaded one.
+
+    For the load pattern of a data centre that is cut off under load: a call to another
+    data centre is then lost, and one that may not be repeated ends its program.
 
     Args:
         table: The targets and their load.
@@ -120,9 +123,10 @@
         if with_spare_slots:
             return with_spare_slots[highest_ranked(affinity_host, with_spare_slots)]
 
-    def cost(target: RelayTarget) -> tuple[float, bool]:
+    def cost(target: RelayTarget) -> tuple[float, bool, float]:
         filled = table.load(target.name) / max(1, target.slots)
-        return filled, target.data_centre != data_centre
+        crowded = max(0.0, filled - SPARE_SLOTS_FRACTION)
+        return crowded, target.data_centre != data_centre, filled
 
     best = min(cost(target) for target in targets)
     least_loaded = {target.name: target for target in targets if cost(target) == best}
--- a/tests/relay/test_program_placement.py
+++ b/tests/relay/test_program_placement.py
@@ -7,7 +7,11 @@
 
 import pytest
 
-from magnoliaroad.relay.placement import choose_by_program, choose_by_session
+from magnoliaroad.relay.placement import (
+    choose_by_program,
+    choose_by_session,
+    choose_least_loaded,
+)
 from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.target import RelayTarget, TargetState
 from magnoliaroad.relay.target_table import TargetTable
@@ -161,3 +165,22 @@
         assert loop.time() - began <= 0.06
 
     loop.run_until_complete(scenario())
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_few_plain_calls_are_lost_with_another_data_centre(seed):
+    """Load pattern: services that are a third full when a data centre is cut off."""
+    rng = random.Random(seed)
+    table = TargetTable()
+    targets = [make_target(number)._replace(slots=6) for number in range(7)]
+    running, crossing = [], []
+    for number in range(2000):
+        if len(running) >= 14:
+            target, _ = running.pop(rng.randrange(len(running)))
+            table.record_end(target.name)
+        data_centre = rng.choice(DATA_CENTRES)
+        target = choose_least_loaded(table, targets, data_centre, f"r{number}")
+        table.record_start(target.name)
+        running.append((target, target.data_centre != data_centre))
+        crossing.append(sum(crosses for _, crosses in running) / len(running))
+    assert statistics.mean(crossing) < 0.2
