Count the part of a lost escrow host as spent

Ruled out: hosts out of contact; all relay hosts reached each other.

A data centre that is in contact and has no live record host has no part to give until another host takes over. The test fails on the code before.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -119,7 +119,9 @@
         self.claims = ClaimWriter(self.store, leases, cfg.turns)
         ledger = BudgetLedger(
             ClaimRouter(cfg.name, self.claims, self.peers, self.fleet.claim_writers),
-            EscrowClient(cfg, self.records, self.peers),
+            EscrowClient(
+                cfg, self.records, self.peers, self.fleet.data_centres_in_contact
+            ),
             cfg.turns,
             self.fleet.holder,
             self.fleet.ask_budget,
--- a/src/magnoliaroad/relay/escrow_client.py
+++ b/src/magnoliaroad/relay/escrow_client.py
@@ -1,5 +1,6 @@
 """Draws tokens of programs' budgets from the escrow hosts."""
 
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from loguru import logger
@@ -30,12 +31,20 @@
         cfg: Settings of the host.
         records: The known record hosts, some of which are escrow hosts.
         peers: Connections between hosts.
+        in_contact: Returns the data centres of which a host is in contact.
     """
 
-    def __init__(self, cfg: RelaySettings, records: RecordClient, peers: Peers) -> None:
+    def __init__(
+        self,
+        cfg: RelaySettings,
+        records: RecordClient,
+        peers: Peers,
+        in_contact: Callable[[], Collection[str]],
+    ) -> None:
         self._cfg = cfg
         self._records = records
         self._peers = peers
+        self._in_contact = in_contact
         self._last_holder: dict[str, str] = {}
         own = cfg.data_centre
         others = sorted(name for name in cfg.data_centres if name != own)
@@ -69,7 +78,8 @@
         hosts = self._records.live_hosts_in(data_centre)
         last = self._last_holder.get(data_centre)
         hosts.sort(key=lambda host: host != last)
-        reply = None
+        # A part whose host has ended is out of use until another one takes over.
+        reply = EscrowReply(False, 0) if data_centre in self._in_contact() else None
         for host in hosts:
             try:
                 reply = await self._peers.call_with_deadline(
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -266,6 +266,11 @@
         """Returns the other relay hosts in contact."""
         return list(self._tracker.in_contact())
 
+    def data_centres_in_contact(self) -> set[str]:
+        """Returns the data centres with a relay host in contact, and this host's."""
+        heartbeats = self._tracker.in_contact().values()
+        return {self.cfg.data_centre, *(h.data_centre for h in heartbeats)}
+
     def holders(self) -> list[str]:
         """Returns the names under which hosts in contact claim budgets."""
         heartbeats = self._tracker.in_contact().values()
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -49,7 +49,7 @@
         writer = ClaimWriter(self.store, self.leases, cfg)
         self.ledger = BudgetLedger(
             ClaimRouter(name, writer, self.peers, fleet.writers, fleet.loop.time),
-            EscrowClient(RELAY_CFG, NO_RECORD_HOSTS, self.peers),
+            EscrowClient(RELAY_CFG, NO_RECORD_HOSTS, self.peers, set),
             cfg,
             self.holder,
             self.borrow_from,
--- a/tests/relay/test_escrow.py
+++ b/tests/relay/test_escrow.py
@@ -79,7 +79,7 @@
         now = fleet.loop.time
         self.ledger = BudgetLedger(
             ClaimRouter(name, writer, self.peers, lambda: [name], now),
-            EscrowClient(cfg, self.records, self.peers),
+            EscrowClient(cfg, self.records, self.peers, self.data_centres),
             cfg.turns,
             self.holder,
             self.lend,
@@ -89,6 +89,9 @@
         )
         self.router = BudgetRouter(name, self.ledger, self.peers, self.home_hosts)
 
+    def data_centres(self):
+        return {r.data_centre for r in (self, *self.fleet.reached_by(self))}
+
     def home_hosts(self):
         return [
             r.name
@@ -326,6 +329,26 @@
     assert play(loop, tmp_path, scenario) == (2, 4)
 
 
+def test_a_budget_is_spent_once_a_lost_escrow_host_has_no_heartbeat(loop, tmp_path):
+    """Seen on a day that retired a record host: 503 without an end, never 402."""
+
+    async def scenario(fleet):
+        await fleet.escrows.pop("dc-3").stop()
+        fleet.network.crash("dc-3-records")
+        await asyncio.sleep(RecordSettings().silent_s)
+        relay = fleet.relays["dc-1-host-1"]
+        while True:
+            fleet.heartbeats()
+            try:
+                turn = await relay.router.reserve("loop", LIMIT, TURN_TOKENS)
+            except Refused as exc:
+                return exc.refusal
+            turn.settle(TURN_TOKENS)
+            await asyncio.sleep(0.01)
+
+    assert play(loop, tmp_path, scenario) is BUDGET_SPENT
+
+
 @pytest.mark.parametrize("seed", range(25))
 def test_no_faults_overspend_a_budget(loop, tmp_path, seed):
     """Store away, cuts, kills, wiped disks and lost replies, several at a time."""
