Retry a claim in doubt though a lender is out of reach, and check data centres

Cause, found by reading: while a call on the store was in doubt, a turn was refused as soon as one lender could not be reached, and one record host out of reach hid the escrow host of its data centre. Damaged files and entries of escrow hosts are logged and replaced; a list of data centres without the host's own, or with one twice, is refused at the start.

--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -19,6 +19,7 @@
 from magnoliaroad.relay.fleet_messages import BudgetLoanReply
 from magnoliaroad.relay.refusals import BUDGET_SPENT, BUDGET_UNCERTAIN
 from magnoliaroad.relay.settings import TurnSettings
+from magnoliaroad.relay.token_draw import TokenDraw
 from magnoliaroad.store import StoreConflict, StoreError
 
 # Wait before a failed claim is tried again.
@@ -140,8 +141,7 @@
         try:
             async with asyncio.timeout(self.cfg.claim_s), program.lock:
                 while not program.share.reserve(self._now(), tokens):
-                    missing = tokens - program.share.available
-                    need = _Need(limit, missing)
+                    need = _Need(limit, tokens - program.share.available)
                     await self._get_tokens(name, program, need)
                 return program.share
         except TimeoutError as exc:
@@ -169,12 +169,17 @@
             return
         drawn = await self._escrow.draw(EscrowRequest(name, need.limit, need.missing))
         program.share.borrowed += drawn.tokens
-        if drawn.tokens or await self._borrow(name, program):
+        if drawn.tokens:
+            return
+        lent = await self._borrow(name, program)
+        program.share.borrowed += lent.tokens
+        if lent.tokens:
             return
         if unclaimed is _StorePart.UNKNOWN and not self._store_unavailable():
             await asyncio.sleep(RETRY_INTERVAL_S)
             return
-        certain = unclaimed is _StorePart.EXHAUSTED and drawn.complete
+        exhausted = unclaimed is _StorePart.EXHAUSTED
+        certain = exhausted and drawn.complete and lent.complete
         raise Refused(BUDGET_SPENT if certain else BUDGET_UNCERTAIN)
 
     async def _claim(
@@ -184,7 +189,7 @@
         if program.stored is None:
             parts = divide_budget(need.limit, self._escrow.data_centres)
             program.stored = _StoredRecord(BudgetRecord(parts.store, {}), 0)
-        record, revision = program.stored
+        record = program.stored.record
         if not record.free:
             return _StorePart.EXHAUSTED
         if self._store_unavailable():
@@ -192,16 +197,12 @@
         size = claim_size(record, need.missing)
         return await self._write(name, program, record.with_claim(self._holder, size))
 
-    async def _borrow(self, name: str, program: _ProgramState) -> bool:
-        """Borrows unused tokens from other holders; returns whether there were any.
+    async def _borrow(self, name: str, program: _ProgramState) -> TokenDraw:
+        """Borrows unused tokens from other holders.
 
         The claims in the store do not change: a claim covers its tokens whichever host
         spends them. If the reply of a lender is lost, the tokens that it lent are lost
         to the program.
-
-        Raises:
-            Refused: No holder lent tokens and some could not be reached, so it is
-                uncertain whether the budget is spent.
         """
         record = program.stored.record
         others = [holder for holder in record.claims if holder != self._holder]
@@ -209,16 +210,11 @@
         others += [holder for holder in self._holders() if holder not in listed]
         replies = await asyncio.gather(*(self._borrow_from(o, name) for o in others))
         lent = sum(reply.lent for reply in replies if reply is not None)
-        program.share.borrowed += lent
         unreachable = [o for o, r in zip(others, replies, strict=True) if r is None]
         logger.bind(
             program=name, limit=record.limit, borrowed=lent, out_of_reach=unreachable
         ).info("budget borrowed")
-        if lent:
-            return True
-        if unreachable:
-            raise Refused(BUDGET_UNCERTAIN)
-        return False
+        return TokenDraw(lent, not unreachable)
 
     async def _write(
         self, name: str, program: _ProgramState, record: BudgetRecord
--- a/src/magnoliaroad/relay/escrow_client.py
+++ b/src/magnoliaroad/relay/escrow_client.py
@@ -1,7 +1,6 @@
 """Draws tokens of programs' budgets from the escrow hosts."""
 
 from collections.abc import Callable, Collection
-from typing import NamedTuple
 
 from loguru import logger
 
@@ -9,19 +8,7 @@
 from magnoliaroad.records.client import RecordClient
 from magnoliaroad.relay.escrow_messages import EscrowReply, EscrowRequest
 from magnoliaroad.relay.settings import RelaySettings
-
-
-class EscrowDraw(NamedTuple):
-    """What was drawn for a request.
-
-    Attributes:
-        tokens: Tokens granted.
-        complete: Whether the escrow hosts of all data centres answered or are known to
-            grant nothing.
-    """
-
-    tokens: int
-    complete: bool
+from magnoliaroad.relay.token_draw import TokenDraw
 
 
 class EscrowClient:
@@ -56,7 +43,7 @@
         """Number of data centres that have a part of each budget."""
         return len(self._data_centres)
 
-    async def draw(self, req: EscrowRequest) -> EscrowDraw:
+    async def draw(self, req: EscrowRequest) -> TokenDraw:
         """Returns the tokens that escrow hosts grant for ``req``.
 
         Stops at the data centre with which the needed tokens are complete.
@@ -71,7 +58,7 @@
                 complete = False
             else:
                 tokens += reply.granted
-        return EscrowDraw(tokens, complete)
+        return TokenDraw(tokens, complete)
 
     async def _ask(self, data_centre: str, req: EscrowRequest) -> EscrowReply | None:
         """Returns the reply of a data centre's escrow host; ``None`` if unknown."""
@@ -79,7 +66,7 @@
         last = self._last_holder.get(data_centre)
         hosts.sort(key=lambda host: host != last)
         # A part whose host has ended is out of use until another one takes over.
-        reply = EscrowReply(False, 0) if data_centre in self._in_contact() else None
+        complete = data_centre in self._in_contact()
         for host in hosts:
             try:
                 reply = await self._peers.call_with_deadline(
@@ -89,8 +76,9 @@
                 logger.bind(host=host, program=req.program, reason=repr(exc)).info(
                     "escrow host not reached"
                 )
-                return None
+                complete = False
+                continue
             if reply.serves:
                 self._last_holder[data_centre] = host
                 return reply
-        return reply
+        return EscrowReply(False, 0) if complete else None
--- a/src/magnoliaroad/relay/escrow_disk.py
+++ b/src/magnoliaroad/relay/escrow_disk.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 import msgpack
+from loguru import logger
 
 from magnoliaroad.records.journal import Journal, JournalRecord
 from magnoliaroad.synced_folder import sync_folder
@@ -46,10 +47,15 @@
         }
 
     def load_identity(self) -> DiskIdentity:
-        """Returns the identity of the disk; an empty disk gets a new one."""
+        """Returns the identity of the disk; without a sound one it gets a new one."""
         path = self._folder / IDENTITY_FILE
         if path.exists():
-            return DiskIdentity(*msgpack.unpackb(path.read_bytes()))
+            try:
+                return DiskIdentity(*msgpack.unpackb(path.read_bytes()))
+            except (ValueError, TypeError) as exc:
+                logger.bind(file=path.name, reason=repr(exc)).warning(
+                    "damaged identity of the disk replaced"
+                )
         identity = DiskIdentity(uuid.uuid4().hex, False)
         self.save_identity(identity)
         return identity
--- a/src/magnoliaroad/relay/escrow_service.py
+++ b/src/magnoliaroad/relay/escrow_service.py
@@ -83,8 +83,8 @@
         while not self.should_stop:
             try:
                 await self._check_office()
-            except StoreError as exc:
-                logger.bind(reason=str(exc)).info("escrow host not confirmed")
+            except (StoreError, OSError, ValueError) as exc:
+                logger.bind(reason=repr(exc)).warning("escrow host not confirmed")
                 await asyncio.sleep(RETRY_S)
                 continue
             idle_s = self._cfg.turns.budget_retention_s
@@ -96,6 +96,8 @@
 
         Raises:
             StoreError: The store did not answer, or another host was faster.
+            OSError: The identity of the disk could not be written.
+            ValueError: The store's entry is damaged.
         """
         office, key = self._office, PREFIX + self._cfg.data_centre
         before = self._now()
--- a/src/magnoliaroad/relay/load.py
+++ b/src/magnoliaroad/relay/load.py
@@ -29,7 +29,7 @@
     """
     try:
         document = jsonc.loads(text)
-        return _build(RelaySettings, document)
+        return _check_data_centres(_build(RelaySettings, document))
     except (ValueError, TypeError, KeyError, AttributeError) as exc:
         # Imported only for an invalid file: the checker that lists every fault takes
         # more memory than the rest of the program.
@@ -41,6 +41,15 @@
         raise SettingsError(source, [str(exc)]) from exc
 
 
+def _check_data_centres(cfg: RelaySettings) -> RelaySettings:
+    names = cfg.data_centres
+    if names and cfg.data_centre not in names:
+        raise ValueError(f"data_centres: does not name {cfg.data_centre!r}")
+    if len(set(names)) < len(names):
+        raise ValueError(f"data_centres: names one twice: {', '.join(names)}")
+    return cfg
+
+
 def _build(kind: Any, document: Any) -> Any:
     if not hasattr(kind, "_fields"):
         return msgspec.convert(document, kind)
--- a/tests/relay/test_escrow.py
+++ b/tests/relay/test_escrow.py
@@ -399,6 +399,16 @@
     assert EscrowDisk(tmp_path).load_identity() == identity
 
 
+def test_a_damaged_identity_makes_another_disk(tmp_path):
+    disk = EscrowDisk(tmp_path)
+    disk.recover()
+    before = disk.load_identity()
+    (tmp_path / "identity").write_bytes(b"\x93")
+    after = EscrowDisk(tmp_path).load_identity()
+    assert after.disk != before.disk
+    assert not after.settled
+
+
 def test_idle_programs_are_removed():
     ledger = EscrowLedger(3)
     req = EscrowRequest("p", LIMIT, TURN_TOKENS)
--- a/tests/relay/test_settings.py
+++ b/tests/relay/test_settings.py
@@ -35,3 +35,19 @@
 def test_text_without_a_settings_object_is_refused(text):
     with pytest.raises(SettingsError):
         parse_settings(text)
+
+
+@pytest.mark.parametrize(
+    ("names", "fault"),
+    [(["dc-2"], "does not name 'dc-1'"), (["dc-1", "dc-1"], "names one twice")],
+)
+def test_the_list_of_data_centres_is_checked(names, fault):
+    settings = {
+        "name": "h",
+        "data_centre": "dc-1",
+        "data_centres": names,
+        "listen": {"peers": "127.0.0.1:1", "metrics": "127.0.0.1:2"},
+        "store": {"url": "http://127.0.0.1:3"},
+    }
+    with pytest.raises(SettingsError, match=fault):
+        parse_settings(json.dumps(settings))
