--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -10,6 +10,7 @@
 from magnoliaroad.relay.fleet import (
     DISCOVERY_S,
     HOSTS_PER_CLAIM_WRITER,
+    INCARNATION_FRESH_S,
     MIN_COUNTERS,
     FleetService,
 )
@@ -210,3 +211,29 @@
     receive(fleet, lost, "dc-1", slow=True, store_lost=True)
     assert lost not in {*fleet.budget_hosts(), *fleet.count_hosts()}
     assert len(fleet.count_hosts()) == 3 * MIN_COUNTERS
+
+
+async def test_an_ended_incarnation_has_no_tokens_to_lend(fleet):
+    """Guards against asking a killed host's claim for tokens without an end."""
+    receive(fleet, "host-a", "dc-1")
+    reply = await fleet.ask_budget("host-a#killed", "p")
+    assert reply.lent == 0
+    # A host that is silent may have a later incarnation, which holds the claim.
+    receive(fleet, "host-a", "dc-1", age_s=2 * INCARNATION_FRESH_S)
+    assert await fleet.ask_budget("host-a#later", "p") is None
+    assert await fleet.ask_budget("host-x#unknown", "p") is None
+
+
+async def test_hosts_of_a_data_centre_count_budgets_while_none_reaches_the_store(fleet):
+    receive(fleet, "host-a", "dc-1", store_lost=True)
+    receive(fleet, "host-s", "dc-1", store_lost=True, slow=True)
+    receive(fleet, "host-b", "dc-2", store_lost=True)
+    fleet._contact.lost = True
+    assert sorted(fleet.budget_hosts()) == ["host-a", "host-m"]
+
+
+async def test_data_centres_in_contact_are_those_of_hosts_with_heartbeats(fleet):
+    receive(fleet, "host-b", "dc-2")
+    receive(fleet, "host-c", "dc-3", age_s=60.0)
+    fleet._update_silent()
+    assert fleet.data_centres_in_contact() == {"dc-1", "dc-2"}
