--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -65,13 +65,18 @@
 
 
 class Deployment:
-    """Relay hosts with stand-ins of the store and the targets, for one test."""
+    """Relay hosts with stand-ins of the store and the targets, for one test.
 
-    def __init__(self, tmp_path, *targets, hosts=1):
+    Args:
+        escrow: Whether a record host grants a part of each budget.
+    """
+
+    def __init__(self, tmp_path, *targets, hosts=1, escrow=False):
         self.tmp_path = tmp_path
         self.targets = targets
         self.kv = KvStandin()
         self.hosts = hosts
+        self.escrow = escrow
         self.relays = []
         self.records = None
         self._ids = itertools.count(1)
@@ -118,6 +123,8 @@
             listen=RelayListen(free_address(), free_address(), **listen),
             store=StoreSettings(self.kv.url),
             data_folder=str(self.tmp_path),
+            data_centres=("dc-1",) if self.escrow else (),
+            first_start=True,
             drain=DrainSettings(notice_s=0.3, limit_s=4.0),
         )
 
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -1,6 +1,7 @@
 """Failures of similar systems that the users have named, as callers see them."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -111,3 +112,20 @@
         await deployment.until(lambda: not target.in_flight)
         await asyncio.sleep(1.0)
         assert (await deployment.call(path, "POST", b"n"))[0] == 200
+
+
+async def test_a_program_begins_and_goes_on_while_the_store_is_away(tmp_path):
+    target = TargetStandin("i-lm", "lm")
+    async with Deployment(tmp_path, target, escrow=True) as deployment:
+        await deployment.start_records()
+        office = deployment.records.escrow._office
+        await deployment.until(lambda: office.may_grant(time.monotonic()))
+        deployment.kv.fault = "busy"
+        contact = deployment.relays[0].contact
+        contact.request_probe()
+        await deployment.until(lambda: contact.lost)
+        statuses = [(await deployment.turn(budget=2000))[0] for _ in range(4)]
+        assert statuses == [200] * 4
+        # Beyond the data centre's part nothing can be claimed.
+        status, _, _ = await deployment.turn(program="p-2", budget=150)
+        assert status == 503
