--- a/src/magnoliaroad/relay/escrow_disk.py
+++ b/src/magnoliaroad/relay/escrow_disk.py
@@ -21,7 +21,7 @@
 
     Attributes:
         disk: Random identifier.
-        settled: Whether tokens may be granted from this disk; see ``EscrowOffice``.
+        settled: Whether tokens may be granted from this disk; see ``EscrowRole``.
     """
 
     disk: str
--- a/src/magnoliaroad/relay/escrow_office.py
+++ b/src/magnoliaroad/relay/escrow_role.py
@@ -41,7 +41,7 @@
     return EscrowHolder(*fields)
 
 
-class EscrowOffice:
+class EscrowRole:
     """Tracks whether this host may grant tokens for its data centre.
 
     Each data centre has one such host, named in the store. Grants are kept on its disk
--- a/src/magnoliaroad/relay/escrow_service.py
+++ b/src/magnoliaroad/relay/escrow_service.py
@@ -12,9 +12,9 @@
 from magnoliaroad.relay.escrow_disk import DiskIdentity, EscrowDisk
 from magnoliaroad.relay.escrow_ledger import EscrowLedger
 from magnoliaroad.relay.escrow_messages import EscrowReply, EscrowRequest
-from magnoliaroad.relay.escrow_office import (
+from magnoliaroad.relay.escrow_role import (
     EscrowHolder,
-    EscrowOffice,
+    EscrowRole,
     unpack_holder,
 )
 from magnoliaroad.relay.settings import RelaySettings
@@ -55,7 +55,7 @@
         self._now = now
         self._disk = EscrowDisk(folder)
         self._ledger = EscrowLedger(len(cfg.data_centres))
-        self._office: EscrowOffice | None = None
+        self._role: EscrowRole | None = None
         self._unsynced: dict[str, asyncio.Future[bool]] = {}
         peers.on(EscrowRequest, self._on_request, EscrowReply)
 
@@ -67,7 +67,7 @@
         identity = self._disk.load_identity()
         holder = EscrowHolder(self._cfg.name, identity.disk)
         first_start = self._cfg.first_start
-        self._office = EscrowOffice(holder, first_start, identity.settled)
+        self._role = EscrowRole(holder, first_start, identity.settled)
         logger.bind(
             programs=len(self._ledger), disk=identity.disk, settled=identity.settled
         ).info("escrow recovered")
@@ -77,12 +77,12 @@
         self._disk.close()
 
     @Service.task
-    async def _watch_office(self) -> None:
+    async def _watch_role(self) -> None:
         if self._cfg.data_centre not in self._cfg.data_centres:
             return
         while not self.should_stop:
             try:
-                await self._check_office()
+                await self._check_role()
             except (StoreError, OSError, ValueError) as exc:
                 logger.bind(reason=repr(exc)).warning("escrow host not confirmed")
                 await asyncio.sleep(RETRY_S)
@@ -91,7 +91,7 @@
             self._disk.forget(self._ledger.remove_idle(self._now(), idle_s))
             await asyncio.sleep(CHECK_INTERVAL_S)
 
-    async def _check_office(self) -> None:
+    async def _check_role(self) -> None:
         """Reads which host grants for this data centre, and registers if none does.
 
         Raises:
@@ -99,25 +99,25 @@
             OSError: The identity of the disk could not be written.
             ValueError: The store's entry is damaged.
         """
-        office, key = self._office, PREFIX + self._cfg.data_centre
+        role, key = self._role, PREFIX + self._cfg.data_centre
         before = self._now()
         entry = await self._store.get(key)
         named = None if entry is None else unpack_holder(entry.value)
         elsewhere = named is not None and named.host != self._cfg.name
         listed = await self._list_hosts() if elsewhere else set()
-        settled = office.settled
-        if office.check(before, named, listed):
+        settled = role.settled
+        if role.check(before, named, listed):
             revision = 0 if entry is None else entry.revision
-            await self._store.put(key, office.holder.pack(), revision)
-            office.registered(before)
-            logger.bind(key=key, replaced=named, settled=office.settled).info(
+            await self._store.put(key, role.holder.pack(), revision)
+            role.registered(before)
+            logger.bind(key=key, replaced=named, settled=role.settled).info(
                 "escrow host registered"
             )
-        if office.settled != settled:
-            self._disk.save_identity(DiskIdentity(office.holder.disk, office.settled))
+        if role.settled != settled:
+            self._disk.save_identity(DiskIdentity(role.holder.disk, role.settled))
 
     async def _on_request(self, sender: str, req: EscrowRequest) -> EscrowReply:
-        if self._office is None or not self._office.may_grant(self._now()):
+        if self._role is None or not self._role.may_grant(self._now()):
             return EscrowReply(False, 0)
         granted = self._ledger.grant(self._now(), req)
         if granted and not await self._sync(req.program):
--- a/tests/platform/test_failures.py
+++ b/tests/platform/test_failures.py
@@ -118,8 +118,8 @@
     target = TargetStandin("i-lm", "lm")
     async with Deployment(tmp_path, target, escrow=True) as deployment:
         await deployment.start_records()
-        office = deployment.records.escrow._office
-        await deployment.until(lambda: office.may_grant(time.monotonic()))
+        role = deployment.records.escrow._role
+        await deployment.until(lambda: role.may_grant(time.monotonic()))
         deployment.kv.fault = "busy"
         contact = deployment.relays[0].contact
         contact.request_probe()
--- a/tests/relay/test_escrow.py
+++ b/tests/relay/test_escrow.py
@@ -19,11 +19,11 @@
 from magnoliaroad.relay.escrow_disk import EscrowDisk
 from magnoliaroad.relay.escrow_ledger import EscrowLedger
 from magnoliaroad.relay.escrow_messages import EscrowRequest
-from magnoliaroad.relay.escrow_office import (
+from magnoliaroad.relay.escrow_role import (
     CONFIRMATION_LIFETIME_S,
     TAKEOVER_WAIT_S,
     EscrowHolder,
-    EscrowOffice,
+    EscrowRole,
 )
 from magnoliaroad.relay.escrow_service import EscrowService
 from magnoliaroad.relay.fleet_messages import BudgetLoanRequest
@@ -421,11 +421,11 @@
 
 
 def test_the_first_holder_grants_at_once_and_a_later_one_waits():
-    first = EscrowOffice(EscrowHolder("r1", "disk-1"), first_start=True)
+    first = EscrowRole(EscrowHolder("r1", "disk-1"), first_start=True)
     assert first.check(0.0, None, {"r1"})
     first.registered(0.0)
     assert first.may_grant(0.1)
-    later = EscrowOffice(EscrowHolder("r1", "disk-2"), first_start=False)
+    later = EscrowRole(EscrowHolder("r1", "disk-2"), first_start=False)
     assert later.check(5.0, first.holder, {"r1"})
     later.registered(5.0)
     assert not later.may_grant(5.1)
@@ -434,27 +434,27 @@
 
 
 def test_a_holder_grants_nothing_after_another_was_named():
-    office = EscrowOffice(EscrowHolder("r1", "disk-1"), first_start=True)
-    office.check(0.0, None, set())
-    office.registered(0.0)
+    role = EscrowRole(EscrowHolder("r1", "disk-1"), first_start=True)
+    role.check(0.0, None, set())
+    role.registered(0.0)
     other = EscrowHolder("r2", "disk-2")
-    assert not office.check(30.0, other, {"r1", "r2"})
-    assert not office.may_grant(30.0)
-    assert office.check(60.0, other, {"r1"})
-    office.registered(60.0)
-    assert not office.may_grant(60.0)
+    assert not role.check(30.0, other, {"r1", "r2"})
+    assert not role.may_grant(30.0)
+    assert role.check(60.0, other, {"r1"})
+    role.registered(60.0)
+    assert not role.may_grant(60.0)
 
 
 def test_a_holder_that_the_store_has_not_confirmed_stops_granting():
-    office = EscrowOffice(EscrowHolder("r1", "disk-1"), False, settled=True)
-    assert not office.may_grant(0.0)
-    office.check(0.0, office.holder, set())
-    assert office.may_grant(CONFIRMATION_LIFETIME_S)
-    assert not office.may_grant(CONFIRMATION_LIFETIME_S + 0.1)
+    role = EscrowRole(EscrowHolder("r1", "disk-1"), False, settled=True)
+    assert not role.may_grant(0.0)
+    role.check(0.0, role.holder, set())
+    assert role.may_grant(CONFIRMATION_LIFETIME_S)
+    assert not role.may_grant(CONFIRMATION_LIFETIME_S + 0.1)
 
 
 def test_a_lost_reply_of_the_registration_is_made_good():
-    office = EscrowOffice(EscrowHolder("r1", "disk-1"), first_start=True)
-    assert office.check(0.0, None, set())
-    assert not office.check(1.0, office.holder, set())
-    assert office.may_grant(1.0)
+    role = EscrowRole(EscrowHolder("r1", "disk-1"), first_start=True)
+    assert role.check(0.0, None, set())
+    assert not role.check(1.0, role.holder, set())
+    assert role.may_grant(1.0)
