--- a/src/magnoliaroad/relay/escrow_service.py
+++ b/src/magnoliaroad/relay/escrow_service.py
@@ -17,6 +17,7 @@
     EscrowRole,
     unpack_holder,
 )
+from magnoliaroad.relay.metrics import ESCROW_REQUESTS
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.store import Store, StoreError
 
@@ -118,10 +119,12 @@
 
     async def _on_request(self, sender: str, req: EscrowRequest) -> EscrowReply:
         if self._role is None or not self._role.may_grant(self._now()):
+            ESCROW_REQUESTS.inc({"outcome": "not serving"})
             return EscrowReply(False, 0)
         granted = self._ledger.grant(self._now(), req)
         if granted and not await self._sync(req.program):
             granted = 0
+        ESCROW_REQUESTS.inc({"outcome": "granted" if granted else "used up"})
         logger.bind(
             program=req.program, host=sender, needed=req.needed, granted=granted
         ).info("escrow granted" if granted else "escrow not granted")
--- a/src/magnoliaroad/relay/metrics.py
+++ b/src/magnoliaroad/relay/metrics.py
@@ -7,6 +7,14 @@
 )
 REFUSALS = Counter("relay_refusals_total", "Requests that were refused, by code.")
 SENDS = Counter("relay_sends_total", "Requests sent to targets, by outcome.")
+ESCROW_REQUESTS = Counter(
+    "relay_escrow_requests_total",
+    "Requests for a data centre's part of a budget, by outcome.",
+)
+PROGRAM_TURNS = Counter(
+    "relay_program_turns_total",
+    "Turns of programs by placement: new, kept on their target, or moved.",
+)
 LATENCY = Histogram(
     "relay_latency_seconds", "Time from a request's head to its end, by route kind."
 )
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -16,7 +16,7 @@
 from magnoliaroad.relay.admission import AdmittedCall
 from magnoliaroad.relay.dialect import AnswerHead
 from magnoliaroad.relay.event_scanner import EventScanner
-from magnoliaroad.relay.metrics import FIRST_BYTE, SENDS
+from magnoliaroad.relay.metrics import FIRST_BYTE, PROGRAM_TURNS, SENDS
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.placement import (
     choose_by_program,
@@ -335,6 +335,7 @@
             candidates=len(usable),
             excluded=len(excluded),
             program=self.call.program,
+            placed=self._placed,
             parts=self.call.prompt_parts,
             fingerprint=self.fingerprint,
         ).info("placed")
@@ -346,9 +347,15 @@
         if not program:
             return choose_by_session(table, usable, self._affinity_key, data_centre)
         target = choose_by_program(table, usable, program, self._placed, data_centre)
+        PROGRAM_TURNS.inc({"placement": self._placement_of(target)})
         self.parts.program_targets.assign(program, target.name)
         return target
 
+    def _placement_of(self, target: RelayTarget) -> str:
+        if not self._placed:
+            return "new"
+        return "kept" if target.name == self._placed else "moved"
+
     async def _send(self, target: RelayTarget, attempts: int) -> OpenAnswer:
         remaining_s = self.deadline - time.monotonic() - self.parts.cfg.targets.margin_s
         if remaining_s < MIN_SEND_TIME_S:
