Leave out targets of data centres that are out of contact

The load of the other data centres' targets reads as zero there, so placement by load preferred them, and each try failed; on the other side the same for those of the data centre that is cut off.

Targets of a data centre without heartbeats are used only if no others are left. The test fails on the code before: the program's target elsewhere was chosen.

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -567,6 +567,7 @@
             ).warning("peer lost")
         for host in changed.regained:
             logger.bind(peer=host).info("peer regained")
+        self._targets.silent_data_centres = tracker.silent_data_centres
         for data_centre in tracker.silent_data_centres:
             self._router.forget_data_centre(data_centre)
             self._targets.set_remote_in_flight(data_centre, {})
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -311,11 +311,7 @@
 
     def _choose_target(self, excluded: set[str]) -> RelayTarget:
         table, now = self.parts.table, time.monotonic()
-        usable = [
-            target
-            for target in table.usable(self._service, now)
-            if target.name not in excluded
-        ]
+        usable = table.usable(self._service, now, excluded)
         if not usable:
             raise self._refusal_error(TARGETS_FULL if excluded else NO_TARGET)
         data_centre = self.parts.cfg.data_centre
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -1,7 +1,7 @@
 """The targets that a host knows, with their load, cooldowns and pace."""
 
 import statistics
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
 from magnoliaroad.relay.leaving import LeavingTargets
@@ -42,10 +42,13 @@
         targets: The targets that the store lists, by name.
         in_flight: Requests of this host in flight, by target.
         leaving: Targets that have announced that they leave.
+        silent_data_centres: Data centres out of contact. The load of their targets is
+            not known, and calls to them are likely to fail.
     """
 
     def __init__(self) -> None:
         self.leaving = LeavingTargets()
+        self.silent_data_centres: Collection[str] = frozenset()
         self.targets: dict[str, RelayTarget] = {}
         self.in_flight: dict[str, int] = {}
         self._remote_in_flight: dict[str, dict[str, int]] = {}
@@ -69,11 +72,18 @@
         ):
             table.pop(name, None)
 
-    def usable(self, service: str, now: float) -> list[RelayTarget]:
+    def usable(
+        self, service: str, now: float, excluded: Collection[str] = ()
+    ) -> list[RelayTarget]:
         """Returns the targets of ``service`` that may get new requests.
 
-        Targets in cooldown and slow targets are left out unless there are no others;
-        leaving targets are always left out.
+        Targets in cooldown, slow targets and those of data centres out of contact are
+        left out unless there are no others; leaving targets are always left out.
+
+        Args:
+            service: Name of the service.
+            now: Time in seconds.
+            excluded: Names of targets that were already tried.
         """
         ready = [
             target
@@ -83,7 +93,9 @@
             and target not in self.leaving
         ]
         available = [t for t in ready if self._cooldown_until.get(t.name, 0.0) <= now]
-        return self._without_slow(available, now) or available or ready
+        left = [t for t in available or ready if t.name not in excluded]
+        reached = [t for t in left if t.data_centre not in self.silent_data_centres]
+        return self._without_slow(reached, now) or left
 
     def record_event_gap(self, name: str, gap_s: float, now: float) -> None:
         """Adds a gap between two events of a target's stream to its mean."""
--- a/tests/relay/test_program_placement.py
+++ b/tests/relay/test_program_placement.py
@@ -107,6 +107,22 @@
     assert kept < by_hash
 
 
+def test_a_data_centre_that_is_cut_off_uses_its_own_targets():
+    """Load pattern: a data centre is cut off; the others' targets show no load."""
+    table = TargetTable()
+    targets = [make_target(number) for number in range(6)]
+    for target in targets:
+        table.set(target)
+    table.set_remote_in_flight("dc-1-host", {"t0": 8, "t3": 9})
+    table.silent_data_centres = {"dc-2", "dc-3"}
+    for number in range(50):
+        usable = table.usable("engines", 0.0)
+        target = choose_by_program(table, usable, f"p{number}", "t1", "dc-1")
+        assert target.data_centre == "dc-1"
+    others = table.usable("engines", 0.0, {"t0", "t3"})
+    assert sorted(target.name for target in others) == ["t1", "t2", "t4", "t5"]
+
+
 def test_an_added_target_gets_new_programs_and_no_running_ones():
     table = TargetTable()
     targets = [make_target(0), make_target(3)]
