Count claims of ended and lost hosts as spent (LOST)

Cause: tokens that a killed host had claimed were waited for without a limit. A restarted host asked for its own former claim, of which it never gets a heartbeat, and a host that was removed for good stayed unknown. By the logs, the holder out of reach in all 18 refusals is the former incarnation of the host that asks. Ruled out by the codes of the refusals: previous turns that are not found (turn_uncertain 1), targets that take no request (0).

A host's own former incarnation has ended. A host that is silent for 3 s counts as lost, unless its whole data centre is silent, as then a partition is likelier, or this host does not reach the store, as then it may be the one that is cut off. Both only decide between 402 and 503; no token is granted that was not before.

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -57,9 +57,6 @@
 # Hosts to which crashes of targets are reported; more than one, so that the loss of a
 # host loses no evidence.
 CRASH_DETECTORS = 2
-# Age of a heartbeat below which no later incarnation of its host has started, in
-# seconds; a host takes longer to start.
-INCARNATION_FRESH_S = 0.4
 # Longest wait after the list of hosts could not be read, in seconds.
 LIST_RETRY_S = 1.0
 # Longest wait for the host's own entry before the list is read, in seconds. Of two
@@ -381,15 +378,18 @@
             self.isolated = isolated
 
     async def ask_budget(self, holder: str, program: str) -> BudgetLoanReply | None:
-        """Asks the incarnation ``holder`` to lend unused tokens of a program."""
+        """Asks the incarnation ``holder`` to lend unused tokens of a program.
+
+        Returns:
+            Its reply; no tokens if it has ended or is lost, as its claim then counts as
+            spent; ``None`` if it may lend some later.
+        """
         host, _, boot = holder.partition("#")
+        if self._has_ended(host, boot):
+            return BudgetLoanReply(0)
         received = self._tracker.latest.get(host)
-        if received is None:
+        if received is None or received.heartbeat.boot != boot:
             return None
-        if received.heartbeat.boot != boot:
-            # A later incarnation would have stopped this one's heartbeats.
-            age_s = time.monotonic() - received.received_at
-            return BudgetLoanReply(0) if age_s < INCARNATION_FRESH_S else None
         try:
             return await self._peers.call(
                 host, BudgetLoanRequest(program), ANSWER_TIMEOUT_S
@@ -400,6 +400,19 @@
             )
             return None
 
+    def _has_ended(self, host: str, boot: str) -> bool:
+        """Whether an incarnation of a host has ended or counts as lost.
+
+        No host counts as lost while this one does not reach the store, as this one may
+        then be the one that is cut off.
+        """
+        if host == self.cfg.name:
+            return boot != self.boot
+        now = time.monotonic()
+        if self._tracker.is_superseded(now, host, boot):
+            return True
+        return not self.store_lost() and self._tracker.is_lost(now, host)
+
     @Service.task
     async def _refresh_members(self) -> None:
         await self._wait_for_relist(ANNOUNCE_WAIT_S)
--- a/src/magnoliaroad/relay/heartbeat_tracker.py
+++ b/src/magnoliaroad/relay/heartbeat_tracker.py
@@ -37,6 +37,12 @@
 # Least time between the starts of two incarnations of a host, in seconds. It exceeds
 # the time that a heartbeat takes to arrive.
 MIN_RESTART_GAP_S = 0.5
+# Age of a heartbeat below which no later incarnation of its host has started, in
+# seconds; a host takes longer to start.
+INCARNATION_FRESH_S = 0.4
+# Silence after which a single host counts as lost, with what only it knows, in seconds.
+# Callers are owed an answer that soon after a disruption.
+HOST_LOST_S = 3.0
 
 
 class ReceivedHeartbeat(NamedTuple):
@@ -210,6 +216,29 @@
         received = self.latest.get(host)
         return received is not None and now - received.received_at < self.far_silent_s
 
+    def is_superseded(self, now: float, host: str, boot: str) -> bool:
+        """Whether a later incarnation of a host than ``boot`` is running.
+
+        A heartbeat of another incarnation that is not recent may be of an earlier one.
+        """
+        received = self.latest.get(host)
+        if received is None or received.heartbeat.boot == boot:
+            return False
+        return now - received.received_at < INCARNATION_FRESH_S
+
+    def is_lost(self, now: float, host: str) -> bool:
+        """Whether a host has been silent for too long to wait for it.
+
+        A host is not lost while its whole data centre is silent: that shows a network
+        partition, after which the host is back with what it knows.
+        """
+        address = self.members.get(host)
+        if address is not None and address.data_centre in self.silent_data_centres:
+            return False
+        received = self.latest.get(host)
+        heard_at = self._began if received is None else received.received_at
+        return now - heard_at >= HOST_LOST_S
+
     def is_near(self, peer: Heartbeat | PeerAddress) -> bool:
         """Whether a peer is in this host's data centre."""
         return peer.data_centre == self.cfg.data_centre
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -10,13 +10,14 @@
 from magnoliaroad.relay.fleet import (
     DISCOVERY_S,
     HOSTS_PER_CLAIM_WRITER,
-    INCARNATION_FRESH_S,
     MIN_COUNTERS,
     FleetService,
 )
 from magnoliaroad.relay.fleet_messages import Heartbeat
 from magnoliaroad.relay.heartbeat_tracker import (
     FIRST_HEARTBEAT_WAIT_S,
+    HOST_LOST_S,
+    INCARNATION_FRESH_S,
     MIN_DATA_CENTRE_SILENCE_S,
     ReceivedHeartbeat,
 )
@@ -224,6 +225,36 @@
     assert await fleet.ask_budget("host-x#unknown", "p") is None
 
 
+async def test_a_restarted_host_does_not_wait_for_its_own_former_claim(fleet):
+    """Guards against refusing a program's turns as long as it lasts (LOST)."""
+    reply = await fleet.ask_budget("host-m#killed", "p")
+    assert reply is not None
+    assert reply.lent == 0
+
+
+async def test_a_host_that_stays_silent_has_no_tokens_to_lend(fleet):
+    """Guards against asking a host that was removed for good without an end (LOST)."""
+    receive(fleet, "host-a", "dc-1")
+    receive(fleet, "host-b", "dc-1", age_s=HOST_LOST_S)
+    reply = await fleet.ask_budget("host-b#b", "p")
+    assert reply is not None
+    assert reply.lent == 0
+    fleet._tracker._began -= HOST_LOST_S
+    assert await fleet.ask_budget("host-x#unknown", "p") is not None
+
+
+@pytest.mark.parametrize("case", ["briefly", "isolated", "partition"])
+async def test_a_silent_host_that_may_return_may_still_lend(fleet, case):
+    silent_s = HOST_LOST_S / 2 if case == "briefly" else 2 * HOST_LOST_S
+    receive(fleet, "host-a", "dc-1")
+    receive(fleet, "host-b", "dc-2", age_s=silent_s)
+    if case != "partition":
+        receive(fleet, "host-c", "dc-2")
+    fleet._contact.lost = case == "isolated"
+    fleet._update_silent()
+    assert await fleet.ask_budget("host-b#b", "p") is None
+
+
 async def test_hosts_of_a_data_centre_count_budgets_while_none_reaches_the_store(fleet):
     receive(fleet, "host-a", "dc-1", store_lost=True)
     receive(fleet, "host-s", "dc-1", store_lost=True, slow=True)
