Count the silence of a host from the check that finds it, and ask restarted ones (LOST)

A host is lost 3 s after it was found out of contact. A holder that is in contact is asked whatever incarnation its last heartbeat was from: who replies is the one that claimed or a later one, so the reply is final.

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -380,16 +380,16 @@
     async def ask_budget(self, holder: str, program: str) -> BudgetLoanReply | None:
         """Asks the incarnation ``holder`` to lend unused tokens of a program.
 
+        If its host has restarted, the reply comes from the later incarnation, which has
+        none of the tokens of ``holder``.
+
         Returns:
-            Its reply; no tokens if it has ended or is lost, as its claim then counts as
-            spent; ``None`` if it may lend some later.
+            The reply; no tokens if ``holder`` has ended or is lost, as its claim then
+            counts as spent; ``None`` if it may lend some later.
         """
         host, _, boot = holder.partition("#")
         if self._has_ended(host, boot):
             return BudgetLoanReply(0)
-        received = self._tracker.latest.get(host)
-        if received is None or received.heartbeat.boot != boot:
-            return None
         try:
             return await self._peers.call(
                 host, BudgetLoanRequest(program), ANSWER_TIMEOUT_S
--- a/src/magnoliaroad/relay/heartbeat_tracker.py
+++ b/src/magnoliaroad/relay/heartbeat_tracker.py
@@ -40,8 +40,8 @@
 # Age of a heartbeat below which no later incarnation of its host has started, in
 # seconds; a host takes longer to start.
 INCARNATION_FRESH_S = 0.4
-# Silence after which a single host counts as lost, with what only it knows, in seconds.
-# Callers are owed an answer that soon after a disruption.
+# Time out of contact after which a host counts as lost, with what only it knows, in
+# seconds. Callers are owed an answer that soon after a disruption.
 HOST_LOST_S = 3.0
 
 
@@ -85,6 +85,7 @@
         self._known_at: dict[str, float] = {}
         self._started: dict[str, float] = {}
         self._returned: set[str] = set()
+        self._silent_since: dict[str, float] = {}
         self._contacts: tuple[int, dict[str, Heartbeat]] = (-1, {})
 
     def set_members(self, now: float, members: dict[str, PeerAddress]) -> None:
@@ -227,17 +228,18 @@
         return now - received.received_at < INCARNATION_FRESH_S
 
     def is_lost(self, now: float, host: str) -> bool:
-        """Whether a host has been silent for too long to wait for it.
+        """Whether a host has been out of contact for too long to wait for it.
 
         A host is not lost while its whole data centre is silent: that shows a network
-        partition, after which the host is back with what it knows.
+        partition, after which the host is back with what it knows. A host that is not
+        on the store's list has lost its lease, which takes longer than a program.
         """
         address = self.members.get(host)
-        if address is not None and address.data_centre in self.silent_data_centres:
+        if address is None:
+            return now - self._began >= HOST_LOST_S
+        if address.data_centre in self.silent_data_centres:
             return False
-        received = self.latest.get(host)
-        heard_at = self._began if received is None else received.received_at
-        return now - heard_at >= HOST_LOST_S
+        return now - self._silent_since.get(host, now) >= HOST_LOST_S
 
     def is_near(self, peer: Heartbeat | PeerAddress) -> bool:
         """Whether a peer is in this host's data centre."""
@@ -340,6 +342,11 @@
         if silent != self.silent:
             self.version += 1
         self.silent = silent
+        # Counted from the check that found a host silent: after a pause of this host
+        # its peers only seem to have been silent.
+        self._silent_since = {
+            host: self._silent_since.get(host, now) for host in silent
+        }
         return changed
 
     def merge_members(
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -13,7 +13,7 @@
     MIN_COUNTERS,
     FleetService,
 )
-from magnoliaroad.relay.fleet_messages import Heartbeat
+from magnoliaroad.relay.fleet_messages import BudgetLoanReply, Heartbeat
 from magnoliaroad.relay.heartbeat_tracker import (
     FIRST_HEARTBEAT_WAIT_S,
     HOST_LOST_S,
@@ -232,10 +232,18 @@
     assert reply.lent == 0
 
 
+def make_silent(fleet, host, silent_s):
+    """Makes a host one that was found out of contact ``silent_s`` ago."""
+    heartbeat, received_at = fleet._tracker.latest[host]
+    fleet._tracker.latest[host] = ReceivedHeartbeat(heartbeat, received_at - 100.0)
+    fleet._tracker.update_silent(time.monotonic() - silent_s)
+
+
 async def test_a_host_that_stays_silent_has_no_tokens_to_lend(fleet):
     """Guards against asking a host that was removed for good without an end (LOST)."""
     receive(fleet, "host-a", "dc-1")
-    receive(fleet, "host-b", "dc-1", age_s=HOST_LOST_S)
+    receive(fleet, "host-b", "dc-1")
+    make_silent(fleet, "host-b", HOST_LOST_S)
     reply = await fleet.ask_budget("host-b#b", "p")
     assert reply is not None
     assert reply.lent == 0
@@ -243,18 +251,49 @@
     assert await fleet.ask_budget("host-x#unknown", "p") is not None
 
 
-@pytest.mark.parametrize("case", ["briefly", "isolated", "partition"])
+@pytest.mark.parametrize("case", ["briefly", "isolated", "partition", "own pause"])
 async def test_a_silent_host_that_may_return_may_still_lend(fleet, case):
-    silent_s = HOST_LOST_S / 2 if case == "briefly" else 2 * HOST_LOST_S
+    """Guards against calling a budget spent of which a host still has a part."""
     receive(fleet, "host-a", "dc-1")
-    receive(fleet, "host-b", "dc-2", age_s=silent_s)
+    receive(fleet, "host-b", "dc-2")
     if case != "partition":
         receive(fleet, "host-c", "dc-2")
+    if case == "own pause":
+        receive(fleet, "host-b", "dc-2", age_s=2 * HOST_LOST_S)
+    else:
+        make_silent(fleet, "host-b", HOST_LOST_S * (0.5 if case == "briefly" else 2))
     fleet._contact.lost = case == "isolated"
     fleet._update_silent()
     assert await fleet.ask_budget("host-b#b", "p") is None
 
 
+async def test_hosts_of_a_large_fleet_in_contact_are_not_lost(fleet):
+    """Guards against a silence that is usual where heartbeats come seldom."""
+    for number in range(300):
+        receive(fleet, f"host-{number}", f"dc-{number % 3 + 1}")
+    late_s = HOST_LOST_S + 0.1
+    assert fleet._tracker.far_silent_s > late_s
+    receive(fleet, "host-1", "dc-2", age_s=late_s)
+    fleet._update_silent()
+    assert await fleet.ask_budget("host-1#b", "p") is None
+
+
+async def test_a_host_in_contact_is_asked_whichever_incarnation_claimed(fleet):
+    """Guards against waiting for heartbeats where they come seldom (LOST)."""
+    asked = []
+
+    async def call(host, message, timeout_s=None):
+        asked.append(host)
+        return BudgetLoanReply(0 if host == "host-a" else 7)
+
+    fleet._peers.call = call
+    receive(fleet, "host-a", "dc-1", age_s=2 * INCARNATION_FRESH_S)
+    receive(fleet, "host-b", "dc-1")
+    assert (await fleet.ask_budget("host-a#killed", "p")).lent == 0
+    assert (await fleet.ask_budget("host-b#b", "p")).lent == 7
+    assert asked == ["host-a", "host-b"]
+
+
 async def test_hosts_of_a_data_centre_count_budgets_while_none_reaches_the_store(fleet):
     receive(fleet, "host-a", "dc-1", store_lost=True)
     receive(fleet, "host-s", "dc-1", store_lost=True, slow=True)
