--- a/src/magnoliaroad/relay/call.py
+++ b/src/magnoliaroad/relay/call.py
@@ -25,7 +25,10 @@
             this request only.
         output_tokens: Most tokens that this request may generate.
         previous_turn: Turn that this one continues; empty for none.
-        resume_after: Id of the last event that the caller has received.
+        resume_after: Id of the last event that the caller has received; ``None`` if the
+            request does not take up a stream again.
+        resumed_stream: Id of the attempt that began the stream to resume; empty if it
+            is not stated.
     """
 
     request_id: str
@@ -44,3 +47,4 @@
     output_tokens: int = 0
     previous_turn: str = ""
     resume_after: int | None = None
+    resumed_stream: str = ""
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -332,6 +332,8 @@
             excluded=len(excluded),
             program=self.call.program,
             placed=self._placed,
+            version=target.version,
+            resumed=self.call.resumed_stream,
             parts=self.call.prompt_parts,
             fingerprint=self.fingerprint,
         ).info("placed")
--- a/src/magnoliaroad/relay/target.py
+++ b/src/magnoliaroad/relay/target.py
@@ -22,6 +22,8 @@
         slots: Requests that it can run at the same time.
         state: Whether it accepts new requests.
         started_ms: Unix time of its start in milliseconds; 0 if unknown.
+        version: Version of its software; empty if unknown. Streams that one version has
+            begun cannot be continued by another.
     """
 
     name: str
@@ -31,3 +33,4 @@
     slots: int
     state: TargetState
     started_ms: int = 0
+    version: str = ""
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -154,6 +154,8 @@
                 target=name,
                 service=target.service,
                 state=target.state.value,
+                version=target.version,
+                started_ms=target.started_ms,
                 before=None if before is None else before.state.value,
                 revision=entry.revision,
             ).info("target")
