Resume a stream only at the version of the software that began it (ORDER)

Cause: a resumed stream was placed by load like a new one; what it resumes was not read, and the version of a target was not decoded. Ruled out: joins within one answer, as no request is sent on once its answer has begun, and targets that restart with another version under their id, by the new log lines.

Each host remembers where its streams began and tells two record hosts, which survive the loss of all relay hosts. A stream whose origin is not known, or whose version has no target, is refused with 503 at once: that one version is listed does not show that no other began it.

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -148,6 +148,10 @@
         """Returns the known hosts that are not live."""
         return [host for host in self._hosts if not self._is_live(host)]
 
+    def live_hosts(self) -> list[str]:
+        """Returns the live record hosts."""
+        return [host for host in self._hosts if self._is_live(host)]
+
     def live_hosts_in(self, data_centre: str) -> list[str]:
         """Returns the live record hosts of a data centre, by name."""
         return sorted(
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -31,6 +31,7 @@
 from magnoliaroad.relay.quota import TeamTokenBuckets
 from magnoliaroad.relay.server import RelayServer
 from magnoliaroad.relay.settings import RelaySettings
+from magnoliaroad.relay.stream_origins import StreamOrigins
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetTable
@@ -152,6 +153,9 @@
             program_targets=ProgramTargets(
                 cfg.name, self.peers, self.fleet.budget_hosts
             ),
+            stream_origins=StreamOrigins(
+                self.peers, lambda: self.records.hosts, self.records.live_hosts
+            ),
             programs=LruCache(MAX_REMEMBERED_PROGRAMS, lambda _: 1),
             host_count=self.fleet.host_count,
             notify_peers=self.fleet.send_heartbeat_soon,
--- a/src/magnoliaroad/relay/metrics.py
+++ b/src/magnoliaroad/relay/metrics.py
@@ -15,6 +15,10 @@
     "relay_program_turns_total",
     "Turns of programs by placement: new, kept on their target, or moved.",
 )
+RESUMED_STREAMS = Counter(
+    "relay_resumed_streams_total",
+    "Requests to resume a stream, by what is known of its origin.",
+)
 LATENCY = Histogram(
     "relay_latency_seconds", "Time from a request's head to its end, by route kind."
 )
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -10,6 +10,7 @@
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.settings import RelaySettings
+from magnoliaroad.relay.stream_origins import StreamOrigins
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.team_limiter import TeamLimiter
 from magnoliaroad.relay.turn_ledger import TurnLedger
@@ -22,6 +23,7 @@
     Attributes:
         quarantine: Refuses requests that crash targets.
         program_targets: The target that serves each program.
+        stream_origins: The software that began each stream that may be resumed.
         programs: Programs of which this host has recently admitted requests.
         host_count: Returns the number of relay hosts.
         notify_peers: Sends this host's state to its peers without waiting for the next
@@ -38,6 +40,7 @@
     budgets: BudgetRouter
     quarantine: QuarantineService
     program_targets: ProgramTargets
+    stream_origins: StreamOrigins
     programs: LruCache[bool]
     host_count: Callable[[], int]
     notify_peers: Callable[[], None]
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -19,6 +19,7 @@
 from magnoliaroad.relay.metrics_server import MetricsServer
 from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.settings import RelaySettings
+from magnoliaroad.relay.stream_origin_service import StreamOriginService
 from magnoliaroad.store import Store, StoreEntry, StoreError, WatchBatch
 from magnoliaroad.store.contact import StoreContact
 from magnoliaroad.store.observed import ObservedStore
@@ -62,6 +63,7 @@
         self.escrow = EscrowService(
             cfg, folder / "escrow", self.store, self.peers, self._read_host_names
         )
+        self.stream_origins = StreamOriginService(self.peers)
         self.mirror = PrefixMirror(
             self.store,
             decoder.retirement_prefix,
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -8,6 +8,9 @@
 # Retry time for callers of a host that has lost the store, in seconds. The balancer
 # then uses other hosts, after two readiness checks one second apart.
 STORE_LOST_RETRY_S = 1.5
+# Retry time for callers that cannot resume a stream, in seconds. It is short because a
+# new stream can begin at once.
+RESUME_RETRY_S = 0.1
 
 NOT_READY = Refusal(
     code="not_ready",
@@ -68,6 +71,20 @@
     action="Send the request again.",
     retry_after_s=HOST_START_RETRY_S,
 )
+STREAM_UNKNOWN = Refusal(
+    code="stream_unknown",
+    status=503,
+    message="It is not known which software began the stream to resume.",
+    action="Send the request again from its start.",
+    retry_after_s=RESUME_RETRY_S,
+)
+NO_TARGET_OF_VERSION = Refusal(
+    code="no_target_of_version",
+    status=503,
+    message="No target has the software that began the stream to resume.",
+    action="Send the request again from its start.",
+    retry_after_s=RESUME_RETRY_S,
+)
 NOT_SENT_IN_TIME = Refusal(
     code="not_sent_in_time",
     status=503,
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -16,7 +16,12 @@
 from magnoliaroad.relay.admission import AdmittedCall
 from magnoliaroad.relay.dialect import AnswerHead
 from magnoliaroad.relay.event_scanner import EventScanner
-from magnoliaroad.relay.metrics import FIRST_BYTE, PROGRAM_TURNS, SENDS
+from magnoliaroad.relay.metrics import (
+    FIRST_BYTE,
+    PROGRAM_TURNS,
+    RESUMED_STREAMS,
+    SENDS,
+)
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.placement import (
     choose_by_program,
@@ -26,7 +31,9 @@
 from magnoliaroad.relay.plan import RelayTeam, pick_service
 from magnoliaroad.relay.refusals import (
     NO_TARGET,
+    NO_TARGET_OF_VERSION,
     NOT_SENT_IN_TIME,
+    STREAM_UNKNOWN,
     TARGET_FAILED,
     TARGETS_FULL,
     TIMED_OUT,
@@ -35,6 +42,7 @@
 )
 from magnoliaroad.relay.reservation import Reservation
 from magnoliaroad.relay.route_kind import RouteKind
+from magnoliaroad.relay.stream_origin import StreamOrigin
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.team_limiter import AdmissionDecision
 from magnoliaroad.relay.turn import LoadedTurn
@@ -120,6 +128,7 @@
         self._close_connection = close_connection
         self._previous: LoadedTurn | None = None
         self._placed = ""
+        self._origin: StreamOrigin | None = None
         self._reservation: Reservation | None = None
         self._admission: AdmissionDecision | None = None
         self._affinity_key = (
@@ -175,6 +184,8 @@
             self._previous = await self.parts.turns.load(
                 call.previous_turn, self.admitted.team_name
             )
+        if self.streams and call.resume_after is not None:
+            await self._find_origin()
         if self.streams and call.program:
             self._placed = await self.parts.program_targets.find(call.program)
         if self.streams and call.budget is not None and call.program:
@@ -182,6 +193,30 @@
                 call.program, call.budget, call.output_tokens
             )
 
+    async def _find_origin(self) -> None:
+        """Restricts the targets to those that may continue the stream.
+
+        Raises:
+            Refused: It is not known who began the stream, or the route no longer leads
+                to that service.
+        """
+        stream = self.call.resumed_stream
+        origin = await self.parts.stream_origins.find(stream)
+        services = {share.service for share in self.route.services}
+        known = origin is not None and origin.service in services
+        RESUMED_STREAMS.inc({"origin": "known" if known else "unknown"})
+        logger.bind(
+            request=self.call.request_id,
+            stream=stream,
+            after=self.call.resume_after,
+            origin=origin,
+            known=known,
+        ).info("stream to resume")
+        if not known:
+            raise Refused(STREAM_UNKNOWN)
+        self._origin = origin
+        self._service = origin.service
+
     def _over_limit_error(
         self, team: RelayTeam, decision: AdmissionDecision
     ) -> Refused:
@@ -311,9 +346,11 @@
 
     def _choose_target(self, excluded: set[str]) -> RelayTarget:
         table, now = self.parts.table, time.monotonic()
-        usable = table.usable(self._service, now, excluded)
+        version = None if self._origin is None else self._origin.version
+        usable = table.usable(self._service, now, excluded, version)
         if not usable:
-            raise self._refusal_error(TARGETS_FULL if excluded else NO_TARGET)
+            none_known = NO_TARGET if version is None else NO_TARGET_OF_VERSION
+            raise self._refusal_error(TARGETS_FULL if excluded else none_known)
         data_centre = self.parts.cfg.data_centre
         if self.streams:
             target = self._choose_stream_target(usable)
@@ -476,6 +513,7 @@
         resp = web.StreamResponse(status=opened.response.status, headers=headers)
         resp.enable_chunked_encoding()
         self.resp = resp
+        self._record_origin(opened.target)
         if self._close_connection:
             resp.force_close()
         await resp.prepare(self._req)
@@ -496,6 +534,20 @@
         await resp.write_eof()
         return resp
 
+    def _record_origin(self, target: RelayTarget) -> None:
+        """Remembers who began a stream, unless it was resumed.
+
+        Nothing is remembered if the target has restarted since it was chosen, as either
+        incarnation may have answered.
+        """
+        if not self.route.resumable or self._origin is not None:
+            return
+        known = self.parts.table.targets.get(target.name, target)
+        same_incarnation = known.started_ms == target.started_ms
+        if same_incarnation and known.version == target.version != "":
+            origin = StreamOrigin(target.service, target.version)
+            self.parts.stream_origins.record(self.call.request_id, origin)
+
     async def _write(self, chunk: bytes) -> None:
         self._scanner.feed(chunk)
         await self.resp.write(chunk)
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -73,7 +73,11 @@
             table.pop(name, None)
 
     def usable(
-        self, service: str, now: float, excluded: Collection[str] = ()
+        self,
+        service: str,
+        now: float,
+        excluded: Collection[str] = (),
+        version: str | None = None,
     ) -> list[RelayTarget]:
         """Returns the targets of ``service`` that may get new requests.
 
@@ -84,6 +88,7 @@
             service: Name of the service.
             now: Time in seconds.
             excluded: Names of targets that were already tried.
+            version: Version of their software; ``None`` for any.
         """
         ready = [
             target
@@ -91,6 +96,7 @@
             if target.service == service
             and target.state is TargetState.READY
             and target not in self.leaving
+            and version in (None, target.version)
         ]
         available = [t for t in ready if self._cooldown_until.get(t.name, 0.0) <= now]
         left = [t for t in available or ready if t.name not in excluded]
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -278,6 +278,17 @@
     assert usable(table, 0.1) == ["a"]
 
 
+def test_a_version_is_kept_to_though_its_targets_are_worse(table):
+    """Guards against a resumed stream that leaves its version (ORDER)."""
+    for target in add_targets(table, "a", "b", "c"):
+        table.set(target._replace(version="v1" if target.name == "a" else "v2"))
+    table.record_failure("a", 0.0, 0.5, 4.0)
+    assert [t.name for t in table.usable("lm", 0.1, version="v1")] == ["a"]
+    assert [t.name for t in table.usable("lm", 0.1, {"b"}, "v2")] == ["c"]
+    assert table.usable("lm", 0.1, {"a"}, "v1") == []
+    assert table.usable("lm", 0.1, version="v3") == []
+
+
 def test_a_target_that_becomes_slow_gets_no_new_work_for_a_while(table):
     add_targets(table, "a", "b", "c")
     for step in range(20):
