Keep the tokens that lenders grant after the time limit (LOST)

Cause: the question to a lender was limited from the connection on, and opening one to a host without power takes longer than the claim may. The claim's time limit then cancelled the questions to all lenders, after those that live had given up their tokens: a review showed 100 tokens lent and none received. Draws from escrow hosts were cancelled the same way.

The limit of 0.3 s now includes the connection, and draws and loans go on when the turn that waits for them is refused. Both tests fail without the change.

--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -167,12 +167,11 @@
         unclaimed = await self._claim(name, program, need)
         if unclaimed is _StorePart.CLAIMED:
             return
-        drawn = await self._escrow.draw(EscrowRequest(name, need.limit, need.missing))
-        program.share.borrowed += drawn.tokens
+        # Both go on if the time limit passes: who has granted tokens has given them up.
+        drawn = await asyncio.shield(self._draw(name, program, need))
         if drawn.tokens:
             return
-        lent = await self._borrow(name, program)
-        program.share.borrowed += lent.tokens
+        lent = await asyncio.shield(self._borrow(name, program))
         if lent.tokens:
             return
         if unclaimed is _StorePart.UNKNOWN and not self._store_unavailable():
@@ -197,8 +196,14 @@
         size = claim_size(record, need.missing)
         return await self._write(name, program, record.with_claim(self._holder, size))
 
+    async def _draw(self, name: str, program: _ProgramState, need: _Need) -> TokenDraw:
+        """Adds tokens that escrow hosts grant to this host's share."""
+        drawn = await self._escrow.draw(EscrowRequest(name, need.limit, need.missing))
+        program.share.borrowed += drawn.tokens
+        return drawn
+
     async def _borrow(self, name: str, program: _ProgramState) -> TokenDraw:
-        """Borrows unused tokens from other holders.
+        """Adds unused tokens of other holders to this host's share.
 
         The claims in the store do not change: a claim covers its tokens whichever host
         spends them. If the reply of a lender is lost, the tokens that it lent are lost
@@ -210,6 +215,7 @@
         others += [holder for holder in self._holders() if holder not in listed]
         replies = await asyncio.gather(*(self._borrow_from(o, name) for o in others))
         lent = sum(reply.lent for reply in replies if reply is not None)
+        program.share.borrowed += lent
         unreachable = [o for o, r in zip(others, replies, strict=True) if r is None]
         logger.bind(
             program=name, limit=record.limit, borrowed=lent, out_of_reach=unreachable
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -391,7 +391,7 @@
         if self._has_ended(host, boot):
             return BudgetLoanReply(0)
         try:
-            return await self._peers.call(
+            return await self._peers.call_with_deadline(
                 host, BudgetLoanRequest(program), ANSWER_TIMEOUT_S
             )
         except PeerError as exc:
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -262,6 +262,40 @@
     loop.run_until_complete(scenario())
 
 
+def test_tokens_that_arrive_after_the_time_limit_are_not_lost(loop):
+    """Guards against a dead lender that costs the tokens of the others (LOST)."""
+
+    async def scenario():
+        fleet = Fleet(loop)
+        reservations = [
+            await fleet.hosts[name].ledger.reserve("p", LIMIT, LIMIT // 4)
+            for name in ("b", "c")
+        ]
+        for share in reservations:
+            share.settle(loop.time(), LIMIT // 4, 0)
+        ledger = fleet.hosts["a"].ledger
+        ask = ledger._borrow_from
+
+        async def ask_slowly(holder, program):
+            reply = await ask(holder, program)
+            if holder == "b#1":
+                await asyncio.sleep(2 * ledger.cfg.claim_s)
+                return None
+            return reply
+
+        ledger._borrow_from = ask_slowly
+        free = fleet.record().free
+        with pytest.raises(Refused) as caught:
+            await ledger.reserve("p", LIMIT, free + 1)
+        assert caught.value.refusal is BUDGET_UNCERTAIN
+        await asyncio.sleep(3 * ledger.cfg.claim_s)
+        lent = fleet.record().claims["c#1"]
+        share = await ledger.reserve("p", LIMIT, free + lent)
+        assert share.available == 0
+
+    loop.run_until_complete(scenario())
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_no_sequence_of_faults_overspends_the_budget(loop, seed):
     rng = random.Random(seed)
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -1,5 +1,6 @@
 """What a host decides from heartbeats of its peers, which the tests pass to it."""
 
+import asyncio
 import random
 import time
 
@@ -294,6 +295,18 @@
     assert asked == ["host-a", "host-b"]
 
 
+async def test_a_lender_to_which_no_connection_opens_is_not_waited_for(fleet):
+    """Guards against a dead host that takes the whole time limit of a claim (LOST)."""
+
+    async def call(host, message, timeout_s=None):
+        await asyncio.sleep(60.0)
+
+    fleet._peers.call = call
+    receive(fleet, "host-a", "dc-1")
+    async with asyncio.timeout(30.0):
+        assert await fleet.ask_budget("host-a#b", "p") is None
+
+
 async def test_hosts_of_a_data_centre_count_budgets_while_none_reaches_the_store(fleet):
     receive(fleet, "host-a", "dc-1", store_lost=True)
     receive(fleet, "host-s", "dc-1", store_lost=True, slow=True)
