--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -38,8 +38,9 @@
     matches = [EVENT.fullmatch(event) for event in events]
     if None in matches:
         return f"unknown event in {events}"
-    if len({match[2] for match in matches}) > 1:
-        return f"events of two versions: {events}"
+    versions = ["v2" if match[2] else "v1" for match in matches]
+    if len(set(versions)) > 1:
+        return f"events of two versions: {' '.join(versions)}"
     ids = [int(match[1]) for match in matches]
     if ids != list(range(1, len(ids) + 1)):
         return f"events {ids}"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,7 +21,7 @@
 
 CALLER_COUNT = 12
 # Callers that only receive resumable streams.
-STREAM_CALLER_COUNT = 12
+STREAM_CALLER_COUNT = 24
 # Number of attempts to resume a stream of which at least one must succeed.
 MIN_RESUMES = 20
 # Time after the last fault until all requests must succeed again.
