--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -4,15 +4,18 @@
 
 import pytest
 
-from tests.platform.deployment import Deployment, config, route
+from tests.platform.deployment import Deployment, config
 from tests.platform.target_standin import TargetStandin
 
 STREAMS = 12
 
 
-def config_with_resumable_route():
-    resumable = route("plan", "/stream/plan/", "streaming", "lm", resumable=True)
-    return config(4, routes=[*config()["routes"], resumable])
+def config_with_changed_route(**changes):
+    """Returns the next configuration, in which the resumable route is changed."""
+    routes = config()["routes"]
+    (plan,) = (route for route in routes if route["name"] == "plan")
+    plan.update(changes)
+    return config(4, routes=routes)
 
 
 class Versions:
@@ -27,10 +30,8 @@
         self.versions = versions
 
     async def prepare(self):
-        deployment = self.deployment
-        for target in deployment.targets:
+        for target in self.deployment.targets:
             self.write_entry(target)
-        deployment.kv.write("op/config", config_with_resumable_route())
         await self.until_versions_are_known()
 
     def write_entry(self, target, **changes):
@@ -40,8 +41,7 @@
     async def until_versions_are_known(self):
         def known():
             return all(
-                relay.plans.version == 4
-                and {t.name: t.version for t in relay.table.targets.values()}
+                {t.name: t.version for t in relay.table.targets.values()}
                 == self.versions
                 for relay in self.deployment.relays
             )
@@ -64,7 +64,7 @@
         for target in self.deployment.targets:
             target.script = ["cut"]
         status, _, body = await self.deployment.call(
-            f"/stream/plan/{stream}",
+            f"/plan/{stream}",
             "POST",
             b"input",
             relay=relay,
@@ -87,7 +87,7 @@
             **changes,
         }
         status, _, _ = await self.deployment.call(
-            f"/stream/plan/{stream}", "POST", b"input", relay=relay, **headers
+            f"/plan/{stream}", "POST", b"input", relay=relay, **headers
         )
         return status, self.find_run(again)
 
@@ -134,7 +134,7 @@
         table = deployment.relays[0].table
         await deployment.until(lambda: table.targets["i-old"].state != "ready")
         assert await versions.resume("s") == (503, None)
-        status, _, _ = await deployment.call("/stream/plan/new", "POST", b"input")
+        status, _, _ = await deployment.call("/plan/new", "POST", b"input")
         assert status == 200
 
 
@@ -188,10 +188,9 @@
         versions = Versions(deployment, {"i-old": "v1"})
         await versions.prepare()
         await versions.begin("s")
-        plan = config_with_resumable_route()
-        plan["routes"][-1].update(retention_s=60.0, **change)
-        deployment.kv.write("op/config", {**plan, "version": 5})
-        await deployment.until(lambda: deployment.relays[0].plans.version == 5)
+        plan = config_with_changed_route(retention_s=60.0, **change)
+        deployment.kv.write("op/config", plan)
+        await deployment.until(lambda: deployment.relays[0].plans.version == 4)
         assert await versions.resume("s") == (503, None)
 
 
@@ -220,9 +219,8 @@
         versions = Versions(deployment, {"i-old": "v1", "i-moved": "v1"})
         await versions.prepare()
         await versions.begin("s")
-        plan = config_with_resumable_route()
-        plan["routes"][-1]["service"] = "lm-2"
+        plan = config_with_changed_route(service="lm-2")
         plan["services"].append({**plan["services"][-1], "name": "lm-2"})
-        deployment.kv.write("op/config", {**plan, "version": 5})
-        await deployment.until(lambda: deployment.relays[0].plans.version == 5)
+        deployment.kv.write("op/config", plan)
+        await deployment.until(lambda: deployment.relays[0].plans.version == 4)
         assert await versions.resume("s") == (503, None)
