Count in the soak the attempts to resume that could go on (ORDER)

An attempt counts if it reached a host while a target of the version served and a record host had been up since the stream began.

--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -73,6 +73,11 @@
             self._restart.cancel()
         self._server.close()
 
+    @property
+    def serving(self):
+        """Whether it accepts connections."""
+        return self._server is not None and self._server.is_serving()
+
     async def exit(self):
         """Stops and aborts all connections, as the end of the process does."""
         await self.stop()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 import re
+import time
 
 import aiohttp
 
@@ -28,6 +29,11 @@
     return received.decode().split("\n\n")[:-1]
 
 
+def version_of(events):
+    """Returns the version of the target that wrote the first of ``events``."""
+    return "v2" if events[0].endswith("-v2") else "v1"
+
+
 def stream_problem(events, complete):
     """Returns what is wrong with a stream; empty if nothing is.
 
@@ -64,6 +70,8 @@
         poison_sent_at: Times at which the crashing request was sent to a host in
             contact, by request id; in seconds of the event loop's clock.
         resumes_tried: Number of requests to resume a stream.
+        resumes_due: Number of those that reached a host while the fleet could resume
+            the stream.
         resumes_continued: Number of those that received further events.
     """
 
@@ -78,6 +86,7 @@
         self.answered = 0
         self.poison_sent_at = {}
         self.resumes_tried = 0
+        self.resumes_due = 0
         self.resumes_continued = 0
         self._numbers = itertools.count(1)
 
@@ -104,15 +113,18 @@
     async def run_stream(self):
         """Receives a resumable stream; resumes it when it breaks off."""
         stream = request_id = f"s-{next(self._numbers)}"
+        began_at = time.monotonic()
         events, headers = [], {}
         for _ in range(1 + MAX_RESUMES):
             received = bytearray()
+            due = bool(headers) and self.fleet.can_resume(version_of(events), began_at)
             status, _ = await self._send(
                 request_id, "/plan/x", "POST", b"goal", headers, received
             )
             new = whole_events(received) if status in (200, None) else []
             events += new
             self.resumes_tried += bool(headers)
+            self.resumes_due += due and status is not None
             self.resumes_continued += bool(headers and new)
             problem = stream_problem(events, status == 200)
             if problem:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -222,6 +222,22 @@
         if target in self.targets:
             self.kv.write(f"servers/{target.name}", target.entry(**changes))
 
+    def can_resume(self, version, began_at):
+        """Returns whether a stream may be resumed at all.
+
+        A target of its version serves, and a record host that was up when the stream
+        began has not been restarted since.
+        """
+        return any(
+            target.service == "lm" and target.version == version and target.serving
+            for target in self.targets
+        ) and any(
+            host.proc.returncode is None
+            and not host.paused
+            and host.started_at < began_at
+            for host in self.record_hosts
+        )
+
     def unregister(self, target):
         """Removes the entry of a target from the store."""
         self.kv.delete(f"servers/{target.name}")
