--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -4,6 +4,7 @@
 import time
 
 from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 from mode import Service
 
@@ -98,6 +99,11 @@
             logger.bind(in_flight=self.in_flight.count).warning(
                 "requests cut off at shutdown"
             )
+        logger.bind(
+            in_flight=self.in_flight.count,
+            connections=len(self._server.connections),
+            took_s=round(time.monotonic() - began, 3),
+        ).info("drain ended")
 
     async def _close_idle(self, until: float) -> bool:
         """Closes connections as they become idle; returns whether all have closed.
@@ -116,6 +122,7 @@
                 if conn in self._busy_connections or not awaits_request(conn):
                     idle_since[conn] = now
                 elif now - since >= NEW_CONNECTION_GRACE_S:
+                    _log_unsent(conn)
                     conn.force_close()
             await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
         return False
@@ -229,6 +236,14 @@
     )
 
 
+def _log_unsent(conn: RequestHandler) -> None:
+    """Logs a connection that is closed before its answers have left the process."""
+    unsent = conn.transport.get_write_buffer_size()
+    if unsent:
+        peer = conn.transport.get_extra_info("peername")
+        logger.bind(caller=peer, unsent_bytes=unsent).info("unsent answer at shutdown")
+
+
 def _call_log_fields(call: RelayCall) -> dict[str, object]:
     """Returns the fields that describe a call in log lines."""
     return {
