--- /dev/null
+++ b/src/magnoliaroad/connection_drain.py
@@ -0,0 +1,75 @@
+"""Closes the connections of an HTTP server whose host is about to stop."""
+
+import asyncio
+import time
+
+from aiohttp import web
+from aiohttp.web_protocol import RequestHandler
+from loguru import logger
+
+from magnoliaroad.idle import awaits_request
+from magnoliaroad.in_flight import InFlightRequests
+
+# Time that a new connection without a request stays open during a drain, in seconds;
+# a caller sends its request within a few round trips after connecting.
+NEW_CONNECTION_GRACE_S = 0.4
+# Time between checks for idle connections during a drain, in seconds.
+IDLE_CHECK_INTERVAL_S = 0.05
+
+
+class ConnectionDrain:
+    """Closes connections as they become idle and waits until all have ended.
+
+    A connection has ended when the server has lost it, which is after the last byte of
+    its answers has left the process. A connection that was told to close, or whose
+    handler has returned, may still hold unsent bytes.
+
+    Args:
+        server: The server; it accepts no connections any more.
+        in_flight: Its requests that are being answered.
+    """
+
+    def __init__(self, server: web.Server, in_flight: InFlightRequests) -> None:
+        self._server = server
+        self._in_flight = in_flight
+        self._idle_since: dict[RequestHandler, float] = {}
+
+    async def run(self, until: float) -> bool:
+        """Returns whether all connections have ended before ``until``.
+
+        Args:
+            until: Monotonic time in seconds.
+        """
+        began = time.monotonic()
+        ended = False
+        while not ended and time.monotonic() < until:
+            # Connections that were just accepted reach the server after this pause.
+            await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
+            self._close_idle(time.monotonic())
+            ended = not self._server.connections and not self._in_flight.count
+        logger.bind(
+            in_flight=self._in_flight.count,
+            connections=len(self._server.connections),
+            took_s=round(time.monotonic() - began, 3),
+        ).info("drain ended")
+        return ended
+
+    def _close_idle(self, now: float) -> None:
+        """Closes connections that have been idle for ``NEW_CONNECTION_GRACE_S``."""
+        for conn in self._server.connections:
+            if conn.transport is None:
+                continue
+            since = self._idle_since.setdefault(conn, now)
+            if not awaits_request(conn):
+                self._idle_since[conn] = now
+            elif now - since >= NEW_CONNECTION_GRACE_S:
+                _log_unsent(conn)
+                conn.force_close()
+
+
+def _log_unsent(conn: RequestHandler) -> None:
+    """Logs a connection that is closed before its answers have left the process."""
+    unsent = conn.transport.get_write_buffer_size()
+    if unsent:
+        peer = conn.transport.get_extra_info("peername")
+        logger.bind(caller=peer, unsent_bytes=unsent).info("unsent answer at shutdown")
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -4,16 +4,15 @@
 import time
 
 from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.connection_drain import ConnectionDrain
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import admit
 from magnoliaroad.relay.call import RelayCall
 from magnoliaroad.relay.dialect import BadCall
-from magnoliaroad.relay.idle import awaits_request
 from magnoliaroad.relay.metrics import IN_FLIGHT, LATENCY, REFUSALS, REQUESTS
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.refusals import TARGET_FAILED, bad_call
@@ -30,11 +29,6 @@
 BACKLOG = 1024
 # Longest path in a log line; longer ones are cut.
 MAX_LOGGED_PATH_CHARS = 80
-# Time that a new connection without a request stays open during a drain, in seconds;
-# a caller sends its request within a few round trips after connecting.
-NEW_CONNECTION_GRACE_S = 0.4
-# Time between checks for idle connections during a drain, in seconds.
-IDLE_CHECK_INTERVAL_S = 0.05
 
 
 class RelayServer(Service):
@@ -55,7 +49,6 @@
         self.draining = False
         self.in_flight = InFlightRequests()
         self._ready = ready
-        self._busy_connections: set[object] = set()
         self._runners: list[web.ServerRunner] = []
         self._caller_site: web.TCPSite | None = None
         self._server: web.Server | None = None
@@ -95,37 +88,11 @@
         await asyncio.sleep(cfg.notice_s)
         if self._caller_site is not None:
             await self._caller_site.stop()
-        if not await self._close_idle(began + cfg.limit_s):
+        drain = ConnectionDrain(self._server, self.in_flight)
+        if not await drain.run(began + cfg.limit_s):
             logger.bind(in_flight=self.in_flight.count).warning(
                 "requests cut off at shutdown"
             )
-        logger.bind(
-            in_flight=self.in_flight.count,
-            connections=len(self._server.connections),
-            took_s=round(time.monotonic() - began, 3),
-        ).info("drain ended")
-
-    async def _close_idle(self, until: float) -> bool:
-        """Closes connections as they become idle; returns whether all have closed.
-
-        A connection that was just accepted gets ``NEW_CONNECTION_GRACE_S`` to send its
-        request.
-        """
-        idle_since: dict[object, float] = {}
-        while time.monotonic() < until:
-            conns = [c for c in self._server.connections if c.transport is not None]
-            if not conns and not self.in_flight.count:
-                return True
-            now = time.monotonic()
-            for conn in conns:
-                since = idle_since.setdefault(conn, now)
-                if conn in self._busy_connections or not awaits_request(conn):
-                    idle_since[conn] = now
-                elif now - since >= NEW_CONNECTION_GRACE_S:
-                    _log_unsent(conn)
-                    conn.force_close()
-            await asyncio.sleep(IDLE_CHECK_INTERVAL_S)
-        return False
 
     async def on_stop(self) -> None:
         """Stops listening."""
@@ -137,13 +104,6 @@
         return web.Response(status=200 if ready else 503)
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
-        self._busy_connections.add(req.protocol)
-        try:
-            return await self._respond(req)
-        finally:
-            self._busy_connections.discard(req.protocol)
-
-    async def _respond(self, req: web.BaseRequest) -> web.StreamResponse:
         began = time.monotonic()
         kind = "none"
         run = None
@@ -236,14 +196,6 @@
     )
 
 
-def _log_unsent(conn: RequestHandler) -> None:
-    """Logs a connection that is closed before its answers have left the process."""
-    unsent = conn.transport.get_write_buffer_size()
-    if unsent:
-        peer = conn.transport.get_extra_info("peername")
-        logger.bind(caller=peer, unsent_bytes=unsent).info("unsent answer at shutdown")
-
-
 def _call_log_fields(call: RelayCall) -> dict[str, object]:
     """Returns the fields that describe a call in log lines."""
     return {
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -24,6 +24,7 @@
     Attributes:
         version: Version of its software; does not change.
         born: Start of its first incarnation, in milliseconds; a crash adds one.
+        answer: Body of whole answers to plain calls.
         plan_pause_s: Pause after each event of a stream below ``/plan/``, in seconds.
         runs: Requests that it ran: method, path, headers, body.
         in_flight: Requests that are being answered.
@@ -43,6 +44,7 @@
         self.events = events
         self.version = version
         self.born = born
+        self.answer = b"whole"
         self.plan_pause_s = 0.005
         self.script = ["ok"]
         self.runs = []
@@ -204,7 +206,7 @@
             await writer.drain()
             writer.transport.abort()
             return False
-        self._write_answer(writer, status, request_id, b"whole", signature)
+        self._write_answer(writer, status, request_id, self.answer, signature)
         if act == "extra":
             await writer.drain()
             await asyncio.sleep(0.05)
--- a/tests/relay/test_idle.py
+++ b/tests/relay/test_idle.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from magnoliaroad.relay.idle import awaits_request
+from magnoliaroad.idle import awaits_request
 
 
 async def test_a_connection_whose_request_was_just_read_is_not_idle():
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -19,6 +19,8 @@
 from tests.soak.callers import EVENTS_PER_STREAM, POISON
 
 ROOT = Path(__file__).parents[2]
+HOST_PROGRAM = ROOT / "platform" / "host.py"
+SMALL_BUFFERS_PROGRAM = ROOT / "tests" / "soak" / "small_buffers.py"
 DATA_CENTRES = ("dc-1", "dc-2")
 # Maximum time from SIGTERM to the exit of a process.
 EXIT_TIMEOUT_S = 8.0
@@ -81,7 +83,7 @@
         env = {**os.environ, "MAGNOLIAROAD_NODE_FILE": str(settings)}
         with (self.folder / f"log-{self.starts}.jsonl").open("w") as log:
             self.proc = await asyncio.create_subprocess_exec(
-                sys.executable, ROOT / "platform" / "host.py", stdout=log, env=env
+                sys.executable, self.fleet.program, stdout=log, env=env
             )
         # Before the process has installed its handler, SIGTERM would kill it.
         while self.proc.returncode is None and not catches_sigterm(self.proc.pid):
@@ -155,12 +157,14 @@
     """Relay and record hosts in two data centres, a store and targets.
 
     Attributes:
+        program: Program that the host processes run.
         targets: Targets that the store lists, if they are not down.
         former_targets: Targets that have left or are about to.
     """
 
-    def __init__(self, tmp_path, relays=3, records=2):
+    def __init__(self, tmp_path, relays=3, records=2, program=HOST_PROGRAM):
         self.tmp_path = tmp_path
+        self.program = program
         self.kv = KvStandin()
         self.config_version = 3
         self.targets = []
@@ -242,6 +246,11 @@
         """Removes the entry of a target from the store."""
         self.kv.delete(f"servers/{target.name}")
 
+    async def until(self, condition, limit_s=5.0):
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
     async def until_ready(self, limit_s=20.0):
         async with asyncio.timeout(limit_s):
             for relay in self.relay_hosts:
