--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -69,6 +69,8 @@
 MAX_COOLDOWN_S = 4.0
 # HTTP status of a target that is not the one named in the request.
 MISDIRECTED = 421
+# HTTP status with which a target rejects a request without an id.
+BAD_REQUEST = 400
 # With more hosts than this for each target of a plain service, a host keeps to one
 # target: it has so few requests that connections to all would reach the idle timeout.
 HOSTS_PER_TARGET = 2
@@ -431,11 +433,12 @@
         self, target: RelayTarget, response: TargetResponse, sent_before: bool
     ) -> OpenAnswer:
         head = self.parts.dialect.read_answer(response.headers)
-        if head.leaving:
-            self._mark_leaving(target, head)
-        if head.request_id and head.request_id != self.call.request_id:
+        if not self._is_own_answer(head, response.status):
+            response.close_connection()
             text = f"answer belongs to request {head.request_id!r}"
             raise TargetError(text, Verdict.MAY_HAVE_RUN)
+        if head.leaving and head.request_id:
+            self._mark_leaving(target, head)
         if response.status == MISDIRECTED:
             self.sent = sent_before
             raise WrongTarget(f"{target.address} is not the address of {target.name}")
@@ -449,6 +452,14 @@
             return opened
         return await self._buffer_answer(opened)
 
+    def _is_own_answer(self, head: AnswerHead, status: int) -> bool:
+        """Returns whether an answer states that it belongs to this request.
+
+        Targets echo the id of a request, and reject requests without one.
+        """
+        matches = head.request_id == self.call.request_id
+        return matches and (bool(head.request_id) or status == BAD_REQUEST)
+
     def _mark_leaving(self, target: RelayTarget, head: AnswerHead) -> None:
         """Marks the target that answered as leaving; it may not be the one asked."""
         table = self.parts.table
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -9,6 +9,7 @@
 from mode import Service
 
 from magnoliaroad.keepalive_socket import keepalive_socket
+from magnoliaroad.targets.closable_response import ClosableResponse
 from magnoliaroad.targets.connector import IdleCheckConnector
 from magnoliaroad.targets.errors import TargetError, describe_error
 from magnoliaroad.targets.request import TargetRequest
@@ -89,6 +90,7 @@
             auto_decompress=False,
             middlewares=(_send_without_retry,),
             trace_configs=[_trace_headers_sent()],
+            response_class=ClosableResponse,
             skip_auto_headers=AUTO_HEADERS,
         )
 
--- a/src/magnoliaroad/targets/response.py
+++ b/src/magnoliaroad/targets/response.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from magnoliaroad.targets.closable_response import ClosableResponse
 from magnoliaroad.targets.errors import AnswerCut, describe_error
 
 
@@ -19,7 +20,7 @@
         silence_timeout_s: Longest wait for the next chunk of the body.
     """
 
-    def __init__(self, resp: aiohttp.ClientResponse, silence_timeout_s: float) -> None:
+    def __init__(self, resp: ClosableResponse, silence_timeout_s: float) -> None:
         self._resp = resp
         self._silence_timeout_s = silence_timeout_s
         self.status = resp.status
@@ -44,3 +45,7 @@
     def close(self) -> None:
         """Releases the connection if the body is complete, else closes it."""
         self._resp.close()
+
+    def close_connection(self) -> None:
+        """Closes the connection, on which further bytes may be on their way."""
+        self._resp.close_connection()
--- /dev/null
+++ b/tests/platform/raw_target.py
@@ -0,0 +1,62 @@
+"""A stand-in for a target that writes and ends its answers as a test says."""
+
+import asyncio
+import enum
+import socket
+import struct
+
+from tests.platform.target_standin import SIGNATURE, TargetStandin
+
+SEAL = f"Magnoliaroad-Response-Seal: {SIGNATURE}"
+OWN_ID = "Magnoliaroad-Request-Id: {id}"
+EVENTS = "Content-Type: text/event-stream"
+LINGER_0 = struct.pack("ii", 1, 0)
+# Time in which the host reads what was written before a reset, in seconds.
+READ_PAUSE_S = 0.01
+
+
+class End(enum.Enum):
+    """How a connection ends: by the target, or by the host within 0.5 s."""
+
+    CLOSE = "close"
+    RESET = "reset"
+    BY_HOST = "by host"
+
+
+def head(*lines, status=200):
+    """Returns the head of an answer; ``{id}`` stands for the id of the request."""
+    return "\r\n".join([f"HTTP/1.1 {status} X", *lines, "", ""]).encode()
+
+
+class RawTarget(TargetStandin):
+    """Takes as entries of its script also tuples of bytes, pauses and an ``End``.
+
+    ``{id}`` in the bytes stands for the id of the request. Pauses are in seconds.
+    """
+
+    async def _write_scripted_answer(
+        self, act, reader, writer, request_id, path, headers
+    ):
+        if isinstance(act, str):
+            return await super()._write_scripted_answer(
+                act, reader, writer, request_id, path, headers
+            )
+        for step in act:
+            if step is End.RESET:
+                await asyncio.sleep(READ_PAUSE_S)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_0)
+                writer.transport.abort()
+                return False
+            if step is End.CLOSE:
+                return False
+            if step is End.BY_HOST:
+                async with asyncio.timeout(0.5):
+                    self.abandoned += await reader.read(1) == b""
+                return False
+            if isinstance(step, float):
+                await asyncio.sleep(step)
+                continue
+            writer.write(step.replace(b"{id}", request_id.encode()))
+            await writer.drain()
+        return True
