--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -10,7 +10,7 @@
 
 from magnoliaroad.keepalive_socket import keepalive_socket
 from magnoliaroad.targets.closable_response import ClosableResponse
-from magnoliaroad.targets.connector import IdleCheckConnector
+from magnoliaroad.targets.connector import TargetConnector
 from magnoliaroad.targets.errors import TargetError, describe_error
 from magnoliaroad.targets.request import TargetRequest
 from magnoliaroad.targets.response import TargetResponse
@@ -75,7 +75,7 @@
     async def on_start(self) -> None:
         """Creates the connection pool."""
         self._session = aiohttp.ClientSession(
-            connector=IdleCheckConnector(
+            connector=TargetConnector(
                 limit=0,
                 limit_per_host=self.cfg.pool_size,
                 keepalive_timeout=self.cfg.idle_s,
--- a/src/magnoliaroad/targets/connector.py
+++ b/src/magnoliaroad/targets/connector.py
@@ -1,15 +1,29 @@
-"""Connection pool that checks idle connections before reuse."""
+"""Connection pool of the requests to targets."""
+
+import asyncio
+import functools
+from typing import Any
 
 import aiohttp
 from typing_extensions import override
 
+from magnoliaroad.targets.response_handler import CheckedEndHandler
+
 
-class IdleCheckConnector(aiohttp.TCPConnector):
-    """Closes pooled connections that received bytes while they were idle.
+class TargetConnector(aiohttp.TCPConnector):
+    """Checks idle connections before reuse, and how connections end.
 
-    aiohttp would read those bytes as the start of the next response.
+    Pooled connections that received bytes while they were idle are closed: aiohttp
+    would read those bytes as the start of the next response.
     """
 
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        # aiohttp has no option for the protocol of its connections.
+        self._factory = functools.partial(
+            CheckedEndHandler, loop=asyncio.get_running_loop()
+        )
+
     @override
     async def _get(self, key, traces):
         while (conn := await super()._get(key, traces)) is not None:
--- a/src/magnoliaroad/targets/response.py
+++ b/src/magnoliaroad/targets/response.py
@@ -39,6 +39,8 @@
                     chunk = await content.readany()
                 if chunk:
                     yield chunk
+            if (failure := content.exception()) is not None:
+                raise failure
         except (aiohttp.ClientError, TimeoutError) as exc:
             raise AnswerCut(f"answer cut off: {describe_error(exc)}") from exc
 
