--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -48,6 +48,7 @@
 from magnoliaroad.relay.team_limiter import AdmissionDecision
 from magnoliaroad.relay.turn import LoadedTurn
 from magnoliaroad.targets import (
+    AnswerCut,
     RequestEnd,
     TargetError,
     TargetFull,
@@ -67,6 +68,8 @@
 # meanwhile. The first lasts until all hosts of a large fleet know of the failure.
 COOLDOWN_S = 0.5
 MAX_COOLDOWN_S = 4.0
+# Media type of a stream of events.
+EVENT_STREAM = "text/event-stream"
 # HTTP status of a target that is not the one named in the request.
 MISDIRECTED = 421
 # HTTP status with which a target rejects a request without an id.
@@ -542,12 +545,20 @@
                 self.parts.table.record_event_gap(opened.target.name, gap_s, now)
             if count > counted:
                 last_at, counted = now, count
+        if self._is_event_stream(opened.response) and not self._scanner.complete:
+            raise AnswerCut("stream ended inside an event")
         self.parts.table.record_success(opened.target.name)
         await self._save_turn(opened)
         SENDS.inc({"outcome": "answered"})
         await resp.write_eof()
         return resp
 
+    def _is_event_stream(self, response: TargetResponse) -> bool:
+        """Returns whether a body consists of events; that is assumed for no type."""
+        media_type = response.headers.get("Content-Type", EVENT_STREAM)
+        is_events = media_type.partition(";")[0].strip().lower() == EVENT_STREAM
+        return self.streams and response.status < 300 and is_events
+
     def _check_origin(self, target: RelayTarget) -> None:
         """Remembers who begins a stream, or checks who continues it.
 
