--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -48,6 +48,7 @@
 from magnoliaroad.relay.team_limiter import AdmissionDecision
 from magnoliaroad.relay.turn import LoadedTurn
 from magnoliaroad.targets import (
+    AnswerCut,
     RequestEnd,
     TargetError,
     TargetFull,
@@ -67,8 +68,12 @@
 # meanwhile. The first lasts until all hosts of a large fleet know of the failure.
 COOLDOWN_S = 0.5
 MAX_COOLDOWN_S = 4.0
+# Media type of a stream of events.
+EVENT_STREAM = "text/event-stream"
 # HTTP status of a target that is not the one named in the request.
 MISDIRECTED = 421
+# HTTP status with which a target rejects a request without an id.
+BAD_REQUEST = 400
 # With more hosts than this for each target of a plain service, a host keeps to one
 # target: it has so few requests that connections to all would reach the idle timeout.
 HOSTS_PER_TARGET = 2
@@ -431,11 +436,12 @@
         self, target: RelayTarget, response: TargetResponse, sent_before: bool
     ) -> OpenAnswer:
         head = self.parts.dialect.read_answer(response.headers)
-        if head.leaving:
-            self._mark_leaving(target, head)
-        if head.request_id and head.request_id != self.call.request_id:
+        if not self._is_own_answer(head, response.status):
+            response.close_connection()
             text = f"answer belongs to request {head.request_id!r}"
             raise TargetError(text, Verdict.MAY_HAVE_RUN)
+        if head.leaving and head.request_id:
+            self._mark_leaving(target, head)
         if response.status == MISDIRECTED:
             self.sent = sent_before
             raise WrongTarget(f"{target.address} is not the address of {target.name}")
@@ -449,6 +455,14 @@
             return opened
         return await self._buffer_answer(opened)
 
+    def _is_own_answer(self, head: AnswerHead, status: int) -> bool:
+        """Returns whether an answer states that it belongs to this request.
+
+        Targets echo the id of a request, and reject requests without one.
+        """
+        matches = head.request_id == self.call.request_id
+        return matches and (bool(head.request_id) or status == BAD_REQUEST)
+
     def _mark_leaving(self, target: RelayTarget, head: AnswerHead) -> None:
         """Marks the target that answered as leaving; it may not be the one asked."""
         table = self.parts.table
@@ -531,12 +545,20 @@
                 self.parts.table.record_event_gap(opened.target.name, gap_s, now)
             if count > counted:
                 last_at, counted = now, count
+        if self._is_event_stream(opened.response) and not self._scanner.complete:
+            raise AnswerCut("stream ended inside an event")
         self.parts.table.record_success(opened.target.name)
         await self._save_turn(opened)
         SENDS.inc({"outcome": "answered"})
         await resp.write_eof()
         return resp
 
+    def _is_event_stream(self, response: TargetResponse) -> bool:
+        """Returns whether a body consists of events; that is assumed for no type."""
+        media_type = response.headers.get("Content-Type", EVENT_STREAM)
+        is_events = media_type.partition(";")[0].strip().lower() == EVENT_STREAM
+        return self.streams and response.status < 300 and is_events
+
     def _check_origin(self, target: RelayTarget) -> None:
         """Remembers who begins a stream, or checks who continues it.
 
