--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -127,6 +127,7 @@
         self.resp: web.StreamResponse | None = None
         self._req = req
         self._close_connection = close_connection
+        self._limit: asyncio.Timeout | None = None
         self._previous: LoadedTurn | None = None
         self._placed = ""
         self._origin: StreamOrigin | None = None
@@ -155,14 +156,21 @@
         """
         self._refuse_quarantined()
         try:
-            async with asyncio.timeout(self.deadline - time.monotonic()):
+            limit_s = self.deadline - time.monotonic()
+            async with asyncio.timeout(limit_s) as self._limit:
                 await self._prepare()
                 return await self._send_and_relay()
         except TimeoutError as exc:
             raise Refused(TIMED_OUT if self.sent else NOT_SENT_IN_TIME) from exc
         finally:
+            self._limit = None
             self._settle_charges()
 
+    def _lift_limit(self) -> None:
+        """Ends the time limit once the whole answer is there to be delivered."""
+        if self._limit is not None and not self._limit.expired():
+            self._limit.reschedule(None)
+
     def _refuse_quarantined(self) -> None:
         """Raises ``Refused`` if the request is quarantined for crashing targets."""
         result = self.parts.quarantine.check(self.fingerprint)
@@ -282,9 +290,9 @@
                 load=head.load,
                 took_s=round(time.monotonic() - self.began, 4),
             ).info("answer begun")
-            if opened.complete:
-                return await self._relay_buffered(opened)
-            return await self._relay_stream(opened)
+            if not opened.complete:
+                return await self._relay_stream(opened)
+        return await self._relay_buffered(opened)
 
     @asynccontextmanager
     async def _open_answer(self) -> AsyncIterator[OpenAnswer]:
@@ -505,6 +513,8 @@
             status=opened.response.status, headers=headers, body=opened.body
         )
         SENDS.inc({"outcome": "answered"})
+        self._lift_limit()
+        self.resp = resp
         if self._close_connection:
             resp.force_close()
         await resp.prepare(self._req)
@@ -516,6 +526,7 @@
         resp = web.StreamResponse(status=opened.response.status, headers=headers)
         resp.enable_chunked_encoding()
         self._check_origin(opened.target)
+        opened.response.when_complete(self._lift_limit)
         self.resp = resp
         if self._close_connection:
             resp.force_close()
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -1,6 +1,7 @@
 """The HTTP servers for callers and for the balancer's readiness checks."""
 
 import asyncio
+import contextlib
 import time
 
 from aiohttp import web
@@ -17,6 +18,7 @@
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.refusals import TARGET_FAILED, bad_call
 from magnoliaroad.relay.run import RelayRun
+from magnoliaroad.stall_watch import StallWatch
 
 # Idle time after which a caller's connection is closed, in seconds; longer than
 # the time for which operators let callers keep connections.
@@ -131,17 +133,23 @@
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         self._busy_connections.add(req.protocol)
+        request_id = self.parts.dialect.request_id(req.headers)
         try:
-            return await self._respond(req)
+            with StallWatch(req, request_id) as watch:
+                resp = await self._respond(req, request_id, watch)
+                if not resp.prepared:
+                    await _write(req, resp)
+                return resp
         finally:
             self._busy_connections.discard(req.protocol)
 
-    async def _respond(self, req: web.BaseRequest) -> web.StreamResponse:
+    async def _respond(
+        self, req: web.BaseRequest, request_id: str, watch: StallWatch
+    ) -> web.StreamResponse:
         began = time.monotonic()
         kind = "none"
         run = None
         log_fields: dict[str, object] = {}
-        request_id = self.parts.dialect.request_id(req.headers)
         with self.in_flight:
             IN_FLIGHT.set({}, self.in_flight.count)
             try:
@@ -165,11 +173,12 @@
                 log_fields |= exc.inputs
                 resp = self._refuse(request_id, exc.refusal, began, log_fields)
             except (ConnectionError, asyncio.CancelledError):
-                logger.bind(
-                    request=request_id,
-                    sent=run is not None and run.sent,
-                    took_s=round(time.monotonic() - began, 4),
-                ).info("caller left")
+                if not watch.stalled:
+                    logger.bind(
+                        request=request_id,
+                        sent=run is not None and run.sent,
+                        took_s=round(time.monotonic() - began, 4),
+                    ).info("caller left")
                 raise
             except Exception as exc:
                 logger.bind(request=request_id, path=req.path).opt(exception=exc).error(
@@ -222,6 +231,12 @@
             req.transport.abort()
 
 
+async def _write(req: web.BaseRequest, resp: web.StreamResponse) -> None:
+    with contextlib.suppress(ConnectionError):
+        await resp.prepare(req)
+        await resp.write_eof()
+
+
 def _make_request(message, payload, protocol, writer, task) -> web.BaseRequest:
     loop = asyncio.get_running_loop()
     return web.BaseRequest(
--- a/src/magnoliaroad/targets/response.py
+++ b/src/magnoliaroad/targets/response.py
@@ -1,7 +1,7 @@
 """A target's response, read as it arrives."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
 
@@ -41,6 +41,10 @@
         except (aiohttp.ClientError, TimeoutError) as exc:
             raise AnswerCut(f"answer cut off: {describe_error(exc)}") from exc
 
+    def when_complete(self, callback: Callable[[], None]) -> None:
+        """Calls ``callback`` once the whole body has arrived, before it is read."""
+        self._resp.content.on_eof(callback)
+
     def close(self) -> None:
         """Releases the connection if the body is complete, else closes it."""
         self._resp.close()
