--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -112,6 +112,29 @@
     action="Check whether the request ran.",
     verdict=Verdict.MAY_HAVE_RUN,
 )
+HOST_FAILED = Refusal(
+    code="host_failed",
+    status=502,
+    message="The host failed while it handled the request.",
+    action="Check whether the request ran.",
+    verdict=Verdict.MAY_HAVE_RUN,
+)
+HOST_FAILED_NOT_SENT = Refusal(
+    code="host_failed",
+    status=503,
+    message="The host failed before it sent the request to a target.",
+    action="Send the request again.",
+    retry_after_s=HOST_START_RETRY_S,
+)
+
+
+def host_failed(sent: bool) -> Refusal:
+    """Returns the refusal for a request that failed in the host.
+
+    Args:
+        sent: Whether a target may have received the request.
+    """
+    return HOST_FAILED if sent else HOST_FAILED_NOT_SENT
 
 
 def over_limit(team: str, retry_after_s: float) -> Refusal:
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -161,7 +161,10 @@
                 await self._prepare()
                 return await self._send_and_relay()
         except TimeoutError as exc:
-            raise Refused(TIMED_OUT if self.sent else NOT_SENT_IN_TIME) from exc
+            begun, expired = self.resp is not None, self._limit.expired()
+            reason = "turn not kept in time" if begun and not expired else "time limit"
+            refusal = TIMED_OUT if self.sent else NOT_SENT_IN_TIME
+            raise Refused(refusal, reason=reason) from exc
         finally:
             self._limit = None
             self._settle_charges()
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -8,15 +8,17 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.caller_left import caller_left
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import admit
 from magnoliaroad.relay.call import RelayCall
+from magnoliaroad.relay.cut_reason import cut_reason
 from magnoliaroad.relay.dialect import BadCall
 from magnoliaroad.relay.idle import awaits_request
 from magnoliaroad.relay.metrics import IN_FLIGHT, LATENCY, REFUSALS, REQUESTS
 from magnoliaroad.relay.parts import RelayParts
-from magnoliaroad.relay.refusals import TARGET_FAILED, bad_call
+from magnoliaroad.relay.refusals import bad_call, host_failed
 from magnoliaroad.relay.run import RelayRun
 from magnoliaroad.stall_watch import StallWatch
 
@@ -168,26 +170,22 @@
                 resp = self._refuse(request_id, bad_call(str(exc)), began, log_fields)
             except Refused as exc:
                 if run is not None and run.resp is not None:
-                    self._abort(req, request_id, exc)
-                    return run.resp
+                    return self._end_begun(req, request_id, run.resp, exc)
                 log_fields |= exc.inputs
                 resp = self._refuse(request_id, exc.refusal, began, log_fields)
-            except (ConnectionError, asyncio.CancelledError):
-                if not watch.stalled:
-                    logger.bind(
-                        request=request_id,
-                        sent=run is not None and run.sent,
-                        took_s=round(time.monotonic() - began, 4),
-                    ).info("caller left")
-                raise
-            except Exception as exc:
+            except (Exception, asyncio.CancelledError) as exc:
+                sent = run is not None and run.sent
+                lost = isinstance(exc, ConnectionError | asyncio.CancelledError)
+                if lost and caller_left(req):
+                    if not watch.stalled:
+                        self._log_lost_caller(request_id, sent, began)
+                    raise
                 logger.bind(request=request_id, path=req.path).opt(exception=exc).error(
                     "request failed"
                 )
                 if run is not None and run.resp is not None:
-                    self._abort(req, request_id, exc)
-                    return run.resp
-                resp = self._refuse(request_id, TARGET_FAILED, began, log_fields)
+                    return self._end_begun(req, request_id, run.resp, exc)
+                resp = self._refuse(request_id, host_failed(sent), began, log_fields)
         took_s = time.monotonic() - began
         REQUESTS.inc({"kind": kind, "status": str(resp.status)})
         LATENCY.observe({"kind": kind}, took_s)
@@ -223,12 +221,32 @@
         """Returns whether callers are moved to other hosts by closed connections."""
         return self.draining or not self._ready()
 
-    def _abort(self, req: web.BaseRequest, request_id: str, exc: BaseException) -> None:
-        """Aborts the connection, so that the caller sees the answer as incomplete."""
-        reason = repr(exc.__cause__ or exc)
-        logger.bind(request=request_id, reason=reason).warning("answer cut off")
+    def _log_lost_caller(self, request_id: str, sent: bool, began: float) -> None:
+        took_s = round(time.monotonic() - began, 4)
+        log = logger.bind(request=request_id, sent=sent, took_s=took_s)
+        if self.should_stop:
+            log.bind(reason="host stops").warning("answer cut off")
+        else:
+            log.info("caller left")
+
+    def _end_begun(
+        self,
+        req: web.BaseRequest,
+        request_id: str,
+        resp: web.StreamResponse,
+        exc: BaseException,
+    ) -> web.StreamResponse:
+        """Ends an answer that had begun; aborts the connection if it is incomplete."""
+        if resp.body_length:
+            return resp
+        logger.bind(
+            request=request_id,
+            reason=cut_reason(exc),
+            cause=repr(exc.__cause__ or exc),
+        ).warning("answer cut off")
         if req.transport is not None:
             req.transport.abort()
+        return resp
 
 
 async def _write(req: web.BaseRequest, resp: web.StreamResponse) -> None:
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -80,7 +80,9 @@
         _, _, rest = await read_late(deployment, "/plan/x")
     assert not rest.endswith(b"0\r\n\r\n")
     assert b"HTTP/1.1" not in rest
-    assert "answer cut off" in [line["event"] for line in logged]
+    assert [line["reason"] for line in logged if line["event"] == "answer cut off"] == [
+        "time limit"
+    ]
 
 
 async def test_a_caller_that_stops_reading_is_disconnected(
