Answer expectations, and bodies that do not arrive properly (LOST)

Callers that wait for "100 Continue" before they send the body got neither it nor a refusal. A body over MAX_BODY_BYTES was answered as a failure of the host, and one with a malformed chunk, or one that stopped, was never answered. The low-level server of aiohttp leaves expectations to its user, and its parser does not report a malformed chunk to the reader of the body.

The head of a request with Expect is checked before 100 is sent: key, route, headers and announced length are refused at once; an unknown expectation gets 417. HTTP/1.0 callers, and callers whose body has begun, get no 100. Bodies are read with a bound: 413 if too large, 400 if malformed, 408 if no byte arrives for BODY_STALL_S, all as not run. A refusal with an unread body says `Connection: close` and ends the host's side of the connection; what still arrives is discarded for up to LINGER_S, so that the refusal is not destroyed by a reset.

--- a/src/magnoliaroad/relay/idle.py
+++ b/src/magnoliaroad/relay/idle.py
@@ -12,3 +12,11 @@
     """
     waiter = conn._waiter
     return waiter is not None and not waiter.done() and not conn._messages
+
+
+def has_queued_request(conn: RequestHandler) -> bool:
+    """Returns whether something follows the request that is being read.
+
+    While a request's body is incomplete, only an error of the parser can follow it.
+    """
+    return bool(conn._messages)
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -31,6 +31,24 @@
     message="No team holds this key.",
     action="Ask an operator for a key.",
 )
+BODY_TOO_LARGE = Refusal(
+    code="body_too_large",
+    status=413,
+    message="The body is larger than this host accepts.",
+    action="Send a smaller body.",
+)
+BODY_STALLED = Refusal(
+    code="body_stalled",
+    status=408,
+    message="The body did not arrive in time.",
+    action="Send the request again.",
+)
+UNKNOWN_EXPECTATION = Refusal(
+    code="unknown_expectation",
+    status=417,
+    message="The only expectation that is supported is 100-continue.",
+    action="Send the request without Expect.",
+)
 NO_TURN = Refusal(
     code="no_turn",
     status=404,
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -12,9 +12,11 @@
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import admit
+from magnoliaroad.relay.body import check_length, read_body
 from magnoliaroad.relay.call import RelayCall
 from magnoliaroad.relay.cut_reason import cut_reason
 from magnoliaroad.relay.dialect import BadCall
+from magnoliaroad.relay.expectation import expects_continue, send_continue
 from magnoliaroad.relay.idle import awaits_request
 from magnoliaroad.relay.metrics import IN_FLIGHT, LATENCY, REFUSALS, REQUESTS
 from magnoliaroad.relay.parts import RelayParts
@@ -25,9 +27,9 @@
 # Idle time after which a caller's connection is closed, in seconds; longer than
 # the time for which operators let callers keep connections.
 KEEPALIVE_S = 75.0
-# Largest body of a request, in bytes; bodies are read before the configuration's own
-# limit is known.
-MAX_BODY_BYTES = 16_777_216
+# Longest time for which the rest of a refused body is discarded before its connection
+# is closed, in seconds; the default of nginx's ``lingering_timeout``.
+LINGER_S = 5.0
 # Largest request line and largest header field, in bytes.
 MAX_HEAD_BYTES = 65_536
 BACKLOG = 1024
@@ -68,8 +70,8 @@
         listen = self.parts.cfg.listen
         self._server = web.Server(
             self._handle,
-            request_factory=_make_request,
             keepalive_timeout=KEEPALIVE_S,
+            lingering_time=LINGER_S,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -155,7 +157,10 @@
         with self.in_flight:
             IN_FLIGHT.set({}, self.in_flight.count)
             try:
-                body = await req.read()
+                if expects_continue(req):
+                    self._check_head(req)
+                    await send_continue(req)
+                body = await read_body(req)
                 call = self.parts.dialect.read_call(
                     req.method, req.raw_path, req.headers, body
                 )
@@ -191,6 +196,15 @@
         LATENCY.observe({"kind": kind}, took_s)
         return resp
 
+    def _check_head(self, req: web.BaseRequest) -> None:
+        """Raises ``BadCall`` or ``Refused`` if the body is of no use."""
+        check_length(req)
+        dialect = self.parts.dialect
+        admit(
+            self.parts.plans,
+            dialect.read_call(req.method, req.raw_path, req.headers, b""),
+        )
+
     def _refuse(
         self,
         request_id: str,
@@ -250,16 +264,16 @@
 
 
 async def _write(req: web.BaseRequest, resp: web.StreamResponse) -> None:
+    unread = not req.content.is_eof()
+    if unread:
+        resp.force_close()
     with contextlib.suppress(ConnectionError):
         await resp.prepare(req)
         await resp.write_eof()
-
-
-def _make_request(message, payload, protocol, writer, task) -> web.BaseRequest:
-    loop = asyncio.get_running_loop()
-    return web.BaseRequest(
-        message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
-    )
+    if unread and req.transport is not None:
+        # The caller sees the end at once, and can read the answer before the connection
+        # is closed: closing it with unread bytes would reset it.
+        req.transport.write_eof()
 
 
 def _call_log_fields(call: RelayCall) -> dict[str, object]:
