--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -31,6 +31,24 @@
     message="No team holds this key.",
     action="Ask an operator for a key.",
 )
+BODY_TOO_LARGE = Refusal(
+    code="body_too_large",
+    status=413,
+    message="The body is larger than this host accepts.",
+    action="Send a smaller body.",
+)
+BODY_STALLED = Refusal(
+    code="body_stalled",
+    status=408,
+    message="The body did not arrive in time.",
+    action="Send the request again.",
+)
+UNKNOWN_EXPECTATION = Refusal(
+    code="unknown_expectation",
+    status=417,
+    message="The only expectation that is supported is 100-continue.",
+    action="Send the request without Expect.",
+)
 NO_TURN = Refusal(
     code="no_turn",
     status=404,
@@ -112,6 +130,29 @@
     action="Check whether the request ran.",
     verdict=Verdict.MAY_HAVE_RUN,
 )
+HOST_FAILED = Refusal(
+    code="host_failed",
+    status=502,
+    message="The host failed while it handled the request.",
+    action="Check whether the request ran.",
+    verdict=Verdict.MAY_HAVE_RUN,
+)
+HOST_FAILED_NOT_SENT = Refusal(
+    code="host_failed",
+    status=503,
+    message="The host failed before it sent the request to a target.",
+    action="Send the request again.",
+    retry_after_s=HOST_START_RETRY_S,
+)
+
+
+def host_failed(sent: bool) -> Refusal:
+    """Returns the refusal for a request that failed in the host.
+
+    Args:
+        sent: Whether a target may have received the request.
+    """
+    return HOST_FAILED if sent else HOST_FAILED_NOT_SENT
 
 
 def over_limit(team: str, retry_after_s: float) -> Refusal:
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -1,29 +1,35 @@
 """The HTTP servers for callers and for the balancer's readiness checks."""
 
 import asyncio
+import contextlib
 import time
 
 from aiohttp import web
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.caller_left import caller_left
 from magnoliaroad.connection_drain import ConnectionDrain
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import admit
+from magnoliaroad.relay.body import check_length, read_body
 from magnoliaroad.relay.call import RelayCall
+from magnoliaroad.relay.cut_reason import cut_reason
 from magnoliaroad.relay.dialect import BadCall
+from magnoliaroad.relay.expectation import expects_continue, send_continue
 from magnoliaroad.relay.metrics import IN_FLIGHT, LATENCY, REFUSALS, REQUESTS
 from magnoliaroad.relay.parts import RelayParts
-from magnoliaroad.relay.refusals import TARGET_FAILED, bad_call
+from magnoliaroad.relay.refusals import bad_call, host_failed
 from magnoliaroad.relay.run import RelayRun
+from magnoliaroad.stall_watch import StallWatch
 
 # Idle time after which a caller's connection is closed, in seconds; longer than
 # the time for which operators let callers keep connections.
 KEEPALIVE_S = 75.0
-# Largest body of a request, in bytes; bodies are read before the configuration's own
-# limit is known.
-MAX_BODY_BYTES = 16_777_216
+# Longest time for which the rest of a refused body is discarded before its connection
+# is closed, in seconds; the default of nginx's ``lingering_timeout``.
+LINGER_S = 5.0
 # Largest request line and largest header field, in bytes.
 MAX_HEAD_BYTES = 65_536
 BACKLOG = 1024
@@ -58,8 +64,8 @@
         listen = self.parts.cfg.listen
         self._server = web.Server(
             self._handle,
-            request_factory=_make_request,
             keepalive_timeout=KEEPALIVE_S,
+            lingering_time=LINGER_S,
             handler_cancellation=True,
             access_log=None,
             auto_decompress=False,
@@ -104,15 +110,27 @@
         return web.Response(status=200 if ready else 503)
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
+        request_id = self.parts.dialect.request_id(req.headers)
+        with StallWatch(req, request_id) as watch:
+            resp = await self._respond(req, request_id, watch)
+            if not resp.prepared:
+                await _write(req, resp)
+            return resp
+
+    async def _respond(
+        self, req: web.BaseRequest, request_id: str, watch: StallWatch
+    ) -> web.StreamResponse:
         began = time.monotonic()
         kind = "none"
         run = None
         log_fields: dict[str, object] = {}
-        request_id = self.parts.dialect.request_id(req.headers)
         with self.in_flight:
             IN_FLIGHT.set({}, self.in_flight.count)
             try:
-                body = await req.read()
+                if expects_continue(req):
+                    self._check_head(req)
+                    await send_continue(req)
+                body = await read_body(req)
                 call = self.parts.dialect.read_call(
                     req.method, req.raw_path, req.headers, body
                 )
@@ -127,30 +145,36 @@
                 resp = self._refuse(request_id, bad_call(str(exc)), began, log_fields)
             except Refused as exc:
                 if run is not None and run.resp is not None:
-                    self._abort(req, request_id, exc)
-                    return run.resp
+                    return self._end_begun(req, request_id, run.resp, exc)
                 log_fields |= exc.inputs
                 resp = self._refuse(request_id, exc.refusal, began, log_fields)
-            except (ConnectionError, asyncio.CancelledError):
-                logger.bind(
-                    request=request_id,
-                    sent=run is not None and run.sent,
-                    took_s=round(time.monotonic() - began, 4),
-                ).info("caller left")
-                raise
-            except Exception as exc:
+            except (Exception, asyncio.CancelledError) as exc:
+                sent = run is not None and run.sent
+                lost = isinstance(exc, ConnectionError | asyncio.CancelledError)
+                if lost and caller_left(req):
+                    if not watch.stalled:
+                        self._log_lost_caller(request_id, sent, began)
+                    raise
                 logger.bind(request=request_id, path=req.path).opt(exception=exc).error(
                     "request failed"
                 )
                 if run is not None and run.resp is not None:
-                    self._abort(req, request_id, exc)
-                    return run.resp
-                resp = self._refuse(request_id, TARGET_FAILED, began, log_fields)
+                    return self._end_begun(req, request_id, run.resp, exc)
+                resp = self._refuse(request_id, host_failed(sent), began, log_fields)
         took_s = time.monotonic() - began
         REQUESTS.inc({"kind": kind, "status": str(resp.status)})
         LATENCY.observe({"kind": kind}, took_s)
         return resp
 
+    def _check_head(self, req: web.BaseRequest) -> None:
+        """Raises ``BadCall`` or ``Refused`` if the body is of no use."""
+        check_length(req)
+        dialect = self.parts.dialect
+        admit(
+            self.parts.plans,
+            dialect.read_call(req.method, req.raw_path, req.headers, b""),
+        )
+
     def _refuse(
         self,
         request_id: str,
@@ -181,19 +205,45 @@
         """Returns whether callers are moved to other hosts by closed connections."""
         return self.draining or not self._ready()
 
-    def _abort(self, req: web.BaseRequest, request_id: str, exc: BaseException) -> None:
-        """Aborts the connection, so that the caller sees the answer as incomplete."""
-        reason = repr(exc.__cause__ or exc)
-        logger.bind(request=request_id, reason=reason).warning("answer cut off")
+    def _log_lost_caller(self, request_id: str, sent: bool, began: float) -> None:
+        took_s = round(time.monotonic() - began, 4)
+        log = logger.bind(request=request_id, sent=sent, took_s=took_s)
+        if self.should_stop:
+            log.bind(reason="host stops").warning("answer cut off")
+        else:
+            log.info("caller left")
+
+    def _end_begun(
+        self,
+        req: web.BaseRequest,
+        request_id: str,
+        resp: web.StreamResponse,
+        exc: BaseException,
+    ) -> web.StreamResponse:
+        """Ends an answer that had begun; aborts the connection if it is incomplete."""
+        if resp.body_length:
+            return resp
+        logger.bind(
+            request=request_id,
+            reason=cut_reason(exc),
+            cause=repr(exc.__cause__ or exc),
+        ).warning("answer cut off")
         if req.transport is not None:
             req.transport.abort()
+        return resp
 
 
-def _make_request(message, payload, protocol, writer, task) -> web.BaseRequest:
-    loop = asyncio.get_running_loop()
-    return web.BaseRequest(
-        message, payload, protocol, writer, task, loop, client_max_size=MAX_BODY_BYTES
-    )
+async def _write(req: web.BaseRequest, resp: web.StreamResponse) -> None:
+    unread = not req.content.is_eof()
+    if unread:
+        resp.force_close()
+    with contextlib.suppress(ConnectionError):
+        await resp.prepare(req)
+        await resp.write_eof()
+    if unread and req.transport is not None:
+        # The caller sees the end at once, and can read the answer before the connection
+        # is closed: closing it with unread bytes would reset it.
+        req.transport.write_eof()
 
 
 def _call_log_fields(call: RelayCall) -> dict[str, object]:
