--- a/tests/platform/kv_standin.py
+++ b/tests/platform/kv_standin.py
@@ -20,6 +20,7 @@
     Attributes:
         fault: One of ``None``, ``"busy"`` (503), ``"many"`` (429), ``"reset"``,
             ``"silent"``, ``"lost"`` (applied but not answered).
+        delay_s: Time that each call takes, in seconds.
         history_gone: Whether the next watch is answered with 410, history dropped.
         watches_hang: Whether watches return no events, whatever changes.
     """
@@ -28,6 +29,7 @@
         self.state = KvState()
         self.state.revision = 7
         self.fault = None
+        self.delay_s = 0.0
         self.history_gone = False
         self.watches_hang = False
         self.calls = []
@@ -61,6 +63,7 @@
             return web.Response()
         if self.fault == "silent":
             await asyncio.sleep(30)
+        await asyncio.sleep(self.delay_s)
         try:
             resp = await self._answer(req)
         except StoreConflict as exc:
