--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -24,6 +24,21 @@
     assert proc.returncode == 0, errors
 
 
+async def test_a_sighup_during_imports_does_not_end_the_process():
+    """LOST: a reload of the settings killed hosts that had just started."""
+    proc = await asyncio.create_subprocess_exec(
+        sys.executable, ROOT / "platform" / "host.py", stderr=asyncio.subprocess.PIPE
+    )
+    async with asyncio.timeout(10.0):
+        while not catches_sigterm(proc.pid):
+            assert proc.returncode is None
+            await asyncio.sleep(0.001)
+        proc.send_signal(signal.SIGHUP)
+        _, errors = await proc.communicate()
+    # It ends by itself, as it has no settings.
+    assert proc.returncode == 2, errors
+
+
 DYING = """
 import os
 import shutil
