--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -7,7 +7,7 @@
 from contextlib import asynccontextmanager
 from typing import NamedTuple
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from loguru import logger
 from returns.pipeline import is_successful
 
@@ -541,7 +541,8 @@
     async def _relay_stream(self, opened: OpenAnswer) -> web.StreamResponse:
         headers = self.parts.dialect.answer_headers(opened.response.headers)
         resp = web.StreamResponse(status=opened.response.status, headers=headers)
-        resp.enable_chunked_encoding()
+        if self._req.version >= HttpVersion11:
+            resp.enable_chunked_encoding()
         self._check_origin(opened.target)
         opened.response.when_complete(self._lift_limit)
         self.resp = resp
