Send answers before the product's own server has stopped (LOST)

The same cause as at the relay: closing the server sends what is unsent later, and the process ended first. The stop now waits until it is sent, for at most 5 s after the last handler. tests/entry/test_planned_stop.py failed before with 15,383 bytes unsent.

--- a/src/magnoliaroad/entry/server.py
+++ b/src/magnoliaroad/entry/server.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.connection_drain import close_server
 from magnoliaroad.entry.chat import ChatHandler
 from magnoliaroad.entry.listen import ListenSettings
 from magnoliaroad.entry.middleware import request_middleware
@@ -90,7 +91,7 @@
         """Stops listening and closes all connections."""
         self._withdrawals.close()
         if self._runner is not None:
-            await self._runner.cleanup()
+            await close_server(self._runner)
 
     async def _health(self, req: web.Request) -> web.Response:
         return web.json_response({"status": "ok"})
--- a/tests/platform/slow_caller.py
+++ b/tests/platform/slow_caller.py
@@ -33,15 +33,14 @@
     async def __aexit__(self, *exc_info):
         self._sock.close()
 
-    async def send(self, path, request_id, *, headers=()):
+    async def send(self, path, request_id, key=KEY):
         """Sends a request without a body."""
         lines = [
             f"GET {path} HTTP/1.1",
             "Host: arcade.example",
-            f"Authorization: Bearer {KEY}",
+            f"Authorization: Bearer {key}",
             f"Magnoliaroad-Request-Id: {request_id}",
             "Magnoliaroad-Deadline-Ms: 2000",
-            *headers,
         ]
         data = "\r\n".join([*lines, "", ""]).encode()
         await asyncio.get_running_loop().sock_sendall(self._sock, data)
