Keep connections with unsent answers open during a drain, and end it in time (LOST)

A caller that sent another request while its answer was still in the host's buffer got 35,840 of 40,000 bytes and a reset: closing a connection stops reading it, and a close with unread bytes makes the kernel drop what it has to send.

--- a/src/magnoliaroad/connection_drain.py
+++ b/src/magnoliaroad/connection_drain.py
@@ -69,6 +69,7 @@
         logger.bind(
             in_flight=self._in_flight.count,
             connections=len(self._server.connections),
+            unsent_bytes=sum(map(_unsent_bytes, self._server.connections)),
             took_s=round(time.monotonic() - began, 3),
         ).info("drain ended")
         return ended
@@ -79,16 +80,13 @@
             if conn.transport is None:
                 continue
             since = self._idle_since.setdefault(conn, now)
-            if not awaits_request(conn):
+            # If the caller sends more on a connection that was closed with unsent
+            # bytes, the kernel resets it and they are lost.
+            if not awaits_request(conn) or conn.transport.get_write_buffer_size():
                 self._idle_since[conn] = now
             elif now - since >= NEW_CONNECTION_GRACE_S:
-                _log_unsent(conn)
                 conn.force_close()
 
 
-def _log_unsent(conn: RequestHandler) -> None:
-    """Logs a connection that is closed before its answers have left the process."""
-    unsent = conn.transport.get_write_buffer_size()
-    if unsent:
-        peer = conn.transport.get_extra_info("peername")
-        logger.bind(caller=peer, unsent_bytes=unsent).info("unsent answer at shutdown")
+def _unsent_bytes(conn: RequestHandler) -> int:
+    return 0 if conn.transport is None else conn.transport.get_write_buffer_size()
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -33,6 +33,9 @@
 # Largest request line and largest header field, in bytes.
 MAX_HEAD_BYTES = 65_536
 BACKLOG = 1024
+# Longest wait for handlers that still run when a server is closed, in seconds. 0 would
+# stand for no limit.
+SHUTDOWN_TIMEOUT_S = 0.1
 # Longest path in a log line; longer ones are cut.
 MAX_LOGGED_PATH_CHARS = 80
 
@@ -79,7 +82,7 @@
 
     async def _listen(self, server: web.Server, address: str) -> web.TCPSite:
         host, _, port = address.rpartition(":")
-        runner = web.ServerRunner(server, shutdown_timeout=0.0)
+        runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
         self._runners.append(runner)
         site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
