Serve connections that wait in the kernel's queue when a host stops listening (LOST)

The kernel resets what is in its queue at the close. The host accepts these connections first, and the drain serves them.

--- /dev/null
+++ b/src/magnoliaroad/caller_listener.py
@@ -0,0 +1,55 @@
+"""Listens for connections of callers, and stops without dropping any."""
+
+import asyncio
+import contextlib
+import socket
+
+from aiohttp import web
+from loguru import logger
+
+BACKLOG = 1024
+
+
+class CallerListener:
+    """A listening socket of an HTTP server.
+
+    Args:
+        runner: Runs the server.
+        address: IP address to listen on.
+        port: TCP port to listen on.
+    """
+
+    def __init__(self, runner: web.ServerRunner, address: str, port: int) -> None:
+        family = socket.AF_INET6 if ":" in address else socket.AF_INET
+        self.socket = socket.socket(family)
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind((address, port))
+        self._runner = runner
+        self._site = web.SockSite(runner, self.socket, backlog=BACKLOG)
+
+    async def start(self) -> None:
+        """Starts listening."""
+        await self._site.start()
+
+    async def stop(self) -> None:
+        """Accepts the connections that wait in the kernel's queue, then stops.
+
+        The kernel resets those that are in the queue when the socket is closed.
+        """
+        accepted = self._accept_waiting()
+        await self._site.stop()
+        loop = asyncio.get_running_loop()
+        for sock in accepted:
+            sock.setblocking(False)
+            await loop.connect_accepted_socket(self._runner.server, sock)
+        logger.bind(accepted=len(accepted)).info("listening ended")
+
+    def _accept_waiting(self) -> list[socket.socket]:
+        accepted = []
+        try:
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    accepted.append(self.socket.accept()[0])
+        except OSError as exc:
+            logger.bind(reason=repr(exc)).warning("waiting connections not accepted")
+        return accepted
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -9,6 +9,7 @@
 from mode import Service
 
 from magnoliaroad.caller_left import caller_left
+from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.connection_drain import ConnectionDrain
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.refusal import Refusal, Refused
@@ -32,7 +33,6 @@
 LINGER_S = 5.0
 # Largest request line and largest header field, in bytes.
 MAX_HEAD_BYTES = 65_536
-BACKLOG = 1024
 # Longest wait for handlers that still run when a server is closed, in seconds. 0 would
 # stand for no limit.
 SHUTDOWN_TIMEOUT_S = 0.1
@@ -59,7 +59,7 @@
         self.in_flight = InFlightRequests()
         self._ready = ready
         self._runners: list[web.ServerRunner] = []
-        self._caller_site: web.TCPSite | None = None
+        self._caller_listener: CallerListener | None = None
         self._server: web.Server | None = None
 
     async def on_start(self) -> None:
@@ -75,19 +75,19 @@
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
         )
-        self._caller_site = await self._listen(self._server, listen.callers)
+        self._caller_listener = await self._listen(self._server, listen.callers)
         await self._listen(
             web.Server(self._handle_readiness, access_log=None), listen.ready
         )
 
-    async def _listen(self, server: web.Server, address: str) -> web.TCPSite:
+    async def _listen(self, server: web.Server, address: str) -> CallerListener:
         host, _, port = address.rpartition(":")
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
         self._runners.append(runner)
-        site = web.TCPSite(runner, host, int(port), backlog=BACKLOG)
-        await site.start()
-        return site
+        listener = CallerListener(runner, host, int(port))
+        await listener.start()
+        return listener
 
     async def drain(self) -> None:
         """Fails readiness checks, refuses connections, ends requests in flight."""
@@ -95,8 +95,8 @@
         began = time.monotonic()
         self.draining = True
         await asyncio.sleep(cfg.notice_s)
-        if self._caller_site is not None:
-            await self._caller_site.stop()
+        if self._caller_listener is not None:
+            await self._caller_listener.stop()
         drain = ConnectionDrain(self._server, self.in_flight)
         if not await drain.run(began + cfg.limit_s):
             logger.bind(in_flight=self.in_flight.count).warning(
--- a/tests/platform/raw_caller.py
+++ b/tests/platform/raw_caller.py
@@ -16,8 +16,8 @@
     host = deployment.relays[relay]
     if buffer_bytes is not None:
         # Connections inherit the size from the listening socket.
-        for sock in host.server._caller_site._server.sockets:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
+        sock = host.server._caller_listener.socket
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
     async with raw_connection(host.cfg.listen.callers, buffer_bytes) as streams:
         yield streams
 
