Soak: slow callers on kept connections, SIGHUP, more ends of answers (LOST)

Callers with small receive buffers check the framing of each answer. A request that a sound target got or that was read, and whose connection ends without a whole answer, is a violation at planned stops, at SIGHUP and otherwise. Targets also end answers by the end of the connection, by a reset, inside the head or an event, and after a refusal without an id.

--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -2,7 +2,30 @@
 
 import asyncio
 
+from tests.platform.answer_ends import (
+    ANSWER_ENDS,
+    READ_TIME_S,
+    REFUSAL,
+    half_event,
+    reset,
+    write_answer,
+)
+
 SIGNATURE = "3e1b.07"
+LARGE_PATH = "/safe/large/"
+# Size of an event of a stream below /plan/large/, in bytes.
+LARGE_EVENT_BYTES = 12_000
+# Entries of a script with which a target answers soundly.
+SOUND_ACTS = ("ok", "slow", "slowly", "error", "full", "moved", "bare")
+
+
+def large_body(path, request_id):
+    """Returns the body for a path below ``LARGE_PATH``; empty for another path."""
+    if not path.startswith(LARGE_PATH):
+        return b""
+    size = int(path.removeprefix(LARGE_PATH))
+    text = f"{request_id}.".encode()
+    return (text * (size // len(text) + 1))[:size]
 
 
 class TargetStandin:
@@ -15,7 +38,11 @@
     ``"slow"`` (an answer after 0.5 s), ``"slowly"`` (a stream with pauses),
     ``"trickle"`` (a stream that sends a byte from time to time and never ends), and
     ``"endless_noise"``, ``"endless_head"`` and ``"endless_body"`` (bytes until the
-    caller closes the connection). The last entry applies to all further requests.
+    caller closes the connection), and those of ``ANSWER_ENDS``. The last entry applies
+    to all further requests.
+
+    Paths below ``/safe/large/`` name the size of the body, in bytes. Events of streams
+    below ``/plan/large/`` have ``LARGE_EVENT_BYTES``.
 
     Paths below ``/stream/`` and ``/plan/`` are answered by streams, which begin after
     the event that ``Last-Event-Id`` names. Targets of a version other than v1 write it
@@ -28,6 +55,7 @@
         runs: Requests that it ran: method, path, headers, body.
         in_flight: Requests that are being answered.
         abandoned: Requests whose connection was closed before their answer.
+        broke_off: Ids of the requests that it did not answer soundly.
         leaving: Value of the leaving header on all its answers; ``None`` for no header.
         poison: Body of requests that crash the target; ``None`` for none.
         down_s: Time from a crash to the restart, in seconds.
@@ -48,6 +76,7 @@
         self.runs = []
         self.in_flight = 0
         self.abandoned = 0
+        self.broke_off = set()
         self.leaving = None
         self.poison = None
         self.down_s = 0.5
@@ -55,7 +84,8 @@
         self.hangs_on_crash = False
         self.on_crash = lambda: None
         self.on_start = lambda: None
-        self._writers = set()
+        # The id of the last request of each connection, by its writer.
+        self._writers = {}
         self._restart = None
         self._server = None
         self.address = ""
@@ -81,19 +111,25 @@
     async def exit(self):
         """Stops and aborts all connections, as the end of the process does."""
         await self.stop()
-        for writer in self._writers:
-            writer.transport.abort()
+        self._abort_all()
 
     def crash(self):
         """Aborts all connections and restarts after ``down_s``."""
         loop = asyncio.get_running_loop()
         self.crashed_at.append(loop.time())
         self._server.close()
-        for writer in () if self.hangs_on_crash else self._writers:
-            writer.transport.abort()
+        if self.hangs_on_crash:
+            self.broke_off.update(self._writers.values())
+        else:
+            self._abort_all()
         self.on_crash()
         self._restart = loop.create_task(self._restart_later())
 
+    def _abort_all(self):
+        self.broke_off.update(self._writers.values())
+        for writer in self._writers:
+            writer.transport.abort()
+
     async def _restart_later(self):
         await asyncio.sleep(self.down_s)
         host, _, port = self.address.rpartition(":")
@@ -117,14 +153,14 @@
         return {**fields, **changes}
 
     async def _handle_connection(self, reader, writer):
-        self._writers.add(writer)
+        self._writers[writer] = ""
         try:
             while await self._handle_request(reader, writer):
                 pass
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
-            self._writers.discard(writer)
+            del self._writers[writer]
             writer.close()
 
     async def _handle_request(self, reader, writer):
@@ -135,6 +171,9 @@
         body = await reader.readexactly(int(lower.get("content-length", 0)))
         act = self.script[0] if len(self.script) == 1 else self.script.pop(0)
         request_id = lower["magnoliaroad-request-id"]
+        self._writers[writer] = request_id
+        if act not in SOUND_ACTS:
+            self.broke_off.add(request_id)
         if act == "full":
             self._write_answer(
                 writer, 503, request_id, b"", "Magnoliaroad-Not-Executed: 1"
@@ -184,11 +223,21 @@
         if path.startswith(("/stream/", "/plan/")):
             pause_s = self.plan_pause_s if path.startswith("/plan/") else 0.005
             after = int(headers.get("last-event-id", 0))
-            return await self._stream(act, writer, request_id, after, pause_s)
+            pad = LARGE_EVENT_BYTES if path.startswith("/plan/large/") else 0
+            return await self._stream(act, writer, request_id, after, pause_s, pad)
         status = 500 if act == "error" else 200
         signature = (
             "" if act == "unsealed" else f"Magnoliaroad-Response-Seal: {SIGNATURE}"
         )
+        body = large_body(path, request_id) or b"whole"
+        if act in ANSWER_ENDS:
+            lines = [
+                "HTTP/1.1 200 OK",
+                f"Magnoliaroad-Request-Id: {request_id}",
+                signature,
+                *self._leaving_header(),
+            ]
+            return await write_answer(act, writer, "\r\n".join([*lines, ""]), body)
         if act == "cut":
             lines = [
                 "HTTP/1.1 200 OK",
@@ -204,9 +253,9 @@
             await writer.drain()
             writer.transport.abort()
             return False
-        self._write_answer(writer, status, request_id, b"whole", signature)
+        self._write_answer(writer, status, request_id, body, signature)
+        await writer.drain()
         if act == "extra":
-            await writer.drain()
             await asyncio.sleep(0.05)
             self._write_answer(writer, 200, request_id, b"extra", signature)
         return True
@@ -223,31 +272,48 @@
             await writer.drain()
         return False
 
-    async def _stream(self, act, writer, request_id, after, pause_s):
+    async def _stream(self, act, writer, request_id, after, pause_s, pad=0):
+        chunked = not act.startswith("bare")
         lines = [
             "HTTP/1.1 200 OK",
             "Content-Type: text/event-stream",
-            "Transfer-Encoding: chunked",
+            *(["Transfer-Encoding: chunked"] if chunked else []),
             f"Magnoliaroad-Request-Id: {request_id}",
             f"Magnoliaroad-Response-Seal: {SIGNATURE}",
             *self._leaving_header(),
         ]
-        writer.write("\r\n".join([*lines, "", ""]).encode())
+        if act == "refusal_first":
+            writer.write(REFUSAL)
+        head = "\r\n".join([*lines, "", ""]).encode()
+        if act == "head_cut":
+            writer.write(head[: len(head) // 2])
+            return False
+        writer.write(head)
         suffix = "" if self.version == "v1" else f"-{self.version}"
+        if pad:
+            suffix += f"\ndata: {'x' * pad}"
         for number in range(after + 1, self.events + 1):
             if act == "cut" and number == self.events:
                 await writer.drain()
                 writer.transport.abort()
                 return False
+            if act == "bare_reset" and number == self.events:
+                await asyncio.sleep(READ_TIME_S)
+                reset(writer)
+                return False
             event = f"id: {number}\ndata: word{number}{suffix}\n\n".encode()
-            writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            if act.endswith("_half") and number == self.events:
+                event = half_event(event)
+            size = f"{len(event):x}\r\n".encode()
+            writer.write(size + event + b"\r\n" if chunked else event)
             await writer.drain()
             await asyncio.sleep(0.3 if act == "slowly" else pause_s)
             while act == "trickle" and not writer.transport.is_closing():
                 writer.write(b"1\r\n:\r\n")
                 await asyncio.sleep(0.05)
-        writer.write(b"0\r\n\r\n")
-        return True
+        if chunked:
+            writer.write(b"0\r\n\r\n")
+        return chunked
 
     def _leaving_header(self):
         return [] if self.leaving is None else [f"server-leaving: {self.leaving}"]
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -13,21 +13,36 @@
 import aiohttp
 
 from magnoliaroad.standins.link import Link
-from tests.platform.deployment import config, free_address
+from tests.platform.deployment import config, free_address, route
 from tests.platform.kv_standin import KvStandin
 from tests.platform.target_standin import TargetStandin
 from tests.soak.callers import EVENTS_PER_STREAM, POISON
+from tests.soak.spans import Spans
 
 ROOT = Path(__file__).parents[2]
 DATA_CENTRES = ("dc-1", "dc-2")
 # Maximum time from SIGTERM to the exit of a process.
 EXIT_TIMEOUT_S = 8.0
+# Time that a relay host has to end its requests after SIGTERM.
+DRAIN_LIMIT_S = 6.0
 # Time after a disruption until a host is in contact with the others again.
 REJOIN_S = 3.0
 # Pause between events of resumable streams, so that many are cut by faults.
 PLAN_PAUSE_S = 0.12
 
 
+def soak_config(version):
+    """Returns the configuration with routes for large answers."""
+    fields = config(version)
+    fields["routes"] += [
+        route("large", "/safe/large/", "safe", "app", timeout_ms=5000),
+        route(
+            "long", "/plan/large/", "streaming", "lm", resumable=True, timeout_ms=5000
+        ),
+    ]
+    return fields
+
+
 def catches_sigterm(pid):
     """Returns whether a process has installed a handler for SIGTERM."""
     try:
@@ -39,7 +54,14 @@
 
 
 class HostProcess:
-    """One host process and its link to the store."""
+    """One host process and its link to the store.
+
+    Attributes:
+        disruptions: Spans in which it was killed, paused or cut off from the store.
+        stops: Spans from SIGTERM to the exit.
+        booted: Whether it had a handler of SIGTERM.
+        problems: Messages about ends that nobody asked for.
+    """
 
     def __init__(self, fleet, name, data_centre, is_relay):
         self.fleet = fleet
@@ -56,6 +78,11 @@
         self.starts = 0
         self.paused = False
         self.disrupted_until = 0.0
+        self.disruptions = Spans()
+        self.stops = Spans()
+        self.problems = []
+        self.booted = self._stopping = False
+        self._watch = None
 
     def end_disruption(self):
         """Records that a disruption of this host ends now."""
@@ -75,6 +102,7 @@
             await self.link.start()
         settings = self.folder / "settings.json"
         settings.write_text(json.dumps(self._settings()))
+        self.booted = self._stopping = False
         self.starts += 1
         self.started_at = time.monotonic()
         self.end_disruption()
@@ -83,9 +111,33 @@
             self.proc = await asyncio.create_subprocess_exec(
                 sys.executable, ROOT / "platform" / "host.py", stdout=log, env=env
             )
+        self._watch = asyncio.create_task(self._watch_end(self.proc))
         # Before the process has installed its handler, SIGTERM would kill it.
         while self.proc.returncode is None and not catches_sigterm(self.proc.pid):
             await asyncio.sleep(0.005)
+        self.booted = True
+
+    async def _watch_end(self, proc):
+        code = await proc.wait()
+        if not self._stopping:
+            age_s = time.monotonic() - self.started_at
+            self.problems.append(
+                f"{self.name}: ended by itself with {code} at an age of {age_s:.2f} s"
+            )
+
+    async def restart_ended(self):
+        """Starts the process again if it has ended by itself."""
+        if self.booted and self.proc.returncode is not None and not self._stopping:
+            await self.start()
+
+    def hang_up(self):
+        """Changes the settings file and sends SIGHUP."""
+        settings = self._settings()
+        settings["first_start"] = self.starts == 1
+        path = self.folder / "settings.json"
+        path.with_suffix(".new").write_text(json.dumps(settings))
+        path.with_suffix(".new").replace(path)
+        self.proc.send_signal(signal.SIGHUP)
 
     def _settings(self):
         listen = {"peers": self.peer_address, "metrics": self.metrics_address}
@@ -99,11 +151,12 @@
             "data_folder": str(self.folder / "data"),
             "listen": listen,
             "store": {"url": f"http://127.0.0.1:{self.link.port}"},
-            "drain": {"notice_s": 0.5, "limit_s": 6.0},
+            "drain": {"notice_s": 0.5, "limit_s": DRAIN_LIMIT_S},
             "logs": {"path": "-"},
         }
 
     async def kill(self):
+        self._stopping = True
         self.disrupted_until = math.inf
         self.proc.send_signal(signal.SIGKILL)
         await self.proc.wait()
@@ -117,10 +170,12 @@
         signalled_at = time.monotonic()
         age_s = signalled_at - self.started_at
         self.disrupted_until = math.inf
-        self.proc.send_signal(signal.SIGTERM)
+        self._stopping = True
         try:
-            async with asyncio.timeout(EXIT_TIMEOUT_S):
-                code = await self.proc.wait()
+            with self.stops.span():
+                self.proc.send_signal(signal.SIGTERM)
+                async with asyncio.timeout(EXIT_TIMEOUT_S):
+                    code = await self.proc.wait()
         except TimeoutError:
             await self.kill()
             return (
@@ -133,11 +188,12 @@
 
     async def pause(self, seconds):
         self.disrupted_until = math.inf
-        self.proc.send_signal(signal.SIGSTOP)
-        self.paused = True
-        await asyncio.sleep(seconds)
-        self.proc.send_signal(signal.SIGCONT)
-        self.paused = False
+        with self.disruptions.span():
+            self.proc.send_signal(signal.SIGSTOP)
+            self.paused = True
+            await asyncio.sleep(seconds)
+            self.proc.send_signal(signal.SIGCONT)
+            self.paused = False
         self.end_disruption()
 
     async def is_ready(self, session):
@@ -157,6 +213,7 @@
     Attributes:
         targets: Targets that the store lists, if they are not down.
         former_targets: Targets that have left or are about to.
+        store_disruptions: Spans of faults of the store.
     """
 
     def __init__(self, tmp_path, relays=3, records=2):
@@ -167,6 +224,7 @@
         self.former_targets = []
         self.host_counts = relays, records
         self.store_disrupted_until = 0.0
+        self.store_disruptions = Spans()
         self.relay_hosts = []
         self.record_hosts = []
 
@@ -176,7 +234,7 @@
 
     async def __aenter__(self):
         await self.kv.start()
-        self.kv.write("op/config", config(self.config_version))
+        self.kv.write("op/config", soak_config(self.config_version))
         for number in range(3):
             await self.add_target(TargetStandin(f"i-app{number}", "app"))
         for number, version in enumerate(("v1", "v2", "v1", "v2")):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,14 +14,19 @@
 from pathlib import Path
 from typing import NamedTuple
 
-from tests.platform.deployment import KEY, config
+from tests.platform.answer_ends import ANSWER_ENDS
+from tests.platform.deployment import KEY
 from tests.platform.target_standin import TargetStandin
 from tests.soak.callers import EVENTS_PER_STREAM, POISON, Callers
-from tests.soak.fleet import REJOIN_S, Fleet
+from tests.soak.fleet import REJOIN_S, Fleet, soak_config
+from tests.soak.lost import find_lost
+from tests.soak.slow_callers import SlowCallers
 
 CALLER_COUNT = 12
 # Callers that only receive resumable streams.
 STREAM_CALLER_COUNT = 24
+# Callers that read slowly.
+SLOW_CALLER_COUNT = 16
 # Number of attempts to resume a stream, while this is possible, of which at least one
 # must succeed.
 MIN_RESUMES = 20
@@ -41,26 +46,36 @@
         violations: The violated guarantees.
         resumes_tried: Number of requests to resume a stream.
         resumes_continued: Number of those that received further events.
+        slowly_read: Number of answers that slow callers received whole.
+        unanswered: Number of their requests without a whole answer.
     """
 
     violations: list[str]
     resumes_tried: int
     resumes_continued: int
+    slowly_read: int
+    unanswered: int
 
 
-async def soak(seed: int, seconds: float, folder: Path) -> SoakResult:
-    """Runs the soak test with ``seed``."""
+async def soak(
+    seed: int, seconds: float, folder: Path, planned: bool = False
+) -> SoakResult:
+    """Runs the soak test with ``seed``; if ``planned``, without disruptions."""
     rng = random.Random(seed)
     async with Fleet(folder) as fleet:
         callers = Callers(fleet, rng)
+        slow = SlowCallers(fleet, callers, seed)
         loop = asyncio.get_running_loop()
         end = loop.time() + seconds
         fault_task = asyncio.create_task(
-            _inject_faults(fleet, rng, end, callers.violations)
+            _inject_faults(
+                fleet, rng, end, callers.violations, PLANNED if planned else INJECTORS
+            )
         )
         await asyncio.gather(
             *(callers.run(end + 1.0) for _ in range(CALLER_COUNT)),
             *(callers.run_streams(end + 1.0) for _ in range(STREAM_CALLER_COUNT)),
+            *(slow.run(end + 1.0) for _ in range(SLOW_CALLER_COUNT)),
         )
         await fault_task
         await _recover(fleet, callers)
@@ -69,24 +84,21 @@
             *_check_targets(fleet, callers),
             *_check_poison(callers),
             *_check_resumes(callers),
+            *find_lost(fleet, slow.unanswered),
+            *(problem for host in fleet.processes for problem in host.problems),
         ]
-        return SoakResult(violations, callers.resumes_tried, callers.resumes_continued)
+        return SoakResult(
+            violations,
+            callers.resumes_tried,
+            callers.resumes_continued,
+            slow.answered,
+            len(slow.unanswered),
+        )
 
 
-async def _inject_faults(fleet, rng, end, violations):
+async def _inject_faults(fleet, rng, end, violations, injectors):
     loop = asyncio.get_running_loop()
     running = set()
-    injectors = (
-        _kill,
-        _terminate,
-        _pause,
-        _cut_store,
-        _inject_store_fault,
-        _inject_target_faults,
-        _change_config,
-        _drain_target,
-        _release,
-    )
     while loop.time() < end:
         inject = rng.choice(injectors)
         task = asyncio.create_task(inject(fleet, rng, violations))
@@ -106,9 +118,10 @@
 async def _kill(fleet, rng, violations):
     process = _choose_running(fleet, rng)
     if process is not None:
-        await process.kill()
-        await asyncio.sleep(rng.uniform(0.0, 1.0))
-        await process.start()
+        with process.disruptions.span():
+            await process.kill()
+            await asyncio.sleep(rng.uniform(0.0, 1.0))
+            await process.start()
 
 
 async def _terminate(fleet, rng, violations):
@@ -123,6 +136,16 @@
     await process.start()
 
 
+async def _hang_up(fleet, rng, violations):
+    """Sends SIGHUP once or more, also to a process that was told to stop."""
+    process = rng.choice(fleet.processes)
+    for _ in range(rng.randrange(1, 4)):
+        if process.booted and process.proc.returncode is None:
+            process.hang_up()
+        await asyncio.sleep(rng.uniform(0.0, 0.4))
+    await process.restart_ended()
+
+
 async def _pause(fleet, rng, violations):
     process = _choose_running(fleet, rng)
     if process is not None:
@@ -131,18 +154,20 @@
 
 async def _cut_store(fleet, rng, violations):
     process = rng.choice(fleet.processes)
-    process.link.cut()
     process.disrupted_until = math.inf
-    await asyncio.sleep(rng.uniform(0.3, 3.0))
-    process.link.heal()
+    with process.disruptions.span():
+        process.link.cut()
+        await asyncio.sleep(rng.uniform(0.3, 3.0))
+        process.link.heal()
     process.end_disruption()
 
 
 async def _inject_store_fault(fleet, rng, violations):
-    fleet.kv.fault = rng.choice(("busy", "many", "reset", "lost"))
     fleet.store_disrupted_until = math.inf
-    await asyncio.sleep(rng.uniform(0.2, 2.0))
-    fleet.kv.fault = None
+    with fleet.store_disruptions.span():
+        fleet.kv.fault = rng.choice(("busy", "many", "reset", "lost"))
+        await asyncio.sleep(rng.uniform(0.2, 2.0))
+        fleet.kv.fault = None
     loop = asyncio.get_running_loop()
     fleet.store_disrupted_until = loop.time() + REJOIN_S
 
@@ -150,12 +175,13 @@
 async def _inject_target_faults(fleet, rng, violations):
     target = rng.choice(fleet.targets)
     entries = ("full", "moved", "reset", "cut", "extra", "wrong_id", "error", "silent")
+    entries += ANSWER_ENDS
     target.script = [rng.choice(entries) for _ in range(3)] + ["ok"]
 
 
 async def _change_config(fleet, rng, violations):
     fleet.config_version += rng.randrange(1, 4)
-    fleet.kv.write("op/config", config(fleet.config_version))
+    fleet.kv.write("op/config", soak_config(fleet.config_version))
 
 
 async def _drain_target(fleet, rng, violations):
@@ -195,6 +221,21 @@
     await fleet.add_target(new)
 
 
+PLANNED = (_terminate, _hang_up, _change_config)
+INJECTORS = (
+    _kill,
+    _terminate,
+    _pause,
+    _cut_store,
+    _inject_store_fault,
+    _inject_target_faults,
+    _change_config,
+    _drain_target,
+    _release,
+    _hang_up,
+)
+
+
 async def _recover(fleet, callers):
     for target in fleet.targets:
         target.script = ["ok"]
@@ -279,16 +320,22 @@
     parser.add_argument(
         "--logs", default=None, help="folder for the logs of the processes"
     )
+    parser.add_argument(
+        "--planned",
+        action="store_true",
+        help="inject only SIGTERM, SIGHUP and changes of the configuration",
+    )
     args = parser.parse_args()
     failed = 0
     for seed in args.seeds:
         folder = Path(args.logs or tempfile.mkdtemp(prefix="soak-")) / str(seed)
         folder.mkdir(parents=True)
-        result = asyncio.run(soak(seed, args.seconds, folder))
+        result = asyncio.run(soak(seed, args.seconds, folder, args.planned))
         failed += bool(result.violations)
         print(
             f"seed {seed}: {result.violations or 'passed'};"
-            f" {result.resumes_continued} of {result.resumes_tried} resumes went on"
+            f" {result.resumes_continued} of {result.resumes_tried} resumes went on,"
+            f" {result.slowly_read} answers read slowly, {result.unanswered} cut"
             f" (logs in {folder.name})",
             flush=True,
         )
