--- a/tests/soak/slow_conn.py
+++ b/tests/soak/slow_conn.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 RECEIVE_BUFFER_BYTES = 4096
+SEGMENT_BYTES = 536
 FIRST_READ_BYTES = 64
 MAX_HEAD_BYTES = 16_384
 STATUS_LINE = re.compile(r"HTTP/1\.1 (\d{3}) .*")
@@ -62,8 +63,10 @@
     async def open(cls, address):
         sock = socket.socket()
         sock.setblocking(False)
-        # The size takes effect only if it is set before the connection is opened.
+        # Both sizes take effect only if they are set before the connection is opened.
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        # With the large segments of loopback, the host's send buffer holds an answer.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
         host, _, port = address.rpartition(":")
         try:
             await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
