Soak: no SIGTERM to a process that can't handle it yet

It was chosen between its creation and the moment at which it catches SIGTERM, for which HostProcess.start waits: before Python runs, nothing can. Kills and pauses still come at any moment; a SIGTERM during the imports is tested in tests/platform/test_start.py.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -140,7 +140,7 @@
 
 async def _terminate(fleet, rng, violations):
     process = _choose_running(fleet, rng)
-    if process is None:
+    if process is None or not process.booted:
         return
     process.paused = True
     problem = await process.terminate()
