Don't block a record host that stops while a record waits for its sync (LOST)

A record host that got SIGTERM, or was told to retire, in the moment in which a turn's record had arrived but was not yet synced, and had nothing else to store, ran RecordService.flush without end: the loop waited for the unsynced records, but nothing in it let the task that syncs them run. The process answered nobody and wrote nothing more until SIGKILL; the time limit of the drain could not end it either. Found by reading, in the search for what could hold up a planned stop.

flush syncs these records itself before it stores what is pending; none can come after, as the host accepts no more.

--- a/src/magnoliaroad/records/service.py
+++ b/src/magnoliaroad/records/service.py
@@ -93,7 +93,8 @@
             Whether the store holds all of them.
         """
         self.accepts = False
-        while len(self._pending) or self._unsynced:
+        self._sync_all()
+        while len(self._pending):
             if not await self._store_batch(everything=True):
                 return False
         return True
@@ -103,10 +104,12 @@
         while not self.should_stop:
             await self._sync_requested.wait()
             self._sync_requested.clear()
-            batch, self._unsynced = self._unsynced, []
-            self._sync_batch(batch)
+            self._sync_all()
 
-    def _sync_batch(self, batch: list[tuple[KeepRecord, asyncio.Future[bool]]]) -> None:
+    def _sync_all(self) -> None:
+        batch, self._unsynced = self._unsynced, []
+        if not batch:
+            return
         records = [JournalRecord(req.key, req.value, req.ttl_s) for req, _ in batch]
         try:
             self._journal.append(records)
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -6,7 +6,7 @@
 
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.records.client import RecordClient
-from magnoliaroad.records.messages import RecordHostHeartbeat
+from magnoliaroad.records.messages import KeepRecord, RecordHostHeartbeat
 from magnoliaroad.records.service import RecordService
 from magnoliaroad.records.settings import RecordSettings
 from magnoliaroad.standins.faults import StoreFaults
@@ -263,6 +263,20 @@
     run_scenario(loop, tmp_path, body)
 
 
+def test_a_record_that_arrives_with_the_stop_does_not_block_the_host(loop, tmp_path):
+    async def body(fleet):
+        host = fleet.hosts["r1"]
+        req = KeepRecord("turns/1", b"hello", 65.0, [], True)
+        # Both run before the task that syncs.
+        reply = asyncio.create_task(host._on_keep("relay", req))
+        flushed = asyncio.create_task(host.flush())
+        assert await flushed
+        assert (await reply).synced
+        assert fleet.state.get("turns/1") is not None
+
+    run_scenario(loop, tmp_path, body)
+
+
 def test_a_host_that_cannot_reach_the_store_is_not_empty(loop, tmp_path):
     async def body(fleet):
         await fleet.client.keep("turns/1", b"hello", 65.0)
