Give a slow store the time to keep a turn that no record host keeps (LOST)

The lease and the write of a record to the store shared one limit of 0.25 s, which is that of a record host's sync. With answers of the store of more than 0.125 s the first attempt failed, and with more than 0.25 s all did: no lease was ever granted, so a turn was never kept while no record host could be reached. Its caller had all events, but never the end, though the store was up.

If no record host has synced the record, the store is the last resort and the attempt has 1 s for both calls; with one synced copy the limit stays, as that copy is enough without the store. Test in virtual time without record hosts: with answers after 0.3 and 0.45 s the record was not kept within the 2 s of a turn before, and is now; with 0.1 s it was kept before too. tests/records 66 passed.

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -174,7 +174,9 @@
                 kept = await self._call(host, ProxyKeepRequest(key, value, ttl_s))
                 if kept is not None and kept.synced:
                     return
-            if await self._keep_in_store(key, value, ttl_s):
+            # A synced copy is enough without the store, so that is not waited for.
+            limit_s = self.cfg.call_s if synced else self.cfg.last_copy_s
+            if await self._keep_in_store(key, value, ttl_s, limit_s):
                 return
             if synced:
                 logger.bind(key=key, hosts=synced).warning("record on too few hosts")
@@ -218,7 +220,9 @@
         self, sender: str, req: ProxyKeepRequest
     ) -> KeepRecordReply:
         synced = await self._keep_on_hosts(req.key, req.value, req.ttl_s)
-        kept = len(synced) >= self.cfg.copies or await self._keep_in_store(*req)
+        kept = len(synced) >= self.cfg.copies or await self._keep_in_store(
+            *req, self.cfg.call_s
+        )
         return KeepRecordReply(kept)
 
     async def _on_proxy_fetch(
@@ -301,10 +305,12 @@
         kept = await self._call(host, req)
         return kept is not None and kept.synced
 
-    async def _keep_in_store(self, key: str, value: bytes, ttl_s: float) -> bool:
+    async def _keep_in_store(
+        self, key: str, value: bytes, ttl_s: float, limit_s: float
+    ) -> bool:
         lease = 0
         try:
-            async with asyncio.timeout(self.cfg.call_s):
+            async with asyncio.timeout(limit_s):
                 lease = await self._leases.get(ttl_s)
                 await self._store.put_many([StorePut(key, value, lease)])
         except LeaseLost:
--- a/src/magnoliaroad/records/settings.py
+++ b/src/magnoliaroad/records/settings.py
@@ -27,6 +27,9 @@
         segment_bytes: Size at which a new segment file of the journal is started.
         call_s: Timeout of a relay host's call on a record host; ten syncs of a slow
             disk.
+        last_copy_s: Time limit of a relay host's writing of a record to the store if no
+            record host has synced it: two calls of a slow store, within the time that a
+            caller waits for the end of its turn.
         silent_s: Time without a heartbeat after which a record host no longer counts as
             live; it gets no new records and is asked for records after live ones.
         here_interval_s: Interval between heartbeats of a record host.
@@ -43,6 +46,7 @@
     pending_bytes: int = 60_000_000
     segment_bytes: int = 2_000_000
     call_s: float = 0.25
+    last_copy_s: float = 1.0
     silent_s: float = 1.4
     here_interval_s: float = 0.4
     help_s: float = 0.6
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -9,6 +9,7 @@
 from magnoliaroad.records.messages import KeepRecord, RecordHostHeartbeat
 from magnoliaroad.records.service import RecordService
 from magnoliaroad.records.settings import RecordSettings
+from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
@@ -18,6 +19,8 @@
 from tests.fakes.peers import PeerNetwork
 
 CFG = RecordSettings()
+# Longest wait for a turn to be stored, in seconds.
+STORE_PATIENCE_S = TurnSettings().store_patience_s
 DATA_CENTRES = {"r1": "dc-1", "r2": "dc-2", "r3": "dc-3"}
 
 
@@ -251,6 +254,17 @@
     run_scenario(loop, tmp_path, body)
 
 
+@pytest.mark.parametrize("delay_s", [0.1, 0.3, 0.45])
+def test_a_slow_store_keeps_a_record_that_no_host_keeps(loop, tmp_path, delay_s):
+    async def body(fleet):
+        fleet.store.faults = StoreFaults(delay_s=delay_s)
+        async with asyncio.timeout(STORE_PATIENCE_S):
+            await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert fleet.state.get("turns/1").value == b"hello"
+
+    run_scenario(loop, tmp_path, body, hosts=())
+
+
 def test_emptied_host_has_stored_all_records_and_accepts_no_more(loop, tmp_path):
     async def body(fleet):
         await fleet.client.keep("turns/1", b"hello", 65.0)
