--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -28,6 +28,8 @@
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
 
+# What came of asking hosts to keep a record, by host, for the log.
+Outcomes = dict[str, str]
 RecordRequest = KeepRecord | FetchRecord | ProxyKeepRequest | ProxyFetchRequest
 
 
@@ -166,13 +168,25 @@
         If neither succeeds, any synced copy is enough: a data centre that is cut off
         keeps working, and its record host writes the record to the store later.
         """
+        outcomes: Outcomes = {}
+        try:
+            await self._keep(key, value, ttl_s, outcomes)
+        except asyncio.CancelledError:
+            logger.bind(key=key, asked=outcomes, silent=self.silent_hosts()).warning(
+                "record not kept"
+            )
+            raise
+
+    async def _keep(
+        self, key: str, value: bytes, ttl_s: float, outcomes: Outcomes
+    ) -> None:
         while True:
-            synced = await self._keep_on_hosts(key, value, ttl_s)
+            synced = await self._keep_on_hosts(key, value, ttl_s, outcomes)
             if len(synced) >= self.cfg.copies:
                 return
             for host in self._helpers():
-                kept = await self._call(host, ProxyKeepRequest(key, value, ttl_s))
-                if kept is not None and kept.synced:
+                req = ProxyKeepRequest(key, value, ttl_s)
+                if await self._keep_on(host, req, outcomes):
                     return
             # A synced copy is enough without the store, so that is not waited for.
             limit_s = self.cfg.call_s if synced else self.cfg.last_copy_s
@@ -219,7 +233,7 @@
     async def _on_proxy_keep(
         self, sender: str, req: ProxyKeepRequest
     ) -> KeepRecordReply:
-        synced = await self._keep_on_hosts(req.key, req.value, req.ttl_s)
+        synced = await self._keep_on_hosts(req.key, req.value, req.ttl_s, {})
         kept = len(synced) >= self.cfg.copies or await self._keep_in_store(
             *req, self.cfg.call_s
         )
@@ -283,13 +297,15 @@
             return False, None
         return True, None if entry is None else entry.value
 
-    async def _keep_on_hosts(self, key: str, value: bytes, ttl_s: float) -> list[str]:
+    async def _keep_on_hosts(
+        self, key: str, value: bytes, ttl_s: float, outcomes: Outcomes
+    ) -> list[str]:
         hosts = self._replica_hosts(key)
         calls = []
         for i, host in enumerate(hosts):
             partners = [other for other in hosts if other != host]
             req = KeepRecord(key, value, ttl_s, partners, not i)
-            calls.append(self._keep_on(host, req))
+            calls.append(self._keep_on(host, req, outcomes))
         results = await asyncio.gather(*calls)
         synced = [host for host, ok in zip(hosts, results, strict=True) if ok]
         for host in self._live_hosts(key):
@@ -297,13 +313,20 @@
                 break
             if host not in hosts:
                 req = KeepRecord(key, value, ttl_s, [], True)
-                if await self._keep_on(host, req):
+                if await self._keep_on(host, req, outcomes):
                     synced.append(host)
         return synced
 
-    async def _keep_on(self, host: str, req: KeepRecord) -> bool:
+    async def _keep_on(
+        self, host: str, req: KeepRecord | ProxyKeepRequest, outcomes: Outcomes
+    ) -> bool:
+        outcomes[host] = "asked"
         kept = await self._call(host, req)
-        return kept is not None and kept.synced
+        if kept is None:
+            outcomes[host] = "not reached"
+            return False
+        outcomes[host] = "synced" if kept.synced else "not synced"
+        return kept.synced
 
     async def _keep_in_store(
         self, key: str, value: bytes, ttl_s: float, limit_s: float
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 
 import pytest
+from loguru import logger
 
 # A coroutine test that takes longer has hung. It is cancelled where it waits, before
 # the limit of pytest-timeout in pyproject.toml, which cannot show where that is.
@@ -50,3 +51,17 @@
 @pytest.fixture
 def run(loop):
     return loop.run_until_complete
+
+
+@pytest.fixture
+def logged():
+    """Log events with their fields, as dicts."""
+    lines = []
+
+    def record_line(message):
+        record = message.record
+        lines.append({"event": record["message"], **record["extra"]})
+
+    handler_id = logger.add(record_line, level="INFO")
+    yield lines
+    logger.remove(handler_id)
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -265,6 +265,24 @@
     run_scenario(loop, tmp_path, body, hosts=())
 
 
+def test_the_log_names_the_hosts_that_did_not_keep_a_record(loop, tmp_path, logged):
+    async def body(fleet):
+        fleet.store.faults = StoreFaults(down=True)
+        for name in ("r1", "r2"):
+            await fleet.stop(name)
+        fleet.hosts["r3"].accepts = False
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(STORE_PATIENCE_S):
+                await fleet.client.keep("turns/1", b"hello", 65.0)
+        (line,) = (line for line in logged if line["event"] == "record not kept")
+        assert line["key"] == "turns/1"
+        assert line["asked"]["r3"] == "not synced"
+        assert "not reached" in line["asked"].values()
+        assert {"r1", "r2"} <= set(line["silent"])
+
+    run_scenario(loop, tmp_path, body)
+
+
 def test_emptied_host_has_stored_all_records_and_accepts_no_more(loop, tmp_path):
     async def body(fleet):
         await fleet.client.keep("turns/1", b"hello", 65.0)
