Cooldown: no overflow after a thousand failures in a row (REFUSED, LOST)

Callers saw: once a target had failed more than a thousand times in a row at a host, each request that failed there was answered host_failed (502, or 503 if it had not been sent) and, on a safe route, not offered to the second target.

Cause: the cooldown is cooldown_s * 2 ** (failures - 1); the integer power is converted to a float before min() limits the product, which raises OverflowError from 1,025 failures on. With all targets of a service in cooldown all are used, so a service that is down gets there in the time of a thousand requests.

Evidence: test_a_target_that_never_answers_stays_in_its_longest_cooldown failed before with OverflowError: int too large to convert to float; passes now.

Why it works: the exponent is bounded. The other waits that double (records/client, once/service, routing/circuit_breaker) limit each step and can't overflow.

--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -14,6 +14,8 @@
 GAP_WEIGHT = 0.2
 # Time after which a mean gap is outdated, in seconds; the target is then tried again.
 GAP_LIFETIME_S = 2.0
+# Most times that a cooldown doubles; a larger power would exceed a float's range.
+MAX_DOUBLINGS = 32
 
 
 class _EventGap(NamedTuple):
@@ -171,7 +173,7 @@
         It doubles with each failure in a row, from ``cooldown_s`` up to ``max_s``.
         """
         count = self._failures[name] = self._failures.get(name, 0) + 1
-        pause_s = min(max_s, cooldown_s * 2 ** (count - 1))
+        pause_s = min(max_s, cooldown_s * 2 ** min(count - 1, MAX_DOUBLINGS))
         self._cooldown_until[name] = self._own_cooldowns[name] = now + pause_s
         return pause_s
 
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -272,6 +272,14 @@
     assert usable(table, 1.0) == ["a", "b"]
 
 
+def test_a_target_that_never_answers_stays_in_its_longest_cooldown(table):
+    """Guards against requests that fail as the count of failures grows too large."""
+    add_targets(table, "a")
+    for _ in range(2_000):
+        cooldown_s = table.record_failure("a", 0.0, 0.5, 4.0)
+    assert cooldown_s == 4.0
+
+
 def test_a_target_in_cooldown_is_used_if_there_is_no_other(table):
     add_targets(table, "a")
     table.record_failure("a", 0.0, 0.25, 4.0)
