--- a/tests/platform/raw_caller.py
+++ b/tests/platform/raw_caller.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+from typing import NamedTuple
 
 from tests.platform.target_standin import SIGNATURE, TargetStandin
 
@@ -10,6 +11,22 @@
 SMALL_BUFFER = 4096
 
 
+class RawAnswer(NamedTuple):
+    """An answer as it was read from a connection.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers, with their names in lower case.
+        body: Body without its framing, as far as it arrived.
+        whole: Whether it arrived to the end that its framing gives.
+    """
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
 @contextlib.asynccontextmanager
 async def raw_caller(deployment, relay=0, buffer_bytes=None):
     """Connects to a host; yields the streams, as ``asyncio.open_connection``."""
@@ -54,6 +71,55 @@
     }
 
 
+async def read_answer(reader, method="GET"):
+    """Reads one answer; fails if bytes of it are no HTTP."""
+    status, headers = await read_head(reader)
+    body = bytearray()
+    try:
+        if method == "HEAD" or status in (204, 304):
+            pass
+        elif headers.get("transfer-encoding") == "chunked":
+            while size := int(await reader.readuntil(b"\r\n"), 16):
+                await _read_into(body, reader, size)
+                assert await reader.readexactly(2) == b"\r\n"
+            assert await reader.readexactly(2) == b"\r\n"
+        else:
+            await _read_into(body, reader, int(headers["content-length"]))
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return RawAnswer(status, headers, bytes(body), False)
+    return RawAnswer(status, headers, bytes(body), True)
+
+
+async def _read_into(body, reader, size):
+    while size:
+        piece = await reader.read(size)
+        if not piece:
+            raise asyncio.IncompleteReadError(b"", size)
+        body += piece
+        size -= len(piece)
+
+
+async def exchange(deployment, path, method="POST", body=b"m", **changes):
+    """Sends a request on a connection of its own; returns the answer.
+
+    If the connection stays open, the next answer on it must be that of a next request.
+    """
+    headers = deployment.headers(**changes)
+    async with raw_caller(deployment) as (reader, writer):
+        writer.write(request_bytes(headers, path, method, body=body))
+        answer = await read_answer(reader, method)
+        request_id = headers["Magnoliaroad-Request-Id"]
+        assert answer.headers["magnoliaroad-request-id"] == request_id
+        if not answer.whole or answer.headers.get("connection") == "close":
+            return answer
+        following = deployment.headers()
+        writer.write(request_bytes(following, "/none/x", "POST", body=b"next"))
+        status, answered = await read_head(reader)
+        expected = (404, following["Magnoliaroad-Request-Id"])
+        assert (status, answered["magnoliaroad-request-id"]) == expected
+    return answer
+
+
 async def read_rest(reader, limit_s=3.0):
     """Returns what arrives until the connection ends or is silent for ``limit_s``."""
     received = bytearray()
