--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -16,6 +16,8 @@
 from tests.platform.kv_standin import KvStandin
 
 KEY = "secret-of-league"
+# Value of the ``Authorization`` header of a team without a limit.
+UNLIMITED = "Bearer secret-of-other"
 
 
 def free_address():
@@ -46,6 +48,7 @@
             route("open", "/open/", "safe", "app", auth_exempt=True),
             route("chat", "/stream/", "streaming", "lm", retain=True, retention_s=60.0),
             route("plan", "/plan/", "streaming", "lm", resumable=True),
+            route("talk", "/talk/", "streaming", "lm"),
         ],
         "services": [
             {"name": "app", "health_path": "/health", "max_conns": 100},
--- a/tests/platform/test_begun_streams.py
+++ b/tests/platform/test_begun_streams.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from tests.platform.deployment import Deployment
+from tests.platform.deployment import UNLIMITED, Deployment
 from tests.platform.raw_caller import exchange
 from tests.platform.raw_target import EVENTS, OWN_ID, SEAL, CaseTarget, End, head
 
@@ -66,6 +66,7 @@
     def _fields(self, number, path):
         return {
             "body": path.encode(),
+            "Authorization": UNLIMITED,
             "Magnoliaroad_Deadline_Ms": LIMIT_MS,
             "Magnoliaroad_Program_Id": f"p-{number}",
             "Magnoliaroad_Request_Id": f"broken-{number}",
@@ -78,6 +79,7 @@
         answer = await exchange(
             self.deployment,
             path,
+            Authorization=UNLIMITED,
             Magnoliaroad_Previous_Turn=f"broken-{number}",
             Magnoliaroad_Program_Id=f"p-{number}",
         )
--- a/tests/platform/test_cut_heads.py
+++ b/tests/platform/test_cut_heads.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.platform.deployment import Deployment
+from tests.platform.deployment import UNLIMITED, Deployment
 from tests.platform.raw_caller import exchange
 from tests.platform.raw_target import EVENTS, OWN_ID, SEAL, CaseTarget, End, head
 
@@ -89,6 +89,7 @@
                 self.deployment,
                 path,
                 body=path.encode(),
+                Authorization=UNLIMITED,
                 Magnoliaroad_Deadline_Ms=LIMIT_MS if end is End.BY_HOST else "10000",
                 Magnoliaroad_Program_Id=path,
             )
