--- a/src/magnoliaroad/relay/event_scanner.py
+++ b/src/magnoliaroad/relay/event_scanner.py
@@ -1,7 +1,7 @@
 """Incremental parser of server-sent events."""
 
 EVENT_END = b"\n\n"
-DATA_FIELD = b"data:"
+DATA_FIELD = b"data"
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -37,10 +37,9 @@
             self._mark = b""
 
     def _add(self, event: bytes) -> None:
+        fields = [line.partition(b":") for line in event.split(b"\n")]
         lines = [
-            line[len(DATA_FIELD) :].removeprefix(b" ")
-            for line in event.split(b"\n")
-            if line.startswith(DATA_FIELD)
+            value.removeprefix(b" ") for name, _, value in fields if name == DATA_FIELD
         ]
         if lines:
             self.count += 1
