--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -18,6 +18,8 @@
 KEY = "secret-of-league"
 # Value of the ``Authorization`` header of a team without a limit.
 UNLIMITED = "Bearer secret-of-other"
+# Most exchanges at the same time; the queue of a listening socket holds twice as many.
+MAX_EXCHANGES = 50
 
 
 def free_address():
@@ -83,6 +85,7 @@
         self.escrow = escrow
         self.relays = []
         self.records = None
+        self.exchange_slots = asyncio.Semaphore(MAX_EXCHANGES)
         self._ids = itertools.count(1)
 
     async def __aenter__(self):
--- a/tests/platform/raw_target.py
+++ b/tests/platform/raw_target.py
@@ -10,6 +10,7 @@
 SEAL = f"Magnoliaroad-Response-Seal: {SIGNATURE}"
 OWN_ID = "Magnoliaroad-Request-Id: {id}"
 EVENTS = "Content-Type: text/event-stream"
+CHUNKED = "Transfer-Encoding: chunked"
 LINGER_0 = struct.pack("ii", 1, 0)
 # Time in which the host reads what was written before a reset, in seconds.
 READ_PAUSE_S = 0.01
@@ -28,6 +29,23 @@
     return "\r\n".join([f"HTTP/1.1 {status} X", *lines, "", ""]).encode()
 
 
+def by_close(body, media_type=EVENTS):
+    """Returns the steps of an answer that ends with its connection."""
+    return (head(SEAL, OWN_ID, media_type) + body, End.CLOSE)
+
+
+def by_last_chunk(body, media_type=EVENTS):
+    chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
+    return (head(SEAL, OWN_ID, media_type, CHUNKED) + chunk,)
+
+
+def by_length(body, media_type=EVENTS):
+    return (head(SEAL, OWN_ID, media_type, f"Content-Length: {len(body)}") + body,)
+
+
+FRAMINGS = [by_close, by_last_chunk, by_length]
+
+
 class RawTarget(TargetStandin):
     """Takes as entries of its script also tuples of bytes, pauses and an ``End``.
 
--- a/tests/platform/test_begun_streams.py
+++ b/tests/platform/test_begun_streams.py
@@ -7,9 +7,16 @@
 
 from tests.platform.deployment import UNLIMITED, Deployment
 from tests.platform.raw_caller import exchange
-from tests.platform.raw_target import EVENTS, OWN_ID, SEAL, CaseTarget, End, head
+from tests.platform.raw_target import (
+    CHUNKED,
+    EVENTS,
+    OWN_ID,
+    SEAL,
+    CaseTarget,
+    End,
+    head,
+)
 
-CHUNKED = "Transfer-Encoding: chunked"
 EVENT = b"id: 1\ndata: one\n\n"
 LAST_CHUNK = b"0\r\n\r\n"
 LIMIT_MS = "500"
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -2,16 +2,21 @@
 
 import asyncio
 
+import pytest
+
 from tests.platform.deployment import Deployment
 from tests.platform.raw_caller import (
     SMALL_BUFFER,
     RawTarget,
     raw_caller,
+    read_answer,
     read_head,
     read_rest,
     request_bytes,
 )
+from tests.platform.raw_target import FRAMINGS, CaseTarget, End, by_close
 
+SERVICES = {"/safe/x": "app", "/plan/x": "lm"}
 STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
 LIMIT_MS = "400"
 
@@ -117,3 +122,29 @@
             await asyncio.sleep(0.1)
         received += len(await read_rest(reader, 0.3))
     assert (status, received) == (200, 250_000)
+
+
+LARGE_BODY = b"data: " + b"w" * 1_500_000 + b"\n\n"
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("end", [End.CLOSE, End.RESET, None])
+@pytest.mark.parametrize("path", ["/safe/x", "/plan/x"])
+async def test_a_large_answer_to_a_slow_caller_is_whole_or_visibly_not(
+    tmp_path, framing, end, path
+):
+    answer = framing(LARGE_BODY)
+    whole = end is None or (framing is by_close and end is End.CLOSE)
+    if end is not None:
+        answer = (answer[0] if whole else answer[0][:-9], end)
+    target = CaseTarget("i-1", SERVICES[path], {path: [answer]})
+    async with (
+        Deployment(tmp_path, target) as deployment,
+        raw_caller(deployment, buffer_bytes=SMALL_BUFFER) as (reader, writer),
+    ):
+        headers = deployment.headers(Magnoliaroad_Deadline_Ms="10000")
+        writer.write(request_bytes(headers, path, "POST", body=b"m"))
+        await asyncio.sleep(0.2)
+        received = await read_answer(reader)
+    assert (received.status, received.whole) == (200, whole)
+    assert received.body == LARGE_BODY if whole else received.body in LARGE_BODY
--- a/tests/platform/test_stream_ends.py
+++ b/tests/platform/test_stream_ends.py
@@ -3,29 +3,12 @@
 import pytest
 
 from tests.platform.deployment import Deployment
-from tests.platform.raw_target import EVENTS, OWN_ID, SEAL, End, RawTarget, head
+from tests.platform.raw_target import FRAMINGS, RawTarget
 
-CHUNKED = "Transfer-Encoding: chunked"
 EVENT = b"id: 1\ndata: one\n\n"
 CUT = EVENT + b"id: 2\ndata: tw"
 
 
-def by_close(body, media_type=EVENTS):
-    return (head(SEAL, OWN_ID, media_type) + body, End.CLOSE)
-
-
-def by_last_chunk(body, media_type=EVENTS):
-    chunk = b"%x\r\n%b\r\n0\r\n\r\n" % (len(body), body)
-    return (head(SEAL, OWN_ID, media_type, CHUNKED) + chunk,)
-
-
-def by_length(body, media_type=EVENTS):
-    return (head(SEAL, OWN_ID, media_type, f"Content-Length: {len(body)}") + body,)
-
-
-FRAMINGS = [by_close, by_last_chunk, by_length]
-
-
 @pytest.mark.parametrize("path", ["/stream/x", "/plan/x"])
 @pytest.mark.parametrize("framing", FRAMINGS)
 async def test_a_stream_that_ends_inside_an_event_is_broken_off(
