--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -19,6 +19,8 @@
 
 # Headers that aiohttp would add to the caller's own.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+# Statuses of final answers. aiohttp takes 101 and numbers without a meaning for such.
+FINAL_STATUSES = range(200, 600)
 # Errors that aiohttp raises before it has sent any byte of the request.
 NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
@@ -114,7 +116,7 @@
             on_sent: Callback that runs when the request headers have been sent.
 
         Raises:
-            TargetError: No response headers arrived.
+            TargetError: No response headers arrived, or none of a final answer.
         """
         assert self._session is not None
         send_state = _SendState(on_sent)
@@ -137,4 +139,8 @@
         except (aiohttp.ClientError, TimeoutError) as exc:
             verdict = Verdict.MAY_HAVE_RUN if send_state.started else Verdict.NOT_RUN
             raise TargetError(f"{req.url}: {describe_error(exc)}", verdict) from exc
+        if resp.status not in FINAL_STATUSES:
+            resp.close_connection()
+            text = f"{req.url}: status {resp.status} is no final answer"
+            raise TargetError(text, Verdict.MAY_HAVE_RUN)
         return TargetResponse(resp, self.cfg.silence_timeout_s)
