--- /dev/null
+++ b/src/magnoliaroad/caller_connection.py
@@ -0,0 +1,88 @@
+"""A connection of a caller, which can be closed without losing a request."""
+
+import asyncio
+import contextlib
+import select
+import time
+
+from aiohttp import web
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+from typing_extensions import override
+
+from magnoliaroad.idle import awaits_request
+
+TIMED_OUT = (
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+
+
+class CallerConnection(RequestHandler):
+    """Knows whether a request has begun to arrive.
+
+    Attributes:
+        head_began_at: Monotonic time in seconds at which an incomplete head of a
+            request began; ``None`` if there is none. Not known of a head that arrives
+            in one piece with the end of the request before it.
+    """
+
+    __slots__ = ("_last_body", "head_began_at")
+
+    def __init__(self, server: web.Server, **options) -> None:
+        super().__init__(server, **options)
+        self.head_began_at: float | None = None
+        self._last_body: StreamReader | None = None
+
+    @override
+    def data_received(self, data: bytes) -> None:
+        between = self._last_body is None or self._last_body.is_eof()
+        count = self._request_count
+        super().data_received(data)
+        if self._request_count > count:
+            self._last_body = self._messages[-1][1]
+            self.head_began_at = None
+        elif between and self.head_began_at is None and data.strip(b"\r\n"):
+            self.head_began_at = time.monotonic()
+
+    def is_idle(self) -> bool:
+        """Returns whether no part of a request has arrived or waits to be read."""
+        return (
+            awaits_request(self)
+            and self.head_began_at is None
+            and not _is_readable(self._transport)
+        )
+
+    def close_idle(self) -> None:
+        """Closes an idle connection; the caller sees its end at once.
+
+        ``force_close`` alone closes the socket in a later iteration of the event loop.
+        """
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self.force_close()
+
+    def refuse_head(self) -> None:
+        """Answers a request whose head is incomplete with 408.
+
+        The connection stays open for what still arrives, which is discarded: closing it
+        with unread bytes would reset it, and the caller might not see the answer.
+        """
+        self._transport.write(TIMED_OUT)
+        self.close()
+        self._transport.write_eof()
+
+    @property
+    def _transport(self) -> asyncio.Transport:
+        assert isinstance(self.transport, asyncio.Transport)
+        return self.transport
+
+
+def make_connection(server: web.Server) -> CallerConnection:
+    """Returns the protocol of a new connection; aiohttp has no option for its class."""
+    return CallerConnection(server, loop=server._loop, **server._kwargs)
+
+
+def _is_readable(transport: asyncio.Transport) -> bool:
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/src/magnoliaroad/caller_listener.py
+++ b/src/magnoliaroad/caller_listener.py
@@ -6,10 +6,29 @@
 
 from aiohttp import web
 from loguru import logger
+from typing_extensions import override
+
+from magnoliaroad.caller_connection import CallerConnection, make_connection
 
 BACKLOG = 1024
 
 
+class _CallerSite(web.SockSite):
+    """Serves connections as ``CallerConnection``."""
+
+    @override
+    async def start(self) -> None:
+        await web.BaseSite.start(self)
+        self._server = await asyncio.get_running_loop().create_server(
+            self.make_connection, sock=self._sock, backlog=self._backlog
+        )
+
+    def make_connection(self) -> CallerConnection:
+        """Returns the protocol of a new connection."""
+        assert self._runner.server is not None
+        return make_connection(self._runner.server)
+
+
 class CallerListener:
     """A listening socket of an HTTP server.
 
@@ -19,13 +38,12 @@
         port: TCP port to listen on.
     """
 
-    def __init__(self, runner: web.ServerRunner, address: str, port: int) -> None:
+    def __init__(self, runner: web.BaseRunner, address: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
         self.socket = socket.socket(family)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind((address, port))
-        self._runner = runner
-        self._site = web.SockSite(runner, self.socket, backlog=BACKLOG)
+        self._site = _CallerSite(runner, self.socket, backlog=BACKLOG)
 
     async def start(self) -> None:
         """Starts listening."""
@@ -41,7 +59,7 @@
         loop = asyncio.get_running_loop()
         for sock in accepted:
             sock.setblocking(False)
-            await loop.connect_accepted_socket(self._runner.server, sock)
+            await loop.connect_accepted_socket(self._site.make_connection, sock)
         logger.bind(accepted=len(accepted)).info("listening ended")
 
     def _accept_waiting(self) -> list[socket.socket]:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -1,12 +1,27 @@
 """Planned stops of real processes, as slow callers see them."""
 
 import asyncio
+import contextlib
 
+from tests.platform.deployment import KEY
+from tests.platform.kept_caller import ClosedBefore, KeptCaller
 from tests.platform.slow_caller import SlowCaller
 from tests.soak.fleet import SMALL_BUFFERS_PROGRAM, Fleet
 
 # Below the limit up to which a handler does not wait for its bytes to be sent.
 ANSWER_BYTES = 40_000
+CALLERS = 80
+# Time after SIGTERM over which the callers send; an idle host stops sooner.
+SENDING_S = 2.0
+# Time between the pieces of a request; longer than the grace of idle connections.
+PIECE_PAUSE_S = 0.6
+BODY = b"m" * 2000
+SHAPES = {
+    "whole": {},
+    "head in two pieces": {"cut": 40, "pause_s": PIECE_PAUSE_S},
+    "whole body": {"body": BODY},
+    "body in two pieces": {"body": BODY, "cut": -1000, "pause_s": PIECE_PAUSE_S},
+}
 
 
 async def test_a_host_that_stops_sends_the_answers_that_are_in_its_buffers(tmp_path):
@@ -46,3 +61,54 @@
         assert await stop == ""
     assert answer.count(b"x" * ANSWER_BYTES) == answer.count(b"HTTP/1.1 200")
     assert answer.startswith(b"HTTP/1.1 200")
+
+
+async def test_requests_on_kept_connections_are_answered_until_the_process_is_gone(
+    tmp_path,
+):
+    """LOST: idle connections were closed as they were used, or with half a head."""
+    async with Fleet(tmp_path, 1, 1) as fleet, contextlib.AsyncExitStack() as stack:
+        relay = fleet.relay_hosts[0]
+        callers = [
+            await stack.enter_async_context(KeptCaller(relay.caller_address))
+            for _ in range(CALLERS)
+        ]
+        for number, caller in enumerate(callers):
+            assert await caller.exchange(_headers(f"r-{number}"), "/safe/x") == 200
+
+        statuses = {}
+
+        async def send(number):
+            await asyncio.sleep(SENDING_S * number / CALLERS)
+            shape = SHAPES[list(SHAPES)[number % len(SHAPES)]]
+            with contextlib.suppress(ClosedBefore):
+                statuses[number] = await callers[number].exchange(
+                    _headers(f"s-{number}"), "/pay/x", **shape
+                )
+
+        stop = asyncio.create_task(relay.terminate())
+        await asyncio.gather(*map(send, range(CALLERS)))
+        assert await stop == ""
+        ran = {
+            run[2]["magnoliaroad-request-id"]
+            for target in fleet.targets
+            for run in target.runs
+        }
+    unanswered = [
+        f"s-{number} {list(SHAPES)[number % len(SHAPES)]}"
+        for number, status in statuses.items()
+        if status is None
+    ]
+    assert unanswered == []
+    assert set(statuses.values()) <= {200, 408, 503}
+    for number, status in statuses.items():
+        assert (status == 200) == (f"s-{number}" in ran)
+
+
+def _headers(request_id):
+    return {
+        "Host": "arcade.example",
+        "Authorization": f"Bearer {KEY}",
+        "Magnoliaroad-Request-Id": request_id,
+        "Magnoliaroad-Deadline-Ms": "4000",
+    }
