Drain the product's server as the relay is drained (LOST)

Callers of the product's server whose connection waited in the kernel's queue at a stop saw a reset, as did those on a kept connection with half a head; no answer announced that its connection was about to close.

Cause: the server stopped by aiohttp's own cleanup, which closes the listening socket and all idle connections at once. It drained only requests that had reached a handler.

The server now listens through CallerListener and drains by ConnectionDrain. It goes on to listen while requests are in flight, since /health and /metrics have the same port; answers have Connection: close from the moment at which it reports itself as not ready. close_server, which waited at most 5 s for unsent answers, has no user any more: the drain waits for them up to its own limit.

--- a/src/magnoliaroad/connection_drain.py
+++ b/src/magnoliaroad/connection_drain.py
@@ -22,25 +22,6 @@
 HEAD_LIMIT_S = 60.0
 # Time between checks of the connections, in seconds.
 CHECK_INTERVAL_S = 0.05
-# Longest wait for callers to take the rest of their answers when all connections of a
-# server are closed, in seconds; ten round trips between continents.
-SEND_LIMIT_S = 5.0
-
-
-async def close_server(runner: web.BaseRunner) -> None:
-    """Closes a server and waits until the bytes of its answers have been sent.
-
-    Waits at most ``SEND_LIMIT_S`` once all handlers have ended.
-    """
-    conns = [] if runner.server is None else runner.server.connections
-    transports = [conn.transport for conn in conns if conn.transport is not None]
-    await runner.cleanup()
-    until = time.monotonic() + SEND_LIMIT_S
-    while unsent := sum(t.get_write_buffer_size() for t in transports):
-        if time.monotonic() > until:
-            logger.bind(unsent_bytes=unsent).warning("unsent answers at shutdown")
-            return
-        await asyncio.sleep(CHECK_INTERVAL_S)
 
 
 class ConnectionDrain:
--- a/src/magnoliaroad/entry/server.py
+++ b/src/magnoliaroad/entry/server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers."""
 
 import asyncio
+import time
 
 import aioprometheus
 from aiohttp import web
@@ -8,7 +9,8 @@
 from loguru import logger
 from mode import Service
 
-from magnoliaroad.connection_drain import close_server
+from magnoliaroad.caller_listener import CallerListener
+from magnoliaroad.connection_drain import ConnectionDrain
 from magnoliaroad.entry.chat import ChatHandler
 from magnoliaroad.entry.listen import ListenSettings
 from magnoliaroad.entry.middleware import request_middleware
@@ -42,6 +44,7 @@
         self.in_flight = InFlightRequests()
         self._withdrawals = WithdrawalWatch(services.keys)
         self._runner: web.AppRunner | None = None
+        self._listener: CallerListener | None = None
 
     def app(self) -> web.Application:
         """Returns the aiohttp application."""
@@ -62,6 +65,7 @@
         router.add_get("/ready", self._ready)
         router.add_get("/metrics", self._metrics)
         app.middlewares.append(observe)
+        app.on_response_prepare.append(self._close_when_draining)
         return app
 
     async def on_start(self) -> None:
@@ -70,19 +74,26 @@
             self.app(), access_log=None, handler_cancellation=True
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.listen.address, self.listen.http_port)
-        await site.start()
-        self.port = self._runner.addresses[0][1]
+        self._listener = CallerListener(
+            self._runner, self.listen.address, self.listen.http_port
+        )
+        await self._listener.start()
+        self.port = self._listener.socket.getsockname()[1]
 
     async def drain(self) -> None:
-        """Reports not ready and waits until the in-flight requests have ended.
+        """Reports not ready and waits until requests and connections have ended.
 
         Waits at most ``drain_notice_s`` plus ``drain_limit_s``.
         """
         self.draining = True
         await asyncio.sleep(self.cfg.drain_notice_s)
-        ended = await self.in_flight.wait_idle(self.cfg.drain_limit_s)
-        if not ended:
+        until = time.monotonic() + self.cfg.drain_limit_s
+        # Health checks are answered while requests are in flight.
+        await self.in_flight.wait_idle(self.cfg.drain_limit_s)
+        if self._runner is None or self._listener is None:
+            return
+        await self._listener.stop()
+        if not await ConnectionDrain(self._runner.server, self.in_flight).run(until):
             logger.bind(in_flight=self.in_flight.count).warning(
                 "requests cut off at shutdown"
             )
@@ -91,7 +102,14 @@
         """Stops listening and closes all connections."""
         self._withdrawals.close()
         if self._runner is not None:
-            await close_server(self._runner)
+            await self._runner.cleanup()
+
+    async def _close_when_draining(
+        self, req: web.Request, resp: web.StreamResponse
+    ) -> None:
+        if self.draining:
+            resp.force_close()
+            resp.headers["Connection"] = "close"
 
     async def _health(self, req: web.Request) -> web.Response:
         return web.json_response({"status": "ok"})
--- a/tests/entry/test_planned_stop.py
+++ b/tests/entry/test_planned_stop.py
@@ -1,12 +1,15 @@
 """Planned stops of a host, as slow callers see them."""
 
 import asyncio
+import contextlib
 import socket
 
 from magnoliaroad.standins.deployment import DEMO_KEY
-from tests.entry.hosts import host_with_target
+from tests.entry.hosts import HEADERS, host_with_target
 from tests.entry.services import BIG_BODY, FaultyService
 from tests.entry.test_services import payout_edit
+from tests.platform.kept_caller import KeptCaller
+from tests.platform.raw_caller import request_bytes
 from tests.platform.slow_caller import SlowCaller
 from tests.soak.small_buffers import SEND_BUFFER_BYTES
 
@@ -15,9 +18,9 @@
     """LOST: the server was closed with bytes of whole answers unsent."""
     service = FaultyService()
     async with host_with_target(service.app(), payout_edit()) as (app, url):
-        (site,) = app.entry._runner.sites
-        for sock in site._server.sockets:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+        app.entry._listener.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES
+        )
         async with SlowCaller(url.removeprefix("http://"), 0.001) as caller:
             await caller.send("/services/payouts/big", "r-1", DEMO_KEY)
             read = asyncio.create_task(caller.read())
@@ -29,3 +32,53 @@
             await app.entry.stop()
             assert not transport.get_write_buffer_size()
             assert len((await read).partition(b"\r\n\r\n")[2]) >= len(BIG_BODY)
+
+
+async def test_connections_in_the_kernels_queue_are_served_at_a_stop():
+    """LOST: they were reset when the listening socket was closed."""
+    service = FaultyService()
+    async with host_with_target(service.app(), payout_edit()) as (app, url):
+        # Blocking calls: the host does not accept the connections meanwhile.
+        address = ("127.0.0.1", app.entry.port)
+        callers = [socket.create_connection(address) for _ in range(3)]
+        for caller in callers:
+            caller.sendall(
+                request_bytes({"Host": "x", **HEADERS}, "/services/payouts/small")
+            )
+        await _stop(app)
+        for caller in callers:
+            caller.settimeout(5.0)
+            assert caller.recv(12) == b"HTTP/1.1 200"
+            caller.close()
+    assert service.runs == 3
+
+
+async def test_requests_on_kept_connections_are_served_at_a_stop():
+    """LOST: they were closed with half a head, and answers did not announce it."""
+    service = FaultyService()
+    async with host_with_target(service.app(), payout_edit()) as (app, url):
+        request = request_bytes({"Host": "x", **HEADERS}, "/services/payouts/small")
+        async with contextlib.AsyncExitStack() as stack:
+            address = url.removeprefix("http://")
+            callers = [
+                await stack.enter_async_context(KeptCaller(address)) for _ in range(2)
+            ]
+            for caller in callers:
+                await caller.send(request)
+                assert await caller.read_status() == 200
+            cut, unused = callers
+            await cut.send(request[:20])
+            stop = asyncio.create_task(_stop(app))
+            # Longer than the grace of idle connections.
+            await asyncio.sleep(0.6)
+            assert unused.is_closed
+            assert not cut.is_closed
+            await cut.send(request[20:])
+            status, headers = await cut.read_head()
+            assert (status, headers["connection"]) == (200, "close")
+            await stop
+
+
+async def _stop(app):
+    await app.entry.drain()
+    await app.entry.stop()
--- a/tests/platform/kept_caller.py
+++ b/tests/platform/kept_caller.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 
-from tests.platform.raw_caller import request_bytes
+from tests.platform.raw_caller import read_head, request_bytes
 
 # Longest wait for an answer, in seconds.
 ANSWER_LIMIT_S = 8.0
@@ -74,6 +74,14 @@
 
     async def read_status(self):
         """Reads one answer and returns its status; ``None`` if it is not whole."""
+        status, _ = await self.read_head()
+        return status
+
+    async def read_head(self):
+        """Reads one answer; returns its status and the headers in lower case.
+
+        They are ``None`` if it is not whole.
+        """
         received = b""
         loop = asyncio.get_running_loop()
         with contextlib.suppress(ConnectionError, TimeoutError):
@@ -84,7 +92,11 @@
                     if not piece:
                         break
                     received += piece
-        return int(received.split(b" ")[1]) if _is_whole(received) else None
+        if not _is_whole(received):
+            return None, None
+        answer = asyncio.StreamReader()
+        answer.feed_data(received)
+        return await read_head(answer)
 
 
 def _is_whole(received):
