--- a/src/magnoliaroad/entry/chat.py
+++ b/src/magnoliaroad/entry/chat.py
@@ -44,12 +44,6 @@
             if not reply.started:
                 raise
             return await reply.fail(exc.refusal)
-        except Exception:
-            if reply.started and req.transport is not None:
-                # The caller already has a part of this response, so no error response
-                # may follow; a closed connection shows that it is incomplete.
-                req.transport.abort()
-            raise
         return await reply.end(completion)
 
 
--- a/src/magnoliaroad/entry/middleware.py
+++ b/src/magnoliaroad/entry/middleware.py
@@ -1,11 +1,13 @@
 """Middleware that records metrics and turns exceptions into responses."""
 
+import asyncio
 import time
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web
 from loguru import logger
 
+from magnoliaroad.caller_left import caller_left
 from magnoliaroad.entry.metrics import IN_FLIGHT, LATENCY, REFUSALS, REQUESTS
 from magnoliaroad.entry.refused import Refused, refusal_response
 from magnoliaroad.in_flight import InFlightRequests
@@ -13,6 +15,7 @@
 from magnoliaroad.verdict import Verdict
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+BEGUN = web.RequestKey("begun", web.StreamResponse)
 
 INTERNAL_ERROR = Refusal(
     code="internal_error",
@@ -40,20 +43,51 @@
     return middleware
 
 
+async def note_begun(req: web.Request, resp: web.StreamResponse) -> None:
+    """Records that an answer has begun; a handler of ``on_response_prepare``."""
+    req[BEGUN] = resp
+
+
 async def _respond(req: web.Request, handler: Handler) -> web.StreamResponse:
     try:
         return await handler(req)
-    except Refused as exc:
-        return _refuse(req, exc.refusal)
-    except web.HTTPException as exc:
-        return _refuse(req, _from_http(exc))
-    except ConnectionError:
-        # The caller has disconnected, so the response is never sent; 499 is for
-        # the metrics.
-        return web.Response(status=499)
-    except Exception as exc:
-        logger.bind(path=req.path).opt(exception=exc).error("request failed")
-        return _refuse(req, INTERNAL_ERROR)
+    except (Exception, asyncio.CancelledError) as exc:
+        lost = isinstance(exc, ConnectionError | asyncio.CancelledError)
+        if lost and caller_left(req):
+            logger.bind(path=req.path).info("caller left")
+            _abort_if_begun(req)
+            if isinstance(exc, asyncio.CancelledError):
+                raise
+            # The response is never sent; 499 is for the metrics.
+            return web.Response(status=499)
+        refusal = _refusal_for(req, exc)
+    if BEGUN not in req:
+        return _refuse(req, refusal)
+    if _abort_if_begun(req):
+        logger.bind(path=req.path, code=refusal.code).warning("answer cut off")
+    return req[BEGUN]
+
+
+def _refusal_for(req: web.Request, exc: BaseException) -> Refusal:
+    if isinstance(exc, Refused):
+        return exc.refusal
+    if isinstance(exc, web.HTTPException):
+        return _from_http(exc)
+    logger.bind(path=req.path).opt(exception=exc).error("request failed")
+    return INTERNAL_ERROR
+
+
+def _abort_if_begun(req: web.Request) -> bool:
+    """Aborts the connection if an answer has begun that is not complete.
+
+    No other answer may follow it, and its end must not look like that of a whole one.
+    """
+    resp = req.get(BEGUN)
+    if resp is None or resp.body_length:
+        return False
+    if req.transport is not None:
+        req.transport.abort()
+    return True
 
 
 def _refuse(req: web.Request, refusal: Refusal) -> web.Response:
--- a/src/magnoliaroad/entry/plain.py
+++ b/src/magnoliaroad/entry/plain.py
@@ -40,17 +40,12 @@
         call = await self._read_call(req)
         reply = PlainReply(req)
         run = PlainRun(self.cfg, self.services, call, reply)
-        try:
-            with CancelOnWithdrawal(self._watch, call.caller, run.progress):
-                await consume_token(self.services, call.caller)
-                run.check_quarantine()
-                if call.route.repeatable:
-                    return await run.relay()
-                return await self._run_once(run)
-        except BaseException:
-            if reply.started:
-                reply.abort()
-            raise
+        with CancelOnWithdrawal(self._watch, call.caller, run.progress):
+            await consume_token(self.services, call.caller)
+            run.check_quarantine()
+            if call.route.repeatable:
+                return await run.relay()
+            return await self._run_once(run)
 
     async def _read_call(self, req: web.Request) -> PlainCall:
         caller = identify(self.services, req)
--- a/src/magnoliaroad/entry/plain_reply.py
+++ b/src/magnoliaroad/entry/plain_reply.py
@@ -13,12 +13,10 @@
     """The response to the caller, sent at once or streamed.
 
     Attributes:
-        started: Whether sending the response has begun.
         caller_left: Whether the caller has disconnected.
     """
 
     def __init__(self, req: web.Request) -> None:
-        self.started = False
         self.caller_left = False
         self._req = req
         self._resp = web.StreamResponse()
@@ -45,7 +43,6 @@
         _copy_headers(self._resp, answer_headers(response.headers))
         if "Content-Length" in response.headers:
             self._resp.content_length = int(response.headers["Content-Length"])
-        self.started = True
         try:
             await self._resp.prepare(self._req)
         except ConnectionError:
@@ -66,11 +63,6 @@
             await self._resp.write_eof()
         return self._resp
 
-    def abort(self) -> None:
-        """Closes the connection, so that a partial answer can't pass for complete."""
-        if self._req.transport is not None:
-            self._req.transport.abort()
-
 
 def _copy_headers(
     resp: web.StreamResponse, headers: tuple[tuple[str, str], ...]
--- a/src/magnoliaroad/entry/server.py
+++ b/src/magnoliaroad/entry/server.py
@@ -13,7 +13,7 @@
 from magnoliaroad.connection_drain import ConnectionDrain
 from magnoliaroad.entry.chat import ChatHandler
 from magnoliaroad.entry.listen import ListenSettings
-from magnoliaroad.entry.middleware import request_middleware
+from magnoliaroad.entry.middleware import note_begun, request_middleware
 from magnoliaroad.entry.plain import PlainHandler
 from magnoliaroad.entry.program import ProgramHandler
 from magnoliaroad.entry.services import EntryServices
@@ -65,7 +65,7 @@
         router.add_get("/ready", self._ready)
         router.add_get("/metrics", self._metrics)
         app.middlewares.append(observe)
-        app.on_response_prepare.append(self._close_when_draining)
+        app.on_response_prepare.extend((self._close_when_draining, note_begun))
         return app
 
     async def on_start(self) -> None:
