--- a/src/magnoliaroad/entry/chat.py
+++ b/src/magnoliaroad/entry/chat.py
@@ -4,6 +4,7 @@
 
 from magnoliaroad.config import RouteKind
 from magnoliaroad.entry.admission import consume_token, find_route, identify
+from magnoliaroad.entry.body import receive_body
 from magnoliaroad.entry.chat_request import ChatRequest, read_chat
 from magnoliaroad.entry.chat_run import ChatRun
 from magnoliaroad.entry.key_leak import refuse_leaked_key
@@ -30,7 +31,7 @@
     async def handle(self, req: web.Request) -> web.StreamResponse:
         """Runs one chat request and returns its response."""
         caller = identify(self.services, req)
-        data = await req.read()
+        data = await receive_body(req, self.cfg.max_body_bytes)
         refuse_leaked_key(req, data)
         chat = read_chat(req, caller, data)
         find_route(self.services, caller, chat.model, RouteKind.ENGINE)
--- a/src/magnoliaroad/entry/plain.py
+++ b/src/magnoliaroad/entry/plain.py
@@ -6,6 +6,7 @@
 
 from magnoliaroad.config import RouteKind
 from magnoliaroad.entry.admission import consume_token, find_route, identify, unwrap
+from magnoliaroad.entry.body import receive_body
 from magnoliaroad.entry.key_leak import refuse_leaked_key
 from magnoliaroad.entry.plain_call import IDEMPOTENCY_KEY_HEADER, PlainCall, make_call
 from magnoliaroad.entry.plain_reply import PlainReply
@@ -49,7 +50,7 @@
 
     async def _read_call(self, req: web.Request) -> PlainCall:
         caller = identify(self.services, req)
-        body = await req.read()
+        body = await receive_body(req, self.cfg.max_body_bytes)
         refuse_leaked_key(req, body)
         name = req.match_info["route"]
         route = find_route(self.services, caller, name, RouteKind.SERVICE)
--- a/src/magnoliaroad/entry/server.py
+++ b/src/magnoliaroad/entry/server.py
@@ -11,6 +11,7 @@
 
 from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.connection_drain import ConnectionDrain
+from magnoliaroad.entry.body import ignore_expectation
 from magnoliaroad.entry.chat import ChatHandler
 from magnoliaroad.entry.listen import ListenSettings
 from magnoliaroad.entry.middleware import note_begun, request_middleware
@@ -53,19 +54,20 @@
         plain = PlainHandler(self.cfg, self.services, self._withdrawals, self.in_flight)
         observe = request_middleware(self.in_flight)
         router = app.router
-        router.add_post("/v1/chat/completions", chat.handle, name="chat")
+        expect = {"expect_handler": ignore_expectation}
+        router.add_post("/v1/chat/completions", chat.handle, name="chat", **expect)
         programs = ProgramHandler(self.services)
         router.add_post("/v1/programs", programs.start, name="programs")
         path = "/v1/programs/{program:.+}"
         router.add_get(path, programs.show, name="look")
         router.add_delete(path, programs.end, name="program")
         path = "/services/{route}/{path:.*}"
-        router.add_route("*", path, plain.handle, name="service")
+        router.add_route("*", path, plain.handle, name="service", **expect)
         router.add_get("/health", self._health)
         router.add_get("/ready", self._ready)
         router.add_get("/metrics", self._metrics)
         app.middlewares.append(observe)
-        app.on_response_prepare.extend((self._close_when_draining, note_begun))
+        app.on_response_prepare.extend((self._announce_close, note_begun))
         return app
 
     async def on_start(self) -> None:
@@ -104,10 +106,9 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    async def _close_when_draining(
-        self, req: web.Request, resp: web.StreamResponse
-    ) -> None:
-        if self.draining:
+    async def _announce_close(self, req: web.Request, resp: web.StreamResponse) -> None:
+        # A caller that was not asked for its body may go on with another request.
+        if self.draining or not req.content.is_eof():
             resp.force_close()
             resp.headers["Connection"] = "close"
 
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -43,12 +43,6 @@
     message="The body did not arrive in time.",
     action="Send the request again.",
 )
-UNKNOWN_EXPECTATION = Refusal(
-    code="unknown_expectation",
-    status=417,
-    message="The only expectation that is supported is 100-continue.",
-    action="Send the request without Expect.",
-)
 NO_TURN = Refusal(
     code="no_turn",
     status=404,
