Groups: an owner without copies waits for them once another host is known

Callers saw programs answer program_waiting (503) without an end after the host that had started first was killed: their turns had been answered, and nobody else had them.

Cause: the first host of a fleet plans its groups with itself as the only holder and may confirm records alone. It went on so after it knew other hosts, until the planner had given the groups copies. The design says "recorded on two hosts before the act"; alone is for a fleet of a single host. From a run of tests/path/test_program_killed.py that hung:

host-1 20:37.386 "group owned" ... "holders":["host-1"] host-1 20:37.918 "membership changed","joined":["host-2"], then ["host-3"] host-1 20:38.106 "placed" ... "program":"p0" (all six first turns answered, then killed) host-2 20:38.160 "groups planned","domain":"*" (copies, too late) host-2 20:43.846 "refused","code":"program_waiting" until the test's limit

An owner without copies now stops acting for its groups when membership names another host that is neither draining nor suspected, and acts again once it has copies or the other host is gone. Callers wait meanwhile as they do during a takeover. While the store does not answer no copies can be planned, and the owner goes on alone as before.

KNOWN-RED.txt keeps its entry: groups without any record may still have one holder when the hosts report that they are ready.

--- a/src/magnoliaroad/groups/service.py
+++ b/src/magnoliaroad/groups/service.py
@@ -27,7 +27,6 @@
 from magnoliaroad.groups.stall import StallDetector
 from magnoliaroad.groups.table import (
     FLEET,
-    TABLES_PREFIX,
     GroupTable,
     group_name,
     pack_table,
@@ -82,7 +81,6 @@
         self.prober = HostProber(cfg, membership, peers)
         self._takeover = Takeover(cfg, membership, self.copy_store, self.sender)
         self._membership = membership
-        self._store = store
         self._peers = peers
         self._listeners: dict[str, list[OwnedListener]] = defaultdict(list)
         self._owned: dict[str, GroupView] = {}
@@ -94,6 +92,7 @@
         self._applied_revisions: dict[str, int] = {}
         self._apply_lock = asyncio.Lock()
         peers.on(TablesRequest, self._on_tables_request, reply=TablesReply)
+        membership.on_change(self._hold_back_lone_groups)
 
     @override
     def group_of(self, key: str, data_centre: str = "") -> str:
@@ -208,6 +207,7 @@
         """Runs one round of planning and takeovers."""
         if not self.stall_detector.may_confirm(self._now()):
             await self.refresh()
+        self._hold_back_lone_groups()
         await self.plan()
         await self.apply_tables()
         self._update_metrics()
@@ -228,12 +228,10 @@
         revision = 0
         while not self.should_stop:
             try:
-                batch = await self._store.watch(TABLES_PREFIX, revision)
+                batch = await self.tables.watch(revision)
             except StoreError:
                 await asyncio.sleep(RETRY_S)
                 continue
-            for entry in batch.changed:
-                self.tables.update_from_entry(entry)
             if batch.changed:
                 await self.apply_tables()
             revision = batch.revision
@@ -345,6 +343,27 @@
             if view and view.active and self._this_member not in view.holders:
                 self.copy_store.drop(group)
 
+    def _hold_back_lone_groups(self) -> None:
+        """Stops acting for groups without copies until other hosts have copies."""
+        lone = [g for g, view in self._owned.items() if self._must_gain_copies(view)]
+        for group in lone:
+            del self._owned[group]
+            self._waiting_since.setdefault(group, self._now())
+        if lone:
+            logger.bind(groups=len(lone)).info("groups wait for copies")
+
+    def _must_gain_copies(self, view: GroupView) -> bool:
+        """Whether ``view`` has no copies although another host could hold one.
+
+        Without the store nobody can plan copies, so the owner goes on alone.
+        """
+        if view.copies or not self.cfg.copies or not self.tables.is_store_reachable:
+            return False
+        return any(
+            not record.draining and record.host != self._this_member.host
+            for record in self.prober.alive()
+        )
+
     def _pending(self) -> list[str]:
         pending = [
             group_name(table.domain, number)
@@ -406,6 +425,8 @@
             self._start_owning(group, view)
 
     def _start_owning(self, group: str, view: GroupView) -> None:
+        if self._must_gain_copies(view):
+            return
         self._owned[group] = view
         since = self._waiting_since.pop(group, self._now())
         waited_s = self._now() - since
--- a/src/magnoliaroad/groups/table_cache.py
+++ b/src/magnoliaroad/groups/table_cache.py
@@ -1,5 +1,8 @@
 """Local cache of the group tables in the store."""
 
+import contextlib
+from collections.abc import Iterator
+
 from magnoliaroad.groups.table import (
     TABLES_PREFIX,
     GroupTable,
@@ -7,13 +10,25 @@
     table_key,
     unpack_table,
 )
-from magnoliaroad.store import Store, StoreConflict, StoreEntry
+from magnoliaroad.store import (
+    Store,
+    StoreConflict,
+    StoreEntry,
+    StoreError,
+    StoreUnavailable,
+    WatchBatch,
+)
 
 
 class TableCache:
-    """Newest known table of each domain; writes use compare-and-swap."""
+    """Newest known table of each domain; writes use compare-and-swap.
+
+    Attributes:
+        is_store_reachable: Whether the store answered the last call.
+    """
 
     def __init__(self, store: Store) -> None:
+        self.is_store_reachable = True
         self._store = store
         self._tables: dict[str, GroupTable] = {}
 
@@ -43,11 +58,20 @@
 
     async def read(self) -> int:
         """Reads all tables from the store; returns the store's revision."""
-        batch = await self._store.list(TABLES_PREFIX)
+        with self._observed():
+            batch = await self._store.list(TABLES_PREFIX)
         for entry in batch.changed:
             self.update_from_entry(entry)
         return batch.revision
 
+    async def watch(self, revision: int) -> WatchBatch:
+        """Waits for changes after ``revision`` and stores the newer tables."""
+        with self._observed():
+            batch = await self._store.watch(TABLES_PREFIX, revision)
+        for entry in batch.changed:
+            self.update_from_entry(entry)
+        return batch
+
     async def write(self, table: GroupTable) -> GroupTable | None:
         """Writes ``table`` if the store still has the revision it is based on.
 
@@ -56,7 +80,8 @@
         """
         key = table_key(table.domain)
         try:
-            revision = await self._store.put(key, pack_table(table), table.revision)
+            with self._observed():
+                revision = await self._store.put(key, pack_table(table), table.revision)
         except StoreConflict as exc:
             if exc.current is not None:
                 self.update_from_entry(exc.current)
@@ -64,3 +89,12 @@
         written = table._replace(revision=revision)
         self.update_if_newer(written)
         return written
+
+    @contextlib.contextmanager
+    def _observed(self) -> Iterator[None]:
+        try:
+            yield
+        except StoreError as exc:
+            self.is_store_reachable = not isinstance(exc, StoreUnavailable)
+            raise
+        self.is_store_reachable = True
--- a/tests/groups/cluster.py
+++ b/tests/groups/cluster.py
@@ -27,6 +27,7 @@
         self.hosts = {}
         self.stores = {}
         self.listed = {}
+        self.listeners = []
         self.starts = 0
 
     def run(self, coro):
@@ -36,23 +37,31 @@
         self.starts += 1
         record = HostRecord(name, data_centre, "127.0.0.1", 0, 0, f"{self.starts:012}")
         self.listed[name] = record
-        membership = SimpleNamespace(record=record, hosts=self.listed)
+        membership = SimpleNamespace(
+            record=record, hosts=self.listed, on_change=self.listeners.append
+        )
         peers = self.network.join(name, data_centre)
         store = LocalStore(self.state, self.loop.time)
         service = GroupService(self.cfg, membership, store, peers, self.loop.time)
         self.hosts[name], self.stores[name] = service, store
+        self.run(self._notify())
         return service
 
     def crash(self, name, unlist=True):
         self.network.crash(name)
         if unlist:
             del self.listed[name]
+            self.run(self._notify())
         return self.hosts.pop(name)
 
     def store_down(self, down, names=None):
         for name in names or self.hosts:
             self.stores[name].faults = StoreFaults(down=down)
 
+    async def _notify(self):
+        for listener in self.listeners:
+            listener()
+
     async def _steps(self, count):
         for _ in range(count):
             for service in list(self.hosts.values()):
