A host that starts is ready only once groups have copies

When the first host of a fleet was killed just after all hosts had reported ready, its groups could still have it as their only holder. Nothing was lost, but programs of these groups answered program_waiting: for 70 s in a data centre's table, and without an end in the fleet's, where holders are never given up by time. tests/path/* take ready hosts for a fleet that outlives the loss of one.

A host now waits, between its announcement and its readiness, until no group of its tables has a single live holder, join_limit_s (5 s) at most; not where it is alone or the store is down. It reads the list of hosts again after its record is written, so of two hosts that start together one finds the other; before, both could be ready without knowing each other.

--- a/src/magnoliaroad/app.py
+++ b/src/magnoliaroad/app.py
@@ -123,6 +123,7 @@
         await self.membership.announce(
             self.membership.record._replace(http_port=self.entry.port)
         )
+        await self.groups.wait_for_copies(self.cfg.groups.join_limit_s)
         await self.keys.confirm()
         await self.config.confirm()
         logger.bind(host=self.cfg.name, port=self.entry.port).info("host started")
--- a/src/magnoliaroad/groups/service.py
+++ b/src/magnoliaroad/groups/service.py
@@ -42,6 +42,7 @@
 from magnoliaroad.store import Store, StoreError
 
 RETRY_S = 0.5
+COPIES_CHECK_S = 0.05
 
 
 class GroupService(Service, Groups):
@@ -212,6 +213,18 @@
         await self.apply_tables()
         self._update_metrics()
 
+    async def wait_for_copies(self, limit_s: float) -> None:
+        """Waits at most ``limit_s`` until no group has one live holder only.
+
+        Does not wait where no other host could hold copies.
+        """
+        deadline = self._now() + limit_s
+        while self._lacks_copies():
+            if self._now() >= deadline:
+                logger.bind(limit_s=limit_s).warning("groups still lack copies")
+                return
+            await asyncio.sleep(COPIES_CHECK_S)
+
     async def wait_for_handover(self, limit_s: float) -> None:
         """Waits at most ``limit_s`` until other hosts hold this host's groups."""
         deadline = self._now() + limit_s
@@ -345,19 +358,33 @@
 
     def _hold_back_lone_groups(self) -> None:
         """Stops acting for groups without copies until other hosts have copies."""
-        lone = [g for g, view in self._owned.items() if self._must_gain_copies(view)]
+        if not self._can_gain_copies():
+            return
+        lone = [group for group, view in self._owned.items() if not view.copies]
         for group in lone:
             del self._owned[group]
             self._waiting_since.setdefault(group, self._now())
         if lone:
             logger.bind(groups=len(lone)).info("groups wait for copies")
 
-    def _must_gain_copies(self, view: GroupView) -> bool:
-        """Whether ``view`` has no copies although another host could hold one.
+    def _lacks_copies(self) -> bool:
+        """Whether some group has one live holder only, although it could have more."""
+        domains = (self._membership.record.data_centre, FLEET)
+        return self._can_gain_copies() and any(
+            self._has_lone_holder(self.tables.get(domain)) for domain in domains
+        )
 
-        Without the store nobody can plan copies, so the owner goes on alone.
-        """
-        if view.copies or not self.cfg.copies or not self.tables.is_store_reachable:
+    def _has_lone_holder(self, table: GroupTable) -> bool:
+        """Whether one live host alone has a group of ``table`` or may yet plan it."""
+        alive = {member_of(record) for record in self.prober.alive()}
+        return not table.views or any(
+            len(view.record_holders) == 1 and view.record_holders[0] in alive
+            for view in table.views
+        )
+
+    def _can_gain_copies(self) -> bool:
+        """Whether another host could hold copies and the store lets them be planned."""
+        if not self.cfg.copies or not self.tables.is_store_reachable:
             return False
         return any(
             not record.draining and record.host != self._this_member.host
@@ -425,7 +452,7 @@
             self._start_owning(group, view)
 
     def _start_owning(self, group: str, view: GroupView) -> None:
-        if self._must_gain_copies(view):
+        if not view.copies and self._can_gain_copies():
             return
         self._owned[group] = view
         since = self._waiting_since.pop(group, self._now())
--- a/src/magnoliaroad/groups/settings.py
+++ b/src/magnoliaroad/groups/settings.py
@@ -25,6 +25,7 @@
             before it confirms a record as a copy.
         leave_limit_s: Longest wait at shutdown until other hosts hold the
             groups of this one.
+        join_limit_s: Longest wait at start until other hosts' groups have copies.
         memory_limit_bytes: Size of all records, as owner and copy, beyond
             which this host accepts no new keys.
         disk_limit_bytes: The same limit if the records are in the data folder.
@@ -42,5 +43,6 @@
     abandon_after_s: float = 60.0
     stall_limit_s: float = 20.0
     leave_limit_s: float = 5.0
+    join_limit_s: float = 5.0
     memory_limit_bytes: int = 1_000_000_000
     disk_limit_bytes: int = 20_000_000_000
--- a/src/magnoliaroad/groups/view.py
+++ b/src/magnoliaroad/groups/view.py
@@ -33,12 +33,15 @@
         """The other holders."""
         return self.holders[1:]
 
+    @property
+    def record_holders(self) -> tuple[Member, ...]:
+        """The holders of the last active view, which have the records."""
+        return self.holders if self.active else self.previous
+
     def succeeded_by(self, holders: tuple[Member, ...]) -> "GroupView":
         """Returns the next view, not yet active, with other ``holders``."""
-        previous, fence = self.previous, self.previous_fence
-        if self.active:
-            previous, fence = self.holders, self.fence
-        return GroupView(self.fence + 1, holders, False, previous, fence)
+        fence = self.fence if self.active else self.previous_fence
+        return GroupView(self.fence + 1, holders, False, self.record_holders, fence)
 
     def activated(self, holders: tuple[Member, ...]) -> "GroupView":
         """Returns this view, active, with the ``holders`` that have the records."""
--- a/src/magnoliaroad/membership/service.py
+++ b/src/magnoliaroad/membership/service.py
@@ -110,6 +110,7 @@
         self.record = record
         self._announcing = True
         await self._refresh_lease()
+        await self._find_hosts_that_started()
         await self._announce_to_pollers()
         self._publish()
 
@@ -203,6 +204,14 @@
         except HostListError as exc:
             logger.bind(reason=str(exc)).debug("platform's list could not be read")
 
+    async def _find_hosts_that_started(self) -> None:
+        """Reads the records again: of two hosts that start, one finds the other."""
+        try:
+            await self._read_records()
+        except StoreError as exc:
+            logger.bind(reason=str(exc)).debug("cannot read host records")
+        self._publish()
+
     async def _announce_to_pollers(self) -> None:
         names = self._ranked_hosts()[: self.cfg.pollers + 1]
         others = [host for host in names if host != self.record.host]
--- a/tests/groups/test_lone_owner.py
+++ b/tests/groups/test_lone_owner.py
@@ -1,5 +1,6 @@
 """An owner without copies acts only while no other host could hold them."""
 
+import asyncio
 import contextlib
 
 import pytest
@@ -7,6 +8,7 @@
 from magnoliaroad.groups import NotOwner
 from tests.groups.cluster import CFG, Cluster, bodies
 
+DOMAINS = ("kolkata-1", "*")
 GROUPS = ("kolkata-1/0", "*/0")
 
 
@@ -87,3 +89,58 @@
     cluster.join("b")
     cluster.append(cluster.owner("*/0"), "*/0")
     cluster.loop.close()
+
+
+async def time_until_joined(cluster, name, limit_s=10.0):
+    """Returns how long host ``name`` waits for copies while all hosts run rounds."""
+    started = cluster.loop.time()
+    rounds = asyncio.create_task(cluster._steps(100))
+    await cluster.hosts[name].wait_for_copies(limit_s)
+    rounds.cancel()
+    return cluster.loop.time() - started
+
+
+def record_holder_counts(cluster):
+    tables = cluster.hosts["a"].tables.all()
+    return {len(view.record_holders) for table in tables for view in table.views}
+
+
+def test_host_has_joined_once_all_groups_have_copies(cluster):
+    cluster.join("b")
+    assert record_holder_counts(cluster) == {1}
+    assert cluster.run(time_until_joined(cluster, "b")) < 2.0
+    assert record_holder_counts(cluster) == {2}
+    cluster.crash("a")
+    cluster.settle(20)
+    assert all(cluster.hosts["b"].fence(f"{d}/{n}") for d in DOMAINS for n in range(4))
+
+
+def test_hosts_that_start_together_wait_for_the_first_plan():
+    cluster = Cluster()
+    cluster.join("a")
+    cluster.join("b")
+    assert cluster.run(time_until_joined(cluster, "b")) > 0.0
+    # Groups that were never active have no records and no holders of records.
+    assert record_holder_counts(cluster) <= {0, 2}
+    cluster.crash("a")
+    cluster.settle(20)
+    assert all(cluster.hosts["b"].fence(f"{d}/{n}") for d in DOMAINS for n in range(4))
+    cluster.loop.close()
+
+
+def test_single_host_does_not_wait_for_copies(cluster):
+    assert cluster.run(time_until_joined(cluster, "a")) == 0.0
+
+
+def test_host_does_not_wait_for_copies_while_the_store_is_down(cluster):
+    cluster.join("b")
+    cluster.store_down(True)
+    cluster.settle(1)
+    assert cluster.run(time_until_joined(cluster, "b")) == 0.0
+
+
+def test_host_waits_for_copies_within_the_limit(cluster):
+    cluster.join("b")
+    cluster.network.wire.cut(["a"], ["b"])
+    waited_s = cluster.run(time_until_joined(cluster, "b", limit_s=1.0))
+    assert 1.0 <= waited_s <= 1.1
