Soak: end the processes of a fleet that does not start

Hosts of a soak that had failed at its start (address already in use) ran on for 11 minutes and asked their store's port, which by then was a target's of another soak: 76 errors of that target, KeyError of a missing request id. __aexit__ is not called if __aenter__ fails.

test_no_process_outlives_a_fleet_that_does_not_start failed before.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -25,6 +25,8 @@
 DATA_CENTRES = ("dc-1", "dc-2")
 # Maximum time from SIGTERM to the exit of a process.
 EXIT_TIMEOUT_S = 8.0
+# Time after SIGTERM until a relay host accepts no more connections.
+NOTICE_S = 0.5
 # Time that a relay host has to end its requests after SIGTERM.
 DRAIN_LIMIT_S = 6.0
 # Time after a disruption until a host is in contact with the others again.
@@ -76,7 +78,7 @@
         self.metrics_address = free_address()
         self.folder = fleet.tmp_path / name
         self.folder.mkdir()
-        self.proc = None
+        self.proc = self.link = None
         self.starts = 0
         self.paused = False
         self.disrupted_until = 0.0
@@ -153,7 +155,7 @@
             "data_folder": str(self.folder / "data"),
             "listen": listen,
             "store": {"url": f"http://127.0.0.1:{self.link.port}"},
-            "drain": {"notice_s": 0.5, "limit_s": DRAIN_LIMIT_S},
+            "drain": {"notice_s": NOTICE_S, "limit_s": DRAIN_LIMIT_S},
             "logs": {"path": "-"},
         }
 
@@ -233,12 +235,24 @@
         self.store_disruptions = Spans()
         self.relay_hosts = []
         self.record_hosts = []
+        self.session = None
 
     @property
     def processes(self):
         return [*self.relay_hosts, *self.record_hosts]
 
     async def __aenter__(self):
+        try:
+            await self._start()
+        except BaseException:
+            await self._end()
+            raise
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._end()
+
+    async def _start(self):
         await self.kv.start()
         self.kv.write("op/config", soak_config(self.config_version))
         for number in range(3):
@@ -260,14 +274,15 @@
                 await process.start()
         self.session = aiohttp.ClientSession(auto_decompress=False)
         await self.until_ready()
-        return self
 
-    async def __aexit__(self, *exc_info):
-        await self.session.close()
+    async def _end(self):
+        if self.session is not None:
+            await self.session.close()
         for process in self.processes:
-            if process.proc.returncode is None:
+            if process.proc is not None and process.proc.returncode is None:
                 await process.kill()
-            process.link.close()
+            if process.link is not None:
+                process.link.close()
         for target in [*self.targets, *self.former_targets]:
             await target.stop()
         await self.kv.stop()
