Turns: none is called absent while a stopped record host has it

Callers saw: a turn that was answered whole got 404 when it was continued. Two writes of record hosts were refused with 429 while both stopped; a relay host that started then answered 503 and, 4.4 s after the stop, 404. The turn was found again once the record hosts were back.

Cause: a stopping record host wrote its records once and ignored that the store had refused them, then removed its entry from the list of hosts. A relay host asks only hosts on that list before it calls a turn absent, so the journals with the only copies were not asked. Killed hosts had the same hole by their lease of 45 s, which is shorter than the retention of 60 s.

Now the drain repeats the writes until its limit and logs how many records are left. A host removes it only when it stops with all records stored, and takes records only once it stands. A relay host reads the marks with the list of hosts; a marked host that is off the list makes absence uncertain (503). The mark outlives a host that fails by 120 to 180 s, more than a turn can be continued, and then expires, so a host that is lost for good does not keep lookups uncertain. No request makes more calls on the store; a record host makes two more at its start, one a minute, one at its stop.

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -80,6 +80,7 @@
         self._not_accepting: set[str] = set()
         self._last_failure_at: dict[str, float] = {}
         self._heartbeats: dict[str, RecordHostHeartbeat] = {}
+        self._marked: frozenset[str] = frozenset()
         self.hosts_listed = False
         peers.register_replies(FetchRecordReply)
         peers.on(ProxyKeepRequest, self._on_proxy_keep, KeepRecordReply)
@@ -95,14 +96,21 @@
         """Whether at least one record host is live."""
         return any(map(self._is_live, self._last_heartbeat_at))
 
-    def set_hosts(self, hosts: dict[str, PeerAddress]) -> None:
+    def set_hosts(
+        self, hosts: dict[str, PeerAddress], marked: frozenset[str] = frozenset()
+    ) -> None:
         """Replaces the known record hosts by those that the store lists.
 
         Live hosts are kept: their entries may have expired during an outage of the
         store.
+
+        Args:
+            hosts: Addresses of the listed hosts, by name.
+            marked: Hosts, listed or not, that may hold records which the store lacks.
         """
         kept = {host: a for host, a in self._hosts.items() if self._is_live(host)}
         self._hosts = {**kept, **hosts}
+        self._marked = marked
         self.hosts_listed = True
 
     def process_heartbeat(
@@ -162,6 +170,10 @@
             if address.data_centre == data_centre and self._is_live(host)
         )
 
+    def unlisted_holders(self) -> list[str]:
+        """Returns hosts that may hold records and can't be asked for them."""
+        return sorted(self._marked - self._hosts.keys())
+
     async def keep(self, key: str, value: bytes, ttl_s: float) -> None:
         """Returns once enough hosts have synced a record, or the store holds it.
 
@@ -212,9 +224,11 @@
                 if reply is not None and reply.certain:
                     return reply.value if reply.found else None
             if pause_s == MIN_RETRY_S:
-                logger.bind(key=key, settled=self._list_is_complete()).info(
-                    "record neither found nor certainly absent"
-                )
+                logger.bind(
+                    key=key,
+                    settled=self._list_is_complete(),
+                    holders=self.unlisted_holders(),
+                ).info("record neither found nor certainly absent")
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_S, 2 * pause_s)
 
@@ -264,6 +278,7 @@
         Record hosts that this host does not know yet may hold it. A record host is
         on the store's list before it accepts records, so all hosts on a fresh list are
         asked, and then the store, to which the record may have been written meanwhile.
+        A host that has stopped with records of its own is marked on the list.
 
         Returns:
             Whether the result is certain, and the record.
@@ -281,7 +296,8 @@
         if value is not None:
             return True, value
         reached, value = await self._read_store(key)
-        return reached and None not in answers, value
+        certain = reached and None not in answers and not self.unlisted_holders()
+        return certain, value
 
     async def _fetch_from(
         self, key: str, hosts: list[str]
--- a/src/magnoliaroad/records/service.py
+++ b/src/magnoliaroad/records/service.py
@@ -82,6 +82,16 @@
         """Closes the journal."""
         self._journal.close()
 
+    @property
+    def unstored_count(self) -> int:
+        """Number of records that the store may not hold yet."""
+        return len(self._pending)
+
+    @property
+    def stored_all(self) -> bool:
+        """Whether the store holds all records and no more are accepted."""
+        return not self.accepts and not self.unstored_count
+
     def set_host_count(self, hosts: int) -> None:
         """Sets the number of record hosts; with more hosts each writes less often."""
         self._pending.delay_s = self.cfg.delay_s(hosts)
--- a/src/magnoliaroad/records/settings.py
+++ b/src/magnoliaroad/records/settings.py
@@ -33,6 +33,10 @@
         silent_s: Time without a heartbeat after which a record host no longer counts as
             live; it gets no new records and is asked for records after live ones.
         here_interval_s: Interval between heartbeats of a record host.
+        mark_s: Time for which a record host that fails keeps lookups of unknown records
+            uncertain, as the only copies of a record may be on its disk. Two thirds of
+            it, what is left before a renewal, are more than the time for which a turn
+            may be continued.
         help_s: Timeout of a call that another relay host makes on behalf of this one.
         list_interval_s: Interval between reads of the list of hosts.
     """
@@ -49,6 +53,7 @@
     last_copy_s: float = 1.0
     silent_s: float = 1.4
     here_interval_s: float = 0.4
+    mark_s: float = 180.0
     help_s: float = 0.6
     list_interval_s: float = 45.0
 
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -22,7 +22,7 @@
 )
 from magnoliaroad.relay.heartbeat_router import HeartbeatRouter
 from magnoliaroad.relay.heartbeat_tracker import HeartbeatTracker
-from magnoliaroad.relay.host_entry import PREFIX, unpack_host
+from magnoliaroad.relay.host_entry import PREFIX, unpack_hosts
 from magnoliaroad.relay.metrics import TIMER_LAG
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.quota import TeamTokenBuckets
@@ -441,18 +441,16 @@
         Raises:
             StoreError: The store did not answer.
         """
-        batch = await self._store.list(PREFIX)
+        hosts, marked = unpack_hosts(await self._store.list(PREFIX))
         listed: dict[str, PeerAddress] = {}
         record_hosts: dict[str, PeerAddress] = {}
-        for entry in batch.changed:
-            host = entry.key.removeprefix(PREFIX)
-            known = unpack_host(entry.value)
+        for host, known in hosts.items():
             if not known.relays:
                 record_hosts[host] = known.peer(host)
             elif host != self.cfg.name:
                 listed[host] = known.peer(host)
         self._listed = True
-        self._records.set_hosts(record_hosts)
+        self._records.set_hosts(record_hosts, marked)
         members = self._tracker.merge_members(time.monotonic(), listed)
         for host in self._tracker.members.keys() - members.keys():
             logger.bind(host=host).info("host gone")
--- a/src/magnoliaroad/relay/host_entry.py
+++ b/src/magnoliaroad/relay/host_entry.py
@@ -5,8 +5,12 @@
 import msgpack
 
 from magnoliaroad.peers import PeerAddress
+from magnoliaroad.store import WatchBatch
 
 PREFIX = "hosts/"
+# Ends the key of the mark of a record host, which is under the same prefix so that one
+# call reads both.
+MARK_SUFFIX = "/journal"
 
 
 class HostEntry(NamedTuple):
@@ -33,6 +37,35 @@
         return PeerAddress(host, self.data_centre, self.address, self.port)
 
 
+class HostList(NamedTuple):
+    """The hosts that the store lists.
+
+    Attributes:
+        hosts: Entry of each host, by name.
+        marked: Record hosts whose journals may hold records that the store lacks,
+            whether they have an entry or not.
+    """
+
+    hosts: dict[str, HostEntry]
+    marked: frozenset[str]
+
+
+def unpack_hosts(batch: WatchBatch) -> HostList:
+    """Returns the list in the entries under ``PREFIX``.
+
+    Raises:
+        ValueError: An entry is not a host entry.
+    """
+    hosts, marked = {}, set()
+    for entry in batch.changed:
+        name = entry.key.removeprefix(PREFIX)
+        if name.endswith(MARK_SUFFIX):
+            marked.add(name.removesuffix(MARK_SUFFIX))
+        else:
+            hosts[name] = unpack_host(entry.value)
+    return HostList(hosts, frozenset(marked))
+
+
 def unpack_host(data: bytes) -> HostEntry:
     """Returns the entry packed in ``data``.
 
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -15,7 +15,8 @@
 from magnoliaroad.relay.entry_decoder import EntryDecoder, Retirement
 from magnoliaroad.relay.escrow_service import EscrowService
 from magnoliaroad.relay.heartbeat_tracker import MAX_DIRECT_HOSTS
-from magnoliaroad.relay.host_entry import PREFIX, HostEntry, unpack_host
+from magnoliaroad.relay.host_entry import PREFIX, HostEntry, unpack_hosts
+from magnoliaroad.relay.journal_mark import JournalMark
 from magnoliaroad.relay.metrics_server import MetricsServer
 from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.settings import RelaySettings
@@ -60,6 +61,10 @@
         self.records = RecordService(
             cfg.records, folder / "records", self.store, self.peers
         )
+        self.mark = JournalMark(
+            self.store, cfg.records, cfg.name, lambda: self.records.stored_all
+        )
+        self.contact.on_regained.append(self.mark.renew_soon)
         self.escrow = EscrowService(
             cfg, folder / "escrow", self.store, self.peers, self._read_host_names
         )
@@ -90,6 +95,7 @@
             self.escrow,
             self.peers,
             self.contact,
+            self.mark,
             self.announcer,
             self.mirror,
             metrics,
@@ -98,8 +104,7 @@
         logger.bind(host=self.cfg.name).info("host started")
 
     async def _read_host_names(self) -> set[str]:
-        batch = await self.store.list(PREFIX)
-        return {entry.key.removeprefix(PREFIX) for entry in batch.changed}
+        return set(unpack_hosts(await self.store.list(PREFIX)).hosts)
 
     @Service.task
     async def _list_hosts(self) -> None:
@@ -109,16 +114,12 @@
             await wait_for_event(self._relist, self.cfg.records.list_interval_s)
             self._relist.clear()
             try:
-                batch = await self.store.list(PREFIX)
+                hosts, _ = unpack_hosts(await self.store.list(PREFIX))
             except StoreError as exc:
                 logger.bind(reason=str(exc)).info("cannot list hosts")
                 self._relist.set()
                 await asyncio.sleep(RETRY_S)
                 continue
-            hosts = {
-                entry.key.removeprefix(PREFIX): unpack_host(entry.value)
-                for entry in batch.changed
-            }
             self._set_addresses(
                 {host: entry.peer(host) for host, entry in hosts.items()},
                 {host for host, entry in hosts.items() if entry.relays},
@@ -154,8 +155,9 @@
                 self.records.accepts,
             )
             # A turn is reported as unknown once every host on the store's list has no
-            # record of it, so only hosts on that list may accept records.
-            if self.announcer.announced:
+            # record of it and no host that is marked there is down, so only hosts with
+            # both may accept records.
+            if self.announcer.announced and self.mark.announced:
                 self.peers.send_all(
                     self._announcement_recipients(time.monotonic()), heartbeat
                 )
@@ -199,11 +201,15 @@
 
     async def _retire(self, retirement: Retirement) -> None:
         await self._write_status(retirement.status_key, retirement.in_progress_value)
-        while not await self.records.flush():
-            await asyncio.sleep(RETRY_S)
+        await self._flush_records()
         await self._write_status(retirement.status_key, retirement.completed_value)
         logger.bind(host=retirement.host).info("retirement completed")
 
+    async def _flush_records(self) -> None:
+        """Returns once the store holds all records."""
+        while not await self.records.flush():
+            await asyncio.sleep(RETRY_S)
+
     async def _write_status(self, key: str, value: bytes) -> None:
         while True:
             try:
@@ -220,9 +226,9 @@
         logger.bind(host=self.cfg.name).info("host stops")
         try:
             async with asyncio.timeout(DRAIN_TIMEOUT_S):
-                await self.records.flush()
+                await self._flush_records()
         except TimeoutError:
-            logger.info(
+            logger.bind(host=self.cfg.name, left=self.records.unstored_count).warning(
                 "records not all written to the store, rest stays in the journal"
             )
 
--- a/tests/relay/test_announcer.py
+++ b/tests/relay/test_announcer.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
-from magnoliaroad.relay.announcer import RENEWAL_JITTER_S, RETRY_S, Announcer
+from magnoliaroad.relay.announcer import Announcer
 from magnoliaroad.relay.host_entry import PREFIX, HostEntry
+from magnoliaroad.relay.leased_entry import RENEWAL_JITTER_S, RETRY_S
 from magnoliaroad.relay.settings import FleetSettings
 from magnoliaroad.standins.faults import StoreFaults
 from magnoliaroad.standins.kv_state import KvState
