Wait until a caller has received the answer that ends its connection (LOST)

Cause: a connection was closed, as idle or after an answer with Connection: close, once the buffer of the process was empty. The kernel may still hold most of the answer then, and drops it when bytes of the caller arrive at, or wait on, a closed socket.

A connection whose answer ends it is now closed for sending only, what still arrives is discarded, and it is closed once the caller's side has acknowledged all bytes (RFC 9112, 9.6), after 30 s at most. The drain counts the bytes in the kernel's send queue too, by the function that StallWatch had of its own.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -11,10 +11,16 @@
 from typing_extensions import override
 
 from magnoliaroad.idle import awaits_request
+from magnoliaroad.unsent_bytes import unsent_bytes
 
 TIMED_OUT = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
+# Longest wait for a caller to receive an answer that ends its connection, in seconds;
+# the default of nginx's ``lingering_time``.
+MAX_LINGER_S = 30.0
+# Time between checks whether it has, in seconds.
+CHECK_INTERVAL_S = 0.05
 
 
 class CallerConnection(RequestHandler):
@@ -44,6 +50,33 @@
         elif between and self.head_began_at is None and data.strip(b"\r\n"):
             self.head_began_at = time.monotonic()
 
+    @override
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, *args
+    ) -> tuple[web.StreamResponse, bool]:
+        resp, reset = await super().finish_response(request, resp, *args)
+        if not reset and not resp.keep_alive and request.content.is_eof():
+            await self._linger()
+        return resp, reset
+
+    async def _linger(self) -> None:
+        """Waits until the caller has received the answer that ends its connection.
+
+        The caller sees its end at once, and what it still sends is discarded. If the
+        connection were closed with bytes unread, the kernel would reset it and drop
+        what it has not sent of the answer.
+        """
+        self.close()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + MAX_LINGER_S
+        with contextlib.suppress(OSError):
+            if self.transport is not None:
+                self._transport.write_eof()
+        while self.transport is not None and loop.time() < until:
+            if self.transport.is_closing() or not unsent_bytes(self._transport):
+                return
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
     def is_idle(self) -> bool:
         """Returns whether no part of a request has arrived or waits to be read."""
         return (
--- a/src/magnoliaroad/connection_drain.py
+++ b/src/magnoliaroad/connection_drain.py
@@ -10,6 +10,7 @@
 from magnoliaroad.caller_connection import CallerConnection
 from magnoliaroad.idle import awaits_request
 from magnoliaroad.in_flight import InFlightRequests
+from magnoliaroad.unsent_bytes import unsent_bytes
 
 # Time for which a connection is idle before it is closed during a drain, in seconds; a
 # caller sends its request within a few round trips after connecting.
@@ -76,8 +77,8 @@
             elif self._head_is_late(conn, now, until):
                 self._refused_at[conn] = now
                 conn.refuse_head()
-            # If the caller sends more on a connection that was closed with unsent
-            # bytes, the kernel resets it and they are lost.
+            # If the caller sends more on a connection that was closed, the kernel
+            # resets it and drops the bytes that it has not sent.
             elif not conn.is_idle() or _unsent_bytes(conn):
                 self._idle_since[conn] = now
             elif now - self._idle_since.setdefault(conn, now) >= IDLE_GRACE_S:
@@ -91,4 +92,4 @@
 
 
 def _unsent_bytes(conn: RequestHandler) -> int:
-    return 0 if conn.transport is None else conn.transport.get_write_buffer_size()
+    return 0 if conn.transport is None else unsent_bytes(conn.transport)
--- a/src/magnoliaroad/stall_watch.py
+++ b/src/magnoliaroad/stall_watch.py
@@ -1,14 +1,13 @@
 """Disconnects callers that stop reading their answers."""
 
 import asyncio
-import fcntl
-import struct
-import termios
 from typing import Self
 
 from aiohttp import web
 from loguru import logger
 
+from magnoliaroad.unsent_bytes import unsent_bytes
+
 # Longest time in which a caller takes no byte of its answer, in seconds; the default
 # of nginx's ``send_timeout``.
 CALLER_STALL_S = 60.0
@@ -52,7 +51,7 @@
         transport = self._req.transport
         if transport is None or transport.is_closing():
             return
-        unsent = _unsent_bytes(transport)
+        unsent = unsent_bytes(transport)
         taken = self._req.writer.output_size - unsent
         if unsent and taken == self._taken:
             self._idle_checks += 1
@@ -66,13 +65,3 @@
             request=self._request_id, reason="caller too slow", unsent_bytes=unsent
         ).warning("answer cut off")
         transport.abort()
-
-
-def _unsent_bytes(transport: asyncio.Transport) -> int:
-    """Returns the bytes that the caller's side has not acknowledged."""
-    count = transport.get_write_buffer_size()
-    sock = transport.get_extra_info("socket")
-    if sock is not None and sock.fileno() >= 0:
-        queued = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
-        count += struct.unpack("i", queued)[0]
-    return count
