--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -62,7 +62,11 @@
             cfg.records, folder / "records", self.store, self.peers
         )
         self.mark = JournalMark(
-            self.store, cfg.records, cfg.name, lambda: self.records.stored_all
+            self.store,
+            cfg.records,
+            cfg.name,
+            self._entry,
+            lambda: self.records.stored_all,
         )
         self.contact.on_regained.append(self.mark.renew_soon)
         self.escrow = EscrowService(
--- a/tests/relay/test_stopped_record_hosts.py
+++ b/tests/relay/test_stopped_record_hosts.py
@@ -8,6 +8,7 @@
 from magnoliaroad.records.messages import KeepRecord
 from magnoliaroad.records.settings import RecordSettings
 from magnoliaroad.relay.app import RelayApplication
+from magnoliaroad.relay.host_entry import unpack_host
 from magnoliaroad.relay.record_app import DRAIN_TIMEOUT_S, RecordApplication
 from magnoliaroad.relay.settings import RelayListen, RelaySettings
 from magnoliaroad.standins.faults import StoreFaults
@@ -181,3 +182,13 @@
         assert await hosts.fetch() is None
 
     run_scenario(loop, tmp_path, body)
+
+
+def test_older_builds_can_read_the_mark(loop, tmp_path):
+    """They read each entry under the hosts' prefix as that of a host."""
+
+    async def body(hosts, app, store):
+        mark = hosts.state.get("hosts/records-1/journal")
+        assert not unpack_host(mark.value).relays
+
+    run_scenario(loop, tmp_path, body)
