A sole host acts for its programs again after a long pause

Callers of a host without others got program_waiting without an end once its process had been paused for stall_limit_s (20 s). An owner without copies may not act after such a pause until it has read the tables.

Groups without copies are now given up when the pause is noticed and gained anew after the tables were read, as for a missing copy, which loads the records. The log line is "groups without copies wait" for both.

--- a/src/magnoliaroad/groups/service.py
+++ b/src/magnoliaroad/groups/service.py
@@ -166,6 +166,7 @@
 
     async def refresh(self) -> None:
         """Reads the tables and applies them."""
+        self._hold_back_lone_groups()
         requested_at = self._now()
         try:
             await self.tables.read()
@@ -357,15 +358,24 @@
                 self.copy_store.drop(group)
 
     def _hold_back_lone_groups(self) -> None:
-        """Stops acting for groups without copies until other hosts have copies."""
-        if not self._can_gain_copies():
+        """Stops acting for groups without copies while this host must not do so."""
+        if self._may_act_alone():
             return
         lone = [group for group, view in self._owned.items() if not view.copies]
         for group in lone:
             del self._owned[group]
             self._waiting_since.setdefault(group, self._now())
         if lone:
-            logger.bind(groups=len(lone)).info("groups wait for copies")
+            logger.bind(groups=len(lone)).info("groups without copies wait")
+
+    def _may_act_alone(self) -> bool:
+        """Whether this host may act for groups without copies.
+
+        After a stall others may own them, and programs drop their state meanwhile, so
+        these groups are gained anew once the tables were read.
+        """
+        is_current = self.stall_detector.may_confirm(self._now())
+        return is_current and not self._can_gain_copies()
 
     def _lacks_copies(self) -> bool:
         """Whether some group has one live holder only, although it could have more."""
@@ -452,7 +462,7 @@
             self._start_owning(group, view)
 
     def _start_owning(self, group: str, view: GroupView) -> None:
-        if not view.copies and self._can_gain_copies():
+        if not view.copies and not self._may_act_alone():
             return
         self._owned[group] = view
         since = self._waiting_since.pop(group, self._now())
