Trust no answer of an engine that may belong to an earlier request (MIXED, TWICE)

An engine that wrote a refusal once more on a kept connection misled two callers of the product's server: one was told "not run" for a request that the engine was running, and the next request on the connection got that request's answer as its own.

Cause: engines echo no request id, so the server takes what comes first for the answer, and a refusal left its connection in the pool although the real answer was still to come.

On a kept connection, an answer that begins before the whole request has been sent is not taken for this request's: it counts as "may have run", and nothing is sent twice. On a new connection such an answer counts as before, as there was no earlier request.

Evidence, tests/entry/test_unmatched_answers.py with an engine on raw sockets: the third request got 'two' for 'three', and an early refusal was reported as "not run"; both fixed. Held before and now: a refusal in one piece with an answer, and one that comes while the connection is idle. Not fixed, listed in KNOWN-RED: a refusal that comes after the whole request can't be told from its own.

--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -46,17 +46,30 @@
     context.trace_request_ctx()
 
 
-def _trace_headers_sent() -> aiohttp.TraceConfig:
+async def _on_connection_reused(
+    session: aiohttp.ClientSession, context: Any, params: Any
+) -> None:
+    context.trace_request_ctx.reused = True
+
+
+def _trace_sending() -> aiohttp.TraceConfig:
     trace = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(_on_headers_sent)
+    trace.on_connection_reuseconn.append(_on_connection_reused)
     return trace
 
 
 class _SendState:
-    """Records whether any part of a request has been sent."""
+    """Records how a request is sent.
+
+    Attributes:
+        started: Whether any part of it has been sent.
+        reused: Whether its connection has served other requests.
+    """
 
     def __init__(self, on_sent: Callable[[], None]) -> None:
         self.started = False
+        self.reused = False
         self._on_sent = on_sent
 
     def __call__(self) -> None:
@@ -89,7 +102,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             middlewares=(_send_without_retry,),
-            trace_configs=[_trace_headers_sent()],
+            trace_configs=[_trace_sending()],
             response_class=ClosableResponse,
             skip_auto_headers=AUTO_HEADERS,
         )
@@ -137,4 +150,5 @@
         except (aiohttp.ClientError, TimeoutError) as exc:
             verdict = Verdict.MAY_HAVE_RUN if send_state.started else Verdict.NOT_RUN
             raise TargetError(f"{req.url}: {describe_error(exc)}", verdict) from exc
-        return TargetResponse(resp, self.cfg.silence_timeout_s)
+        is_doubtful = send_state.reused and resp.is_early
+        return TargetResponse(resp, self.cfg.silence_timeout_s, is_doubtful)
--- a/src/magnoliaroad/targets/closable_response.py
+++ b/src/magnoliaroad/targets/closable_response.py
@@ -8,12 +8,20 @@
 
 
 class ClosableResponse(aiohttp.ClientResponse):
-    """Remembers its connection, which aiohttp releases when the body has ended."""
+    """Remembers its connection, which aiohttp releases when the body has ended.
+
+    Attributes:
+        is_early: Whether it began before the whole request had been sent.
+    """
+
+    is_early = False
 
     @override
     async def start(self, connection: Connection) -> Self:
         self._protocol_read = connection.protocol
-        return await super().start(connection)
+        await super().start(connection)
+        self.is_early = self._writer is not None
+        return self
 
     def close_connection(self) -> None:
         """Closes the connection, even if it has been released to the pool.
--- a/src/magnoliaroad/targets/response.py
+++ b/src/magnoliaroad/targets/response.py
@@ -18,9 +18,17 @@
     Args:
         resp: The response, whose headers have been received.
         silence_timeout_s: Longest wait for the next chunk of the body.
+        is_doubtful: Whether it may belong to an earlier request on its connection, as
+            it began before the whole request had been sent.
     """
 
-    def __init__(self, resp: ClosableResponse, silence_timeout_s: float) -> None:
+    def __init__(
+        self,
+        resp: ClosableResponse,
+        silence_timeout_s: float,
+        is_doubtful: bool = False,
+    ) -> None:
+        self.is_doubtful = is_doubtful
         self._resp = resp
         self._silence_timeout_s = silence_timeout_s
         self.status = resp.status
