Start hosts whose standard output is closed

Seen: a host that is started with standard output closed ended at its start (AttributeError: 'NoneType' object has no attribute 'fileno').

Cause: the interpreter sets a stream that is closed to None. With standard error closed the host starts, but the next file or socket gets descriptor 2, and with it what the interpreter writes there (read, not seen in a run).

Evidence: test_unread_streams[stdout-closed] and [stdout and stderr-closed] failed before with that error in the host, and pass now. Standard streams without a reader already passed.

--- a/src/magnoliaroad/cli/main.py
+++ b/src/magnoliaroad/cli/main.py
@@ -20,6 +20,7 @@
 from magnoliaroad.cli.sheet_status import SheetStatusCommand
 from magnoliaroad.cli.standin import StandinCommand
 from magnoliaroad.cli.status import StatusCommand
+from magnoliaroad.logs import open_missing_streams
 
 COMMANDS = (
     HostCommand,
@@ -43,6 +44,7 @@
 
 def main() -> None:
     """Runs the command named on the command line and exits with its status."""
+    open_missing_streams()
     app = Application("magnoliaroad", "0.1.0")
     for command in COMMANDS:
         app.add(command())
