Send all output of a host through the log, which does not wait

Cause: the log's own lines go through a sink that does not wait for its reader, but the standard library's logging (errors of aiohttp and asyncio), warnings and uncaught exceptions were written to standard error in blocking mode. Once that pipe was full, the event loop waited in write(2). The log itself had the same fault where it goes to standard error, the default of `magnoliaroad host`.

Change: `setup_host_logs`, used by both programs, passes the standard library's logging and the hooks for uncaught exceptions to loguru, and replaces `sys.stderr` with a stream whose lines go to the same sink. Messages, exceptions and traces are cut. A malformed request is one line without its text, which may hold a key, and is answered 400 as before.

Descriptor 2, which the interpreter writes to when it fails itself, is set to non-blocking mode. The mode belongs to the open file description that other processes may share, so pipes and terminals are opened again for this process alone; the mode is changed for all only where that fails (sockets, another user's pipe), as was done before for standard output in every case. Regular files are left alone, as their offset is shared.

With the log on standard output or error, neither a log line nor standard error can make the loop wait.

--- a/src/magnoliaroad/cli/host.py
+++ b/src/magnoliaroad/cli/host.py
@@ -8,7 +8,7 @@
 
 from magnoliaroad.app import HostApplication
 from magnoliaroad.gc_tuning import tune_gc
-from magnoliaroad.logs import setup_logs
+from magnoliaroad.logs import setup_host_logs
 from magnoliaroad.settings import HostSettings, SettingsError, load_settings
 
 
@@ -26,7 +26,7 @@
         except SettingsError as exc:
             self.line_error(str(exc), style="error")
             return 2
-        setup_logs(cfg.logs)
+        setup_host_logs(cfg.logs)
         asyncio.run(run_host(cfg))
         return 0
 
--- a/src/magnoliaroad/logs/line_sink.py
+++ b/src/magnoliaroad/logs/line_sink.py
@@ -1,6 +1,9 @@
 """Non-blocking log sink for a pipe."""
 
 import os
+import threading
+
+from magnoliaroad.logs.standard_streams import set_non_blocking
 
 # Buffer limit while the reader is slow: a few seconds of log lines at full load.
 MAX_PENDING_BYTES = 262_144
@@ -23,10 +26,16 @@
         self.dropped = 0
         self._descriptor = descriptor
         self._pending = bytearray()
-        os.set_blocking(descriptor, False)
+        # Re-entrant: a destructor that runs during a write may write a line too.
+        self._lock = threading.RLock()
+        set_non_blocking(descriptor)
 
     def write(self, line: str) -> None:
         """Writes or buffers ``line``, or drops it if the buffer is full."""
+        with self._lock:
+            self._write(line)
+
+    def _write(self, line: str) -> None:
         if len(self._pending) > MAX_PENDING_BYTES:
             self._flush()
             if len(self._pending) > MAX_PENDING_BYTES:
--- a/src/magnoliaroad/logs/settings.py
+++ b/src/magnoliaroad/logs/settings.py
@@ -9,7 +9,7 @@
     Attributes:
         level: Lowest level of messages that are logged.
         path: Log file; lines are appended. ``None`` (JSON ``null``) logs to standard
-            error, ``"-"`` to standard output without blocking: lines are dropped
+            error, ``"-"`` to standard output, both without blocking: lines are dropped
             while the reader is too slow.
     """
 
--- a/tests/platform/test_unread_streams.py
+++ b/tests/platform/test_unread_streams.py
@@ -58,7 +58,7 @@
     return answer
 
 
-@pytest.mark.parametrize("state", ["without a reader", "closed"])
+@pytest.mark.parametrize("state", ["unread", "without a reader", "closed"])
 @pytest.mark.parametrize(
     "names", [["stderr"], ["stdout"], ["stdout", "stderr"]], ids=" and ".join
 )
@@ -79,3 +79,17 @@
         assert answer.startswith(b"HTTP/1.1 200 ")
         assert await relay.terminate() == ""
         assert await fleet.record_hosts[0].terminate() == ""
+
+
+async def test_a_malformed_request_is_one_line_without_its_text(tmp_path):
+    async with Fleet(tmp_path, 1, 0) as fleet:
+        relay = fleet.relay_hosts[0]
+        head = b"GET / HTTP/1.1\r\nAuthorization: Bearer hidden\x01\r\n\r\n"
+        answer = await send(relay.caller_address, head)
+        assert b" 400 " in answer
+        assert await relay.terminate() == ""
+    log = (relay.folder / "log-1.jsonl").read_text()
+    (line,) = [line for line in log.splitlines() if "malformed request" in line]
+    assert '"caller":"127.0.0.1"' in line
+    assert "hidden" not in log
+    assert "trace" not in line
