Soak: the check for LOST fires at planned stops

The check had never fired.

Now PLANNED stops relay hosts most of the time, the loads with slow callers use small send buffers, 24 callers open a connection for each request while a host is about to stop, and some requests are sent in two pieces or before the answer before theirs has been read. The first request of a connection may not end without an answer. One that crosses the close of an idle connection in a planned stop is counted and printed by itself, as that fault is known; outside of a stop it is lost.

--- a/tests/soak/lost.py
+++ b/tests/soak/lost.py
@@ -1,6 +1,9 @@
 """Finds requests that hosts lost, from what callers and targets have seen."""
 
+from typing import NamedTuple
+
 from tests.soak.fleet import DRAIN_LIMIT_S, REJOIN_S
+from tests.soak.slow_callers import ENDED_BEFORE
 
 # Time after the sending of a request from which its connection may not end without an
 # answer, though no target has got the request.
@@ -11,8 +14,22 @@
 STOP_MARGIN_S = 1.0
 
 
-def find_lost(fleet, unanswered):
-    """Returns a message for each exchange in ``unanswered`` that was lost.
+class Losses(NamedTuple):
+    """Requests that ended without a whole answer.
+
+    Attributes:
+        lost: A message for each that was lost.
+        crossed: A message for each that reached no target, as the host closed the
+            connection as idle while it was sent, in a planned stop. Its caller can't
+            tell whether it ran.
+    """
+
+    lost: list[str]
+    crossed: list[str]
+
+
+def find_losses(fleet, unanswered):
+    """Returns the exchanges in ``unanswered`` that a host is to blame for.
 
     Left out are those that a target or the time limit broke off, or a disruption of
     the host or the store within ``REJOIN_S``.
@@ -22,47 +39,83 @@
         run[2]["magnoliaroad-request-id"] for target in targets for run in target.runs
     }
     broken = set().union(*(target.broke_off for target in targets))
-    return [
-        message
-        for exchange in unanswered
-        if exchange.request_id not in broken
-        and not _disrupted(fleet, exchange)
-        and (message := _problem(exchange, exchange.request_id in ran))
-    ]
+    losses = Losses([], [])
+    for exchange in unanswered:
+        request_id = exchange.request.request_id
+        if request_id not in broken and not _disrupted(fleet, exchange):
+            _judge(exchange, request_id in ran, losses)
+    return losses
 
 
 def _disrupted(fleet, exchange):
-    begin, end = exchange.sent_at - REJOIN_S, exchange.ended_at
-    return exchange.host.disruptions.overlap(
+    begin, end = exchange.began_at - REJOIN_S, exchange.ended_at
+    return exchange.request.host.disruptions.overlap(
         begin, end
     ) or fleet.store_disruptions.overlap(begin, end)
 
 
-def _problem(exchange, ran):
-    took_s = exchange.ended_at - exchange.sent_at
-    text = (
-        f"{exchange.request_id} {exchange.path}: {exchange.end} at"
-        f" {exchange.host.name} after {took_s:.2f} s and {exchange.received} bytes"
-    )
+def _judge(exchange, ran, losses):
+    """Adds a message to ``losses`` if a host is to blame for the exchange."""
     if not exchange.end:
-        return "" if exchange.received else f"{text}, no answer until the caller left"
-    stops = [
+        if not exchange.received:
+            losses.lost.append(f"{_text(exchange)}, no answer until the caller left")
+        return
+    if exchange.end == ENDED_BEFORE and not ran:
+        return
+    stops = _stops(exchange)
+    if _past_limit(exchange, stops):
+        return
+    where = "no stop"
+    if stops:
+        after_s = exchange.sent_at - stops[-1].begin
+        where = f"sent {after_s:.2f} s after SIGTERM"
+    passed_on = "passed on" if ran else "not passed on"
+    crossed = stops and not ran and _may_have_crossed(exchange)
+    messages = losses.crossed if crossed else losses.lost
+    messages.append(f"{_text(exchange)}; {passed_on}, {where}")
+
+
+def _text(exchange):
+    request, took_s = exchange.request, exchange.ended_at - exchange.sent_at
+    followed = " (another request followed)" if exchange.followed else ""
+    return (
+        f"{request.request_id} {request.path}: {exchange.end} at {request.host.name}"
+        f" after {took_s:.2f} s and {exchange.received} bytes{followed}"
+    )
+
+
+def _stops(exchange):
+    """Returns the planned stops that the exchange falls into."""
+    return [
         stop
-        for stop in exchange.host.stops.items
+        for stop in exchange.request.host.stops.items
         if stop.begin <= exchange.ended_at
         and exchange.sent_at <= stop.begin + DRAIN_LIMIT_S + STOP_MARGIN_S
     ]
-    past_limit = any(
-        exchange.sent_at <= stop.end
-        and stop.end - stop.begin > DRAIN_LIMIT_S - LIMIT_MARGIN_S
+
+
+def _past_limit(exchange, stops):
+    """Returns whether the time limit of the request or of a stop broke it off.
+
+    Answers that are no streams are whole at the host before their first byte is sent;
+    the request's limit does not apply to them any more.
+    """
+    took_s = exchange.ended_at - exchange.sent_at
+    ready = exchange.received and not exchange.request.is_streamed
+    if not ready and took_s >= exchange.request.limit_s - LIMIT_MARGIN_S:
+        return True
+    return any(
+        min(exchange.ended_at, stop.end) - stop.begin > DRAIN_LIMIT_S - LIMIT_MARGIN_S
         for stop in stops
+        if exchange.sent_at <= stop.end
     )
-    if past_limit or took_s >= exchange.limit_s - LIMIT_MARGIN_S:
-        return ""
-    if not ran and took_s < LOSS_SLACK_S:
-        return ""
-    where = "no stop"
-    if stops:
-        after_s = exchange.sent_at - stops[-1].begin
-        where = f"sent {after_s:.2f} s after SIGTERM"
-    return f"{text}; {'passed on' if ran else 'not passed on'}, {where}"
+
+
+def _may_have_crossed(exchange):
+    """Returns whether the host can have taken the connection for idle.
+
+    A caller that sent another request first did not see when the connection ended.
+    """
+    took_s = exchange.ended_at - exchange.sent_at
+    soon = exchange.followed or took_s < LOSS_SLACK_S
+    return not exchange.request.is_fresh and not exchange.received and soon
--- a/tests/soak/slow_callers.py
+++ b/tests/soak/slow_callers.py
@@ -1,6 +1,7 @@
 """Callers of the soak test that read slowly and keep their connections."""
 
 import asyncio
+import functools
 import itertools
 import random
 import time
@@ -9,6 +10,7 @@
 from tests.platform.deployment import KEY
 from tests.platform.target_standin import large_body
 from tests.soak.callers import NOT_RUN_STATUSES, stream_problem, whole_events
+from tests.soak.fleet import NOTICE_S
 from tests.soak.slow_conn import ConnClosed, FramingError, Pace, SlowConn
 
 # Time limit of the requests, by the prefix of the path; as the routes have it.
@@ -16,35 +18,102 @@
 LARGE_LIMIT_S = 5.0
 # Time after the limit until a caller closes the connection.
 PATIENCE_S = 2.0
+# Share of the requests that are sent in two pieces, and the time between these.
+PIECEWISE_SHARE = 0.2
+PIECE_PAUSE_S = 0.3
+# Share of the requests that are followed by another before their answer is read, and
+# the longest time until it is.
+FOLLOWED_SHARE = 0.3
+MAX_UNREAD_S = 2.0
+# Time between checks whether a host is about to stop.
+STOP_CHECK_INTERVAL_S = 0.02
+# Time after SIGTERM until no caller opens connections on account of it.
+MAX_LISTEN_S = NOTICE_S + 0.3
+# Pause after a connection that could not be opened.
+CONNECT_PAUSE_S = 0.1
+# How an exchange ended if its connection did so with the answer before.
+ENDED_BEFORE = "end before it"
 
 
-class Exchange(NamedTuple):
-    """A request that was sent whole and did not get a whole answer.
+class Request(NamedTuple):
+    """A request to a host.
 
     Attributes:
         request_id: Its id.
         path: Its path.
+        body: Its body; GET is sent if it is empty.
         host: The host process that the connection was opened to.
-        sent_at: Time at which its last byte was sent.
-        ended_at: Time at which the caller saw the end of the connection.
-        limit_s: Time limit of the request, in seconds.
-        received: Number of bytes of the answer.
-        end: How the connection ended; empty if the caller closed it.
+        limit_s: Its time limit, in seconds.
+        is_fresh: Whether it is sent as soon as its connection is open, at once.
     """
 
     request_id: str
     path: str
+    body: bytes
     host: object
+    limit_s: float
+    is_fresh: bool = False
+
+    @property
+    def is_streamed(self):
+        return self.path.startswith(("/plan/", "/stream/"))
+
+    def as_bytes(self):
+        lines = [
+            f"{'POST' if self.body else 'GET'} {self.path} HTTP/1.1",
+            "Host: arcade.example",
+            f"Authorization: Bearer {KEY}",
+            f"Magnoliaroad-Request-Id: {self.request_id}",
+            f"Magnoliaroad-Deadline-Ms: {int(self.limit_s * 1000)}",
+            f"Content-Length: {len(self.body)}",
+        ]
+        return "\r\n".join([*lines, "", ""]).encode() + self.body
+
+
+class Exchange(NamedTuple):
+    """A request that did not get a whole answer.
+
+    Attributes:
+        request: The request.
+        began_at: Time at which its first byte was sent.
+        sent_at: Time at which its last byte was sent or could not be sent, or at which
+            the answer before its own was read.
+        ended_at: Time at which the caller saw the end of the connection.
+        received: Number of bytes of the answer.
+        end: How the connection ended; empty if the caller closed it.
+        followed: Whether another request was sent before the answer had been read.
+    """
+
+    request: Request
+    began_at: float
     sent_at: float
     ended_at: float
-    limit_s: float
     received: int
     end: str
+    followed: bool = False
+
+
+class Sent(NamedTuple):
+    """A request that was sent.
+
+    Attributes:
+        request: The request.
+        began_at: Time at which its first byte was sent.
+        sent_at: Time at which its last byte was sent or could not be sent.
+        error: Why it could not be sent whole; empty if it was.
+    """
+
+    request: Request
+    began_at: float
+    sent_at: float
+    error: str
 
 
 class SlowCallers:
     """Sends requests on kept connections and reads the answers slowly.
 
+    Some requests are sent in pieces, some while the answer before theirs is unread.
+
     Attributes:
         unanswered: The exchanges without a whole answer.
         answered: Number of the others.
@@ -62,71 +131,115 @@
         """Opens one connection after another."""
         while time.monotonic() < end:
             host = self.rng.choice(self.fleet.relay_hosts)
-            name = f"c-{next(self._numbers)}"
-            try:
-                async with asyncio.timeout(1.0):
-                    conn = await SlowConn.open(host.caller_address)
-            except (OSError, TimeoutError):
-                await asyncio.sleep(0.1)
-                continue
-            try:
-                await self._use(conn, host, name, end)
-            except FramingError as exc:
-                self.callers.violations.append(f"{name}: {exc}")
-            finally:
-                conn.close()
+            await self._connect(host, functools.partial(self._use, end=end))
+
+    async def run_at_stops(self, end):
+        """Opens a connection for each request while a host is about to stop."""
+        while time.monotonic() < end:
+            stopping = [h for h in self.fleet.relay_hosts if _listens_at_stop(h)]
+            if stopping:
+                await self._connect(self.rng.choice(stopping), self._use_once)
+            await asyncio.sleep(0.0 if stopping else STOP_CHECK_INTERVAL_S)
+
+    async def _connect(self, host, use):
+        name = f"c-{next(self._numbers)}"
+        try:
+            async with asyncio.timeout(1.0):
+                conn = await SlowConn.open(host.caller_address)
+        except (OSError, TimeoutError):
+            await asyncio.sleep(CONNECT_PAUSE_S)
+            return
+        try:
+            await use(conn, host, name)
+        except FramingError as exc:
+            self.callers.violations.append(f"{name}: {exc}")
+        finally:
+            conn.close()
 
     async def _use(self, conn, host, name, end):
         """Sends requests until the host closes the connection."""
-        number, goes_on = 0, True
+        numbers, goes_on = itertools.count(1), True
         while goes_on and time.monotonic() < end and conn.is_open():
-            number += 1
-            goes_on = await self._exchange(conn, host, f"{name}-{number}")
+            number = next(numbers)
+            piecewise = self.rng.random() < PIECEWISE_SHARE
+            request = self._choose_request(f"{name}-{number}", host)
+            request = request._replace(is_fresh=number == 1 and not piecewise)
+            sent = await self._send(conn, request, PIECE_PAUSE_S if piecewise else 0.0)
+            if self.rng.random() < FOLLOWED_SHARE:
+                await asyncio.sleep(self.rng.uniform(0.0, MAX_UNREAD_S))
+                request = self._choose_request(f"{name}-{next(numbers)}", host)
+                following = await self._send(conn, request)
+                goes_on = await self._read_both(conn, sent, following)
+            else:
+                goes_on = await self._read(conn, sent, self._choose_pace())
             await asyncio.sleep(self.rng.choice((0.0, 0.02, 0.3, 0.8)))
 
-    async def _exchange(self, conn, host, request_id):
-        """Returns whether the connection may be used for another request."""
-        path, body, limit_s = self._choose_request(request_id)
-        # The end of the connection may cross the request.
+    async def _use_once(self, conn, host, name):
+        request = Request(name, "/safe/x", b"", host, SHORT_LIMIT_S, is_fresh=True)
+        await self._read(conn, await self._send(conn, request), Pace())
+
+    async def _send(self, conn, request, pause_s=0.0):
+        began_at, error = time.monotonic(), ""
         try:
-            await conn.send(_request(request_id, path, body, limit_s))
-        except OSError:
+            await conn.send(request.as_bytes(), pause_s)
+        except OSError as exc:
+            error = type(exc).__name__
+        return Sent(request, began_at, time.monotonic(), error)
+
+    async def _read_both(self, conn, first, second):
+        """Reads the answers to two requests; returns as ``_read`` does."""
+        goes_on = await self._read(conn, first, self._choose_pace(), followed=True)
+        second = second._replace(sent_at=max(second.sent_at, time.monotonic()))
+        if goes_on:
+            return await self._read(conn, second, Pace())
+        self._record_end(second, 0, second.error or ENDED_BEFORE)
+        return False
+
+    async def _read(self, conn, sent, pace, followed=False):
+        """Returns whether the connection may be used for another request."""
+        request, end = sent.request, sent.error
+        if end:
+            self._record_end(sent, 0, end)
             return False
-        sent_at, end = time.monotonic(), ""
         try:
-            async with asyncio.timeout(limit_s + PATIENCE_S):
-                answer = await conn.read_answer(self._choose_pace())
+            async with asyncio.timeout(request.limit_s + PATIENCE_S):
+                answer = await conn.read_answer(pace, followed)
         except ConnClosed as exc:
             end = str(exc)
         except TimeoutError:
             pass
         except FramingError as exc:
-            raise FramingError(f"{request_id} {path}: {exc}") from exc
+            raise FramingError(f"{request.request_id} {request.path}: {exc}") from exc
         else:
             self.answered += 1
-            self._check(request_id, path, answer)
+            self._check(request.request_id, request.path, answer)
             return answer.headers.get("connection", "").lower() != "close"
+        self._record_end(sent, conn.received, end, followed)
+        return False
+
+    def _record_end(self, sent, received, end, followed=False):
+        request, began_at, sent_at, _ = sent
         ended_at = time.monotonic()
         self.unanswered.append(
-            Exchange(
-                request_id, path, host, sent_at, ended_at, limit_s, conn.received, end
-            )
+            Exchange(request, began_at, sent_at, ended_at, received, end, followed)
         )
-        return False
 
-    def _choose_request(self, request_id):
-        draw = self.rng.random()
+    def _choose_request(self, request_id, host):
+        draw, rng = self.rng.random(), self.rng
         if draw < 0.5:
-            size = self.rng.randrange(20_000, 200_000)
-            return f"/safe/large/{size}", b"", LARGE_LIMIT_S
+            # Handlers of smaller answers return before the answer has been sent.
+            size = rng.randrange(20_000, 200_000 if rng.random() < 0.5 else 60_000)
+            path = f"/safe/large/{size}"
+            return Request(request_id, path, b"", host, LARGE_LIMIT_S)
         if draw < 0.65:
-            return "/plan/large/x", b"goal", LARGE_LIMIT_S
+            return Request(request_id, "/plan/large/x", b"goal", host, LARGE_LIMIT_S)
         if draw < 0.75:
             self.callers.histories[request_id] = b""
-            return "/stream/t", f"{request_id};".encode(), SHORT_LIMIT_S
+            body = f"{request_id};".encode()
+            return Request(request_id, "/stream/t", body, host, SHORT_LIMIT_S)
         if draw < 0.85:
-            return "/pay/x", b"money", SHORT_LIMIT_S
-        return "/safe/x", b"", SHORT_LIMIT_S
+            return Request(request_id, "/pay/x", b"money", host, SHORT_LIMIT_S)
+        return Request(request_id, "/safe/x", b"", host, SHORT_LIMIT_S)
 
     def _choose_pace(self):
         rng = self.rng
@@ -163,13 +276,7 @@
     return f"body of {len(body)} bytes {body[:40]!r}, expected {len(expected)}"
 
 
-def _request(request_id, path, body, limit_s):
-    lines = [
-        f"{'POST' if body else 'GET'} {path} HTTP/1.1",
-        "Host: arcade.example",
-        f"Authorization: Bearer {KEY}",
-        f"Magnoliaroad-Request-Id: {request_id}",
-        f"Magnoliaroad-Deadline-Ms: {int(limit_s * 1000)}",
-        f"Content-Length: {len(body)}",
-    ]
-    return "\r\n".join([*lines, "", ""]).encode() + body
+def _listens_at_stop(host):
+    """Returns whether a host has got SIGTERM and still accepts connections."""
+    stops = host.stops.items
+    return bool(stops) and stops[-1].is_open and stops[-1].age_s < MAX_LISTEN_S
--- a/tests/soak/slow_conn.py
+++ b/tests/soak/slow_conn.py
@@ -94,18 +94,28 @@
             raise FramingError("bytes without a request")
         return data is None
 
-    async def send(self, request):
-        """Sends a request whole."""
-        await asyncio.get_running_loop().sock_sendall(self._sock, request)
-
-    async def read_answer(self, pace):
-        """Returns the answer to the request that was sent.
+    async def send(self, request, pause_s=0.0):
+        """Sends a request; with ``pause_s``, in two pieces with this pause between."""
+        loop = asyncio.get_running_loop()
+        if pause_s:
+            half = len(request) // 2
+            await loop.sock_sendall(self._sock, request[:half])
+            await asyncio.sleep(pause_s)
+            request = request[half:]
+        await loop.sock_sendall(self._sock, request)
+
+    async def read_answer(self, pace, followed=False):
+        """Returns the answer to the oldest request that was sent.
+
+        Args:
+            pace: How it is read.
+            followed: Whether another request was sent, whose answer may follow.
 
         Raises:
             ConnClosed: The connection ended before the answer did.
             FramingError: The bytes are no answer.
         """
-        self._pace, self._rested, self.received = pace, False, 0
+        self._pace, self._rested, self.received = pace, False, len(self._buffer)
         lines = (await self._read_until(b"\r\n\r\n", MAX_HEAD_BYTES)).decode("latin-1")
         first, *fields = lines.split("\r\n")
         match = STATUS_LINE.fullmatch(first)
@@ -118,7 +128,7 @@
                 raise FramingError(f"field {field!r}")
             headers[name.lower()] = value.strip()
         body = await self._read_body(headers)
-        if self._buffer:
+        if self._buffer and not followed:
             raise FramingError(f"{bytes(self._buffer[:80])!r} after the answer")
         return Answer(int(match[1]), headers, body)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,8 +18,14 @@
 from tests.platform.deployment import KEY
 from tests.platform.target_standin import TargetStandin
 from tests.soak.callers import EVENTS_PER_STREAM, POISON, Callers
-from tests.soak.fleet import REJOIN_S, Fleet, soak_config
-from tests.soak.lost import find_lost
+from tests.soak.fleet import (
+    HOST_PROGRAM,
+    REJOIN_S,
+    SMALL_BUFFERS_PROGRAM,
+    Fleet,
+    soak_config,
+)
+from tests.soak.lost import find_losses
 from tests.soak.resumes import check_resumes, check_resumes_after_faults
 from tests.soak.slow_callers import SlowCallers
 
@@ -28,6 +34,8 @@
 STREAM_CALLER_COUNT = 24
 # Callers that read slowly.
 SLOW_CALLER_COUNT = 16
+# Callers that connect to hosts that are about to stop.
+STOP_CALLER_COUNT = 24
 # Time after the last fault until all requests must succeed again.
 RECOVERY_S = 8.0
 # Time between attempts of the crashing request.
@@ -46,6 +54,7 @@
         resumes_continued: Number of those that received further events.
         slowly_read: Number of answers that slow callers received whole.
         unanswered: Number of their requests without a whole answer.
+        crossed: The requests that crossed the close of an idle connection.
     """
 
     violations: list[str]
@@ -53,6 +62,7 @@
     resumes_continued: int
     slowly_read: int
     unanswered: int
+    crossed: list[str]
 
 
 class Load(NamedTuple):
@@ -62,11 +72,15 @@
         injectors: The faults.
         answer_ends: Further ends of the targets' answers.
         slow_callers: Number of callers that read slowly.
+        stop_callers: Number of callers that connect to hosts that are about to stop.
+        program: Program of the hosts.
     """
 
     injectors: tuple
     answer_ends: tuple[str, ...]
-    slow_callers: int
+    slow_callers: int = 0
+    stop_callers: int = 0
+    program: Path = HOST_PROGRAM
 
 
 async def soak(
@@ -75,7 +89,7 @@
     """Runs the soak test with ``seed``, by default with ``BASIC_LOAD``."""
     load = load or BASIC_LOAD
     rng = random.Random(seed)
-    async with Fleet(folder) as fleet:
+    async with Fleet(folder, program=load.program) as fleet:
         callers = Callers(fleet, rng)
         slow = SlowCallers(fleet, callers, seed)
         loop = asyncio.get_running_loop()
@@ -88,16 +102,18 @@
             *(callers.run(end + 1.0) for _ in range(CALLER_COUNT)),
             *(callers.run_streams(end + 1.0) for _ in range(STREAM_CALLER_COUNT)),
             *(slow.run(end + 1.0) for _ in range(load.slow_callers)),
+            *(slow.run_at_stops(end + 1.0) for _ in range(load.stop_callers)),
         )
         await fault_task
         await _recover(fleet, callers)
         callers.violations += await check_resumes_after_faults(fleet, callers)
+        losses = find_losses(fleet, slow.unanswered)
         violations = [
             *callers.violations,
             *_check_targets(fleet, callers),
             *_check_poison(callers),
             *check_resumes(callers),
-            *find_lost(fleet, slow.unanswered),
+            *losses.lost,
             *(problem for host in fleet.processes for problem in host.problems),
         ]
         return SoakResult(
@@ -106,6 +122,7 @@
             callers.resumes_continued,
             slow.answered,
             len(slow.unanswered),
+            losses.crossed,
         )
 
 
@@ -139,8 +156,22 @@
 
 async def _terminate(fleet, rng, violations):
     process = _choose_running(fleet, rng)
-    if process is None or not process.booted:
-        return
+    if process is not None and process.booted:
+        await _stop(process, violations)
+
+
+async def _stop_relay(fleet, rng, violations):
+    """Stops a relay host while another one serves."""
+    candidates = [
+        relay
+        for relay in fleet.relay_hosts
+        if relay.proc.returncode is None and not relay.paused and relay.booted
+    ]
+    if len(candidates) > 1:
+        await _stop(rng.choice(candidates), violations)
+
+
+async def _stop(process, violations):
     process.paused = True
     problem = await process.terminate()
     process.paused = False
@@ -234,7 +265,7 @@
     await fleet.add_target(new)
 
 
-PLANNED = (_terminate, _hang_up, _change_config)
+PLANNED = (_stop_relay, _stop_relay, _terminate, _hang_up, _change_config)
 INJECTORS = (
     _kill,
     _terminate,
@@ -247,9 +278,15 @@
     _release,
 )
 # The seeds of the CI script draw their faults from this one.
-BASIC_LOAD = Load(INJECTORS, (), 0)
-FULL_LOAD = Load((*INJECTORS, _hang_up), ANSWER_ENDS, SLOW_CALLER_COUNT)
-PLANNED_LOAD = Load(PLANNED, (), SLOW_CALLER_COUNT)
+BASIC_LOAD = Load(INJECTORS, ())
+FULL_LOAD = Load(
+    (*INJECTORS, _hang_up),
+    ANSWER_ENDS,
+    SLOW_CALLER_COUNT,
+    STOP_CALLER_COUNT,
+    SMALL_BUFFERS_PROGRAM,
+)
+PLANNED_LOAD = FULL_LOAD._replace(injectors=PLANNED, answer_ends=())
 
 
 async def _recover(fleet, callers):
@@ -345,7 +382,8 @@
         print(
             f"seed {seed}: {result.violations or 'passed'};"
             f" {result.resumes_continued} of {result.resumes_tried} resumes went on,"
-            f" {result.slowly_read} answers read slowly, {result.unanswered} cut"
+            f" {result.slowly_read} answers read slowly, {result.unanswered} cut,"
+            f" {len(result.crossed)} closed as they were sent"
             f" (logs in {folder.name})",
             flush=True,
         )
--- a/tests/soak/spans.py
+++ b/tests/soak/spans.py
@@ -12,6 +12,14 @@
         self.begin = time.monotonic()
         self.end = math.inf
 
+    @property
+    def is_open(self):
+        return self.end == math.inf
+
+    @property
+    def age_s(self):
+        return time.monotonic() - self.begin
+
 
 class Spans:
     """The spans of one kind, such as the planned stops of a process."""
