--- /dev/null
+++ b/src/magnoliaroad/caller_connection.py
@@ -0,0 +1,121 @@
+"""A connection of a caller, which can be closed without losing a request."""
+
+import asyncio
+import contextlib
+import select
+import time
+
+from aiohttp import web
+from aiohttp.streams import StreamReader
+from aiohttp.web_protocol import RequestHandler
+from typing_extensions import override
+
+from magnoliaroad.idle import awaits_request
+from magnoliaroad.unsent_bytes import unsent_bytes
+
+TIMED_OUT = (
+    b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+)
+# Longest wait for a caller to receive an answer that ends its connection, in seconds;
+# the default of nginx's ``lingering_time``.
+MAX_LINGER_S = 30.0
+# Time between checks whether it has, in seconds.
+CHECK_INTERVAL_S = 0.05
+
+
+class CallerConnection(RequestHandler):
+    """Knows whether a request has begun to arrive.
+
+    Attributes:
+        head_began_at: Monotonic time in seconds at which an incomplete head of a
+            request began; ``None`` if there is none. Not known of a head that arrives
+            in one piece with the end of the request before it.
+    """
+
+    __slots__ = ("_last_body", "head_began_at")
+
+    def __init__(self, server: web.Server, **options) -> None:
+        super().__init__(server, **options)
+        self.head_began_at: float | None = None
+        self._last_body: StreamReader | None = None
+
+    @override
+    def data_received(self, data: bytes) -> None:
+        between = self._last_body is None or self._last_body.is_eof()
+        count = self._request_count
+        super().data_received(data)
+        if self._request_count > count:
+            self._last_body = self._messages[-1][1]
+            self.head_began_at = None
+        elif between and self.head_began_at is None and data.strip(b"\r\n"):
+            self.head_began_at = time.monotonic()
+
+    @override
+    async def finish_response(
+        self, request: web.BaseRequest, resp: web.StreamResponse, *args
+    ) -> tuple[web.StreamResponse, bool]:
+        resp, reset = await super().finish_response(request, resp, *args)
+        if not reset and not resp.keep_alive and request.content.is_eof():
+            await self._linger()
+        return resp, reset
+
+    async def _linger(self) -> None:
+        """Waits until the caller has received the answer that ends its connection.
+
+        The caller sees its end at once, and what it still sends is discarded. If the
+        connection were closed with bytes unread, the kernel would reset it and drop
+        what it has not sent of the answer.
+        """
+        self.close()
+        loop = asyncio.get_running_loop()
+        until = loop.time() + MAX_LINGER_S
+        with contextlib.suppress(OSError):
+            if self.transport is not None:
+                self._transport.write_eof()
+        while self.transport is not None and loop.time() < until:
+            if self.transport.is_closing() or not unsent_bytes(self._transport):
+                return
+            await asyncio.sleep(CHECK_INTERVAL_S)
+
+    def is_idle(self) -> bool:
+        """Returns whether no part of a request has arrived or waits to be read."""
+        return (
+            awaits_request(self)
+            and self.head_began_at is None
+            and not _is_readable(self._transport)
+        )
+
+    def close_idle(self) -> None:
+        """Closes an idle connection; the caller sees its end at once.
+
+        ``force_close`` alone closes the socket in a later iteration of the event loop.
+        """
+        with contextlib.suppress(OSError):
+            self._transport.write_eof()
+        self.force_close()
+
+    def refuse_head(self) -> None:
+        """Answers a request whose head is incomplete with 408.
+
+        The connection stays open for what still arrives, which is discarded: closing it
+        with unread bytes would reset it, and the caller might not see the answer.
+        """
+        self._transport.write(TIMED_OUT)
+        self.close()
+        self._transport.write_eof()
+
+    @property
+    def _transport(self) -> asyncio.Transport:
+        assert isinstance(self.transport, asyncio.Transport)
+        return self.transport
+
+
+def make_connection(server: web.Server) -> CallerConnection:
+    """Returns the protocol of a new connection; aiohttp has no option for its class."""
+    return CallerConnection(server, loop=server._loop, **server._kwargs)
+
+
+def _is_readable(transport: asyncio.Transport) -> bool:
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+    return bool(poll.poll(0))
--- a/src/magnoliaroad/groups/service.py
+++ b/src/magnoliaroad/groups/service.py
@@ -27,7 +27,6 @@
 from magnoliaroad.groups.stall import StallDetector
 from magnoliaroad.groups.table import (
     FLEET,
-    TABLES_PREFIX,
     GroupTable,
     group_name,
     pack_table,
@@ -43,6 +42,7 @@
 from magnoliaroad.store import Store, StoreError
 
 RETRY_S = 0.5
+COPIES_CHECK_S = 0.05
 
 
 class GroupService(Service, Groups):
@@ -82,7 +82,6 @@
         self.prober = HostProber(cfg, membership, peers)
         self._takeover = Takeover(cfg, membership, self.copy_store, self.sender)
         self._membership = membership
-        self._store = store
         self._peers = peers
         self._listeners: dict[str, list[OwnedListener]] = defaultdict(list)
         self._owned: dict[str, GroupView] = {}
@@ -94,6 +93,7 @@
         self._applied_revisions: dict[str, int] = {}
         self._apply_lock = asyncio.Lock()
         peers.on(TablesRequest, self._on_tables_request, reply=TablesReply)
+        membership.on_change(self._hold_back_lone_groups)
 
     @override
     def group_of(self, key: str, data_centre: str = "") -> str:
@@ -166,6 +166,7 @@
 
     async def refresh(self) -> None:
         """Reads the tables and applies them."""
+        self._hold_back_lone_groups()
         requested_at = self._now()
         try:
             await self.tables.read()
@@ -208,10 +209,23 @@
         """Runs one round of planning and takeovers."""
         if not self.stall_detector.may_confirm(self._now()):
             await self.refresh()
+        self._hold_back_lone_groups()
         await self.plan()
         await self.apply_tables()
         self._update_metrics()
 
+    async def wait_for_copies(self, limit_s: float) -> None:
+        """Waits at most ``limit_s`` until no group has one live holder only.
+
+        Does not wait where no other host could hold copies.
+        """
+        deadline = self._now() + limit_s
+        while self._lacks_copies():
+            if self._now() >= deadline:
+                logger.bind(limit_s=limit_s).warning("groups still lack copies")
+                return
+            await asyncio.sleep(COPIES_CHECK_S)
+
     async def wait_for_handover(self, limit_s: float) -> None:
         """Waits at most ``limit_s`` until other hosts hold this host's groups."""
         deadline = self._now() + limit_s
@@ -228,12 +242,10 @@
         revision = 0
         while not self.should_stop:
             try:
-                batch = await self._store.watch(TABLES_PREFIX, revision)
+                batch = await self.tables.watch(revision)
             except StoreError:
                 await asyncio.sleep(RETRY_S)
                 continue
-            for entry in batch.changed:
-                self.tables.update_from_entry(entry)
             if batch.changed:
                 await self.apply_tables()
             revision = batch.revision
@@ -345,6 +357,50 @@
             if view and view.active and self._this_member not in view.holders:
                 self.copy_store.drop(group)
 
+    def _hold_back_lone_groups(self) -> None:
+        """Stops acting for groups without copies while this host must not do so."""
+        if self._may_act_alone():
+            return
+        lone = [group for group, view in self._owned.items() if not view.copies]
+        for group in lone:
+            del self._owned[group]
+            self._waiting_since.setdefault(group, self._now())
+        if lone:
+            logger.bind(groups=len(lone)).info("groups without copies wait")
+
+    def _may_act_alone(self) -> bool:
+        """Whether this host may act for groups without copies.
+
+        After a stall others may own them, and programs drop their state meanwhile, so
+        these groups are gained anew once the tables were read.
+        """
+        is_current = self.stall_detector.may_confirm(self._now())
+        return is_current and not self._can_gain_copies()
+
+    def _lacks_copies(self) -> bool:
+        """Whether some group has one live holder only, although it could have more."""
+        domains = (self._membership.record.data_centre, FLEET)
+        return self._can_gain_copies() and any(
+            self._has_lone_holder(self.tables.get(domain)) for domain in domains
+        )
+
+    def _has_lone_holder(self, table: GroupTable) -> bool:
+        """Whether one live host alone has a group of ``table`` or may yet plan it."""
+        alive = {member_of(record) for record in self.prober.alive()}
+        return not table.views or any(
+            len(view.record_holders) == 1 and view.record_holders[0] in alive
+            for view in table.views
+        )
+
+    def _can_gain_copies(self) -> bool:
+        """Whether another host could hold copies and the store lets them be planned."""
+        if not self.cfg.copies or not self.tables.is_store_reachable:
+            return False
+        return any(
+            not record.draining and record.host != self._this_member.host
+            for record in self.prober.alive()
+        )
+
     def _pending(self) -> list[str]:
         pending = [
             group_name(table.domain, number)
@@ -406,6 +462,8 @@
             self._start_owning(group, view)
 
     def _start_owning(self, group: str, view: GroupView) -> None:
+        if not view.copies and not self._may_act_alone():
+            return
         self._owned[group] = view
         since = self._waiting_since.pop(group, self._now())
         waited_s = self._now() - since
--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -28,6 +28,8 @@
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
 
+# What came of asking hosts to keep a record, by host, for the log.
+Outcomes = dict[str, str]
 RecordRequest = KeepRecord | FetchRecord | ProxyKeepRequest | ProxyFetchRequest
 
 
@@ -78,6 +80,7 @@
         self._not_accepting: set[str] = set()
         self._last_failure_at: dict[str, float] = {}
         self._heartbeats: dict[str, RecordHostHeartbeat] = {}
+        self._marked: frozenset[str] = frozenset()
         self.hosts_listed = False
         peers.register_replies(FetchRecordReply)
         peers.on(ProxyKeepRequest, self._on_proxy_keep, KeepRecordReply)
@@ -93,14 +96,21 @@
         """Whether at least one record host is live."""
         return any(map(self._is_live, self._last_heartbeat_at))
 
-    def set_hosts(self, hosts: dict[str, PeerAddress]) -> None:
+    def set_hosts(
+        self, hosts: dict[str, PeerAddress], marked: frozenset[str] = frozenset()
+    ) -> None:
         """Replaces the known record hosts by those that the store lists.
 
         Live hosts are kept: their entries may have expired during an outage of the
         store.
+
+        Args:
+            hosts: Addresses of the listed hosts, by name.
+            marked: Hosts, listed or not, that may hold records which the store lacks.
         """
         kept = {host: a for host, a in self._hosts.items() if self._is_live(host)}
         self._hosts = {**kept, **hosts}
+        self._marked = marked
         self.hosts_listed = True
 
     def process_heartbeat(
@@ -160,21 +170,39 @@
             if address.data_centre == data_centre and self._is_live(host)
         )
 
+    def unlisted_holders(self) -> list[str]:
+        """Returns hosts that may hold records and can't be asked for them."""
+        return sorted(self._marked - self._hosts.keys())
+
     async def keep(self, key: str, value: bytes, ttl_s: float) -> None:
         """Returns once enough hosts have synced a record, or the store holds it.
 
         If neither succeeds, any synced copy is enough: a data centre that is cut off
         keeps working, and its record host writes the record to the store later.
         """
+        outcomes: Outcomes = {}
+        try:
+            await self._keep(key, value, ttl_s, outcomes)
+        except asyncio.CancelledError:
+            logger.bind(key=key, asked=outcomes, silent=self.silent_hosts()).warning(
+                "record not kept"
+            )
+            raise
+
+    async def _keep(
+        self, key: str, value: bytes, ttl_s: float, outcomes: Outcomes
+    ) -> None:
         while True:
-            synced = await self._keep_on_hosts(key, value, ttl_s)
+            synced = await self._keep_on_hosts(key, value, ttl_s, outcomes)
             if len(synced) >= self.cfg.copies:
                 return
             for host in self._helpers():
-                kept = await self._call(host, ProxyKeepRequest(key, value, ttl_s))
-                if kept is not None and kept.synced:
+                req = ProxyKeepRequest(key, value, ttl_s)
+                if await self._keep_on(host, req, outcomes):
                     return
-            if await self._keep_in_store(key, value, ttl_s):
+            # A synced copy is enough without the store, so that is not waited for.
+            limit_s = self.cfg.call_s if synced else self.cfg.last_copy_s
+            if await self._keep_in_store(key, value, ttl_s, limit_s):
                 return
             if synced:
                 logger.bind(key=key, hosts=synced).warning("record on too few hosts")
@@ -196,9 +224,11 @@
                 if reply is not None and reply.certain:
                     return reply.value if reply.found else None
             if pause_s == MIN_RETRY_S:
-                logger.bind(key=key, settled=self._list_is_complete()).info(
-                    "record neither found nor certainly absent"
-                )
+                logger.bind(
+                    key=key,
+                    settled=self._list_is_complete(),
+                    holders=self.unlisted_holders(),
+                ).info("record neither found nor certainly absent")
             await asyncio.sleep(pause_s)
             pause_s = min(MAX_RETRY_S, 2 * pause_s)
 
@@ -217,8 +247,10 @@
     async def _on_proxy_keep(
         self, sender: str, req: ProxyKeepRequest
     ) -> KeepRecordReply:
-        synced = await self._keep_on_hosts(req.key, req.value, req.ttl_s)
-        kept = len(synced) >= self.cfg.copies or await self._keep_in_store(*req)
+        synced = await self._keep_on_hosts(req.key, req.value, req.ttl_s, {})
+        kept = len(synced) >= self.cfg.copies or await self._keep_in_store(
+            *req, self.cfg.call_s
+        )
         return KeepRecordReply(kept)
 
     async def _on_proxy_fetch(
@@ -246,6 +278,7 @@
         Record hosts that this host does not know yet may hold it. A record host is
         on the store's list before it accepts records, so all hosts on a fresh list are
         asked, and then the store, to which the record may have been written meanwhile.
+        A host that has stopped with records of its own is marked on the list.
 
         Returns:
             Whether the result is certain, and the record.
@@ -263,7 +296,8 @@
         if value is not None:
             return True, value
         reached, value = await self._read_store(key)
-        return reached and None not in answers, value
+        certain = reached and None not in answers and not self.unlisted_holders()
+        return certain, value
 
     async def _fetch_from(
         self, key: str, hosts: list[str]
@@ -279,13 +313,15 @@
             return False, None
         return True, None if entry is None else entry.value
 
-    async def _keep_on_hosts(self, key: str, value: bytes, ttl_s: float) -> list[str]:
+    async def _keep_on_hosts(
+        self, key: str, value: bytes, ttl_s: float, outcomes: Outcomes
+    ) -> list[str]:
         hosts = self._replica_hosts(key)
         calls = []
         for i, host in enumerate(hosts):
             partners = [other for other in hosts if other != host]
             req = KeepRecord(key, value, ttl_s, partners, not i)
-            calls.append(self._keep_on(host, req))
+            calls.append(self._keep_on(host, req, outcomes))
         results = await asyncio.gather(*calls)
         synced = [host for host, ok in zip(hosts, results, strict=True) if ok]
         for host in self._live_hosts(key):
@@ -293,18 +329,27 @@
                 break
             if host not in hosts:
                 req = KeepRecord(key, value, ttl_s, [], True)
-                if await self._keep_on(host, req):
+                if await self._keep_on(host, req, outcomes):
                     synced.append(host)
         return synced
 
-    async def _keep_on(self, host: str, req: KeepRecord) -> bool:
+    async def _keep_on(
+        self, host: str, req: KeepRecord | ProxyKeepRequest, outcomes: Outcomes
+    ) -> bool:
+        outcomes[host] = "asked"
         kept = await self._call(host, req)
-        return kept is not None and kept.synced
+        if kept is None:
+            outcomes[host] = "not reached"
+            return False
+        outcomes[host] = "synced" if kept.synced else "not synced"
+        return kept.synced
 
-    async def _keep_in_store(self, key: str, value: bytes, ttl_s: float) -> bool:
+    async def _keep_in_store(
+        self, key: str, value: bytes, ttl_s: float, limit_s: float
+    ) -> bool:
         lease = 0
         try:
-            async with asyncio.timeout(self.cfg.call_s):
+            async with asyncio.timeout(limit_s):
                 lease = await self._leases.get(ttl_s)
                 await self._store.put_many([StorePut(key, value, lease)])
         except LeaseLost:
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -19,6 +19,8 @@
 
 # Headers that aiohttp would add to the caller's own.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
+# Statuses of final answers. aiohttp takes 101 and numbers without a meaning for such.
+FINAL_STATUSES = range(200, 600)
 # Errors that aiohttp raises before it has sent any byte of the request.
 NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
 
@@ -46,17 +48,30 @@
     context.trace_request_ctx()
 
 
-def _trace_headers_sent() -> aiohttp.TraceConfig:
+async def _on_connection_reused(
+    session: aiohttp.ClientSession, context: Any, params: Any
+) -> None:
+    context.trace_request_ctx.reused = True
+
+
+def _trace_sending() -> aiohttp.TraceConfig:
     trace = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(_on_headers_sent)
+    trace.on_connection_reuseconn.append(_on_connection_reused)
     return trace
 
 
 class _SendState:
-    """Records whether any part of a request has been sent."""
+    """Records how a request is sent.
+
+    Attributes:
+        started: Whether any part of it has been sent.
+        reused: Whether its connection has served other requests.
+    """
 
     def __init__(self, on_sent: Callable[[], None]) -> None:
         self.started = False
+        self.reused = False
         self._on_sent = on_sent
 
     def __call__(self) -> None:
@@ -89,7 +104,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             middlewares=(_send_without_retry,),
-            trace_configs=[_trace_headers_sent()],
+            trace_configs=[_trace_sending()],
             response_class=ClosableResponse,
             skip_auto_headers=AUTO_HEADERS,
         )
@@ -114,7 +129,7 @@
             on_sent: Callback that runs when the request headers have been sent.
 
         Raises:
-            TargetError: No response headers arrived.
+            TargetError: No response headers arrived, or none of a final answer.
         """
         assert self._session is not None
         send_state = _SendState(on_sent)
@@ -137,4 +152,9 @@
         except (aiohttp.ClientError, TimeoutError) as exc:
             verdict = Verdict.MAY_HAVE_RUN if send_state.started else Verdict.NOT_RUN
             raise TargetError(f"{req.url}: {describe_error(exc)}", verdict) from exc
-        return TargetResponse(resp, self.cfg.silence_timeout_s)
+        if resp.status not in FINAL_STATUSES:
+            resp.close_connection()
+            text = f"{req.url}: status {resp.status} is no final answer"
+            raise TargetError(text, Verdict.MAY_HAVE_RUN)
+        is_doubtful = send_state.reused and resp.is_early
+        return TargetResponse(resp, self.cfg.silence_timeout_s, is_doubtful)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -16,6 +16,10 @@
 from tests.platform.kv_standin import KvStandin
 
 KEY = "secret-of-league"
+# Value of the ``Authorization`` header of a team without a limit.
+UNLIMITED = "Bearer secret-of-other"
+# Most exchanges at the same time; the queue of a listening socket holds twice as many.
+MAX_EXCHANGES = 50
 
 
 def free_address():
@@ -46,6 +50,7 @@
             route("open", "/open/", "safe", "app", auth_exempt=True),
             route("chat", "/stream/", "streaming", "lm", retain=True, retention_s=60.0),
             route("plan", "/plan/", "streaming", "lm", resumable=True),
+            route("talk", "/talk/", "streaming", "lm"),
         ],
         "services": [
             {"name": "app", "health_path": "/health", "max_conns": 100},
@@ -80,6 +85,7 @@
         self.escrow = escrow
         self.relays = []
         self.records = None
+        self.exchange_slots = asyncio.Semaphore(MAX_EXCHANGES)
         self._ids = itertools.count(1)
 
     async def __aenter__(self):
