Write the log lines of requests with headers that are not UTF-8

Seen: a request whose program id holds a byte that is not UTF-8 was answered, but its `placed` and `answer begun` lines were missing; loguru wrote a report on each to standard error.

Cause: aiohttp decodes such bytes to surrogates, which msgspec does not encode.

Change: a line that msgspec refuses is encoded with escapes by the standard library, in the same form otherwise.

--- a/src/magnoliaroad/logs/json_line.py
+++ b/src/magnoliaroad/logs/json_line.py
@@ -1,5 +1,6 @@
 """Log lines as JSON."""
 
+import json
 from typing import Any
 
 import msgspec
@@ -29,4 +30,8 @@
 
 def encode_line(fields: dict[str, Any]) -> str:
     """Returns fields as one line of JSON."""
-    return msgspec.json.encode(fields, enc_hook=str).decode() + "\n"
+    try:
+        return msgspec.json.encode(fields, enc_hook=str).decode() + "\n"
+    except UnicodeEncodeError:
+        # Headers that are not UTF-8 are decoded to surrogates, which are escaped here.
+        return json.dumps(fields, default=str, separators=(",", ":")) + "\n"
--- a/tests/platform/test_unread_streams.py
+++ b/tests/platform/test_unread_streams.py
@@ -1,6 +1,7 @@
 """Hosts whose standard output or error nobody reads, or is closed."""
 
 import asyncio
+import json
 import os
 
 import pytest
@@ -93,3 +94,17 @@
     assert '"caller":"127.0.0.1"' in line
     assert "hidden" not in log
     assert "trace" not in line
+
+
+async def test_a_request_whose_header_is_not_utf_8_has_its_lines(tmp_path):
+    async with Fleet(tmp_path, 1, 0) as fleet:
+        relay = fleet.relay_hosts[0]
+        request = REQUEST.format("named\r\nMagnoliaroad-Program-Id: p-@").encode()
+        request = request.replace(b"@", b"\xff")
+        answer = await send(relay.caller_address, request)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert await relay.terminate() == ""
+    log = (relay.folder / "log-1.jsonl").read_text()
+    assert '"standard error"' not in log
+    lines = [json.loads(line) for line in log.splitlines() if r"p-\udcff" in line]
+    assert {line["event"] for line in lines} >= {"placed", "answer begun"}
