Turns: replies of record hosts that come late still count

Callers saw: all events of a turn and no end, when disks and the store were slow together: 13 of 80 turns with syncs of 0.5 s and calls on the store of 0.6 s, 16 of 48 with syncs of 0.3 s, the same store and one record host stopped in a planned way.

Cause: a reply that came later than 0.25 s was dropped, its host counted as lost, and the next attempt asked all again. So each attempt failed like the first until the limit of 2 s for the storing of a turn.

Now the calls for one record go on until there are enough copies or the limit ends them (KeepCalls). After 0.25 s the next host is asked, then the store; whichever of all replies come first are enough, and no host or store is asked again while its call is under way. A host that is late counts as lost only if it has also missed two heartbeats; otherwise it gets new records after the others until its next heartbeat, and is not waited for alone. A record that is synced in time costs two calls, as before.

"record not kept" names the store too, and tells late hosts from silent ones.

Evidence: ten of the new tests in tests/records failed before: eight of test_hosts_that_sync_late_keep_a_record with TimeoutError, one as a late host was lost, one as the log had `not reached` for hosts that were only late. All pass now.

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -9,6 +9,14 @@
 from loguru import logger
 
 from magnoliaroad.peers import PeerAddress, PeerError, Peers
+from magnoliaroad.records.keep_calls import (
+    KEPT,
+    LATE,
+    NOT_REACHED,
+    NOT_SYNCED,
+    SYNCED,
+    KeepCalls,
+)
 from magnoliaroad.records.messages import (
     FetchRecord,
     FetchRecordReply,
@@ -28,8 +36,11 @@
 MIN_RETRY_S = 0.05
 MAX_RETRY_S = 0.4
 
-# What came of asking hosts to keep a record, by host, for the log.
-Outcomes = dict[str, str]
+# Name of the store among the hosts that are asked to keep a record.
+STORE = "store"
+# Heartbeats that a host must have missed to count as lost when its reply is late.
+MISSED_HEARTBEATS = 2
+
 RecordRequest = KeepRecord | FetchRecord | ProxyKeepRequest | ProxyFetchRequest
 
 
@@ -79,6 +90,7 @@
         self._last_heartbeat_at: dict[str, float] = {}
         self._not_accepting: set[str] = set()
         self._last_failure_at: dict[str, float] = {}
+        self._late_since: dict[str, float] = {}
         self._heartbeats: dict[str, RecordHostHeartbeat] = {}
         self._marked: frozenset[str] = frozenset()
         self.hosts_listed = False
@@ -177,35 +189,41 @@
     async def keep(self, key: str, value: bytes, ttl_s: float) -> None:
         """Returns once enough hosts have synced a record, or the store holds it.
 
+        When hosts are late to reply, others and the store are asked as well; whichever
+        of all replies come first are enough.
+
         If neither succeeds, any synced copy is enough: a data centre that is cut off
         keeps working, and its record host writes the record to the store later.
         """
-        outcomes: Outcomes = {}
+        calls = KeepCalls(self.cfg.copies)
         try:
-            await self._keep(key, value, ttl_s, outcomes)
+            await self._keep(KeepRecord(key, value, ttl_s, [], True), calls)
         except asyncio.CancelledError:
-            logger.bind(key=key, asked=outcomes, silent=self.silent_hosts()).warning(
-                "record not kept"
-            )
+            logger.bind(
+                key=key, asked=calls.outcomes, silent=self.silent_hosts()
+            ).warning("record not kept")
             raise
+        finally:
+            calls.cancel()
 
-    async def _keep(
-        self, key: str, value: bytes, ttl_s: float, outcomes: Outcomes
-    ) -> None:
-        while True:
-            synced = await self._keep_on_hosts(key, value, ttl_s, outcomes)
-            if len(synced) >= self.cfg.copies:
-                return
+    async def _keep(self, record: KeepRecord, calls: KeepCalls) -> None:
+        while not await self._keep_on_hosts(record, calls):
             for host in self._helpers():
-                req = ProxyKeepRequest(key, value, ttl_s)
-                if await self._keep_on(host, req, outcomes):
+                req = ProxyKeepRequest(record.key, record.value, record.ttl_s)
+                if calls.needs(host):
+                    calls.start(host, self._keep_by_helper(host, req))
+                if await calls.wait([host], self.cfg.help_s):
                     return
             # A synced copy is enough without the store, so that is not waited for.
-            limit_s = self.cfg.call_s if synced else self.cfg.last_copy_s
-            if await self._keep_in_store(key, value, ttl_s, limit_s):
+            limit_s = self.cfg.call_s if calls.synced else self.cfg.last_copy_s
+            if await self._keep_in_store(record, calls, limit_s):
                 return
-            if synced:
-                logger.bind(key=key, hosts=synced).warning("record on too few hosts")
+            if calls.synced:
+                logger.bind(key=record.key, hosts=calls.synced).warning(
+                    "record on too few hosts"
+                )
+                return
+            if await calls.wait(calls.under_way, self.cfg.call_s):
                 return
             await asyncio.sleep(MIN_RETRY_S)
 
@@ -247,10 +265,13 @@
     async def _on_proxy_keep(
         self, sender: str, req: ProxyKeepRequest
     ) -> KeepRecordReply:
-        synced = await self._keep_on_hosts(req.key, req.value, req.ttl_s, {})
-        kept = len(synced) >= self.cfg.copies or await self._keep_in_store(
-            *req, self.cfg.call_s
-        )
+        calls = KeepCalls(self.cfg.copies)
+        record = KeepRecord(req.key, req.value, req.ttl_s, [], True)
+        try:
+            kept = await self._keep_on_hosts(record, calls)
+            kept = kept or await self._keep_in_store(record, calls, self.cfg.call_s)
+        finally:
+            calls.cancel()
         return KeepRecordReply(kept)
 
     async def _on_proxy_fetch(
@@ -313,73 +334,120 @@
             return False, None
         return True, None if entry is None else entry.value
 
-    async def _keep_on_hosts(
-        self, key: str, value: bytes, ttl_s: float, outcomes: Outcomes
-    ) -> list[str]:
-        hosts = self._replica_hosts(key)
-        calls = []
+    async def _keep_on_hosts(self, record: KeepRecord, calls: KeepCalls) -> bool:
+        """Asks hosts for copies; returns whether there are enough.
+
+        Hosts whose replies are late are not waited for, but their copies count.
+        """
+        hosts = self._replica_hosts(record.key)
+        asked = []
         for i, host in enumerate(hosts):
             partners = [other for other in hosts if other != host]
-            req = KeepRecord(key, value, ttl_s, partners, not i)
-            calls.append(self._keep_on(host, req, outcomes))
-        results = await asyncio.gather(*calls)
-        synced = [host for host, ok in zip(hosts, results, strict=True) if ok]
-        for host in self._live_hosts(key):
-            if len(synced) >= self.cfg.copies:
-                break
-            if host not in hosts:
-                req = KeepRecord(key, value, ttl_s, [], True)
-                if await self._keep_on(host, req, outcomes):
-                    synced.append(host)
-        return synced
-
-    async def _keep_on(
-        self, host: str, req: KeepRecord | ProxyKeepRequest, outcomes: Outcomes
-    ) -> bool:
-        outcomes[host] = "asked"
+            req = record._replace(partners=partners, writes_first=not i)
+            if calls.needs(host):
+                calls.start(host, self._keep_on(host, req))
+                asked.append(host)
+        if await self._wait_for_prompt(asked, calls):
+            return True
+        for host in self._live_hosts(record.key):
+            if host not in hosts and calls.needs(host):
+                calls.start(host, self._keep_on(host, record))
+                if await self._wait_for_prompt([host], calls):
+                    return True
+        return False
+
+    async def _wait_for_prompt(self, asked: list[str], calls: KeepCalls) -> bool:
+        """Waits for hosts of which a prompt reply is expected."""
+        prompt = [host for host in asked if not self._is_late(host)]
+        done = await calls.wait(prompt, self.cfg.call_s)
+        if not done:
+            self._note_late(calls)
+        return done
+
+    def _note_late(self, calls: KeepCalls) -> None:
+        """Counts hosts that have not replied as late, or as lost if they are silent."""
+        now = self._now()
+        silent_since = now - MISSED_HEARTBEATS * self.cfg.here_interval_s
+        for host in calls.under_way:
+            if host not in self._hosts:
+                continue
+            if self._last_heartbeat_at.get(host, -math.inf) >= silent_since:
+                self._late_since[host] = now
+                calls.outcomes[host] = LATE
+            else:
+                # Once only: heartbeats that are forwarded late must count again.
+                if host in self._last_heartbeat_at:
+                    self._mark_lost(host)
+                calls.outcomes[host] = NOT_REACHED
+
+    def _mark_lost(self, host: str) -> None:
+        self._last_heartbeat_at.pop(host, None)
+        self._last_failure_at[host] = self._now()
+
+    async def _keep_on(self, host: str, req: KeepRecord) -> str:
         kept = await self._call(host, req)
         if kept is None:
-            outcomes[host] = "not reached"
-            return False
-        outcomes[host] = "synced" if kept.synced else "not synced"
-        return kept.synced
+            return NOT_REACHED
+        self._late_since.pop(host, None)
+        return SYNCED if kept.synced else NOT_SYNCED
+
+    async def _keep_by_helper(self, host: str, req: ProxyKeepRequest) -> str:
+        kept = await self._call(host, req)
+        if kept is None:
+            return NOT_REACHED
+        return KEPT if kept.synced else NOT_SYNCED
 
     async def _keep_in_store(
-        self, key: str, value: bytes, ttl_s: float, limit_s: float
+        self, record: KeepRecord, calls: KeepCalls, limit_s: float
     ) -> bool:
+        if calls.needs(STORE):
+            calls.start(STORE, self._write_to_store(record))
+        return await calls.wait([STORE], limit_s)
+
+    async def _write_to_store(self, record: KeepRecord) -> str:
         lease = 0
         try:
-            async with asyncio.timeout(limit_s):
-                lease = await self._leases.get(ttl_s)
-                await self._store.put_many([StorePut(key, value, lease)])
+            async with asyncio.timeout(self.cfg.last_copy_s):
+                lease = await self._leases.get(record.ttl_s)
+                await self._store.put_many([StorePut(record.key, record.value, lease)])
         except LeaseLost:
             self._leases.drop(lease)
-            return False
+            return NOT_REACHED
         except (StoreError, TimeoutError) as exc:
-            logger.bind(key=key, reason=repr(exc)).warning("record not stored yet")
-            return False
-        return True
+            logger.bind(key=record.key, reason=repr(exc)).warning(
+                "record not stored yet"
+            )
+            return NOT_REACHED
+        return KEPT
 
     async def _call(self, host: str, req: RecordRequest) -> Any:
-        by_helper = isinstance(req, ProxyKeepRequest | ProxyFetchRequest)
-        timeout_s = self.cfg.help_s if by_helper else self.cfg.call_s
         try:
-            return await self._peers.call_with_deadline(host, req, timeout_s)
+            return await self._peers.call_with_deadline(host, req, self._limit_s(req))
         except PeerError as exc:
-            self._last_heartbeat_at.pop(host, None)
-            self._last_failure_at[host] = self._now()
+            self._mark_lost(host)
             logger.bind(host=host, key=req.key, reason=repr(exc)).info(
                 "record host not reached"
             )
             return None
 
+    def _limit_s(self, req: RecordRequest) -> float:
+        if isinstance(req, KeepRecord):
+            return self.cfg.late_s
+        by_helper = isinstance(req, ProxyKeepRequest | ProxyFetchRequest)
+        return self.cfg.help_s if by_helper else self.cfg.call_s
+
     def _replica_hosts(self, key: str) -> list[str]:
         """Returns the hosts for a record, in different data centres if possible.
 
         The first one is in this data centre if possible, where the record is most
         likely to be read; readers elsewhere ask a host of their own first, then all.
+        Hosts that were late to reply since their last heartbeat are left out if there
+        are enough others.
         """
         ranked = self._live_hosts(key)
+        prompt = [host for host in ranked if not self._is_late(host)]
+        if len(prompt) >= self.cfg.copies:
+            ranked = prompt
         ranked.sort(key=lambda h: self._hosts[h].data_centre != self.data_centre)
         data_centres: set[str] = set()
         per_data_centre: list[str] = []
@@ -398,6 +466,10 @@
             if self._is_live(host) and host not in self._not_accepting
         ]
 
+    def _is_late(self, host: str) -> bool:
+        late_since = self._late_since.get(host, -math.inf)
+        return late_since > self._last_heartbeat_at.get(host, -math.inf)
+
     def _is_live(self, host: str) -> bool:
         """Whether the last heartbeat of a host is at most ``cfg.silent_s`` old."""
         return self._last_heartbeat_at.get(host, 0.0) >= self._now() - self.cfg.silent_s
--- a/src/magnoliaroad/records/settings.py
+++ b/src/magnoliaroad/records/settings.py
@@ -25,8 +25,10 @@
         pending_bytes: Maximum bytes of records that the store does not hold yet; beyond
             it, new records are refused.
         segment_bytes: Size at which a new segment file of the journal is started.
-        call_s: Timeout of a relay host's call on a record host; ten syncs of a slow
-            disk.
+        call_s: Time after which a relay host no longer waits for a record host alone;
+            ten syncs of a slow disk.
+        late_s: Longest wait for the reply of a record host that is asked to keep a
+            record: as long as the end of a turn may be held back for it.
         last_copy_s: Time limit of a relay host's writing of a record to the store if no
             record host has synced it: two calls of a slow store, within the time that a
             caller waits for the end of its turn.
@@ -50,6 +52,7 @@
     pending_bytes: int = 60_000_000
     segment_bytes: int = 2_000_000
     call_s: float = 0.25
+    late_s: float = 2.0
     last_copy_s: float = 1.0
     silent_s: float = 1.4
     here_interval_s: float = 0.4
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -72,6 +72,17 @@
             address = PeerAddress(name, DATA_CENTRES[name], "127.0.0.1", 0)
             self.client.process_heartbeat(RecordHostHeartbeat(*address, accepts))
 
+    def slow_sync(self, name, delay_s):
+        """Makes the replies of a host to new records late, and nothing else."""
+        handlers = self.network.hosts[name]._handlers
+        keep = handlers[KeepRecord]
+
+        async def keep_slowly(sender, req):
+            await asyncio.sleep(delay_s)
+            return await keep(sender, req)
+
+        handlers[KeepRecord] = keep_slowly
+
     async def stop(self, name):
         """Stops a host before it can write any more records to the store."""
         service = self.hosts.pop(name)
@@ -265,6 +276,103 @@
     run_scenario(loop, tmp_path, body, hosts=())
 
 
+@pytest.mark.parametrize("sync_s", [0.3, 0.5, 0.9, 1.5])
+@pytest.mark.parametrize(
+    "store", [StoreFaults(down=True), StoreFaults(delay_s=1.0)], ids=["down", "slow"]
+)
+def test_hosts_that_sync_late_keep_a_record(loop, tmp_path, sync_s, store):
+    """LOST: late replies were dropped, and each attempt failed like the first."""
+
+    async def body(fleet):
+        fleet.store.faults = store
+        for name in DATA_CENTRES:
+            fleet.slow_sync(name, sync_s)
+        async with asyncio.timeout(STORE_PATIENCE_S):
+            await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert sum(on_disk(tmp_path, name) for name in DATA_CENTRES) >= 2
+
+    run_scenario(loop, tmp_path, body)
+
+
+@pytest.mark.parametrize("slow", sorted(DATA_CENTRES))
+def test_a_third_host_is_asked_when_one_of_two_is_late(loop, tmp_path, slow):
+    async def body(fleet):
+        fleet.slow_sync(slow, 1.5)
+        started_at = loop.time()
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert loop.time() - started_at < 2 * CFG.call_s
+        kept_on = {name for name in DATA_CENTRES if on_disk(tmp_path, name)}
+        assert kept_on == DATA_CENTRES.keys() - {slow}
+
+    run_scenario(loop, tmp_path, body)
+
+
+def test_a_host_that_syncs_late_is_not_lost_but_gets_records_last(loop, tmp_path):
+    async def body(fleet):
+        fleet.slow_sync("r1", 1.5)
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert set(fleet.client.live_hosts()) == DATA_CENTRES.keys()
+        started_at = loop.time()
+        await fleet.client.keep("turns/2", b"hello", 65.0)
+        assert loop.time() - started_at < CFG.call_s
+        await asyncio.sleep(0.1)
+        fleet.send_heartbeats("r1")
+        assert "r1" in fleet.client._replica_hosts("turns/1")
+
+    run_scenario(loop, tmp_path, body)
+
+
+def test_a_host_without_replies_and_heartbeats_is_lost(loop, tmp_path):
+    async def body(fleet):
+        fleet.slow_sync("r1", 1.5)
+        await asyncio.sleep(2.0 * CFG.silent_s)
+        fleet.send_heartbeats("r1")
+        await asyncio.sleep(2.5 * CFG.here_interval_s)
+        fleet.send_heartbeats("r2", "r3")
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert set(fleet.client.live_hosts()) == {"r2", "r3"}
+
+    run_scenario(loop, tmp_path, body)
+
+
+def test_a_record_that_is_synced_in_time_costs_two_calls(loop, tmp_path):
+    async def body(fleet):
+        relay = fleet.network.hosts["relay"]
+        before = sum(relay.sent.values())
+        for name in DATA_CENTRES:
+            fleet.slow_sync(name, 0.8 * CFG.call_s)
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert sum(relay.sent.values()) - before == 2
+        assert fleet.state.revision == 0
+
+    run_scenario(loop, tmp_path, body)
+
+
+def test_a_late_store_call_is_not_repeated_while_it_is_under_way(loop, tmp_path):
+    async def body(fleet):
+        fleet.store.faults = StoreFaults(delay_s=0.4)
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert fleet.state.revision == 1
+
+    run_scenario(loop, tmp_path, body, hosts=())
+
+
+def test_the_log_names_hosts_that_are_late_and_copies_that_are_synced(
+    loop, tmp_path, logged
+):
+    async def body(fleet):
+        fleet.store.faults = StoreFaults(down=True)
+        for name in DATA_CENTRES:
+            fleet.slow_sync(name, 3.0)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(CFG.here_interval_s):
+                await fleet.client.keep("turns/1", b"hello", 65.0)
+        (line,) = (line for line in logged if line["event"] == "record not kept")
+        assert sorted(line["asked"].values()) == ["asked", "late", "late"]
+
+    run_scenario(loop, tmp_path, body)
+
+
 def test_the_log_names_the_hosts_that_did_not_keep_a_record(loop, tmp_path, logged):
     async def body(fleet):
         fleet.store.faults = StoreFaults(down=True)
