Move the checks of a target's answer out of relay/run.py

A request counts as not sent again wherever an error of its target says that it was not run, in one place instead of three.

--- /dev/null
+++ b/src/magnoliaroad/relay/open_answer.py
@@ -0,0 +1,107 @@
+"""Decides whether a target's answer belongs to a request, and whether it is whole."""
+
+from typing import NamedTuple, Self
+
+from magnoliaroad.relay.dialect import AnswerHead
+from magnoliaroad.relay.event_scanner import EventScanner
+from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.targets import (
+    AnswerCut,
+    TargetError,
+    TargetFull,
+    TargetResponse,
+    WrongTarget,
+)
+from magnoliaroad.verdict import Verdict
+
+# Media type of a stream of events.
+EVENT_STREAM = "text/event-stream"
+# HTTP status of a target that is not the one named in the request.
+MISDIRECTED = 421
+# HTTP status with which a target rejects a request without an id.
+BAD_REQUEST = 400
+# Largest answer of a plain service that is buffered before it is passed on, in bytes.
+# An answer that breaks off while it is buffered can still be retried or refused.
+MAX_BUFFERED_BYTES = 262_144
+
+
+class OpenAnswer(NamedTuple):
+    """An answer of a target whose headers have arrived.
+
+    Attributes:
+        target: Target that answers.
+        response: Its response.
+        head: The fields of its headers.
+        body: Part of the body that was buffered; empty for a stream.
+        complete: Whether ``body`` is the whole body.
+    """
+
+    target: RelayTarget
+    response: TargetResponse
+    head: AnswerHead
+    body: bytes = b""
+    complete: bool = False
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the status is that of a success."""
+        return self.response.status < 300
+
+    def check_owner(self, request_id: str) -> None:
+        """Closes the connection if the answer is not that of the request.
+
+        Targets echo the id of a request, and reject requests without one.
+
+        Raises:
+            TargetError: The answer does not state that it belongs to the request.
+        """
+        stated_id = self.head.request_id
+        can_be_matched = bool(stated_id) or self.response.status == BAD_REQUEST
+        if stated_id == request_id and can_be_matched:
+            return
+        self.response.close_connection()
+        text = f"answer belongs to request {stated_id!r}"
+        raise TargetError(text, Verdict.MAY_HAVE_RUN)
+
+    def check_accepted(self) -> None:
+        """Checks that the target ran the request.
+
+        Raises:
+            WrongTarget: Another target answered.
+            TargetFull: The target did not run the request.
+            TargetError: The answer is a success without the target's signature.
+        """
+        if self.response.status == MISDIRECTED:
+            address, name = self.target.address, self.target.name
+            raise WrongTarget(f"{address} is not the address of {name}")
+        if self.head.refused:
+            raise TargetFull(f"refused with status {self.response.status}")
+        if self.succeeded and (not self.head.signed or self.head.encoded):
+            raise TargetError("answer not signed by the target", Verdict.MAY_HAVE_RUN)
+
+    async def buffer(self) -> Self:
+        """Returns the answer with its body, or the start of a large one.
+
+        Raises:
+            AnswerCut: The body broke off.
+        """
+        chunks, size = [], 0
+        async for chunk in self.response.iter_chunks():
+            chunks.append(chunk)
+            size += len(chunk)
+            if size > MAX_BUFFERED_BYTES:
+                return self._replace(body=b"".join(chunks))
+        return self._replace(body=b"".join(chunks), complete=True)
+
+    def check_events(self, scanner: EventScanner) -> None:
+        """Checks that a stream of events ended between two of them.
+
+        A stream without a media type is taken for one of events.
+
+        Raises:
+            AnswerCut: It ended inside an event.
+        """
+        media_type = self.response.headers.get("Content-Type", EVENT_STREAM)
+        is_events = media_type.partition(";")[0].strip().lower() == EVENT_STREAM
+        if self.succeeded and is_events and not scanner.complete:
+            raise AnswerCut("stream ended inside an event")
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -5,7 +5,6 @@
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from typing import NamedTuple
 
 from aiohttp import HttpVersion11, web
 from loguru import logger
@@ -22,6 +21,7 @@
     RESUMED_STREAMS,
     SENDS,
 )
+from magnoliaroad.relay.open_answer import OpenAnswer
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.placement import (
     choose_by_program,
@@ -48,13 +48,11 @@
 from magnoliaroad.relay.team_limiter import AdmissionDecision
 from magnoliaroad.relay.turn import LoadedTurn
 from magnoliaroad.targets import (
-    AnswerCut,
     RequestEnd,
     TargetError,
     TargetFull,
     TargetRequest,
     TargetResponse,
-    WrongTarget,
     classify_failure,
 )
 from magnoliaroad.verdict import Verdict
@@ -68,36 +66,9 @@
 # meanwhile. The first lasts until all hosts of a large fleet know of the failure.
 COOLDOWN_S = 0.5
 MAX_COOLDOWN_S = 4.0
-# Media type of a stream of events.
-EVENT_STREAM = "text/event-stream"
-# HTTP status of a target that is not the one named in the request.
-MISDIRECTED = 421
-# HTTP status with which a target rejects a request without an id.
-BAD_REQUEST = 400
 # With more hosts than this for each target of a plain service, a host keeps to one
 # target: it has so few requests that connections to all would reach the idle timeout.
 HOSTS_PER_TARGET = 2
-# Largest answer of a plain service that is buffered before it is passed on, in bytes.
-# An answer that breaks off while it is buffered can still be retried or refused.
-MAX_BUFFERED_BYTES = 262_144
-
-
-class OpenAnswer(NamedTuple):
-    """An answer of a target whose headers have arrived.
-
-    Attributes:
-        target: Target that answers.
-        response: Its response.
-        head: The fields of its headers.
-        body: Part of the body that was buffered; empty for a stream.
-        complete: Whether ``body`` is the whole body.
-    """
-
-    target: RelayTarget
-    response: TargetResponse
-    head: AnswerHead
-    body: bytes = b""
-    complete: bool = False
 
 
 class RelayRun:
@@ -423,56 +394,39 @@
             headers=dialect.target_headers(call, target, team, remaining_s),
             body=body,
         )
-        sent_before = self.sent
+        sent_before, response = self.sent, None
         try:
             response = await self.parts.client.open(
                 request,
                 self._first_byte_timeout_s(remaining_s, attempts),
                 self._mark_sent,
             )
-        except TargetError as exc:
-            if exc.verdict is Verdict.NOT_RUN:
+            return await self._check_answer(target, response)
+        except BaseException as exc:
+            if isinstance(exc, TargetError) and exc.verdict is Verdict.NOT_RUN:
                 self.sent = sent_before
-            raise
-        try:
-            return await self._check_answer(target, response, sent_before)
-        except BaseException:
-            response.close()
+            if response is not None:
+                response.close()
             raise
 
     def _mark_sent(self) -> None:
         self.sent = True
 
     async def _check_answer(
-        self, target: RelayTarget, response: TargetResponse, sent_before: bool
+        self, target: RelayTarget, response: TargetResponse
     ) -> OpenAnswer:
         head = self.parts.dialect.read_answer(response.headers)
-        if not self._is_own_answer(head, response.status):
-            response.close_connection()
-            text = f"answer belongs to request {head.request_id!r}"
-            raise TargetError(text, Verdict.MAY_HAVE_RUN)
+        opened = OpenAnswer(target, response, head)
+        opened.check_owner(self.call.request_id)
         if head.leaving and head.request_id:
             self._mark_leaving(target, head)
-        if response.status == MISDIRECTED:
-            self.sent = sent_before
-            raise WrongTarget(f"{target.address} is not the address of {target.name}")
-        if head.refused:
-            self.sent = sent_before
-            raise TargetFull(f"refused with status {response.status}")
-        if response.status < 300 and (not head.signed or head.encoded):
-            raise TargetError("answer not signed by the target", Verdict.MAY_HAVE_RUN)
-        opened = OpenAnswer(target, response, head)
-        if self.streams and response.status < 300:
+        opened.check_accepted()
+        if self.streams and opened.succeeded:
             return opened
-        return await self._buffer_answer(opened)
-
-    def _is_own_answer(self, head: AnswerHead, status: int) -> bool:
-        """Returns whether an answer states that it belongs to this request.
-
-        Targets echo the id of a request, and reject requests without one.
-        """
-        matches = head.request_id == self.call.request_id
-        return matches and (bool(head.request_id) or status == BAD_REQUEST)
+        opened = await opened.buffer()
+        if opened.complete:
+            self.parts.table.record_success(target.name)
+        return opened
 
     def _mark_leaving(self, target: RelayTarget, head: AnswerHead) -> None:
         """Marks the target that answered as leaving; it may not be the one asked."""
@@ -490,16 +444,6 @@
             ).info("target leaves")
             self.parts.notify_peers()
 
-    async def _buffer_answer(self, opened: OpenAnswer) -> OpenAnswer:
-        chunks, size = [], 0
-        async for chunk in opened.response.iter_chunks():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BUFFERED_BYTES:
-                return opened._replace(body=b"".join(chunks))
-        self.parts.table.record_success(opened.target.name)
-        return opened._replace(body=b"".join(chunks), complete=True)
-
     def _first_byte_timeout_s(self, remaining_s: float, attempts: int) -> float:
         if not self.route.repeatable or attempts + 1 >= self.route.attempts:
             return remaining_s
@@ -560,20 +504,14 @@
                 self.parts.table.record_event_gap(opened.target.name, gap_s, now)
             if count > counted:
                 last_at, counted = now, count
-        if self._is_event_stream(opened.response) and not self._scanner.complete:
-            raise AnswerCut("stream ended inside an event")
+        if self.streams:
+            opened.check_events(self._scanner)
         self.parts.table.record_success(opened.target.name)
         await self._save_turn(opened)
         SENDS.inc({"outcome": "answered"})
         await resp.write_eof()
         return resp
 
-    def _is_event_stream(self, response: TargetResponse) -> bool:
-        """Returns whether a body consists of events; that is assumed for no type."""
-        media_type = response.headers.get("Content-Type", EVENT_STREAM)
-        is_events = media_type.partition(";")[0].strip().lower() == EVENT_STREAM
-        return self.streams and response.status < 300 and is_events
-
     def _check_origin(self, target: RelayTarget) -> None:
         """Remembers who begins a stream, or checks who continues it.
 
@@ -597,7 +535,7 @@
         await self.resp.write(chunk)
 
     async def _save_turn(self, opened: OpenAnswer) -> None:
-        if not self.route.keeps_turns or opened.response.status >= 300:
+        if not self.route.keeps_turns or not opened.succeeded:
             return
         await self.parts.turns.save(
             self.call.request_id,
