--- a/src/magnoliaroad/entry/plain.py
+++ b/src/magnoliaroad/entry/plain.py
@@ -6,6 +6,7 @@
 
 from magnoliaroad.config import RouteKind
 from magnoliaroad.entry.admission import consume_token, find_route, identify, unwrap
+from magnoliaroad.entry.body import receive_body
 from magnoliaroad.entry.key_leak import refuse_leaked_key
 from magnoliaroad.entry.plain_call import IDEMPOTENCY_KEY_HEADER, PlainCall, make_call
 from magnoliaroad.entry.plain_reply import PlainReply
@@ -40,21 +41,16 @@
         call = await self._read_call(req)
         reply = PlainReply(req)
         run = PlainRun(self.cfg, self.services, call, reply)
-        try:
-            with CancelOnWithdrawal(self._watch, call.caller, run.progress):
-                await consume_token(self.services, call.caller)
-                run.check_quarantine()
-                if call.route.repeatable:
-                    return await run.relay()
-                return await self._run_once(run)
-        except BaseException:
-            if reply.started:
-                reply.abort()
-            raise
+        with CancelOnWithdrawal(self._watch, call.caller, run.progress):
+            await consume_token(self.services, call.caller)
+            run.check_quarantine()
+            if call.route.repeatable:
+                return await run.relay()
+            return await self._run_once(run)
 
     async def _read_call(self, req: web.Request) -> PlainCall:
         caller = identify(self.services, req)
-        body = await req.read()
+        body = await receive_body(req, self.cfg.max_body_bytes)
         refuse_leaked_key(req, body)
         name = req.match_info["route"]
         route = find_route(self.services, caller, name, RouteKind.SERVICE)
--- a/src/magnoliaroad/entry/server.py
+++ b/src/magnoliaroad/entry/server.py
@@ -1,6 +1,7 @@
 """The HTTP server for callers."""
 
 import asyncio
+import time
 
 import aioprometheus
 from aiohttp import web
@@ -8,10 +9,12 @@
 from loguru import logger
 from mode import Service
 
-from magnoliaroad.connection_drain import close_server
+from magnoliaroad.caller_listener import CallerListener
+from magnoliaroad.connection_drain import ConnectionDrain
+from magnoliaroad.entry.body import ignore_expectation
 from magnoliaroad.entry.chat import ChatHandler
 from magnoliaroad.entry.listen import ListenSettings
-from magnoliaroad.entry.middleware import request_middleware
+from magnoliaroad.entry.middleware import note_begun, request_middleware
 from magnoliaroad.entry.plain import PlainHandler
 from magnoliaroad.entry.program import ProgramHandler
 from magnoliaroad.entry.services import EntryServices
@@ -42,6 +45,7 @@
         self.in_flight = InFlightRequests()
         self._withdrawals = WithdrawalWatch(services.keys)
         self._runner: web.AppRunner | None = None
+        self._listener: CallerListener | None = None
 
     def app(self) -> web.Application:
         """Returns the aiohttp application."""
@@ -50,18 +54,20 @@
         plain = PlainHandler(self.cfg, self.services, self._withdrawals, self.in_flight)
         observe = request_middleware(self.in_flight)
         router = app.router
-        router.add_post("/v1/chat/completions", chat.handle, name="chat")
+        expect = {"expect_handler": ignore_expectation}
+        router.add_post("/v1/chat/completions", chat.handle, name="chat", **expect)
         programs = ProgramHandler(self.services)
         router.add_post("/v1/programs", programs.start, name="programs")
         path = "/v1/programs/{program:.+}"
         router.add_get(path, programs.show, name="look")
         router.add_delete(path, programs.end, name="program")
         path = "/services/{route}/{path:.*}"
-        router.add_route("*", path, plain.handle, name="service")
+        router.add_route("*", path, plain.handle, name="service", **expect)
         router.add_get("/health", self._health)
         router.add_get("/ready", self._ready)
         router.add_get("/metrics", self._metrics)
         app.middlewares.append(observe)
+        app.on_response_prepare.extend((self._announce_close, note_begun))
         return app
 
     async def on_start(self) -> None:
@@ -70,19 +76,26 @@
             self.app(), access_log=None, handler_cancellation=True
         )
         await self._runner.setup()
-        site = web.TCPSite(self._runner, self.listen.address, self.listen.http_port)
-        await site.start()
-        self.port = self._runner.addresses[0][1]
+        self._listener = CallerListener(
+            self._runner, self.listen.address, self.listen.http_port
+        )
+        await self._listener.start()
+        self.port = self._listener.socket.getsockname()[1]
 
     async def drain(self) -> None:
-        """Reports not ready and waits until the in-flight requests have ended.
+        """Reports not ready and waits until requests and connections have ended.
 
         Waits at most ``drain_notice_s`` plus ``drain_limit_s``.
         """
         self.draining = True
         await asyncio.sleep(self.cfg.drain_notice_s)
-        ended = await self.in_flight.wait_idle(self.cfg.drain_limit_s)
-        if not ended:
+        until = time.monotonic() + self.cfg.drain_limit_s
+        # Health checks are answered while requests are in flight.
+        await self.in_flight.wait_idle(self.cfg.drain_limit_s)
+        if self._runner is None or self._listener is None:
+            return
+        await self._listener.stop()
+        if not await ConnectionDrain(self._runner.server, self.in_flight).run(until):
             logger.bind(in_flight=self.in_flight.count).warning(
                 "requests cut off at shutdown"
             )
@@ -91,7 +104,13 @@
         """Stops listening and closes all connections."""
         self._withdrawals.close()
         if self._runner is not None:
-            await close_server(self._runner)
+            await self._runner.cleanup()
+
+    async def _announce_close(self, req: web.Request, resp: web.StreamResponse) -> None:
+        # A caller that was not asked for its body may go on with another request.
+        if self.draining or not req.content.is_eof():
+            resp.force_close()
+            resp.headers["Connection"] = "close"
 
     async def _health(self, req: web.Request) -> web.Response:
         return web.json_response({"status": "ok"})
