--- a/src/magnoliaroad/caller_body.py
+++ b/src/magnoliaroad/caller_body.py
@@ -49,7 +49,11 @@
     check_length(req, max_bytes)
     content, body = req.content, bytearray()
     while not content.at_eof():
-        body += await _next_chunk(req, stall_s)
+        if content.is_eof() and content.exception() is None:
+            # The rest has arrived, so that no timer is needed.
+            body += content.read_nowait()
+        else:
+            body += await _next_chunk(req, stall_s)
         if len(body) > max_bytes:
             raise BodyTooLarge
     return bytes(body)
