Soak: name a host that ended while the fleet waits for it

The log of relay-0 has 'Address already in use' for the callers' port at its start. The ports were locked against processes of this code; other checkouts without that lock ran their tests beside it and choose from the same ports. That one of these took it is likely and not proved. The wait for the hosts now fails at once and says which host ended. test_a_host_that_ends_at_its_start_is_named timed out before.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -327,7 +327,14 @@
                 await asyncio.sleep(0.01)
 
     async def until_ready(self, limit_s=20.0):
+        """Waits until all relay hosts are ready.
+
+        Raises:
+            RuntimeError: A host has ended by itself.
+        """
         async with asyncio.timeout(limit_s):
             for relay in self.relay_hosts:
                 while not await relay.is_ready(self.session):
+                    if relay.problems and relay.proc.returncode is not None:
+                        raise RuntimeError("; ".join(relay.problems))
                     await asyncio.sleep(0.05)
--- a/tests/soak/test_fleet.py
+++ b/tests/soak/test_fleet.py
@@ -1,7 +1,10 @@
 """How the soak starts and ends its processes."""
 
+import socket
+
 import pytest
 
+from tests.soak import fleet as fleet_module
 from tests.soak.fleet import Fleet
 
 
@@ -18,3 +21,15 @@
             pass
     assert len(fleet.processes) == 2
     assert all(process.proc.returncode is not None for process in fleet.processes)
+
+
+async def test_a_host_that_ends_at_its_start_is_named(tmp_path, monkeypatch):
+    """A soak waited for 20 s and did not tell that a host's port was taken."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        address = f"127.0.0.1:{taken.getsockname()[1]}"
+        monkeypatch.setattr(fleet_module, "free_address", lambda: address)
+        with pytest.raises(RuntimeError, match="relay-0: ended by itself with 1"):
+            async with Fleet(tmp_path, relays=1, records=0):
+                pass
