Turns: a pause of the relay host does not end the storing of a turn

Callers saw: all events of a turn and no end, when the relay host was stopped and continued (SIGSTOP, SIGCONT) while it stored the turn. "record not kept" had one host that had synced and one whose reply had not been read.

Cause: after a pause all timers of a process are due at once, and run before the bytes that wait in its sockets have reached the calls. The limit of 2 s for the storing ended it although the replies were there.

The limit now starts once more if its timer is so late that the whole process stood still (stall_timeout). It holds as before on a host that runs.

--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -13,6 +13,7 @@
 from magnoliaroad.relay.refusals import NO_TURN, TURN_UNCERTAIN
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.relay.turn import LoadedTurn, Turn, pack_turn, unpack_turn
+from magnoliaroad.stall_timeout import stall_timeout
 
 PREFIX = "turns/"
 # Time that a record is kept beyond its retention, in seconds; covers clock steps and
@@ -88,7 +89,7 @@
             TimeoutError: It was not written within the time limit.
         """
         now = self._now()
-        async with asyncio.timeout(self.cfg.store_patience_s):
+        async with stall_timeout(self.cfg.store_patience_s):
             chain, chain_started_at = (), now
             if previous is not None:
                 chain = (*previous.turn.chain, previous.turn_id)
