--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from aiohttp import HttpVersion11, web
@@ -79,7 +79,8 @@
         admitted: The call with its route and team.
         req: The caller's request.
         began: Monotonic time at which its headers arrived, in seconds.
-        close_connection: Whether to close the caller's connection after the answer.
+        should_close: Returns whether an answer that begins now is to end the caller's
+            connection.
     """
 
     def __init__(
@@ -88,7 +89,7 @@
         admitted: AdmittedCall,
         req: web.BaseRequest,
         began: float,
-        close_connection: bool,
+        should_close: Callable[[], bool],
     ) -> None:
         self.parts = parts
         self.admitted = admitted
@@ -102,7 +103,7 @@
         self.sent = False
         self.resp: web.StreamResponse | None = None
         self._req = req
-        self._close_connection = close_connection
+        self._should_close = should_close
         self._limit: asyncio.Timeout | None = None
         self._previous: LoadedTurn | None = None
         self._placed = ""
@@ -476,7 +477,7 @@
         SENDS.inc({"outcome": "answered"})
         self._lift_limit()
         self.resp = resp
-        if self._close_connection:
+        if self._should_close():
             resp.force_close()
         await resp.prepare(self._req)
         await resp.write_eof()
@@ -490,7 +491,7 @@
         self._check_origin(opened.target)
         opened.response.when_complete(self._lift_limit)
         self.resp = resp
-        if self._close_connection:
+        if self._should_close():
             resp.force_close()
         await resp.prepare(self._req)
         if opened.body:
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -11,6 +11,7 @@
 from magnoliaroad.caller_left import caller_left
 from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.connection_drain import ConnectionDrain
+from magnoliaroad.expectation import expects_continue, send_continue
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import admit
@@ -18,7 +19,6 @@
 from magnoliaroad.relay.call import RelayCall
 from magnoliaroad.relay.cut_reason import cut_reason
 from magnoliaroad.relay.dialect import BadCall
-from magnoliaroad.relay.expectation import expects_continue, send_continue
 from magnoliaroad.relay.metrics import IN_FLIGHT, LATENCY, REFUSALS, REQUESTS
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.refusals import bad_call, host_failed
@@ -142,7 +142,7 @@
                 admitted = admit(self.parts.plans, call)
                 kind = admitted.route.kind.value
                 log_fields |= {"route": admitted.route.name, "team": admitted.team_name}
-                run = RelayRun(self.parts, admitted, req, began, self._should_close())
+                run = RelayRun(self.parts, admitted, req, began, self._should_close)
                 log_fields["fingerprint"] = run.fingerprint
                 resp = await run.run()
             except BadCall as exc:
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -1,12 +1,16 @@
-"""Planned stops of real processes, as slow callers see them."""
+"""Planned stops of hosts, most of them real processes, as their callers see them."""
 
 import asyncio
 import contextlib
+import signal
 
-from tests.platform.deployment import KEY
+import pytest
+
+from tests.platform.deployment import KEY, Deployment
 from tests.platform.kept_caller import ClosedBefore, KeptCaller
+from tests.platform.raw_target import EVENTS, OWN_ID, SEAL, End, RawTarget, head
 from tests.platform.slow_caller import SlowCaller
-from tests.soak.fleet import SMALL_BUFFERS_PROGRAM, Fleet
+from tests.soak.fleet import NOTICE_S, SMALL_BUFFERS_PROGRAM, Fleet
 
 # Below the limit up to which a handler does not wait for its bytes to be sent.
 ANSWER_BYTES = 40_000
@@ -112,3 +116,43 @@
         "Magnoliaroad-Request-Id": request_id,
         "Magnoliaroad-Deadline-Ms": "4000",
     }
+
+
+@pytest.mark.parametrize(("path", "service"), [("/pay/x", "app"), ("/plan/x", "lm")])
+async def test_an_answer_that_begins_after_the_stop_announces_the_close(
+    tmp_path, path, service
+):
+    """LOST: callers went on with connections that were about to be closed."""
+    target = RawTarget("i-1", service)
+    event = b"id: 1\ndata: one\n\n"
+    target.script = [(0.3, head(SEAL, OWN_ID, EVENTS) + event, End.CLOSE)]
+    async with Deployment(tmp_path, target) as deployment:
+        call = asyncio.create_task(deployment.call(path, "POST", b"m"))
+        await deployment.until(lambda: target.in_flight)
+        deployment.relays[0].server.draining = True
+        status, headers, body = await call
+    assert (status, headers["Connection"], body) == (200, "close", event)
+
+
+async def test_requests_that_arrive_while_a_stopping_host_stands_still_are_answered(
+    tmp_path,
+):
+    """LOST: timers ran before sockets were read, and closed connections as idle."""
+    async with Fleet(tmp_path, 1, 1) as fleet:
+        relay = fleet.relay_hosts[0]
+        callers = [SlowCaller(relay.caller_address, pause_s=0.0) for _ in range(40)]
+        async with contextlib.AsyncExitStack() as stack:
+            for caller in callers:
+                await stack.enter_async_context(caller)
+            stop = asyncio.create_task(relay.terminate())
+            await asyncio.sleep(NOTICE_S + 0.3)
+            relay.proc.send_signal(signal.SIGSTOP)
+            for number, caller in enumerate(callers):
+                await caller.send("/safe/x", f"r-{number}")
+            await asyncio.sleep(0.4)
+            relay.proc.send_signal(signal.SIGCONT)
+            answers = await asyncio.gather(
+                *(caller.read() for caller in callers), return_exceptions=True
+            )
+        assert await stop == ""
+    assert [a for a in answers if not str(a)[2:].startswith("HTTP/1.1 200")] == []
