Open no connection that a stopping host will not accept (LOST)

Cause: connections that the kernel opens between the last accept and the close are reset with it, whatever they have sent.

A filter on the listening socket now drops segments with the SYN flag; handshakes that have begun end in the next 0.1 s, their connections are accepted, and the socket is closed. A caller that connects in this time repeats its request for a connection, is refused and knows that nothing was sent.

--- a/src/magnoliaroad/caller_listener.py
+++ b/src/magnoliaroad/caller_listener.py
@@ -9,8 +9,12 @@
 from typing_extensions import override
 
 from magnoliaroad.caller_connection import CallerConnection, make_connection
+from magnoliaroad.connection_filter import drop_new_connections
 
 BACKLOG = 1024
+# Time in which handshakes end that have begun before a stop, in seconds; a round trip
+# within a continent.
+HANDSHAKE_S = 0.1
 
 
 class _CallerSite(web.SockSite):
@@ -52,8 +56,11 @@
     async def stop(self) -> None:
         """Accepts the connections that wait in the kernel's queue, then stops.
 
-        The kernel resets those that are in the queue when the socket is closed.
+        The kernel resets those that are in the queue when the socket is closed, or come
+        into it after the last one was accepted.
         """
+        drop_new_connections(self.socket)
+        await asyncio.sleep(HANDSHAKE_S)
         accepted = self._accept_waiting()
         await self._site.stop()
         loop = asyncio.get_running_loop()
--- a/tests/entry/test_caller_listener.py
+++ b/tests/entry/test_caller_listener.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import socket
+import threading
 
 from aiohttp import web
 
 from magnoliaroad.caller_listener import CallerListener
 
+STOPS = 20
+
 
 async def test_connections_in_the_kernels_queue_are_served_when_listening_ends():
     """LOST: they were reset when the listening socket was closed."""
@@ -31,3 +34,46 @@
             assert (await loop.sock_recv(caller, 1000)).startswith(b"HTTP/1.1 200")
         caller.close()
     await runner.cleanup()
+
+
+def connect_until(stop, address, ends):
+    """Opens connections one after the other; records whether each was answered."""
+    while not stop.is_set():
+        with socket.socket() as sock:
+            sock.settimeout(0.3)
+            try:
+                sock.connect(address)
+            except OSError:
+                return
+            sock.settimeout(3.0)
+            try:
+                sock.sendall(b"GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+                ends.append(sock.recv(1000)[:12])
+            except OSError as exc:
+                ends.append(repr(exc))
+
+
+async def test_no_connection_is_opened_that_nobody_accepts():
+    """LOST: some came into the queue between the last accept and the close."""
+    ends = []
+
+    async def answer(req):
+        return web.Response(text="whole")
+
+    for _ in range(STOPS):
+        runner = web.ServerRunner(web.Server(answer, access_log=None))
+        await runner.setup()
+        listener = CallerListener(runner, "127.0.0.1", 0)
+        await listener.start()
+        stop = threading.Event()
+        address = listener.socket.getsockname()
+        calls = [
+            asyncio.create_task(asyncio.to_thread(connect_until, stop, address, ends))
+            for _ in range(6)
+        ]
+        await asyncio.sleep(0.05)
+        await listener.stop()
+        stop.set()
+        await asyncio.gather(*calls)
+        await runner.cleanup()
+    assert set(ends) == {b"HTTP/1.1 200"}
