--- a/src/magnoliaroad/relay/body.py
+++ b/src/magnoliaroad/relay/body.py
@@ -1,8 +1,5 @@
 """Reads the bodies of requests to the relay."""
 
-import contextlib
-from collections.abc import Iterator
-
 from aiohttp import web
 
 from magnoliaroad import caller_body
@@ -28,8 +25,10 @@
 
 def check_length(req: web.BaseRequest) -> None:
     """Raises ``Refused`` if the request announces a body that is too large."""
-    with _refusals():
+    try:
         caller_body.check_length(req, MAX_BODY_BYTES)
+    except BodyError as exc:
+        raise Refused(REFUSALS[type(exc)]) from exc
 
 
 async def read_body(req: web.BaseRequest) -> bytes:
@@ -38,13 +37,7 @@
     Raises:
         Refused: The body is too large or malformed, or does not arrive.
     """
-    with _refusals():
-        return await caller_body.read_body(req, MAX_BODY_BYTES, BODY_STALL_S)
-
-
-@contextlib.contextmanager
-def _refusals() -> Iterator[None]:
     try:
-        yield
+        return await caller_body.read_body(req, MAX_BODY_BYTES, BODY_STALL_S)
     except BodyError as exc:
         raise Refused(REFUSALS[type(exc)]) from exc
