Take a trace and a coroutine from each request

Whether a connection to a target has served others is now kept at the connection instead of traced by aiohttp, and the wait for the receipt of an answer is entered only by answers that end their connection.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -4,6 +4,7 @@
 import contextlib
 import select
 import time
+from collections.abc import Awaitable
 
 from aiohttp import web
 from aiohttp.streams import StreamReader
@@ -51,10 +52,21 @@
             self.head_began_at = time.monotonic()
 
     @override
-    async def finish_response(
+    def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, *args
+    ) -> Awaitable[tuple[web.StreamResponse, bool]]:
+        finish = super().finish_response(request, resp, *args)
+        # Without a coroutine more for the usual answer, which has been sent already.
+        if resp.prepared and resp.keep_alive:
+            return finish
+        return self._finish_and_linger(request, finish)
+
+    async def _finish_and_linger(
+        self,
+        request: web.BaseRequest,
+        finish: Awaitable[tuple[web.StreamResponse, bool]],
     ) -> tuple[web.StreamResponse, bool]:
-        resp, reset = await super().finish_response(request, resp, *args)
+        resp, reset = await finish
         if not reset and not resp.keep_alive and request.content.is_eof():
             await self._linger()
         return resp, reset
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -48,30 +48,17 @@
     context.trace_request_ctx()
 
 
-async def _on_connection_reused(
-    session: aiohttp.ClientSession, context: Any, params: Any
-) -> None:
-    context.trace_request_ctx.reused = True
-
-
-def _trace_sending() -> aiohttp.TraceConfig:
+def _trace_headers_sent() -> aiohttp.TraceConfig:
     trace = aiohttp.TraceConfig()
     trace.on_request_headers_sent.append(_on_headers_sent)
-    trace.on_connection_reuseconn.append(_on_connection_reused)
     return trace
 
 
 class _SendState:
-    """Records how a request is sent.
-
-    Attributes:
-        started: Whether any part of it has been sent.
-        reused: Whether its connection has served other requests.
-    """
+    """Records whether any part of a request has been sent."""
 
     def __init__(self, on_sent: Callable[[], None]) -> None:
         self.started = False
-        self.reused = False
         self._on_sent = on_sent
 
     def __call__(self) -> None:
@@ -104,7 +91,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             middlewares=(_send_without_retry,),
-            trace_configs=[_trace_sending()],
+            trace_configs=[_trace_headers_sent()],
             response_class=ClosableResponse,
             skip_auto_headers=AUTO_HEADERS,
         )
@@ -156,5 +143,4 @@
             resp.close_connection()
             text = f"{req.url}: status {resp.status} is no final answer"
             raise TargetError(text, Verdict.MAY_HAVE_RUN)
-        is_doubtful = send_state.reused and resp.is_early
-        return TargetResponse(resp, self.cfg.silence_timeout_s, is_doubtful)
+        return TargetResponse(resp, self.cfg.silence_timeout_s, resp.is_doubtful)
--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -15,8 +15,12 @@
     A body with neither a length nor chunks ends with its connection. aiohttp takes any
     end of the connection for that of the body, so a reset, a timeout and a close by
     this host would look like a complete answer.
+
+    Attributes:
+        has_answered: Whether the connection has been used for a request.
     """
 
+    has_answered = False
     _open_body: StreamReader | None = None
     _target_closed = False
 
