Send requests of a host that is cut off from all targets through a peer (RECOVER)

Cause: nothing knew a host of this kind. Each target was taken for failed by itself, so a request waited 0.4 s for a connection to each of four targets and was then refused, and the cooldowns went to the peers as if the targets had failed.

Now each service's new connections are counted (TargetPaths): if those to two targets fail and none succeeds in between, the host is cut off from the service. PathProber opens a few connections when one fails, when a request fails at a target, or when nothing has been heard from any target for 0.5 s while requests wait; none otherwise. While a host is cut off it goes on to admit, count and place its requests, and hands only the HTTP exchange with the target to a peer (DetourClient, DetourService), over the existing msgpack streams and one hop at most: near peers first, then the least loaded; a peer that stops, is slow, is cut off itself or has 128 such requests refuses and is left out for 0.5 s. Bodies are read part by part, so events pass as they arrive and a slow caller holds back its target only. The verdict of a failure survives the hop; a lost peer counts as may have run. If no peer can help, the request is refused at once, truly not run.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -17,14 +17,19 @@
 from magnoliaroad.relay.budget_router import BudgetRouter
 from magnoliaroad.relay.claim_router import ClaimRouter
 from magnoliaroad.relay.claim_writer import ClaimWriter
+from magnoliaroad.relay.detour_client import DetourClient
+from magnoliaroad.relay.detour_service import DetourService
 from magnoliaroad.relay.dialect import Dialect
+from magnoliaroad.relay.direct_sender import DirectSender
 from magnoliaroad.relay.entry_decoder import EntryDecoder
 from magnoliaroad.relay.escrow_client import EscrowClient
 from magnoliaroad.relay.fleet import FleetService
+from magnoliaroad.relay.helper_choice import HelperChoice
 from magnoliaroad.relay.host_entry import PREFIX, HostEntry
 from magnoliaroad.relay.metrics_server import MetricsServer
 from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.parts import RelayParts
+from magnoliaroad.relay.path_prober import PathProber
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.quarantine_mirror import QuarantineMirror
@@ -34,6 +39,8 @@
 from magnoliaroad.relay.stream_origins import StreamOrigins
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.target_follower import TargetFollower
+from magnoliaroad.relay.target_paths import TargetPaths
+from magnoliaroad.relay.target_sender import TargetSender
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.team_limiter import TeamLimiter
 from magnoliaroad.relay.turn_ledger import TurnLedger
@@ -138,6 +145,8 @@
                 connect_timeout_s=timing.connect_timeout_s, idle_s=timing.idle_s
             )
         )
+        self.prober = PathProber(self.table, TargetPaths(), self.client)
+        direct = DirectSender(self.client, self.prober)
         parts = RelayParts(
             cfg=cfg,
             dialect=dialect,
@@ -146,7 +155,15 @@
                 cfg.name, self.peers, self.plans, self.quota, self.fleet.count_hosts
             ),
             table=self.table,
-            client=self.client,
+            sender=TargetSender(
+                direct,
+                DetourClient(
+                    self.peers,
+                    HelperChoice(self.fleet.helpers),
+                    self.client.cfg.silence_timeout_s,
+                ),
+                self.prober.paths,
+            ),
             turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
             quarantine=self.quarantine,
@@ -161,6 +178,16 @@
             notify_peers=self.fleet.send_heartbeat_soon,
         )
         self.server = RelayServer(parts, self._ready)
+        self.detours = DetourService(
+            self.peers,
+            dialect,
+            self.table,
+            self.prober.paths,
+            direct,
+            self.server.in_flight,
+            self.fleet.helps_peers,
+            self.fleet.is_silent,
+        )
         self._mirrors = (
             self._mirror(decoder.operator_prefix, self.plans),
             self._mirror(decoder.target_prefix, self.follower),
@@ -173,6 +200,8 @@
             self.peers,
             self.contact,
             self.client,
+            self.prober,
+            self.detours,
             *self._mirrors,
             self.announcer,
             self.fleet,
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -22,6 +22,7 @@
 )
 from magnoliaroad.relay.heartbeat_router import HeartbeatRouter
 from magnoliaroad.relay.heartbeat_tracker import HeartbeatTracker
+from magnoliaroad.relay.helper_choice import Helper
 from magnoliaroad.relay.host_entry import PREFIX, unpack_hosts
 from magnoliaroad.relay.metrics import TIMER_LAG
 from magnoliaroad.relay.plan_holder import PlanHolder
@@ -263,6 +264,26 @@
         """Returns the other relay hosts in contact."""
         return list(self._tracker.in_contact())
 
+    def helpers(self) -> list[Helper]:
+        """Returns the peers that may send requests to targets for this host."""
+        return [
+            Helper(
+                host,
+                self._tracker.is_near(heartbeat),
+                sum(heartbeat.in_flight.values()),
+            )
+            for host, heartbeat in self._tracker.in_contact().items()
+            if not heartbeat.slow
+        ]
+
+    def is_silent(self, host: str) -> bool:
+        """Whether a peer is out of contact."""
+        return host in self._tracker.silent
+
+    def helps_peers(self) -> bool:
+        """Whether this host sends requests to targets for peers."""
+        return not (self.draining or self._slowness.slow)
+
     def data_centres_in_contact(self) -> set[str]:
         """Returns the data centres with a relay host in contact, and this host's."""
         heartbeats = self._tracker.in_contact().values()
--- a/src/magnoliaroad/relay/metrics.py
+++ b/src/magnoliaroad/relay/metrics.py
@@ -27,3 +27,10 @@
 )
 TIMER_LAG = Histogram("relay_timer_lag_seconds", "How late a timer of the host is.")
 IN_FLIGHT = Gauge("relay_in_hand", "Requests that are being answered.")
+DETOURS = Counter(
+    "relay_detours_total",
+    "Requests sent to a target through a peer, or for one, by role and outcome.",
+)
+CUT_SERVICES = Gauge(
+    "relay_cut_services", "Services whose targets this host cannot reach itself."
+)
--- a/src/magnoliaroad/relay/open_answer.py
+++ b/src/magnoliaroad/relay/open_answer.py
@@ -7,9 +7,9 @@
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.targets import (
     AnswerCut,
+    TargetAnswer,
     TargetError,
     TargetFull,
-    TargetResponse,
     WrongTarget,
 )
 from magnoliaroad.verdict import Verdict
@@ -37,7 +37,7 @@
     """
 
     target: RelayTarget
-    response: TargetResponse
+    response: TargetAnswer
     head: AnswerHead
     body: bytes = b""
     complete: bool = False
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -11,10 +11,10 @@
 from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.stream_origins import StreamOrigins
+from magnoliaroad.relay.target_sender import TargetSender
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.team_limiter import TeamLimiter
 from magnoliaroad.relay.turn_ledger import TurnLedger
-from magnoliaroad.targets import TargetClient
 
 
 class RelayParts(NamedTuple):
@@ -35,7 +35,7 @@
     plans: PlanHolder
     limiter: TeamLimiter
     table: TargetTable
-    client: TargetClient
+    sender: TargetSender
     turns: TurnLedger
     budgets: BudgetRouter
     quarantine: QuarantineService
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -83,6 +83,13 @@
     action="Send the request again.",
     retry_after_s=HOST_START_RETRY_S,
 )
+NO_PATH = Refusal(
+    code="no_path",
+    status=503,
+    message="Neither this host nor a peer reaches the targets of the service.",
+    action="Send the request again; another host may reach them.",
+    retry_after_s=HOST_START_RETRY_S,
+)
 NOT_RESUMABLE = Refusal(
     code="not_resumable",
     status=503,
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -13,6 +13,7 @@
 from magnoliaroad.quarantine import exact_fingerprint
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import AdmittedCall
+from magnoliaroad.relay.detour_client import NoPath
 from magnoliaroad.relay.dialect import AnswerHead
 from magnoliaroad.relay.event_scanner import EventScanner
 from magnoliaroad.relay.metrics import (
@@ -21,6 +22,7 @@
     RESUMED_STREAMS,
     SENDS,
 )
+from magnoliaroad.relay.offers import Offers
 from magnoliaroad.relay.open_answer import OpenAnswer
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.placement import (
@@ -30,6 +32,7 @@
 )
 from magnoliaroad.relay.plan import RelayTeam, pick_service
 from magnoliaroad.relay.refusals import (
+    NO_PATH,
     NO_TARGET,
     NO_TARGET_OF_VERSION,
     NOT_RESUMABLE,
@@ -49,10 +52,9 @@
 from magnoliaroad.relay.turn import LoadedTurn
 from magnoliaroad.targets import (
     RequestEnd,
+    TargetAnswer,
     TargetError,
-    TargetFull,
     TargetRequest,
-    TargetResponse,
     classify_failure,
 )
 from magnoliaroad.verdict import Verdict
@@ -276,15 +278,15 @@
 
     @asynccontextmanager
     async def _open_answer(self) -> AsyncIterator[OpenAnswer]:
-        excluded: set[str] = set()
-        attempts = 0
+        offers, sender = Offers(), self.parts.sender
         for _ in range(MAX_OFFERS):
             self._refuse_quarantined()
-            target = self._choose_target(excluded)
+            target = self._choose_target(offers.excluded)
             self._record_start(target)
             response, end = None, None
+            was_cut = sender.is_cut(target.service)
             try:
-                opened = await self._send(target, attempts)
+                opened = await self._send(target, offers.attempts)
                 response = opened.response
                 FIRST_BYTE.observe(
                     {"kind": self.route.kind.value}, time.monotonic() - self.began
@@ -292,13 +294,16 @@
                 yield opened
                 end = RequestEnd.COMPLETED
                 return
+            except NoPath as exc:
+                raise self._refusal_error(NO_PATH) from exc
             except TargetError as exc:
                 end = classify_failure(exc)
-                excluded.add(target.name)
-                attempts += exc.verdict is not Verdict.NOT_RUN
-                self._record_failure(target, exc)
+                path_lost = not was_cut and sender.is_cut(target.service)
+                blamed = offers.record_failure(target.name, exc, path_lost)
+                self._record_failure(target, exc, blamed)
                 may_retry = (
-                    self._may_retry(exc.verdict) and attempts < self.route.attempts
+                    self._may_retry(exc.verdict)
+                    and offers.attempts < self.route.attempts
                 )
                 if self.resp is not None or not may_retry:
                     timed_out = isinstance(exc.__cause__, TimeoutError)
@@ -397,7 +402,9 @@
         )
         sent_before, response = self.sent, None
         try:
-            response = await self.parts.client.open(
+            response = await self.parts.sender.open(
+                target,
+                call.request_id,
                 request,
                 self._first_byte_timeout_s(remaining_s, attempts),
                 self._mark_sent,
@@ -414,7 +421,7 @@
         self.sent = True
 
     async def _check_answer(
-        self, target: RelayTarget, response: TargetResponse
+        self, target: RelayTarget, response: TargetAnswer
     ) -> OpenAnswer:
         head = self.parts.dialect.read_answer(response.headers)
         opened = OpenAnswer(target, response, head)
@@ -453,9 +460,11 @@
             max(0.5 * remaining_s, self.parts.cfg.targets.safe_first_byte_s),
         )
 
-    def _record_failure(self, target: RelayTarget, exc: TargetError) -> None:
+    def _record_failure(
+        self, target: RelayTarget, exc: TargetError, blamed: bool
+    ) -> None:
         cooldown_s = 0.0
-        if not isinstance(exc, TargetFull):
+        if blamed:
             cooldown_s = self.parts.table.record_failure(
                 target.name, time.monotonic(), COOLDOWN_S, MAX_COOLDOWN_S
             )
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -177,6 +177,11 @@
         self._cooldown_until[name] = self._own_cooldowns[name] = now + pause_s
         return pause_s
 
+    def end_cooldowns(self, names: Iterable[str]) -> None:
+        """Ends the cooldowns of targets that have not failed after all."""
+        for name in names:
+            self.record_success(name)
+
     def cooldowns(self, now: float) -> dict[str, TargetCooldown]:
         """Returns the targets in cooldown because they failed at this host."""
         return {
--- a/src/magnoliaroad/targets/__init__.py
+++ b/src/magnoliaroad/targets/__init__.py
@@ -1,10 +1,12 @@
 """HTTP client for targets: model engines and plain services."""
 
+from magnoliaroad.targets.answer import TargetAnswer
 from magnoliaroad.targets.client import TargetClient
 from magnoliaroad.targets.errors import (
     AnswerCut,
     TargetError,
     TargetFull,
+    TargetUnreachable,
     WrongTarget,
 )
 from magnoliaroad.targets.request import TargetRequest
@@ -13,11 +15,13 @@
 
 __all__ = [
     "AnswerCut",
+    "TargetAnswer",
     "TargetResponse",
     "TargetClient",
     "TargetError",
     "TargetFull",
     "TargetRequest",
+    "TargetUnreachable",
     "WrongTarget",
     "RequestEnd",
     "classify_failure",
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -11,7 +11,11 @@
 from magnoliaroad.keepalive_socket import keepalive_socket
 from magnoliaroad.targets.closable_response import ClosableResponse
 from magnoliaroad.targets.connector import TargetConnector
-from magnoliaroad.targets.errors import TargetError, describe_error
+from magnoliaroad.targets.errors import (
+    TargetError,
+    TargetUnreachable,
+    describe_error,
+)
 from magnoliaroad.targets.request import TargetRequest
 from magnoliaroad.targets.response import TargetResponse
 from magnoliaroad.targets.settings import TargetSettings
@@ -45,11 +49,18 @@
 async def _on_headers_sent(
     session: aiohttp.ClientSession, context: Any, params: Any
 ) -> None:
-    context.trace_request_ctx()
+    context.trace_request_ctx.set_sent()
 
 
-def _trace_headers_sent() -> aiohttp.TraceConfig:
+async def _on_connected(
+    session: aiohttp.ClientSession, context: Any, params: Any
+) -> None:
+    context.trace_request_ctx.on_connected()
+
+
+def _trace_sending() -> aiohttp.TraceConfig:
     trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_on_connected)
     trace.on_request_headers_sent.append(_on_headers_sent)
     return trace
 
@@ -57,11 +68,14 @@
 class _SendState:
     """Records whether any part of a request has been sent."""
 
-    def __init__(self, on_sent: Callable[[], None]) -> None:
+    def __init__(
+        self, on_sent: Callable[[], None], on_connected: Callable[[], None]
+    ) -> None:
         self.started = False
+        self.on_connected = on_connected
         self._on_sent = on_sent
 
-    def __call__(self) -> None:
+    def set_sent(self) -> None:
         self.started = True
         self._on_sent()
 
@@ -91,7 +105,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             middlewares=(_send_without_retry,),
-            trace_configs=[_trace_headers_sent()],
+            trace_configs=[_trace_sending()],
             response_class=ClosableResponse,
             skip_auto_headers=AUTO_HEADERS,
         )
@@ -101,11 +115,23 @@
         if self._session is not None:
             await self._session.close()
 
+    async def can_connect(self, address: str) -> bool:
+        """Returns whether a new connection to ``ip:port`` can be made; closes it."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(self.cfg.connect_timeout_s):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return True
+
     async def open(
         self,
         req: TargetRequest,
         first_byte_timeout_s: float | None = None,
         on_sent: Callable[[], None] = lambda: None,
+        on_connected: Callable[[], None] = lambda: None,
     ) -> TargetResponse:
         """Sends ``req`` and returns the response once its headers have arrived.
 
@@ -114,12 +140,14 @@
             first_byte_timeout_s: Longest wait for the response headers; by default
                 ``first_byte_timeout_s`` of the settings.
             on_sent: Callback that runs when the request headers have been sent.
+            on_connected: Callback that runs when a new connection was made for it.
 
         Raises:
+            TargetUnreachable: No connection could be made.
             TargetError: No response headers arrived, or none of a final answer.
         """
         assert self._session is not None
-        send_state = _SendState(on_sent)
+        send_state = _SendState(on_sent, on_connected)
         try:
             async with asyncio.timeout(
                 first_byte_timeout_s or self.cfg.first_byte_timeout_s
@@ -133,9 +161,7 @@
                     trace_request_ctx=send_state,
                 )
         except NOT_SENT_ERRORS as exc:
-            raise TargetError(
-                f"{req.url}: {describe_error(exc)}", Verdict.NOT_RUN
-            ) from exc
+            raise TargetUnreachable(f"{req.url}: {describe_error(exc)}") from exc
         except (aiohttp.ClientError, TimeoutError) as exc:
             verdict = Verdict.MAY_HAVE_RUN if send_state.started else Verdict.NOT_RUN
             raise TargetError(f"{req.url}: {describe_error(exc)}", verdict) from exc
--- a/src/magnoliaroad/targets/errors.py
+++ b/src/magnoliaroad/targets/errors.py
@@ -27,6 +27,13 @@
         super().__init__(text)
 
 
+class TargetUnreachable(TargetError):
+    """No connection to the target could be made."""
+
+    def __init__(self, text: str) -> None:
+        super().__init__(text, Verdict.NOT_RUN)
+
+
 class AnswerCut(TargetError):
     """A response that started and ended early or stalled."""
 
--- a/src/magnoliaroad/targets/response.py
+++ b/src/magnoliaroad/targets/response.py
@@ -4,12 +4,14 @@
 from collections.abc import AsyncIterator, Callable
 
 import aiohttp
+from typing_extensions import override
 
+from magnoliaroad.targets.answer import TargetAnswer
 from magnoliaroad.targets.closable_response import ClosableResponse
 from magnoliaroad.targets.errors import AnswerCut, describe_error
 
 
-class TargetResponse:
+class TargetResponse(TargetAnswer):
     """Status, headers and streamed body of a response.
 
     Closing a response that was not read to its end closes its connection, so that
@@ -34,12 +36,8 @@
         self.status = resp.status
         self.headers = resp.headers
 
+    @override
     async def iter_chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body in chunks as it arrives.
-
-        Raises:
-            AnswerCut: The body ended early, or no chunk arrived in time.
-        """
         content = self._resp.content
         try:
             while not content.at_eof():
@@ -52,14 +50,15 @@
         except (aiohttp.ClientError, TimeoutError) as exc:
             raise AnswerCut(f"answer cut off: {describe_error(exc)}") from exc
 
+    @override
     def when_complete(self, callback: Callable[[], None]) -> None:
-        """Calls ``callback`` once the whole body has arrived, before it is read."""
         self._resp.content.on_eof(callback)
 
+    @override
     def close(self) -> None:
         """Releases the connection if the body is complete, else closes it."""
         self._resp.close()
 
+    @override
     def close_connection(self) -> None:
-        """Closes the connection, on which further bytes may be on their way."""
         self._resp.close_connection()
--- a/tests/platform/test_component_errors.py
+++ b/tests/platform/test_component_errors.py
@@ -48,9 +48,9 @@
 ):
     target = TargetStandin("i-app", "app")
     async with Deployment(tmp_path, target) as deployment:
-        client = deployment.relays[0].server.parts.client
+        client = deployment.relays[0].client
 
-        def mark_sent(request, timeout_s, on_sent):
+        def mark_sent(request, timeout_s, on_sent, on_connected):
             on_sent()
 
         monkeypatch.setattr(client, "open", raising(exc, mark_sent))
