--- a/src/magnoliaroad/config/head.py
+++ b/src/magnoliaroad/config/head.py
@@ -3,10 +3,10 @@
 from typing import NamedTuple
 
 import msgpack
-import msgspec
 
 from magnoliaroad.config.change import Change
 from magnoliaroad.config.part_ref import PartRef
+from magnoliaroad.decoding import Undecodable, unpack
 
 HEAD_KEY = "config/head"
 
@@ -46,6 +46,6 @@
         ValueError: ``data`` is not a head.
     """
     try:
-        return msgspec.convert(msgpack.unpackb(data), ConfigHead)
-    except (msgspec.ValidationError, msgpack.UnpackException, ValueError) as exc:
+        return unpack(data, ConfigHead)
+    except Undecodable as exc:
         raise ValueError(f"not a configuration head: {exc}") from exc
--- a/src/magnoliaroad/config/part.py
+++ b/src/magnoliaroad/config/part.py
@@ -13,6 +13,7 @@
 from magnoliaroad.config.route import Route
 from magnoliaroad.config.target import Target
 from magnoliaroad.config.team import Team
+from magnoliaroad.decoding import unpack
 
 DIGEST_BYTES = 16
 MEAN_ITEMS_PER_PART = 32
@@ -65,13 +66,13 @@
         ValueError: ``data`` is not a part.
     """
     try:
-        kind, fields = msgpack.unpackb(data)
+        kind, fields = unpack(data, tuple[str, list[Any]])
         items = msgspec.convert(fields, list[tuple[str, ITEM_KINDS[kind]]])
     except (
         KeyError,
         TypeError,
         ValueError,
-        msgpack.UnpackException,
+        RecursionError,
         msgspec.ValidationError,
     ) as exc:
         raise ValueError(f"not a part of a configuration: {exc!r}") from exc
--- a/src/magnoliaroad/entry/chat_request.py
+++ b/src/magnoliaroad/entry/chat_request.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from magnoliaroad.decoding import Undecodable, decode_json
 from magnoliaroad.entry.events import ResumePoint
 from magnoliaroad.entry.refused import Refused, bad_request
 from magnoliaroad.entry.request_id import PROGRAM_HEADER, REQUEST_HEADER, new_id
@@ -148,8 +149,8 @@
 
 def _read_body(data: bytes) -> dict[str, Any]:
     try:
-        body = msgspec.json.decode(data)
-    except msgspec.DecodeError as exc:
+        body = decode_json(data)
+    except Undecodable as exc:
         raise Refused(bad_request(f"The body is not JSON: {exc}")) from exc
     if not isinstance(body, dict) or not isinstance(body.get("model"), str):
         raise Refused(bad_request("Field 'model' must be a string."))
--- a/src/magnoliaroad/entry/completion.py
+++ b/src/magnoliaroad/entry/completion.py
@@ -2,8 +2,7 @@
 
 from typing import Any, NamedTuple
 
-import msgspec
-
+from magnoliaroad.decoding import Undecodable, decode_json
 from magnoliaroad.routing import Usage
 from magnoliaroad.targets import TargetError
 from magnoliaroad.verdict import Verdict
@@ -37,9 +36,9 @@
     """
     lines = [line for line in events.split(b"\n") if line.startswith(DATA_FIELD)]
     try:
-        chunks = [msgspec.json.decode(line[len(DATA_FIELD) :]) for line in lines]
+        chunks = [decode_json(line[len(DATA_FIELD) :]) for line in lines]
         return _join_chunks(chunks)
-    except (msgspec.DecodeError, AttributeError, TypeError) as exc:
+    except (Undecodable, AttributeError, TypeError) as exc:
         raise TargetError(
             f"invalid event in the engine's stream: {exc}", Verdict.MAY_HAVE_RUN
         ) from exc
--- a/src/magnoliaroad/entry/key_leak.py
+++ b/src/magnoliaroad/entry/key_leak.py
@@ -40,5 +40,5 @@
         return ""
     try:
         return json.dumps(json.loads(body), ensure_ascii=False)
-    except ValueError:
+    except (ValueError, RecursionError):
         return ""
--- a/src/magnoliaroad/groups/table.py
+++ b/src/magnoliaroad/groups/table.py
@@ -4,6 +4,7 @@
 
 import msgpack
 
+from magnoliaroad.decoding import unpack
 from magnoliaroad.groups.member import Member
 from magnoliaroad.groups.view import GroupView
 
@@ -71,7 +72,7 @@
         ValueError: ``data`` is not a packed table.
     """
     try:
-        members, views = msgpack.unpackb(data)
+        members, views = unpack(data, tuple[list[Any], list[Any]])
         unpacked = [Member(*member) for member in members]
         return GroupTable(
             domain, revision, tuple(_unpack_view(unpacked, v) for v in views)
--- a/src/magnoliaroad/groups/table_cache.py
+++ b/src/magnoliaroad/groups/table_cache.py
@@ -3,6 +3,7 @@
 import contextlib
 from collections.abc import Iterator
 
+from magnoliaroad.decoding import log_refused
 from magnoliaroad.groups.table import (
     TABLES_PREFIX,
     GroupTable,
@@ -54,7 +55,12 @@
     def update_from_entry(self, entry: StoreEntry) -> bool:
         """Stores the table in a store entry if it is newer; returns whether it was."""
         domain = entry.key.removeprefix(TABLES_PREFIX)
-        return self.update_if_newer(unpack_table(domain, entry.revision, entry.value))
+        try:
+            table = unpack_table(domain, entry.revision, entry.value)
+        except ValueError as exc:
+            log_refused(entry.key, entry.revision, str(exc))
+            return False
+        return self.update_if_newer(table)
 
     async def read(self) -> int:
         """Reads all tables from the store; returns the store's revision."""
--- a/src/magnoliaroad/keys/withdrawal_store.py
+++ b/src/magnoliaroad/keys/withdrawal_store.py
@@ -1,5 +1,6 @@
 """Reads and writes the withdrawn keys in the store, one entry for each shard."""
 
+from magnoliaroad.decoding import decode_entries
 from magnoliaroad.keys.withdrawals import (
     SHARDS,
     Withdrawals,
@@ -26,8 +27,8 @@
     """
     batch = await store.list(WITHDRAWN_PREFIX)
     withdrawn = Withdrawals()
-    for entry in batch.changed:
-        withdrawn.merge(unpack_shard(entry.value))
+    for shard in decode_entries(batch.changed, unpack_shard):
+        withdrawn.merge(shard)
     return withdrawn
 
 
--- a/src/magnoliaroad/limits/split.py
+++ b/src/magnoliaroad/limits/split.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 import msgpack
-import msgspec
 
+from magnoliaroad.decoding import unpack
 from magnoliaroad.limits.table import ShareTable
 
 SPLIT_KEY = "limits/split"
@@ -70,4 +70,4 @@
 
 def unpack_split(data: bytes) -> Split:
     """Returns the split in ``data``; raises ``ValueError`` for other data."""
-    return msgspec.convert(msgpack.unpackb(data), Split)
+    return unpack(data, Split)
--- a/src/magnoliaroad/limits/table.py
+++ b/src/magnoliaroad/limits/table.py
@@ -5,6 +5,7 @@
 import msgpack
 import msgspec
 
+from magnoliaroad.decoding import unpack
 from magnoliaroad.rendezvous import rendezvous
 
 HOLDERS_PER_TEAM = 2
@@ -116,4 +117,4 @@
 
 def unpack_table(data: bytes) -> ShareTable:
     """Returns the table in ``data``; raises ``ValueError`` for other data."""
-    return msgspec.convert(msgpack.unpackb(data), ShareTable)
+    return unpack(data, ShareTable)
--- a/src/magnoliaroad/membership/host_list_http.py
+++ b/src/magnoliaroad/membership/host_list_http.py
@@ -3,9 +3,9 @@
 from typing import TypedDict
 
 import aiohttp
-import msgspec
 from typing_extensions import override
 
+from magnoliaroad.decoding import Undecodable, decode_json
 from magnoliaroad.membership.host_list import (
     HostList,
     HostListError,
@@ -41,8 +41,8 @@
         try:
             async with self._session.get(self.url) as resp:
                 resp.raise_for_status()
-                body = msgspec.json.decode(await resp.read(), type=ListBody)
-        except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as exc:
+                body = decode_json(await resp.read(), ListBody)
+        except (aiohttp.ClientError, TimeoutError, Undecodable) as exc:
             raise HostListError(f"{self.url}: {exc!r}") from exc
         return PlatformList(**body)
 
--- a/src/magnoliaroad/membership/record.py
+++ b/src/magnoliaroad/membership/record.py
@@ -3,8 +3,8 @@
 from typing import NamedTuple
 
 import msgpack
-import msgspec
 
+from magnoliaroad.decoding import unpack
 from magnoliaroad.peers import PeerAddress
 
 HOSTS_PREFIX = "hosts/"
@@ -44,4 +44,4 @@
 
 def unpack_record(data: bytes) -> HostRecord:
     """Returns the record in ``data``; raises ``ValueError`` for other data."""
-    return msgspec.convert(msgpack.unpackb(data), HostRecord)
+    return unpack(data, HostRecord)
--- a/src/magnoliaroad/membership/view.py
+++ b/src/magnoliaroad/membership/view.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 
+from magnoliaroad.decoding import decode_entries
 from magnoliaroad.membership.messages import HostReport, MembershipReply
 from magnoliaroad.membership.record import HOSTS_PREFIX, HostRecord, unpack_record
 from magnoliaroad.store import WatchBatch
@@ -41,14 +42,14 @@
 
     def apply_snapshot(self, batch: WatchBatch) -> None:
         """Replaces the stored records by a snapshot of the store."""
-        records = [unpack_record(entry.value) for entry in batch.changed]
+        records = decode_entries(batch.changed, unpack_record)
         self._replace(batch.revision, records)
 
     def apply_changes(self, batch: WatchBatch) -> None:
         """Applies changes that a watch of the store returned."""
         if batch.revision < self.revision:
             return
-        records = [unpack_record(entry.value) for entry in batch.changed]
+        records = decode_entries(batch.changed, unpack_record)
         deleted = [key.removeprefix(HOSTS_PREFIX) for key in batch.deleted]
         self._apply(batch.revision, records, deleted)
 
--- a/src/magnoliaroad/once/record.py
+++ b/src/magnoliaroad/once/record.py
@@ -1,10 +1,11 @@
 """The stored record of an intent and its packed form."""
 
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 import msgpack
 import msgspec
 
+from magnoliaroad.decoding import unpack
 from magnoliaroad.groups import GroupEntry
 from magnoliaroad.once.attempt import Attempt
 from magnoliaroad.once.conclusion import Conclusion
@@ -37,8 +38,7 @@
     Raises:
         ValueError: ``data`` is not a packed record.
     """
-    fields: Any = msgpack.unpackb(data)
-    return msgspec.convert(fields, IntentRecord)
+    return unpack(data, IntentRecord)
 
 
 def latest_records(entries: list[GroupEntry]) -> dict[str, GroupEntry]:
--- a/src/magnoliaroad/operators/fleet.py
+++ b/src/magnoliaroad/operators/fleet.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from magnoliaroad.decoding import decode_entries
 from magnoliaroad.membership.record import HOSTS_PREFIX, HostRecord, unpack_record
 from magnoliaroad.store import Store
 
@@ -40,7 +41,7 @@
         StoreError: The store did not answer.
     """
     batch = await store.list(HOSTS_PREFIX)
-    records = [unpack_record(entry.value) for entry in batch.changed]
+    records = decode_entries(batch.changed, unpack_record)
     return sorted(records, key=lambda record: (record.data_centre, record.host))
 
 
--- a/src/magnoliaroad/peers/catalogue.py
+++ b/src/magnoliaroad/peers/catalogue.py
@@ -60,5 +60,5 @@
             raise UnknownMessage(f"message type {tag!r}")
         try:
             return msgspec.convert(fields, kind)
-        except msgspec.ValidationError as exc:
+        except (msgspec.ValidationError, RecursionError) as exc:
             raise UnknownMessage(f"message {tag!r}: {exc}") from exc
--- a/src/magnoliaroad/programs/engine_cache_client.py
+++ b/src/magnoliaroad/programs/engine_cache_client.py
@@ -9,6 +9,7 @@
 
 from magnoliaroad.batched import batched
 from magnoliaroad.config import ConfigService, RouteKind, Target
+from magnoliaroad.decoding import Undecodable, decode_json
 from magnoliaroad.groups import Groups
 from magnoliaroad.programs import metrics
 from magnoliaroad.programs.messages import (
@@ -136,7 +137,7 @@
                     data = b"".join([chunk async for chunk in reply.iter_chunks()])
                 finally:
                     reply.close()
-                return msgspec.json.decode(data) if reply.status == 200 else None
-        except (TargetError, TimeoutError, msgspec.DecodeError) as exc:
+                return decode_json(data) if reply.status == 200 else None
+        except (TargetError, TimeoutError, Undecodable) as exc:
             logger.bind(target=target.name, reason=str(exc)).debug("no answer")
             return None
--- a/src/magnoliaroad/programs/events.py
+++ b/src/magnoliaroad/programs/events.py
@@ -4,6 +4,7 @@
 
 import msgpack
 
+from magnoliaroad.decoding import unpack
 from magnoliaroad.peers import MessageCatalogue
 from magnoliaroad.verdict import Verdict
 
@@ -96,4 +97,5 @@
 
 def unpack_event(data: bytes) -> Event:
     """Returns the event packed in ``data``; raises ``ValueError`` for other data."""
-    return _CATALOGUE.unpack(*msgpack.unpackb(data))
+    tag, fields = unpack(data, tuple[str, list[Any]])
+    return _CATALOGUE.unpack(tag, fields)
--- a/src/magnoliaroad/quarantine/blocklist.py
+++ b/src/magnoliaroad/quarantine/blocklist.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from magnoliaroad.decoding import unpack
 from magnoliaroad.quarantine.entry import QuarantineEntry, QuarantineState
 
 # A decision to block wins over a decision to run alone that was made up to this many
@@ -89,4 +90,4 @@
 
 def unpack_entries(data: bytes) -> list[QuarantineEntry]:
     """Returns the entries in ``data``; raises ``ValueError`` for other data."""
-    return msgspec.convert(msgpack.unpackb(data), list[QuarantineEntry])
+    return unpack(data, list[QuarantineEntry])
--- a/src/magnoliaroad/quarantine/fingerprint.py
+++ b/src/magnoliaroad/quarantine/fingerprint.py
@@ -70,7 +70,7 @@
         return text
     try:
         return json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         return text
 
 
--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -9,6 +9,7 @@
 import xxhash
 from loguru import logger
 
+from magnoliaroad.decoding import unpack
 from magnoliaroad.synced_folder import sync_folder
 
 
@@ -128,7 +129,7 @@
         for checksum, data in unpacker:
             if xxhash.xxh3_64_intdigest(data) != checksum:
                 raise ValueError("checksum mismatch")
-            yield JournalRecord(*msgpack.unpackb(data))
+            yield unpack(data, JournalRecord)
     except (ValueError, TypeError) as exc:
         # Nothing after this point was acknowledged: a sync covers everything written
         # before it.
--- a/src/magnoliaroad/relay/budget.py
+++ b/src/magnoliaroad/relay/budget.py
@@ -4,6 +4,8 @@
 
 import msgpack
 
+from magnoliaroad.decoding import unpack
+
 
 class BudgetRecord(NamedTuple):
     """How many tokens of a program's budget each host has claimed.
@@ -40,10 +42,7 @@
     Raises:
         ValueError: ``data`` is not a budget record.
     """
-    fields = msgpack.unpackb(data)
-    if not isinstance(fields, list) or len(fields) != 2:
-        raise ValueError(f"not a budget record: {fields!r:.80}")
-    return BudgetRecord(*fields)
+    return unpack(data, BudgetRecord)
 
 
 def claim_size(record: BudgetRecord, needed: int) -> int:
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -20,7 +20,7 @@
 from magnoliaroad.relay.refusals import BUDGET_SPENT, BUDGET_UNCERTAIN
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.relay.token_draw import TokenDraw
-from magnoliaroad.store import StoreConflict, StoreError
+from magnoliaroad.store import StoreConflict, StoreEntry, StoreError
 
 # Wait before a failed claim is tried again.
 RETRY_INTERVAL_S = 0.05
@@ -238,9 +238,10 @@
             event = "budget's record is another"
             if exc.current is None:
                 record, revision = BudgetRecord(record.limit, {}), 0
+            elif (stored := _read_budget(name, exc.current)) is None:
+                return _StorePart.UNKNOWN
             else:
-                record = unpack_budget(exc.current.value)
-                revision = exc.current.revision
+                record, revision = stored, exc.current.revision
         except StoreError as exc:
             reason = repr(exc)
             logger.bind(program=name, reason=reason).warning("budget not claimed yet")
@@ -268,3 +269,14 @@
             idle_s = now - program.share.touched
             if idle_s > self.cfg.budget_retention_s and not program.share.reserved:
                 del self._programs[name]
+
+
+def _read_budget(name: str, entry: StoreEntry) -> BudgetRecord | None:
+    """Returns the record in an entry; ``None`` if it cannot be decoded."""
+    try:
+        return unpack_budget(entry.value)
+    except ValueError as exc:
+        logger.bind(program=name, key=entry.key, reason=str(exc)).error(
+            "budget cannot be read"
+        )
+        return None
--- a/src/magnoliaroad/relay/detour_client.py
+++ b/src/magnoliaroad/relay/detour_client.py
@@ -14,7 +14,8 @@
     DetourFailure,
     DetourHead,
     DetourRequest,
-    plain_headers,
+    pack_headers,
+    pack_text,
 )
 from magnoliaroad.relay.detour_response import DetourResponse
 from magnoliaroad.relay.helper_choice import HelperChoice
@@ -91,8 +92,8 @@
                 started_ms=target.started_ms,
                 address=target.address,
                 method=req.method,
-                url=req.url,
-                headers=plain_headers(req.headers),
+                url=pack_text(req.url),
+                headers=pack_headers(req.headers),
                 body=req.body,
                 limit_s=deadline - time.monotonic(),
             )
--- a/src/magnoliaroad/relay/detour_messages.py
+++ b/src/magnoliaroad/relay/detour_messages.py
@@ -4,6 +4,8 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from multidict import CIMultiDict
+
 
 class DetourRequest(NamedTuple):
     """Asks a peer to send a request to a target in the sender's place.
@@ -30,8 +32,8 @@
     started_ms: int
     address: str
     method: str
-    url: str
-    headers: list[tuple[str, str]]
+    url: bytes
+    headers: list[tuple[bytes, bytes]]
     body: bytes
     limit_s: float
 
@@ -40,7 +42,7 @@
     """The reply to ``DetourRequest``: the head of the target's answer."""
 
     status: int
-    headers: list[tuple[str, str]]
+    headers: list[tuple[bytes, bytes]]
 
 
 class DetourRead(NamedTuple):
@@ -99,6 +101,21 @@
     reason: str
 
 
-def plain_headers(headers: Mapping[str, str]) -> list[tuple[str, str]]:
-    """Returns headers as messages carry them, repeated ones included."""
-    return [(str(name), value) for name, value in headers.items()]
+def pack_headers(headers: Mapping[str, str]) -> list[tuple[bytes, bytes]]:
+    """Returns headers as messages carry them; their text need not be UTF-8."""
+    return [(pack_text(name), pack_text(value)) for name, value in headers.items()]
+
+
+def unpack_headers(headers: list[tuple[bytes, bytes]]) -> CIMultiDict[str]:
+    """Returns the headers that ``pack_headers`` packed."""
+    return CIMultiDict((unpack_text(name), unpack_text(text)) for name, text in headers)
+
+
+def pack_text(text: str) -> bytes:
+    """Returns the bytes that were received as ``text``."""
+    return text.encode(errors="surrogateescape")
+
+
+def unpack_text(data: bytes) -> str:
+    """Returns the text that ``pack_text`` packed."""
+    return data.decode(errors="surrogateescape")
--- a/src/magnoliaroad/relay/detour_response.py
+++ b/src/magnoliaroad/relay/detour_response.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 
-from multidict import CIMultiDict, CIMultiDictProxy
+from multidict import CIMultiDictProxy
 from typing_extensions import override
 
 from magnoliaroad.peers import PeerError, Peers
@@ -14,6 +14,7 @@
     DetourHead,
     DetourPart,
     DetourRead,
+    unpack_headers,
 )
 from magnoliaroad.targets import AnswerCut, TargetAnswer
 
@@ -47,7 +48,7 @@
         on_closed: Callable[[], None],
     ) -> None:
         self.status = head.status
-        self.headers = CIMultiDictProxy(CIMultiDict(head.headers))
+        self.headers = CIMultiDictProxy(unpack_headers(head.headers))
         self._peers = peers
         self._host = host
         self._token = token
--- a/src/magnoliaroad/relay/detour_service.py
+++ b/src/magnoliaroad/relay/detour_service.py
@@ -6,7 +6,6 @@
 
 from loguru import logger
 from mode import Service
-from multidict import CIMultiDict
 
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.peers import Peers
@@ -20,7 +19,9 @@
     DetourPart,
     DetourRead,
     DetourRequest,
-    plain_headers,
+    pack_headers,
+    unpack_headers,
+    unpack_text,
 )
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.direct_sender import DirectSender
@@ -137,22 +138,26 @@
             return "target leaves"
         if self._paths.is_cut(target.service):
             return "cut off from the targets"
-        if not message.url.startswith(f"http://{target.address}/"):
+        if not unpack_text(message.url).startswith(f"http://{target.address}/"):
             return "address of another target"
         return ""
 
     async def _send(
         self, detour: Detour, target: RelayTarget, message: DetourRequest
     ) -> DetourHead:
-        headers = CIMultiDict(message.headers)
-        request = TargetRequest(message.method, message.url, headers, message.body)
+        request = TargetRequest(
+            message.method,
+            unpack_text(message.url),
+            unpack_headers(message.headers),
+            message.body,
+        )
         response = await self._sender.open(target, request, message.limit_s)
         head = self._dialect.read_answer(response.headers)
         # Before other tasks run: the connection may go back to the pool with bytes of
         # another answer.
         OpenAnswer(target, response, head).check_owner(message.request_id)
         detour.begin(response)
-        return DetourHead(response.status, plain_headers(response.headers))
+        return DetourHead(response.status, pack_headers(response.headers))
 
     async def _on_read(
         self, host: str, message: DetourRead
--- a/src/magnoliaroad/relay/escrow_disk.py
+++ b/src/magnoliaroad/relay/escrow_disk.py
@@ -8,6 +8,7 @@
 import msgpack
 from loguru import logger
 
+from magnoliaroad.decoding import Undecodable, unpack
 from magnoliaroad.records.journal import Journal, JournalRecord
 from magnoliaroad.synced_folder import sync_folder
 
@@ -42,8 +43,7 @@
     def recover(self) -> dict[str, int]:
         """Returns the tokens that earlier runs granted, by program."""
         return {
-            record.key: msgpack.unpackb(record.value)
-            for record in self._journal.recover()
+            record.key: unpack(record.value, int) for record in self._journal.recover()
         }
 
     def load_identity(self) -> DiskIdentity:
@@ -51,8 +51,8 @@
         path = self._folder / IDENTITY_FILE
         if path.exists():
             try:
-                return DiskIdentity(*msgpack.unpackb(path.read_bytes()))
-            except (ValueError, TypeError) as exc:
+                return unpack(path.read_bytes(), DiskIdentity)
+            except Undecodable as exc:
                 logger.bind(file=path.name, reason=repr(exc)).warning(
                     "damaged identity of the disk replaced"
                 )
--- a/src/magnoliaroad/relay/escrow_role.py
+++ b/src/magnoliaroad/relay/escrow_role.py
@@ -5,6 +5,8 @@
 
 import msgpack
 
+from magnoliaroad.decoding import unpack
+
 # Time without a confirmation from the store after which a host stops granting.
 CONFIRMATION_LIFETIME_S = 120.0
 # Time that a host waits before it grants in place of another: the other one may still
@@ -35,10 +37,7 @@
     Raises:
         ValueError: ``data`` is not the entry of a holder.
     """
-    fields = msgpack.unpackb(data)
-    if not isinstance(fields, list) or len(fields) != len(EscrowHolder._fields):
-        raise ValueError(f"not an escrow holder: {fields!r:.80}")
-    return EscrowHolder(*fields)
+    return unpack(data, EscrowHolder)
 
 
 class EscrowRole:
--- a/src/magnoliaroad/relay/host_entry.py
+++ b/src/magnoliaroad/relay/host_entry.py
@@ -4,6 +4,7 @@
 
 import msgpack
 
+from magnoliaroad.decoding import check_address, log_refused, unpack
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.store import WatchBatch
 
@@ -51,18 +52,17 @@
 
 
 def unpack_hosts(batch: WatchBatch) -> HostList:
-    """Returns the list in the entries under ``PREFIX``.
-
-    Raises:
-        ValueError: An entry is not a host entry.
-    """
+    """Returns the list in the entries under ``PREFIX``, without those that are none."""
     hosts, marked = {}, set()
     for entry in batch.changed:
         name = entry.key.removeprefix(PREFIX)
         if name.endswith(MARK_SUFFIX):
             marked.add(name.removesuffix(MARK_SUFFIX))
         else:
-            hosts[name] = unpack_host(entry.value)
+            try:
+                hosts[name] = unpack_host(entry.value)
+            except ValueError as exc:
+                log_refused(entry.key, entry.revision, str(exc))
     return HostList(hosts, frozenset(marked))
 
 
@@ -72,7 +72,6 @@
     Raises:
         ValueError: ``data`` is not a host entry.
     """
-    fields = msgpack.unpackb(data)
-    if not isinstance(fields, list) or len(fields) != len(HostEntry._fields):
-        raise ValueError(f"not a host entry: {fields!r:.80}")
-    return HostEntry(*fields)
+    entry = unpack(data, HostEntry)
+    check_address(entry.address, entry.port)
+    return entry
--- a/src/magnoliaroad/relay/turn.py
+++ b/src/magnoliaroad/relay/turn.py
@@ -4,6 +4,8 @@
 
 import msgpack
 
+from magnoliaroad.decoding import unpack
+
 
 class Turn(NamedTuple):
     """The stored record of one turn.
@@ -43,8 +45,4 @@
 
 def unpack_turn(data: bytes) -> Turn:
     """Returns the turn in ``data``; raises ``ValueError`` for other data."""
-    fields = msgpack.unpackb(data)
-    if not isinstance(fields, list) or len(fields) != len(Turn._fields):
-        raise ValueError(f"not a turn: {fields!r:.80}")
-    team, chain, chain_started_at, text = fields
-    return Turn(team, tuple(chain), chain_started_at, text)
+    return unpack(data, Turn)
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -127,6 +127,9 @@
             value = await self._records.fetch(PREFIX + turn_id)
             if value is None:
                 raise Refused(NO_TURN)
-            turn = unpack_turn(value)
+            try:
+                turn = unpack_turn(value)
+            except ValueError as exc:
+                raise Refused(TURN_UNCERTAIN, reason=f"record: {exc}") from exc
             self._cache.add(turn_id, turn)
         return turn
--- a/src/magnoliaroad/store/client.py
+++ b/src/magnoliaroad/store/client.py
@@ -4,8 +4,10 @@
 
 import aiohttp
 import msgpack
+import msgspec
 from typing_extensions import override
 
+from magnoliaroad.decoding import Undecodable, unpack
 from magnoliaroad.store.entry import StoreEntry
 from magnoliaroad.store.errors import (
     LeaseLost,
@@ -104,14 +106,22 @@
     if status == 410:
         raise LeaseLost("the lease has expired or does not exist")
     if status == 409:
-        current = msgpack.unpackb(body)
-        raise StoreConflict(key, None if current is None else StoreEntry(*current))
+        current = _unpack(body, StoreEntry | None)
+        raise StoreConflict(key, current)
     if status != 200:
         raise StoreUnavailable(f"the store returned HTTP status {status}")
-    return msgpack.unpackb(body)
+    return _unpack(body)
+
+
+def _unpack(body: bytes, kind: Any = Any) -> Any:
+    try:
+        return unpack(body, kind)
+    except Undecodable as exc:
+        raise StoreUnavailable(f"answer of the store: {exc}") from exc
 
 
 def _decode_batch(fields: Any) -> WatchBatch:
-    changed, deleted, revision = fields
-    entries = tuple(StoreEntry(*entry) for entry in changed)
-    return WatchBatch(entries, tuple(deleted), revision)
+    try:
+        return msgspec.convert(fields, WatchBatch)
+    except msgspec.ValidationError as exc:
+        raise StoreUnavailable(f"answer of the store: {exc}") from exc
--- a/tests/platform/kv_standin.py
+++ b/tests/platform/kv_standin.py
@@ -168,7 +168,11 @@
         return web.json_response({"revision": self.state.revision})
 
     def write(self, key, document):
-        self.state.put(key, json.dumps(document).encode())
+        self.write_bytes(key, json.dumps(document).encode())
+
+    def write_bytes(self, key, value):
+        """Writes an entry as another writer might, also one that is not JSON."""
+        self.state.put(key, value)
 
     def delete(self, key):
         """Deletes an entry, as the end of its lease does."""
--- a/tests/platform/test_cut_hosts.py
+++ b/tests/platform/test_cut_hosts.py
@@ -240,8 +240,8 @@
         "started_ms": target.born,
         "address": target.address,
         "method": "POST",
-        "url": f"http://{target.address}/pay/x",
-        "headers": [("Magnoliaroad-Request-Id", "r-1")],
+        "url": f"http://{target.address}/pay/x".encode(),
+        "headers": [(b"Magnoliaroad-Request-Id", b"r-1")],
         "body": b"m",
         "limit_s": 1.0,
     }
@@ -255,7 +255,7 @@
         ({"target": "i-gone"}, "target unknown"),
         ({"started_ms": 7}, "target unknown"),
         ({"address": "127.0.0.1:9"}, "target unknown"),
-        ({"url": "http://127.0.0.1:9/pay/x"}, "address of another target"),
+        ({"url": b"http://127.0.0.1:9/pay/x"}, "address of another target"),
         ({"limit_s": 0.0}, "too late"),
     ],
 )
