Refuse a request at once that cannot end before the host stops (LOST)

Callers on connections that were in use when their host was told to stop sent requests late in its grace. They were passed on, and at the end of the grace the connection ended without an answer, although the target had run them; unsafe ones cannot be repeated then.

Cause: nothing compared a request's time limit with the time that was left to the host.

DrainLimit decides, once a request has arrived whole: one whose limit ends before the drain is taken as before. Of the others, those that come during the balancer's notice are taken and end with the drain at the latest, and later ones are refused at once, truly not run, with a Retry-After. Requests that were passed on before the stop get a final answer before the process exits. Both doors; at the product's own door the limit is the caller's deadline or the wait for the first byte.

--- a/src/magnoliaroad/app.py
+++ b/src/magnoliaroad/app.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from magnoliaroad.config import ConfigService, HostLocation
+from magnoliaroad.drain_limit import DrainLimit
 from magnoliaroad.entry import EntryServer, EntryServices
 from magnoliaroad.groups import GroupService
 from magnoliaroad.keys import KeyService
@@ -161,6 +162,7 @@
             quarantine=self.quarantine,
             placement=self.placement,
             targets=self.targets,
+            drain=DrainLimit(),
         )
 
     def _host_record(self) -> HostRecord:
--- a/src/magnoliaroad/entry/chat_run.py
+++ b/src/magnoliaroad/entry/chat_run.py
@@ -1,6 +1,7 @@
 """Runs one chat request: begins its turn, picks a target, relays the answer."""
 
 import asyncio
+import time
 from typing import Any
 
 from loguru import logger
@@ -133,6 +134,8 @@
         return kept
 
     async def _try_targets(self, turn: Turn) -> Completion:
+        now, limit_s = time.monotonic(), self.services.targets.cfg.first_byte_timeout_s
+        self.services.drain.fit(now, now + (self.chat.deadline_s or limit_s))
         for attempt in range(1, self.cfg.attempts + 1):
             job = self._make_job(turn)
             placement = unwrap(await self.services.placement.acquire(job))
@@ -183,7 +186,10 @@
         self._target = placement.target.name
         try:
             response = await self.services.targets.open(
-                engine_request(self.chat, turn, placement)
+                engine_request(self.chat, turn, placement),
+                self.services.drain.time_limit_s(
+                    time.monotonic(), self.services.targets.cfg.first_byte_timeout_s
+                ),
             )
         except TargetError as exc:
             self.progress.verdict = exc.verdict
--- a/src/magnoliaroad/entry/plain_run.py
+++ b/src/magnoliaroad/entry/plain_run.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import hashlib
+import time
 from collections.abc import AsyncIterator
 
 from aiohttp import web
@@ -131,6 +132,8 @@
 
     async def _try_targets(self) -> tuple[Placement, TargetResponse]:
         failed: set[str] = set()
+        now, limit_s = time.monotonic(), self.services.targets.cfg.first_byte_timeout_s
+        self.services.drain.fit(now, now + limit_s)
         for _ in range(self.cfg.attempts):
             job = self.call.job(frozenset(failed))
             placement = unwrap(await self.services.placement.acquire(job))
@@ -151,7 +154,10 @@
         )
         try:
             req = self.call.request_to(placement.target)
-            return await self.services.targets.open(req)
+            limit_s = self.services.drain.time_limit_s(
+                time.monotonic(), self.services.targets.cfg.first_byte_timeout_s
+            )
+            return await self.services.targets.open(req, limit_s)
         except TargetError as exc:
             self.progress.verdict = exc.verdict
             self._release(placement, exc)
--- a/src/magnoliaroad/entry/server.py
+++ b/src/magnoliaroad/entry/server.py
@@ -88,7 +88,9 @@
         Waits at most ``drain_notice_s`` plus ``drain_limit_s``.
         """
         self.draining = True
-        await asyncio.sleep(self.cfg.drain_notice_s)
+        notice_s, limit_s = self.cfg.drain_notice_s, self.cfg.drain_limit_s
+        self.services.drain.begin(time.monotonic(), notice_s, notice_s + limit_s)
+        await asyncio.sleep(notice_s)
         until = time.monotonic() + self.cfg.drain_limit_s
         # Health checks are answered while requests are in flight.
         await self.in_flight.wait_idle(self.cfg.drain_limit_s)
--- a/src/magnoliaroad/entry/services.py
+++ b/src/magnoliaroad/entry/services.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from magnoliaroad.config import ConfigService
+from magnoliaroad.drain_limit import DrainLimit
 from magnoliaroad.keys import KeyService
 from magnoliaroad.limits import LimitService
 from magnoliaroad.once import OnceService
@@ -13,7 +14,11 @@
 
 
 class EntryServices(NamedTuple):
-    """Services that are used to handle a request."""
+    """Services that are used to handle a request.
+
+    Attributes:
+        drain: Limits the time of requests while the host stops.
+    """
 
     config: ConfigService
     keys: KeyService
@@ -23,3 +28,4 @@
     quarantine: QuarantineService
     placement: PlacementService
     targets: TargetClient
+    drain: DrainLimit
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -10,6 +10,7 @@
 from loguru import logger
 from returns.pipeline import is_successful
 
+from magnoliaroad.drain_limit import DrainLimit
 from magnoliaroad.quarantine import exact_fingerprint
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import AdmittedCall
@@ -83,6 +84,10 @@
         began: Monotonic time at which its headers arrived, in seconds.
         should_close: Returns whether an answer that begins now is to end the caller's
             connection.
+        drain: Limits the time of requests while the host stops.
+
+    Raises:
+        Refused: The host stops before the request would have to end.
     """
 
     def __init__(
@@ -92,6 +97,7 @@
         req: web.BaseRequest,
         began: float,
         should_close: Callable[[], bool],
+        drain: DrainLimit,
     ) -> None:
         self.parts = parts
         self.admitted = admitted
@@ -101,7 +107,7 @@
         limit_s = self.route.timeout_s
         if self.call.time_left_s is not None:
             limit_s = min(limit_s, self.call.time_left_s)
-        self.deadline = began + limit_s
+        self.deadline = drain.fit(time.monotonic(), began + limit_s)
         self.sent = False
         self.resp: web.StreamResponse | None = None
         self._req = req
@@ -148,6 +154,20 @@
             self._limit = None
             self._settle_charges()
 
+    def end_by(self, deadline: float) -> None:
+        """Moves the time limit forward; without effect once the whole answer is there.
+
+        Args:
+            deadline: Monotonic time in seconds.
+        """
+        if deadline >= self.deadline:
+            return
+        self.deadline = deadline
+        limit = self._limit
+        if limit is not None and limit.when() is not None and not limit.expired():
+            left_s = deadline - time.monotonic()
+            limit.reschedule(asyncio.get_running_loop().time() + left_s)
+
     def _lift_limit(self) -> None:
         """Ends the time limit once the whole answer is there to be delivered."""
         if self._limit is not None and not self._limit.expired():
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -11,6 +11,7 @@
 from magnoliaroad.caller_left import caller_left
 from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.connection_drain import ConnectionDrain
+from magnoliaroad.drain_limit import DrainLimit
 from magnoliaroad.expectation import expects_continue, send_continue
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.refusal import Refusal, Refused
@@ -58,6 +59,8 @@
         self.draining = False
         self.in_flight = InFlightRequests()
         self._ready = ready
+        self._drain_limit = DrainLimit()
+        self._runs: set[RelayRun] = set()
         self._stall_timer = StallTimer()
         self._runners: list[web.ServerRunner] = []
         self._caller_listener: CallerListener | None = None
@@ -95,6 +98,9 @@
         cfg = self.parts.cfg.drain
         began = time.monotonic()
         self.draining = True
+        self._drain_limit.begin(began, cfg.notice_s, cfg.limit_s)
+        for run in self._runs:
+            run.end_by(self._drain_limit.ends_at)
         await asyncio.sleep(cfg.notice_s)
         if self._caller_listener is not None:
             await self._caller_listener.stop()
@@ -142,8 +148,16 @@
                 admitted = admit(self.parts.plans, call)
                 kind = admitted.route.kind.value
                 log_fields |= {"route": admitted.route.name, "team": admitted.team_name}
-                run = RelayRun(self.parts, admitted, req, began, self._should_close)
+                run = RelayRun(
+                    self.parts,
+                    admitted,
+                    req,
+                    began,
+                    self._should_close,
+                    self._drain_limit,
+                )
                 log_fields["fingerprint"] = run.fingerprint
+                self._runs.add(run)
                 resp = await run.run()
             except BadCall as exc:
                 resp = self._refuse(request_id, bad_call(str(exc)), began, log_fields)
@@ -165,6 +179,8 @@
                 if run is not None and run.resp is not None:
                     return self._end_begun(req, request_id, run.resp, exc)
                 resp = self._refuse(request_id, host_failed(sent), began, log_fields)
+            finally:
+                self._runs.discard(run)
         took_s = time.monotonic() - began
         REQUESTS.inc({"kind": kind, "status": str(resp.status)})
         LATENCY.observe({"kind": kind}, took_s)
--- a/tests/entry/test_planned_stop.py
+++ b/tests/entry/test_planned_stop.py
@@ -4,6 +4,7 @@
 import contextlib
 import socket
 
+from magnoliaroad.entry.settings import EntrySettings
 from magnoliaroad.standins.deployment import DEMO_KEY
 from tests.entry.hosts import HEADERS, host_with_target
 from tests.entry.services import BIG_BODY, FaultyService
@@ -79,6 +80,51 @@
             await stop
 
 
+async def test_a_late_request_that_cannot_end_before_the_host_is_refused():
+    """LOST: it was passed on, and its connection ended without an answer."""
+    service = FaultyService()
+    entry = EntrySettings(drain_notice_s=0.0, drain_limit_s=2.0)
+    async with host_with_target(service.app(), payout_edit(), entry=entry) as (
+        app,
+        url,
+    ):
+        sent = request_bytes(
+            {"Host": "x", **HEADERS}, "/services/payouts/waits", "POST", body=b"m" * 99
+        )
+        async with KeptCaller(url.removeprefix("http://")) as caller:
+            await caller.send(sent[:-10])
+            await asyncio.sleep(0.1)
+            stop = asyncio.create_task(_stop(app))
+            await asyncio.sleep(1.0)
+            await caller.send(sent[-10:])
+            status, headers = await caller.read_head()
+            await stop
+    assert (status, headers["connection"]) == (503, "close")
+    assert headers["retry-after"] == "1"
+    assert service.runs == 0
+
+
+async def test_a_request_of_the_notice_gets_a_final_answer():
+    """LOST: it was cut off with its connection at the end of the drain."""
+    service = FaultyService()
+    entry = EntrySettings(drain_notice_s=0.5, drain_limit_s=1.0)
+    async with host_with_target(service.app(), payout_edit(), entry=entry) as (
+        app,
+        url,
+    ):
+        sent = request_bytes(
+            {"Host": "x", **HEADERS}, "/services/payouts/waits", "POST", body=b"m"
+        )
+        async with KeptCaller(url.removeprefix("http://")) as caller:
+            stop = asyncio.create_task(_stop(app))
+            await asyncio.sleep(0.1)
+            await caller.send(sent)
+            status, headers = await caller.read_head()
+            await stop
+    assert (status, headers["connection"]) == (502, "close")
+    assert service.runs == 1
+
+
 async def _stop(app):
     await app.entry.drain()
     await app.entry.stop()
--- a/tests/platform/kept_caller.py
+++ b/tests/platform/kept_caller.py
@@ -103,6 +103,8 @@
     head, end, body = received.partition(b"\r\n\r\n")
     if not end:
         return False
+    if b"transfer-encoding: chunked" in head.lower():
+        return body.endswith(b"\r\n0\r\n\r\n")
     lengths = [
         int(line.partition(b":")[2])
         for line in head.lower().split(b"\r\n")
--- /dev/null
+++ b/tests/relay/test_drain_limit.py
@@ -0,0 +1,50 @@
+"""Which requests still fit into the drain of a host."""
+
+import pytest
+
+from magnoliaroad.drain_limit import (
+    ANSWER_MARGIN_S,
+    MIN_LIMIT_S,
+    STOPPING,
+    DrainLimit,
+)
+from magnoliaroad.refusal import Refused
+
+ENDS_AT = 10.0 + 7.6 - ANSWER_MARGIN_S
+
+
+@pytest.fixture
+def draining():
+    limit = DrainLimit()
+    limit.begin(10.0, notice_s=2.6, limit_s=7.6)
+    return limit
+
+
+def test_a_host_that_does_not_stop_limits_nothing():
+    assert DrainLimit().fit(100.0, 1000.0) == 1000.0
+
+
+def test_requests_that_end_in_time_are_taken(draining):
+    assert draining.fit(10.1, 15.1) == 15.1
+    assert draining.fit(14.0, 17.0) == 17.0
+    assert draining.fit(16.9, ENDS_AT) == ENDS_AT
+
+
+def test_requests_of_the_notice_are_taken_and_end_with_the_drain(draining):
+    assert draining.fit(10.1, 40.1) == ENDS_AT
+    assert draining.fit(12.5, 42.5) == ENDS_AT
+
+
+def test_later_requests_that_may_end_too_late_are_refused(draining):
+    for now in (12.6, 14.0, 17.0):
+        with pytest.raises(Refused) as caught:
+            draining.fit(now, now + 5.0)
+        assert caught.value.refusal is STOPPING
+        assert caught.value.refusal.retry_after_s
+
+
+def test_what_is_sent_late_has_the_rest_of_the_drain(draining):
+    assert DrainLimit().time_limit_s(16.0, 60.0) == 60.0
+    assert draining.time_limit_s(10.0, 5.0) == 5.0
+    assert draining.time_limit_s(16.0, 60.0) == pytest.approx(ENDS_AT - 16.0)
+    assert draining.time_limit_s(20.0, 60.0) == MIN_LIMIT_S
