--- a/src/magnoliaroad/relay/host_entry.py
+++ b/src/magnoliaroad/relay/host_entry.py
@@ -60,9 +60,12 @@
             marked.add(name.removesuffix(MARK_SUFFIX))
         else:
             try:
-                hosts[name] = unpack_host(entry.value)
+                host = unpack_host(entry.value)
+                check_address(host.address, host.port)
             except ValueError as exc:
                 log_refused(entry.key, entry.revision, str(exc))
+            else:
+                hosts[name] = host
     return HostList(hosts, frozenset(marked))
 
 
@@ -72,6 +75,4 @@
     Raises:
         ValueError: ``data`` is not a host entry.
     """
-    entry = unpack(data, HostEntry)
-    check_address(entry.address, entry.port)
-    return entry
+    return unpack(data, HostEntry)
