Resume no stream at a host that may have missed a change of targets (ORDER)

By a report of other operators: a host out of step, cut off or standing still while targets of a new version joined, took up streams and had them continued by another version.

Here, with new ids, such a host refuses: it knows no target of the stream's version.

A stream is now resumed only by a host whose list of targets is as new as the newest that a peer has just stated; without a heartbeat, its own list must just have been read. Otherwise it is refused at once, truly not run, and another host can take it up.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -175,6 +175,7 @@
             ),
             programs=LruCache(MAX_REMEMBERED_PROGRAMS, lambda _: 1),
             host_count=self.fleet.host_count,
+            targets_current=self.fleet.targets_current,
             notify_peers=self.fleet.send_heartbeat_soon,
         )
         self.server = RelayServer(parts, self._ready)
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -280,6 +280,20 @@
         """Whether a peer is out of contact."""
         return host in self._tracker.silent
 
+    def targets_current(self) -> bool:
+        """Whether this host can have missed no change of targets that a peer has.
+
+        After a pause, or cut off from all others, it may take a target for an earlier
+        start of it.
+        """
+        tracker, now = self._tracker, time.monotonic()
+        if not tracker.members:
+            return not self.store_lost()
+        newest = tracker.newest_targets_revision(now)
+        if newest is None:
+            return now - self._follower.listed_at < tracker.near_silent_s
+        return newest <= self._follower.revision
+
     def helps_peers(self) -> bool:
         """Whether this host sends requests to targets for peers."""
         return not (self.draining or self._slowness.slow)
--- a/src/magnoliaroad/relay/heartbeat_tracker.py
+++ b/src/magnoliaroad/relay/heartbeat_tracker.py
@@ -217,6 +217,18 @@
         received = self.latest.get(host)
         return received is not None and now - received.received_at < self.far_silent_s
 
+    def newest_targets_revision(self, now: float) -> int | None:
+        """Returns the newest revision of targets that peers have just stated.
+
+        It is ``None`` if none has stated any within the silence limit.
+        """
+        revisions = [
+            received.heartbeat.targets_revision
+            for received in self.latest.values()
+            if now - received.received_at < self.near_silent_s
+        ]
+        return max(revisions, default=None)
+
     def is_superseded(self, now: float, host: str, boot: str) -> bool:
         """Whether a later incarnation of a host than ``boot`` is running.
 
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -26,6 +26,7 @@
         stream_origins: The software that began each stream that may be resumed.
         programs: Programs of which this host has recently admitted requests.
         host_count: Returns the number of relay hosts.
+        targets_current: Returns whether the known targets are those that peers know.
         notify_peers: Sends this host's state to its peers without waiting for the next
             heartbeat.
     """
@@ -43,4 +44,5 @@
     stream_origins: StreamOrigins
     programs: LruCache[bool]
     host_count: Callable[[], int]
+    targets_current: Callable[[], bool]
     notify_peers: Callable[[], None]
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -104,6 +104,13 @@
     action="Send the request again from its start.",
     retry_after_s=RESUME_RETRY_S,
 )
+TARGETS_OUTDATED = Refusal(
+    code="targets_outdated",
+    status=503,
+    message="This host may not know the software of the targets at the moment.",
+    action="Send the request again.",
+    retry_after_s=RESUME_RETRY_S,
+)
 NO_TARGET_OF_VERSION = Refusal(
     code="no_target_of_version",
     status=503,
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -41,6 +41,7 @@
     STREAM_UNKNOWN,
     TARGET_FAILED,
     TARGETS_FULL,
+    TARGETS_OUTDATED,
     TIMED_OUT,
     as_unavailable,
     over_limit,
@@ -225,6 +226,8 @@
         ).info("stream to resume")
         if origin is None:
             raise Refused(STREAM_UNKNOWN)
+        if not self.parts.targets_current():
+            raise Refused(TARGETS_OUTDATED)
         if origin.service not in {share.service for share in self.route.services}:
             raise Refused(NO_TARGET_OF_VERSION)
         self._origin = origin
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -1,6 +1,7 @@
 """Keeps the table of targets in line with the entries in the store."""
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Mapping, Sequence
 
@@ -23,6 +24,7 @@
 
     Attributes:
         listed: Whether all entries were read at least once.
+        listed_at: Time at which they were last read, in seconds.
         revision: Revision of the newest change that was applied.
         grace_pending: Is set while the grace period of any target runs.
         on_target_lost: Is called with a target whose entry was removed, or that has
@@ -37,6 +39,7 @@
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.listed = False
+        self.listed_at = -math.inf
         self.grace_pending = asyncio.Event()
         self.on_target_lost: Callable[[RelayTarget], None] = lambda target: None
         self.revision = 0
@@ -55,7 +58,7 @@
         """Applies a full list; drops missing targets now or after the grace period."""
         self.listed = True
         self._snapshot_revision = revision
-        now = self._now()
+        now = self.listed_at = self._now()
         if after_loss:
             self._grace_until = now + self._grace_s
         for entry in entries.values():
--- a/tests/platform/test_resumed_streams.py
+++ b/tests/platform/test_resumed_streams.py
@@ -224,3 +224,47 @@
         deployment.kv.write("op/config", plan)
         await deployment.until(lambda: deployment.relays[0].plans.version == 4)
         assert await versions.resume("s") == (503, None)
+
+
+async def test_a_host_out_of_step_resumes_no_stream(tmp_path, targets, monkeypatch):
+    """Guards against a join at a host that has missed a change of versions (ORDER).
+
+    The host takes a target for its earlier start, which had the stream's version.
+    """
+    async with Deployment(tmp_path, *targets, hosts=2) as deployment:
+        versions = Versions(deployment, {"i-old": "v1", "i-new": "v1"})
+        await deployment.start_records()
+        await versions.prepare()
+        await versions.begin("s")
+        first, late = deployment.relays
+        for name in ("on_batch", "on_snapshot", "merge_entries"):
+            monkeypatch.setattr(late.follower, name, lambda *args: None)
+        versions.versions = {"i-old": "v1", "i-new": "v2"}
+        versions.write_entry(targets[1], born=2000)
+        await deployment.until(lambda: first.table.targets["i-new"].version == "v2")
+        await asyncio.sleep(0.3)
+        targets[0].script = ["full"]
+        assert await versions.resume("s", relay=1) == (503, None)
+        monkeypatch.undo()
+        late.follower.merge_entries(*first.follower.export_entries())
+        targets[0].script = ["ok"]
+        assert await versions.resume("s", relay=1) == (200, "v1")
+
+
+async def test_a_host_that_hears_neither_hosts_nor_store_resumes_no_stream(
+    tmp_path, targets, monkeypatch
+):
+    """Guards against a join at a host that has just stood still (ORDER)."""
+    async with Deployment(tmp_path, *targets, hosts=2) as deployment:
+        versions = Versions(deployment, {"i-old": "v1", "i-new": "v1"})
+        await deployment.start_records()
+        await versions.prepare()
+        await versions.begin("s", relay=1)
+        late = deployment.relays[1]
+        monkeypatch.setattr(late.fleet, "_receive_heartbeat", lambda *args: None)
+        monkeypatch.setattr(late.follower, "on_snapshot", lambda *args: None)
+        await asyncio.sleep(1.0)
+        assert await versions.resume("s", relay=1) == (503, None)
+        monkeypatch.undo()
+        await deployment.until(late.fleet.targets_current)
+        assert await versions.resume("s", relay=1) == (200, "v1")
