Take late requests of a kind that usually ends in time, in the drain of a host

A request that comes after the notice is taken as well if twice the longest of the last 100 requests of its route fits into the drain; it ends with the drain at the latest. Routes of which fewer than 20 requests are known are judged by the limit, as before.

Also: a service without targets is not taken for cut off, and peers that were unable are forgotten.

--- a/src/magnoliaroad/drain_limit.py
+++ b/src/magnoliaroad/drain_limit.py
@@ -7,6 +7,8 @@
 ANSWER_MARGIN_S = 0.3
 # Shortest time limit of what is sent at the end of a drain, in seconds.
 MIN_LIMIT_S = 0.02
+# Times the longest recent duration that a request must have left.
+EXPECTED_FACTOR = 2.0
 # Retry time for callers of a host that stops, in seconds. A new connection reaches
 # another host at once.
 STOPPING_RETRY_S = 0.1
@@ -25,7 +27,8 @@
 
     Requests that arrive during the notice are taken whatever their time limit, as the
     balancer sends them, and end by the end of the drain with some answer. Later ones
-    come on connections in use and are taken only if their time limit ends in time.
+    come on connections in use and are taken only if their time limit ends in time, or
+    if requests of their kind take much less.
     """
 
     def __init__(self) -> None:
@@ -54,12 +57,16 @@
             return limit_s
         return min(limit_s, max(MIN_LIMIT_S, self.ends_at - now))
 
-    def fit(self, now: float, deadline: float) -> float:
+    def fit(
+        self, now: float, deadline: float, expected_s: float | None = None
+    ) -> float:
         """Returns the deadline of a request that has arrived whole.
 
         Args:
             now: Monotonic time in seconds.
             deadline: Time at which the request has to end otherwise.
+            expected_s: Time within which requests of its kind end, in seconds;
+                ``None`` if that is not known.
 
         Raises:
             Refused: The request has not run and would not end in time.
@@ -68,6 +75,10 @@
             return deadline
         if deadline <= self.ends_at:
             return deadline
-        if now >= self._notice_until:
+        ends_in_time = (
+            expected_s is not None
+            and now + EXPECTED_FACTOR * expected_s <= self.ends_at
+        )
+        if now >= self._notice_until and not ends_in_time:
             raise Refused(STOPPING, left_s=round(self.ends_at - now, 3))
         return self.ends_at
--- a/src/magnoliaroad/relay/helper_choice.py
+++ b/src/magnoliaroad/relay/helper_choice.py
@@ -69,4 +69,7 @@
 
     def record_unable(self, host: str, now: float) -> None:
         """Leaves a peer out for ``UNABLE_S``."""
+        self._unable_until = {
+            name: until for name, until in self._unable_until.items() if until > now
+        }
         self._unable_until[host] = now + UNABLE_S
--- a/src/magnoliaroad/relay/path_prober.py
+++ b/src/magnoliaroad/relay/path_prober.py
@@ -117,6 +117,10 @@
             for target in self._table.targets.values()
             if target.service == service and target.state is TargetState.READY
         ]
+        if not targets:
+            # There is nothing to be cut off from.
+            self.record_connected(service)
+            return
         chosen = random.sample(targets, min(PROBED_TARGETS, len(targets)))
         connected = await asyncio.gather(
             *(self._client.can_connect(target.address) for target in chosen)
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -47,6 +47,7 @@
     over_limit,
 )
 from magnoliaroad.relay.reservation import Reservation
+from magnoliaroad.relay.route_durations import RouteDurations
 from magnoliaroad.relay.route_kind import RouteKind
 from magnoliaroad.relay.stream_origin import StreamOrigin
 from magnoliaroad.relay.target import RelayTarget
@@ -86,6 +87,7 @@
         should_close: Returns whether an answer that begins now is to end the caller's
             connection.
         drain: Limits the time of requests while the host stops.
+        durations: How long requests of its route have taken.
 
     Raises:
         Refused: The host stops before the request would have to end.
@@ -99,6 +101,7 @@
         began: float,
         should_close: Callable[[], bool],
         drain: DrainLimit,
+        durations: RouteDurations,
     ) -> None:
         self.parts = parts
         self.admitted = admitted
@@ -108,7 +111,8 @@
         limit_s = self.route.timeout_s
         if self.call.time_left_s is not None:
             limit_s = min(limit_s, self.call.time_left_s)
-        self.deadline = drain.fit(time.monotonic(), began + limit_s)
+        expected_s = durations.longest_s(self.route.name)
+        self.deadline = drain.fit(time.monotonic(), began + limit_s, expected_s)
         self.sent = False
         self.resp: web.StreamResponse | None = None
         self._req = req
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -23,6 +23,7 @@
 from magnoliaroad.relay.metrics import IN_FLIGHT, LATENCY, REFUSALS, REQUESTS
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.refusals import bad_call, host_failed
+from magnoliaroad.relay.route_durations import RouteDurations
 from magnoliaroad.relay.run import RelayRun
 from magnoliaroad.stall_watch import StallTimer, StallWatch
 
@@ -60,6 +61,7 @@
         self.in_flight = InFlightRequests()
         self._ready = ready
         self._drain_limit = DrainLimit()
+        self._durations = RouteDurations()
         self._runs: set[RelayRun] = set()
         self._stall_timer = StallTimer()
         self._runners: list[web.ServerRunner] = []
@@ -155,6 +157,7 @@
                     began,
                     self._should_close,
                     self._drain_limit,
+                    self._durations,
                 )
                 log_fields["fingerprint"] = run.fingerprint
                 self._runs.add(run)
@@ -182,6 +185,8 @@
             finally:
                 self._runs.discard(run)
         took_s = time.monotonic() - began
+        if run is not None and run.resp is not None:
+            self._durations.record(run.route.name, took_s)
         REQUESTS.inc({"kind": kind, "status": str(resp.status)})
         LATENCY.observe({"kind": kind}, took_s)
         return resp
--- a/tests/relay/test_drain_limit.py
+++ b/tests/relay/test_drain_limit.py
@@ -9,6 +9,11 @@
     DrainLimit,
 )
 from magnoliaroad.refusal import Refused
+from magnoliaroad.relay.route_durations import (
+    MIN_REQUESTS,
+    REMEMBERED,
+    RouteDurations,
+)
 
 ENDS_AT = 10.0 + 7.6 - ANSWER_MARGIN_S
 
@@ -48,3 +53,22 @@
     assert draining.time_limit_s(10.0, 5.0) == 5.0
     assert draining.time_limit_s(16.0, 60.0) == pytest.approx(ENDS_AT - 16.0)
     assert draining.time_limit_s(20.0, 60.0) == MIN_LIMIT_S
+
+
+def test_later_requests_of_a_quick_kind_are_taken(draining):
+    assert draining.fit(14.0, 19.0, expected_s=1.0) == ENDS_AT
+    with pytest.raises(Refused):
+        draining.fit(16.0, 21.0, expected_s=1.0)
+
+
+def test_a_kind_is_known_by_its_longest_recent_request():
+    durations = RouteDurations()
+    for _ in range(MIN_REQUESTS - 1):
+        durations.record("chat", 0.2)
+    assert durations.longest_s("chat") is None
+    durations.record("chat", 1.5)
+    assert durations.longest_s("chat") == 1.5
+    for _ in range(REMEMBERED):
+        durations.record("chat", 0.3)
+    assert durations.longest_s("chat") == 0.3
+    assert durations.longest_s("pay") is None
