Soak: cut hosts off from all targets, leave odd entries

The soak's hosts can be cut off from the targets by a file: silently, by resets, or with live connections beside refused new ones. find_stranded checks RECOVER by the platform's bound.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -69,6 +69,20 @@
     events: list[str]
 
 
+class FirstTry(NamedTuple):
+    """A request that was sent once.
+
+    Attributes:
+        host: The host that it was sent to.
+        sent_at: Monotonic time in seconds.
+        served: Whether it was answered with success.
+    """
+
+    host: object
+    sent_at: float
+    served: bool
+
+
 class Callers:
     """Sends payments, look-ups, program turns and resumable streams.
 
@@ -83,6 +97,7 @@
         answered: Number of requests with a successful answer.
         poison_sent_at: Times at which the crashing request was sent to a host in
             contact, by request id; in seconds of the event loop's clock.
+        first_tries: The requests to services.
         resumes_tried: Number of requests to resume a stream.
         due_resumes: Number of those that were answered and sent while the fleet could
             resume the stream, by status.
@@ -102,6 +117,7 @@
         self.resumes_tried = 0
         self.due_resumes = Counter()
         self.resumes_continued = 0
+        self.first_tries = []
         self._numbers = itertools.count(1)
 
     async def run(self, end):
@@ -168,7 +184,12 @@
 
     async def call_service(self, path, method, body):
         request_id = f"r-{next(self._numbers)}"
-        status, answer = await self._send(request_id, path, method, body, {})
+        relay, now = self.rng.choice(self.fleet.relay_hosts), time.monotonic()
+        status, answer = await self._send(
+            request_id, path, method, body, {}, relay=relay
+        )
+        if body != POISON:
+            self.first_tries.append(FirstTry(relay, now, status == 200))
         if status == 200 and answer not in (b"whole", None):
             self.violations.append(f"{request_id}: body {answer!r}")
         return status
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -18,6 +18,7 @@
 from tests.platform.target_standin import TargetStandin
 from tests.soak.callers import EVENTS_PER_STREAM, POISON
 from tests.soak.spans import Spans
+from tests.soak.target_cuts import end_cut, write_cut
 
 ROOT = Path(__file__).parents[2]
 HOST_PROGRAM = ROOT / "platform" / "host.py"
@@ -63,6 +64,7 @@
     Attributes:
         disruptions: Spans in which it was killed, paused or cut off from the store.
         stops: Spans from SIGTERM to the exit.
+        target_cuts: Spans in which it was cut off from all targets.
         booted: Whether it had a handler of SIGTERM.
         problems: Messages about ends that nobody asked for.
     """
@@ -84,6 +86,7 @@
         self.disrupted_until = 0.0
         self.disruptions = Spans()
         self.stops = Spans()
+        self.target_cuts = Spans()
         self.problems = []
         self.booted = self._stopping = False
         self._watch = None
@@ -200,6 +203,15 @@
             self.paused = False
         self.end_disruption()
 
+    async def cut_targets(self, how, seconds):
+        """Cuts the host off from all targets; the store and hosts still reach it."""
+        hosts = [host.peer_address for host in self.fleet.processes]
+        ports = [int(address.rpartition(":")[2]) for address in hosts]
+        with self.target_cuts.span():
+            write_cut(self.folder, how, [*ports, self.link.port])
+            await asyncio.sleep(seconds)
+            end_cut(self.folder)
+
     async def is_ready(self, session):
         try:
             async with session.get(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -26,8 +26,11 @@
     soak_config,
 )
 from tests.soak.lost import find_losses
+from tests.soak.odd_entries import ODD_ENTRIES
 from tests.soak.resumes import check_resumes, check_resumes_after_faults
 from tests.soak.slow_callers import SlowCallers
+from tests.soak.stranded import count_stranded, find_stranded
+from tests.soak.target_cuts import CUTS
 
 CALLER_COUNT = 12
 # Callers that only receive resumable streams.
@@ -55,6 +58,9 @@
         slowly_read: Number of answers that slow callers received whole.
         unanswered: Number of their requests without a whole answer.
         crossed: The requests that crossed the close of an idle connection.
+        stranded_served: Number of requests that were served at hosts cut off from all
+            targets.
+        stranded_tried: Number of requests that were sent there.
     """
 
     violations: list[str]
@@ -63,6 +69,8 @@
     slowly_read: int
     unanswered: int
     crossed: list[str]
+    stranded_served: int
+    stranded_tried: int
 
 
 class Load(NamedTuple):
@@ -114,6 +122,7 @@
             *_check_poison(callers),
             *check_resumes(callers),
             *losses.lost,
+            *find_stranded(fleet, callers.first_tries),
             *(problem for host in fleet.processes for problem in host.problems),
         ]
         return SoakResult(
@@ -123,6 +132,7 @@
             slow.answered,
             len(slow.unanswered),
             losses.crossed,
+            *count_stranded(fleet, callers.first_tries),
         )
 
 
@@ -265,6 +275,26 @@
     await fleet.add_target(new)
 
 
+async def _cut_targets(fleet, rng, violations):
+    """Cuts a relay host off from all targets while another one reaches them."""
+    hosts = [
+        relay
+        for relay in fleet.relay_hosts
+        if relay.proc.returncode is None and not relay.paused
+    ]
+    free = [h for h in hosts if not any(s.is_open for s in h.target_cuts.items)]
+    if len(free) > 1:
+        await rng.choice(free).cut_targets(rng.choice(CUTS), rng.uniform(1.0, 6.0))
+
+
+async def _write_odd_entry(fleet, rng, violations):
+    """Leaves an entry that no target wrote, for a while."""
+    key = f"servers/odd-{rng.randrange(1000)}"
+    fleet.kv.write_bytes(key, rng.choice(ODD_ENTRIES))
+    await asyncio.sleep(rng.uniform(0.2, 3.0))
+    fleet.kv.delete(key)
+
+
 PLANNED = (_stop_relay, _stop_relay, _terminate, _hang_up, _change_config)
 INJECTORS = (
     _kill,
@@ -280,7 +310,7 @@
 # The seeds of the CI script draw their faults from this one.
 BASIC_LOAD = Load(INJECTORS, ())
 FULL_LOAD = Load(
-    (*INJECTORS, _hang_up),
+    (*INJECTORS, _hang_up, _cut_targets, _cut_targets, _write_odd_entry),
     ANSWER_ENDS,
     SLOW_CALLER_COUNT,
     STOP_CALLER_COUNT,
@@ -383,7 +413,9 @@
             f"seed {seed}: {result.violations or 'passed'};"
             f" {result.resumes_continued} of {result.resumes_tried} resumes went on,"
             f" {result.slowly_read} answers read slowly, {result.unanswered} cut,"
-            f" {len(result.crossed)} closed as they were sent"
+            f" {len(result.crossed)} closed as they were sent,"
+            f" {result.stranded_served} of {result.stranded_tried} served at hosts"
+            " without targets"
             f" (logs in {folder.name})",
             flush=True,
         )
