Take a host for cut off only if three targets, or all, cannot be reached

In a planned soak without any cut, 29 requests were refused with no_path: the crashing request ends two of three targets at once, which counted as a lost path at every host, and the third target got none of the requests for up to a quarter of a second.

Now three targets of a service have to be unreachable, or all of them if there are fewer. The probes after the first failure go to three targets at once, so a real cut is found as soon as before.

Evidence: test_two_of_three_targets_that_crash_together_show_no_cut fails before; the tests of cut hosts pass.

--- a/src/magnoliaroad/relay/path_prober.py
+++ b/src/magnoliaroad/relay/path_prober.py
@@ -12,14 +12,14 @@
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.relay.metrics import CUT_SERVICES
 from magnoliaroad.relay.target import RelayTarget, TargetState
-from magnoliaroad.relay.target_paths import TargetPaths
+from magnoliaroad.relay.target_paths import MIN_UNREACHABLE, TargetPaths
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.targets import TargetClient
 
 # Time between probes of a service that the host is cut off from, in seconds.
 PROBE_INTERVAL_S = 0.25
-# Targets that are probed at the same time; more than the failures that show a cut.
-PROBED_TARGETS = 3
+# Targets that are probed at the same time; their failures alone show a cut.
+PROBED_TARGETS = MIN_UNREACHABLE
 # Time without an answer from any target while requests wait after which the targets
 # are probed, in seconds.
 SILENCE_S = 0.5
--- a/src/magnoliaroad/relay/target_paths.py
+++ b/src/magnoliaroad/relay/target_paths.py
@@ -1,8 +1,8 @@
 """Decides whether this host has lost its network path to the targets of a service."""
 
 # Targets of a service to which no new connection can be made before the host takes
-# itself for cut off. One alone may have failed.
-MIN_UNREACHABLE = 2
+# itself for cut off, or all of them if there are fewer. Fewer may have failed at once.
+MIN_UNREACHABLE = 3
 # Time for which a failed connection is evidence, in seconds; several times as long as
 # a round of probes takes.
 EVIDENCE_LIFETIME_S = 2.0
@@ -55,8 +55,9 @@
         for name, at in list(failed.items()):
             if now - at > EVIDENCE_LIFETIME_S:
                 del failed[name]
-        alone = bool(self._cut_since) and len(failed) >= known
-        if len(failed) < MIN_UNREACHABLE and not alone:
+        if len(failed) < min(MIN_UNREACHABLE, known):
+            return False
+        if known < 2 and not self._cut_since:
             return False
         self._cut_since[service] = now
         return True
