Refuse ids that are not UTF-8 on streams only

Messages to other hosts carry the ids of streams only, so only those are refused now, before anything is admitted. Services are probed in the order of their names, so that plays repeat.

--- a/src/magnoliaroad/decoding.py
+++ b/src/magnoliaroad/decoding.py
@@ -90,6 +90,15 @@
     logger.bind(key=key, revision=revision, reason=reason).warning("entry refused")
 
 
+def can_be_sent(text: str) -> bool:
+    """Returns whether messages can carry ``text``, as it was received as UTF-8."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def check_integer(name: str, value: int) -> int:
     """Returns ``value`` if it is from 0 to the largest that messages can carry.
 
--- a/src/magnoliaroad/relay/path_prober.py
+++ b/src/magnoliaroad/relay/path_prober.py
@@ -102,7 +102,7 @@
             self._suspect_silent(time.monotonic())
             while services := self._suspected | set(self.paths.cut):
                 self._suspected.clear()
-                await asyncio.gather(*map(self._probe_service, services))
+                await asyncio.gather(*map(self._probe_service, sorted(services)))
                 await asyncio.sleep(PROBE_INTERVAL_S)
             self._requested.clear()
 
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -10,6 +10,7 @@
 from loguru import logger
 from returns.pipeline import is_successful
 
+from magnoliaroad.decoding import can_be_sent
 from magnoliaroad.drain_limit import DrainLimit
 from magnoliaroad.quarantine import exact_fingerprint
 from magnoliaroad.refusal import Refusal, Refused
@@ -44,6 +45,7 @@
     TARGETS_OUTDATED,
     TIMED_OUT,
     as_unavailable,
+    bad_call,
     over_limit,
 )
 from magnoliaroad.relay.reservation import Reservation
@@ -194,6 +196,8 @@
 
     async def _prepare(self) -> None:
         call, team = self.call, self.admitted.team
+        if self.streams and not can_be_sent(call.program + call.request_id):
+            raise Refused(bad_call("The ids of a stream must be UTF-8."))
         if team is not None:
             await self._acquire_token(team)
         if self.route.keeps_turns and call.previous_turn:
