--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -187,7 +187,7 @@
             direct,
             self.server.in_flight,
             self.fleet.helps_peers,
-            self.fleet.is_silent,
+            self.fleet.is_lost,
         )
         self._mirrors = (
             self._mirror(decoder.operator_prefix, self.plans),
--- a/src/magnoliaroad/relay/detour_service.py
+++ b/src/magnoliaroad/relay/detour_service.py
@@ -53,7 +53,7 @@
         sender: Sends the requests.
         in_flight: Counts them with the requests of this host's callers.
         helps_peers: Returns whether this host sends requests for peers at all.
-        is_silent: Returns whether a peer is out of contact.
+        is_lost: Returns whether a peer is out of contact for good.
     """
 
     def __init__(
@@ -65,7 +65,7 @@
         sender: DirectSender,
         in_flight: InFlightRequests,
         helps_peers: Callable[[], bool],
-        is_silent: Callable[[str], bool],
+        is_lost: Callable[[str], bool],
     ) -> None:
         super().__init__()
         self._dialect = dialect
@@ -74,7 +74,7 @@
         self._sender = sender
         self._in_flight = in_flight
         self._helps_peers = helps_peers
-        self._is_silent = is_silent
+        self._is_lost = is_lost
         self._detours: dict[tuple[str, str], Detour] = {}
         peers.on(DetourRequest, self._on_request, DetourHead)
         peers.on(DetourRead, self._on_read, DetourPart)
@@ -92,7 +92,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = time.monotonic()
             for (host, token), detour in list(self._detours.items()):
-                if detour.idle_s(now) > ABANDONED_S or self._is_silent(host):
+                if detour.idle_s(now) > ABANDONED_S or self._is_lost(host):
                     logger.bind(
                         request=detour.request_id,
                         peer=host,
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -276,9 +276,9 @@
             if not heartbeat.slow
         ]
 
-    def is_silent(self, host: str) -> bool:
-        """Whether a peer is out of contact."""
-        return host in self._tracker.silent
+    def is_lost(self, host: str) -> bool:
+        """Whether a peer has been out of contact for too long to wait for it."""
+        return self._tracker.is_lost(time.monotonic(), host)
 
     def targets_current(self) -> bool:
         """Whether this host can have missed no change of targets that a peer has.
--- a/tests/platform/test_cut_hosts.py
+++ b/tests/platform/test_cut_hosts.py
@@ -312,3 +312,20 @@
         await helper.stop()
         status, _, body = await call
     assert (status, body.count(b"id: ")) == (200, 5)
+
+
+async def test_a_peer_that_heard_nothing_for_a_while_keeps_the_answers(
+    tmp_path, monkeypatch
+):
+    """Soak seed 8028: after a pause the peer dropped the answers of all hosts."""
+    lms = [TargetStandin(f"i-lm{n}", "lm", events=6) for n in range(2)]
+    async with Deployment(tmp_path, *lms, hosts=2) as deployment:
+        CutPath(deployment.relays[0]).cut("refuse")
+        await until_cut(deployment, "lm")
+        for target in lms:
+            target.script = ["slowly"]
+        fleet = deployment.relays[1].fleet
+        monkeypatch.setattr(fleet, "_receive_heartbeat", lambda *args: None)
+        status, _, body = await deployment.call("/plan/x", "POST", b"m")
+        assert fleet._tracker.silent == {"relay-0"}
+    assert (status, body.count(b"id: ")) == (200, 6)
--- a/tests/soak/lost.py
+++ b/tests/soak/lost.py
@@ -50,7 +50,15 @@
 def _disrupted(fleet, exchange):
     begin, end = exchange.began_at - REJOIN_S, exchange.ended_at
     host = exchange.request.host
-    spans = (host.disruptions, host.target_cuts, fleet.store_disruptions)
+    spans = [host.disruptions, fleet.store_disruptions]
+    cuts = [s for s in host.target_cuts.items if s.begin <= end and s.end >= begin]
+    if any(cut.begin >= begin for cut in cuts):
+        return True
+    if cuts:
+        # Another host sends its requests to the targets.
+        for other in fleet.relay_hosts:
+            spans += [other.disruptions, other.stops, other.target_cuts]
+        spans.remove(host.target_cuts)
     return any(span.overlap(begin, end) for span in spans)
 
 
--- a/tests/soak/test_lost.py
+++ b/tests/soak/test_lost.py
@@ -39,7 +39,10 @@
 @pytest.fixture
 def fleet(target):
     return SimpleNamespace(
-        targets=[target], former_targets=[], store_disruptions=spans()
+        targets=[target],
+        former_targets=[],
+        relay_hosts=[],
+        store_disruptions=spans(),
     )
 
 
@@ -174,7 +177,9 @@
     assert not recorded.overlap(now - 2.0, now - 1.0)
 
 
-def test_a_cut_of_the_path_to_the_targets_is_no_fault_of_the_host(fleet, host, target):
+def test_a_cut_of_the_path_to_the_targets_breaks_off_what_is_under_way(
+    fleet, host, target
+):
     """Seed 8026: a cut by reset broke a stream off that a sound target was sending."""
     run(target)
     assert counts(fleet, exchange(host)) == (1, 0)
@@ -182,3 +187,17 @@
     assert counts(fleet, exchange(host)) == (0, 0)
     host.target_cuts = spans((90.0, 99.0 - REJOIN_S))
     assert counts(fleet, exchange(host)) == (1, 0)
+
+
+def test_what_a_peer_sends_during_a_cut_is_lost_unless_it_is_disrupted(
+    fleet, host, target
+):
+    """Seed 8028 is to be found, and seed 8010, where the peer was killed, is not."""
+    run(target)
+    host.target_cuts = spans((90.0, 105.0))
+    assert counts(fleet, exchange(host)) == (1, 0)
+    peer = SimpleNamespace(
+        disruptions=spans((99.5, 101.0)), stops=spans(), target_cuts=spans()
+    )
+    fleet.relay_hosts.append(peer)
+    assert counts(fleet, exchange(host)) == (0, 0)
