--- a/review/2/run.py
+++ b/review/2/run.py
@@ -133,25 +133,23 @@
         until = time.monotonic() + 8.0
         channels = [KeptChannel(system, relay) for _ in range(CHANNELS)]
         paying = [asyncio.create_task(channel.pay(until)) for channel in channels]
-        turns = 0
+        faulty = next(r for r in system.runners if r.name == "i-lm-a")
+        turns = []
         while time.monotonic() < until:
-            faulty = next((r for r in system.runners if r.name == "i-lm-a"), None)
-            if trouble and turns == 40:
+            if trouble and len(turns) == 40:
                 faulty.endless = 1
                 record(f"the next answer of {faulty.name} comes without end")
-            turns += 1
-            asyncio.create_task(
-                system.turn(relay, b"input", f"program-{turns}", limit_s=5.0)
-            )
+            turn = system.turn(relay, b"input", f"program-{len(turns)}", limit_s=5.0)
+            turns.append(asyncio.create_task(turn))
             await asyncio.sleep(0.05)
-        await asyncio.gather(*paying)
+        await asyncio.gather(*paying, *turns)
         watching.cancel()
         ran = {run[1] for runner in payments for run in runner.runs}
         lost = [c.unanswered for c in channels if c.unanswered in ran]
         for request_id in lost:
             record(f"payment {request_id} ran at a sound runner; its channel closed")
         record(
-            f"{turns} turns, one of them endless: {trouble};"
+            f"{len(turns)} turns, one of them endless: {trouble};"
             f" {sum(c.answered for c in channels)} payments answered,"
             f" {len(lost)} passed on to a sound runner and never answered;"
             f" the rule allows {ALLOWED}"
