--- a/review/4/run.py
+++ b/review/4/run.py
@@ -18,7 +18,7 @@
 RETENTION_S = 60.0
 PAUSE_S = 57.0
 # Time between two sub-agents in zone b.
-BETWEEN_S = 9.0
+BETWEEN_S = 7.2
 
 
 async def play(record, folder, trouble):
