--- a/review/1/run.py
+++ b/review/1/run.py
@@ -10,7 +10,7 @@
 import time
 from pathlib import Path
 
-from review.common.harness import Runner, System, config, main
+from review.harness import Runner, System, config, main
 
 LARGE_BYTES = 1_200_000
 MAX_BODY_BYTES = 4_194_304
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -10,7 +10,7 @@
 import time
 from pathlib import Path
 
-from review.common.harness import HOST_NAME, Runner, System, config, main
+from review.harness import HOST_NAME, Runner, System, config, main
 
 MEMORY_MB = 150
 CHANNELS = 8
@@ -82,12 +82,14 @@
 class KeptChannel:
     """Pays over one channel until it is closed."""
 
-    def __init__(self, system, relay):
-        self.system, self.relay = system, relay
+    def __init__(self, system, relay, delay_s):
+        self.system, self.relay, self.delay_s = system, relay, delay_s
         self.answered = 0
         self.unanswered = ""
 
     async def pay(self, until):
+        # Requesters do not pay in step.
+        await asyncio.sleep(self.delay_s)
         host, _, port = self.relay.callers.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
@@ -131,7 +133,10 @@
         platform = Platform(system, record)
         watching = asyncio.create_task(platform.watch())
         until = time.monotonic() + 8.0
-        channels = [KeptChannel(system, relay) for _ in range(CHANNELS)]
+        channels = [
+            KeptChannel(system, relay, number * WORK_S / CHANNELS)
+            for number in range(CHANNELS)
+        ]
         paying = [asyncio.create_task(channel.pay(until)) for channel in channels]
         faulty = next(r for r in system.runners if r.name == "i-lm-a")
         turns = []
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -9,7 +9,7 @@
 import time
 from pathlib import Path
 
-from review.common.harness import Runner, System, config, main
+from review.harness import Runner, System, config, main
 
 # The example of PROTOCOL.md: the budget, and the most of one turn.
 BUDGET = 4704
--- a/review/5/run.py
+++ b/review/5/run.py
@@ -11,7 +11,7 @@
 import time
 from pathlib import Path
 
-from review.common.harness import Runner, System, config, main
+from review.harness import Runner, System, config, main
 
 DRAIN_S = 2.0
 # The runner exits drain_ms and a little longer after its entry was removed.
--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../common/run.sh" "$(cd "$(dirname "$0")" && pwd)"
+exec "$(dirname "$0")/../run_case.sh" "$(cd "$(dirname "$0")" && pwd)"
--- a/review/build.sh
+++ b/review/build.sh
@@ -3,13 +3,14 @@
 # Runs after the build of the deploy file, whose libraries they use.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+export PYTHONDONTWRITEBYTECODE=1
 export PYTHONPATH=target/deps:src:platform:.
 python3 - <<'END'
-import compileall
-import sys
+from pathlib import Path
 
-import review.common.harness  # noqa: F401
+import review.harness  # noqa: F401
 import tests.platform.kv_standin  # noqa: F401
 
-sys.exit(not compileall.compile_dir("review", quiet=1))
+for path in sorted(Path("review").glob("**/*.py")):
+    compile(path.read_text(), str(path), "exec")
 END
