--- a/src/magnoliaroad/relay/open_answer.py
+++ b/src/magnoliaroad/relay/open_answer.py
@@ -93,15 +93,21 @@
                 return self._replace(body=b"".join(chunks))
         return self._replace(body=b"".join(chunks), complete=True)
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the body is a stream of events.
+
+        One without a media type is taken for such a stream.
+        """
+        media_type = self.response.headers.get("Content-Type", EVENT_STREAM)
+        is_events = media_type.partition(";")[0].strip().lower() == EVENT_STREAM
+        return self.succeeded and is_events
+
     def check_events(self, scanner: EventScanner) -> None:
         """Checks that a stream of events ended between two of them.
 
-        A stream without a media type is taken for one of events.
-
         Raises:
             AnswerCut: It ended inside an event.
         """
-        media_type = self.response.headers.get("Content-Type", EVENT_STREAM)
-        is_events = media_type.partition(";")[0].strip().lower() == EVENT_STREAM
-        if self.succeeded and is_events and not scanner.complete:
+        if self.has_events and not scanner.complete:
             raise AnswerCut("stream ended inside an event")
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -17,7 +17,11 @@
 from magnoliaroad.relay.admission import AdmittedCall
 from magnoliaroad.relay.detour_client import NoPath
 from magnoliaroad.relay.dialect import AnswerHead
-from magnoliaroad.relay.event_scanner import EventScanner
+from magnoliaroad.relay.event_scanner import (
+    EventLimits,
+    EventScanner,
+    StreamTooLong,
+)
 from magnoliaroad.relay.metrics import (
     FIRST_BYTE,
     PROGRAM_TURNS,
@@ -56,6 +60,7 @@
 from magnoliaroad.relay.team_limiter import AdmissionDecision
 from magnoliaroad.relay.turn import LoadedTurn
 from magnoliaroad.targets import (
+    AnswerCut,
     RequestEnd,
     TargetAnswer,
     TargetError,
@@ -73,6 +78,9 @@
 # meanwhile. The first lasts until all hosts of a large fleet know of the failure.
 COOLDOWN_S = 0.5
 MAX_COOLDOWN_S = 4.0
+# Events of an engine's stream beyond one for each announced output token, such as those
+# that report usage or the end.
+SPARE_EVENTS = 16
 # With more hosts than this for each target of a plain service, a host keeps to one
 # target: it has so few requests that connections to all would reach the idle timeout.
 HOSTS_PER_TARGET = 2
@@ -130,6 +138,7 @@
         )
         self._service = pick_service(self.route, self._affinity_key)
         self._scanner = EventScanner()
+        self._scans = False
         call = self.call
         self.fingerprint = exact_fingerprint(
             admitted.team_name, call.method, call.path, call.body
@@ -529,6 +538,8 @@
         if self._req.version >= HttpVersion11:
             resp.enable_chunked_encoding()
         self._check_origin(opened.target)
+        self._scans = self.streams and opened.has_events
+        self._scanner = EventScanner(self._event_limits(), self.route.keeps_turns)
         opened.response.when_complete(self._lift_limit)
         self.resp = resp
         if self._should_close():
@@ -571,8 +582,26 @@
             origin = StreamOrigin(target.service, target.version)
             self.parts.stream_origins.record(self.call.request_id, origin)
 
+    def _event_limits(self) -> EventLimits:
+        """Returns what a stream may carry; an engine's event has one token or more."""
+        service = self.admitted.plan.services.get(self._service)
+        limits = EventLimits(data_bytes=self.parts.cfg.turns.max_output_bytes)
+        tokens = self.call.output_tokens
+        if service is None or not service.tokens_per_event or not tokens:
+            return limits
+        return limits._replace(events=tokens + SPARE_EVENTS)
+
     async def _write(self, chunk: bytes) -> None:
-        self._scanner.feed(chunk)
+        """Passes a part of the body on.
+
+        Raises:
+            AnswerCut: The stream carries more than a sound target sends.
+        """
+        if self._scans:
+            try:
+                self._scanner.feed(chunk)
+            except StreamTooLong as exc:
+                raise AnswerCut(f"stream without end: {exc}") from exc
         await self.resp.write(chunk)
 
     async def _save_turn(self, opened: OpenAnswer) -> None:
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -53,6 +53,7 @@
         cache_bytes: Most memory for turns that were read or written recently.
         part_bytes: Largest record of a chain that is written again; well below the
             store's limit of 1 MB.
+        max_output_bytes: Most output of one turn that is kept; a longer one is cut off.
         budget_retention_s: Shortest time that a program's budget is stored.
         store_patience_s: Longest wait for a turn to be stored or loaded.
         claim_s: Longest wait for a claim on a budget; covers several slow answers of
@@ -67,6 +68,7 @@
 
     cache_bytes: int = 16_000_000
     part_bytes: int = 300_000
+    max_output_bytes: int = 4_194_304
     budget_retention_s: float = 90.0
     store_patience_s: float = 2.0
     claim_s: float = 0.7
--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -5,9 +5,15 @@
 import aiohttp
 from aiohttp import hdrs
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.streams import StreamReader
 from typing_extensions import override
 
+# Statuses of interim responses, which aiohttp skips. 101 ends HTTP on its connection.
+INTERIM_STATUSES = frozenset({100, *range(102, 200)})
+# Most interim responses before the final one; targets have little to announce.
+MAX_INTERIM_RESPONSES = 8
+
 
 class CheckedEndHandler(ResponseHandler):
     """Fails a body without a length whose connection was not closed by the target.
@@ -16,6 +22,8 @@
     end of the connection for that of the body, so a reset, a timeout and a close by
     this host would look like a complete answer.
 
+    Closes a connection on which interim responses do not end.
+
     Attributes:
         has_answered: Whether the connection has been used for a request.
     """
@@ -23,14 +31,28 @@
     has_answered = False
     _open_body: StreamReader | None = None
     _target_closed = False
+    _interim_count = 0
 
     @override
     def feed_data(self, data: Any, size: int = 0) -> None:
         message, body = data
+        if message.code not in INTERIM_STATUSES:
+            self._interim_count = 0
+        elif self._interim_count == MAX_INTERIM_RESPONSES:
+            self._reject_interim(message.code)
+            return
+        else:
+            self._interim_count += 1
         has_end = message.chunked or hdrs.CONTENT_LENGTH in message.headers
         self._open_body = None if has_end else body
         super().feed_data(data, size)
 
+    def _reject_interim(self, status: int) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.close()
+            text = f"more than {MAX_INTERIM_RESPONSES} interim responses"
+            self.set_exception(HttpProcessingError(code=status, message=text))
+
     @override
     def eof_received(self) -> None:
         self._target_closed = True
--- a/tests/relay/test_streams.py
+++ b/tests/relay/test_streams.py
@@ -1,6 +1,6 @@
 import pytest
 
-from magnoliaroad.relay.event_scanner import EventScanner
+from magnoliaroad.relay.event_scanner import EventLimits, EventScanner, StreamTooLong
 
 STREAM = b"id: 1\ndata: one\n\nid: 2\r\ndata: two\n\n: note\n\ndata: a\ndata: b\n\n"
 
@@ -58,3 +58,38 @@
     scanner = EventScanner()
     scanner.feed(rest)
     assert not scanner.complete
+
+
+def feed_without_end(scanner, piece):
+    for _ in range(1100):
+        scanner.feed(piece)
+
+
+@pytest.mark.parametrize(
+    ("limits", "piece"),
+    [
+        (EventLimits(event_bytes=1000), b": comment\n\n"),
+        (EventLimits(event_bytes=1000), b": comment\n"),
+        (EventLimits(event_bytes=1000), b"data: one event\n"),
+        (EventLimits(event_bytes=1000), b"x"),
+        (EventLimits(events=20), b"data: x\n\n"),
+        (EventLimits(data_bytes=1000), b"data: 0123456789\n\n"),
+    ],
+)
+def test_a_stream_beyond_its_limits_is_not_kept(limits, piece):
+    scanner = EventScanner(limits)
+    with pytest.raises(StreamTooLong):
+        feed_without_end(scanner, piece)
+
+
+def test_comments_between_events_do_not_add_up():
+    scanner = EventScanner(EventLimits(event_bytes=100))
+    for _ in range(100):
+        scanner.feed(b": comment\n\n: comment\ndata: x\n\n")
+    assert scanner.count == 100
+
+
+def test_data_that_is_not_needed_is_not_kept():
+    scanner = EventScanner(EventLimits(data_bytes=10), keeps_data=False)
+    scanner.feed(b"data: 0123456789\n\n" * 10)
+    assert (scanner.count, scanner.data) == (10, b"")
