--- a/src/magnoliaroad/records/pending.py
+++ b/src/magnoliaroad/records/pending.py
@@ -32,7 +32,7 @@
         cfg: Batch sizes and delays.
 
     Attributes:
-        size_bytes: Total size of the values of all pending records.
+        size_bytes: Total size of the values of all records, refused ones included.
         delay_s: Extra time before a record is due, in seconds.
     """
 
@@ -41,10 +41,17 @@
         self.size_bytes = 0
         self.delay_s = 0.0
         self._records: dict[str, PendingRecord] = {}
+        # Records that the store does not accept, and when they expire, in seconds.
+        self._refused: dict[str, tuple[PendingRecord, float]] = {}
 
     def __len__(self) -> int:
         return len(self._records)
 
+    @property
+    def refused_count(self) -> int:
+        """Number of records that the store does not accept."""
+        return len(self._refused)
+
     def add(
         self,
         now: float,
@@ -53,7 +60,7 @@
         writes_first: bool,
     ) -> None:
         """Adds a record; it is due later on hosts that do not write first."""
-        if record.key in self._records:
+        if record.key in self._records or record.key in self._refused:
             return
         age_s = self.cfg.store_after_s if writes_first else self.cfg.partner_after_s
         due_at = now + age_s + self.delay_s
@@ -61,17 +68,34 @@
         self.size_bytes += len(record.value)
 
     def get(self, key: str) -> bytes | None:
-        """Returns the value of a pending record, or ``None``."""
+        """Returns the value of a pending or refused record, or ``None``."""
         pending = self._records.get(key)
+        if pending is None:
+            pending, _ = self._refused.get(key, (None, 0.0))
         return None if pending is None else pending.record.value
 
     def pop(self, key: str) -> PendingRecord | None:
         """Removes and returns a record that is now in the store."""
         pending = self._records.pop(key, None)
+        if pending is None:
+            pending, _ = self._refused.pop(key, (None, 0.0))
         if pending is not None:
             self.size_bytes -= len(pending.record.value)
         return pending
 
+    def refuse(self, now: float, key: str) -> None:
+        """Keeps a record that the store does not accept until it expires.
+
+        It is part of no further batch.
+        """
+        pending = self._records.pop(key, None)
+        if pending is not None:
+            self._refused[key] = (pending, now + pending.record.ttl_s)
+
+    def expired(self, now: float) -> list[str]:
+        """Returns the keys of the refused records that have expired."""
+        return [key for key, (_, ends_at) in self._refused.items() if ends_at <= now]
+
     def next_batch(self, now: float, everything: bool = False) -> list[PendingRecord]:
         """Returns the next records to write, or none if no record is due.
 
--- a/src/magnoliaroad/records/service.py
+++ b/src/magnoliaroad/records/service.py
@@ -18,9 +18,16 @@
     KeepRecordReply,
     RecordsStored,
 )
+from magnoliaroad.records.metrics import REFUSED
 from magnoliaroad.records.pending import PendingRecord, PendingRecords
 from magnoliaroad.records.settings import RecordSettings
-from magnoliaroad.store import LeaseLost, Store, StoreError, StorePut
+from magnoliaroad.store import (
+    LeaseLost,
+    Store,
+    StoreError,
+    StorePut,
+    StoreRejected,
+)
 from magnoliaroad.store.leases import LeasePool
 
 # Interval between checks for records that are due, in seconds.
@@ -84,13 +91,14 @@
 
     @property
     def unstored_count(self) -> int:
-        """Number of records that the store may not hold yet."""
+        """Number of records that are still to be written to the store."""
         return len(self._pending)
 
     @property
     def stored_all(self) -> bool:
         """Whether the store holds all records and no more are accepted."""
-        return not self.accepts and not self.unstored_count
+        missing = self.unstored_count + self._pending.refused_count
+        return not self.accepts and not missing
 
     def set_host_count(self, hosts: int) -> None:
         """Sets the number of record hosts; with more hosts each writes less often."""
@@ -100,7 +108,7 @@
         """Stops accepting records and writes all of them to the store.
 
         Returns:
-            Whether the store holds all of them.
+            Whether the store holds all of them that it accepts.
         """
         self.accepts = False
         self._sync_all()
@@ -141,6 +149,9 @@
     async def _store_due(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            for key in self._pending.expired(self._now()):
+                self._pending.pop(key)
+                self._journal.mark_stored(key)
             if not await self._store_batch():
                 await asyncio.sleep(RETRY_S)
 
@@ -148,24 +159,41 @@
         """Writes the next batch; returns whether this succeeded."""
         async with self._store_lock:
             batch = self._pending.next_batch(self._now(), everything)
-            if not batch:
+            return not batch or await self._write(batch)
+
+    async def _write(self, batch: list[PendingRecord]) -> bool:
+        """Writes a batch; returns whether none of it is left to be written."""
+        lease = 0
+        try:
+            ttl_s = max(p.record.ttl_s for p in batch)
+            lease = await self._leases.get(ttl_s)
+            puts = [StorePut(p.record.key, p.record.value, lease) for p in batch]
+            await self._store.put_many(puts)
+        except LeaseLost:
+            self._leases.drop(lease)
+            return False
+        except StoreRejected as exc:
+            if len(batch) == 1:
+                self._refuse(batch[0], exc)
                 return True
-            lease = 0
-            try:
-                ttl_s = max(p.record.ttl_s for p in batch)
-                lease = await self._leases.get(ttl_s)
-                puts = [StorePut(p.record.key, p.record.value, lease) for p in batch]
-                await self._store.put_many(puts)
-            except LeaseLost:
-                self._leases.drop(lease)
-                return False
-            except StoreError as exc:
-                logger.bind(records=len(self._pending), reason=str(exc)).warning(
-                    "records not stored yet"
-                )
-                return False
-            self._mark_stored(batch)
-            return True
+            # One record that the store does not accept must not hold up the others.
+            return all([await self._write([pending]) for pending in batch])
+        except StoreError as exc:
+            logger.bind(records=len(self._pending), reason=str(exc)).warning(
+                "records not stored yet"
+            )
+            return False
+        self._mark_stored(batch)
+        return True
+
+    def _refuse(self, pending: PendingRecord, exc: StoreRejected) -> None:
+        """Keeps a record on disk only, as the store does not accept it."""
+        record = pending.record
+        self._pending.refuse(self._now(), record.key)
+        REFUSED.inc({})
+        logger.bind(
+            key=record.key, bytes=len(record.value), ttl_s=record.ttl_s, reason=str(exc)
+        ).error("record refused by the store")
 
     def _mark_stored(self, batch: list[PendingRecord]) -> None:
         stored_keys: dict[str, list[str]] = {}
--- a/src/magnoliaroad/relay/claim_writer.py
+++ b/src/magnoliaroad/relay/claim_writer.py
@@ -17,13 +17,16 @@
     StoreEntry,
     StoreError,
     StorePut,
+    StoreRejected,
     StoreUnavailable,
 )
+from magnoliaroad.store.keys import key_of
 from magnoliaroad.store.leases import LeasePool
 
 PREFIX = "budgets/"
-# Most claims written in one call; the platform's store accepts this many entries.
-MAX_CLAIMS_PER_CALL = 32
+# Most claims written in one call; the platform's store accepts twice as many entries,
+# and each claim is one with a condition.
+MAX_CLAIMS_PER_CALL = 16
 # Most cached records: two minutes of new programs at 80 a second are 9,600.
 MAX_CACHED_RECORDS = 10_000
 
@@ -119,13 +122,23 @@
                 lease = await self._leases.get(self.cfg.budget_retention_s)
                 puts = [
                     StorePut(
-                        PREFIX + p.claim.program, p.claim.value, lease, p.claim.expected
+                        key_of(PREFIX, p.claim.program),
+                        p.claim.value,
+                        lease,
+                        p.claim.expected,
                     )
                     for p in batch
                 ]
                 revisions = await self._store.put_many(puts)
         except StoreConflict as exc:
             self._handle_conflict(batch, exc)
+        except StoreRejected as exc:
+            # One claim that the store does not accept must not fail the others.
+            if len(batch) > 1:
+                for pending in batch:
+                    self.add_future(self._send([pending]))
+            else:
+                self._fail(batch, exc)
         except TimeoutError:
             self._fail(batch, StoreUnavailable("store call timed out"))
         except StoreError as exc:
@@ -135,7 +148,8 @@
         else:
             for pending, revision in zip(batch, revisions, strict=True):
                 program, value, _ = pending.claim
-                self._cache.add(program, StoreEntry(PREFIX + program, value, revision))
+                entry = StoreEntry(key_of(PREFIX, program), value, revision)
+                self._cache.add(program, entry)
                 pending.succeed(revision)
 
     def _handle_conflict(
@@ -146,7 +160,7 @@
         remaining = []
         for pending in batch:
             program, _, expected = pending.claim
-            key = PREFIX + program
+            key = key_of(PREFIX, program)
             entry = entries.get(key, StoreEntry(key, b"", 0))
             if entry.revision == expected:
                 remaining.append(pending)
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from loguru import logger
 
@@ -14,8 +14,13 @@
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.relay.turn import LoadedTurn, Turn, pack_turn, unpack_turn
 from magnoliaroad.stall_timeout import stall_timeout
+from magnoliaroad.store.keys import key_of
+from magnoliaroad.store.leases import MAX_RETENTION_S
 
 PREFIX = "turns/"
+# Follows the id of a turn in the ids of the parts of its own text; those of the chain
+# before it follow the id itself.
+OWN_SUFFIX = "/own"
 # Time that a record is kept beyond its retention, in seconds; covers clock steps and
 # differences between the hosts' clocks.
 RETENTION_MARGIN_S = 5.0
@@ -25,8 +30,9 @@
     """Stores turns as immutable records that any host may read or write.
 
     A turn's record holds its own text and the ids of the earlier records in its chain.
-    Records are kept for twice the retention, so that turns may refer to them for one
-    retention; a turn that comes later writes the whole chain again.
+    A text that is too large for one record is divided; its first parts become records
+    of the chain. Records are kept for twice the retention, so that turns may refer to
+    them for one retention; a turn that comes later writes the whole chain again.
 
     Args:
         records: Stores the turns' records.
@@ -94,19 +100,23 @@
             if previous is not None:
                 chain = (*previous.turn.chain, previous.turn_id)
                 chain_started_at = previous.turn.chain_started_at
-                if now - chain_started_at > retention_s - RETENTION_MARGIN_S:
-                    chain = await self._rewrite(turn_id, team, previous, retention_s)
+                usable_s = _lifetime_s(retention_s) - retention_s
+                if now - chain_started_at > usable_s - 2 * RETENTION_MARGIN_S:
+                    parts = list(batched(previous.text, self.cfg.part_bytes))
+                    chain = await self._write_parts(turn_id, team, parts, retention_s)
                     chain_started_at = now
-            turn = Turn(team, chain, chain_started_at, text)
+            *parts, rest = list(batched(text, self.cfg.part_bytes)) or [b""]
+            own_id = turn_id + OWN_SUFFIX
+            chain += await self._write_parts(own_id, team, parts, retention_s)
+            turn = Turn(team, chain, chain_started_at, rest)
             await self._write(turn_id, turn, retention_s)
 
-    async def _rewrite(
-        self, turn_id: str, team: str, previous: LoadedTurn, retention_s: float
+    async def _write_parts(
+        self, base_id: str, team: str, parts: Sequence[bytes], retention_s: float
     ) -> tuple[str, ...]:
-        """Writes the chain before a turn again; returns the ids of its new records."""
+        """Writes parts of a text as records of their own; returns their ids."""
         now = self._now()
-        parts = list(batched(previous.text, self.cfg.part_bytes))
-        names = tuple(f"{turn_id}/{number}" for number in range(len(parts)))
+        names = tuple(f"{base_id}/{number}" for number in range(len(parts)))
         await asyncio.gather(
             *(
                 self._write(name, Turn(team, (), now, part), retention_s)
@@ -118,13 +128,13 @@
     async def _write(self, name: str, turn: Turn, retention_s: float) -> None:
         self._cache.add(name, turn)
         await self._records.keep(
-            PREFIX + name, pack_turn(turn), 2 * retention_s + RETENTION_MARGIN_S
+            key_of(PREFIX, name), pack_turn(turn), _lifetime_s(retention_s)
         )
 
     async def _read(self, turn_id: str) -> Turn:
         turn = self._cache.get(turn_id)
         if turn is None:
-            value = await self._records.fetch(PREFIX + turn_id)
+            value = await self._records.fetch(key_of(PREFIX, turn_id))
             if value is None:
                 raise Refused(NO_TURN)
             try:
@@ -133,3 +143,8 @@
                 raise Refused(TURN_UNCERTAIN, reason=f"record: {exc}") from exc
             self._cache.add(turn_id, turn)
         return turn
+
+
+def _lifetime_s(retention_s: float) -> float:
+    """Returns the time for which a turn's records are stored, in seconds."""
+    return min(2 * retention_s + RETENTION_MARGIN_S, MAX_RETENTION_S)
--- a/src/magnoliaroad/standins/kv_state.py
+++ b/src/magnoliaroad/standins/kv_state.py
@@ -11,10 +11,12 @@
     StoreConflict,
     StoreEntry,
     StorePut,
+    StoreRejected,
     WatchBatch,
 )
+from magnoliaroad.store.interface import MAX_KEY_BYTES, MAX_LEASE_S
 
-MAX_VALUE_BYTES = 1_000_000
+MAX_VALUE_BYTES = 1_048_576
 
 
 class KvState:
@@ -48,10 +50,9 @@
         """Writes ``key``; see ``Store.put``.
 
         Raises:
-            ValueError: ``value`` is larger than ``MAX_VALUE_BYTES``.
+            StoreRejected: The key or the value is too large.
         """
-        if len(value) > MAX_VALUE_BYTES:
-            raise ValueError(f"{key!r}: {len(value)} bytes exceed {MAX_VALUE_BYTES}")
+        _check_size(key, value)
         self._check(key, expected)
         if lease is not None and lease not in self._deadline:
             raise LeaseLost(f"lease {lease} has expired or was revoked")
@@ -64,6 +65,8 @@
 
     def put_many(self, puts: Sequence[StorePut]) -> Sequence[int]:
         """Writes all of ``puts``, or none if an expected revision does not match."""
+        for put in puts:
+            _check_size(put.key, put.value)
         try:
             for put in puts:
                 self._check(put.key, put.expected)
@@ -81,7 +84,13 @@
             self._record(key)
 
     def grant_lease(self, ttl_s: float, now: float) -> int:
-        """Creates a lease and returns its id."""
+        """Creates a lease and returns its id.
+
+        Raises:
+            StoreRejected: ``ttl_s`` is longer than the store grants.
+        """
+        if ttl_s > MAX_LEASE_S:
+            raise StoreRejected(f"lease of {ttl_s} s")
         lease = next(self._next_lease)
         self._ttl_s[lease] = ttl_s
         self._deadline[lease] = now + ttl_s
@@ -122,3 +131,10 @@
     def _record(self, key: str) -> None:
         self.revision += 1
         self._history.append((self.revision, key))
+
+
+def _check_size(key: str, value: bytes) -> None:
+    if len(key.encode()) > MAX_KEY_BYTES:
+        raise StoreRejected(f"key of more than {MAX_KEY_BYTES} bytes: {key!r}")
+    if len(value) > MAX_VALUE_BYTES:
+        raise StoreRejected(f"{key!r}: {len(value)} bytes exceed {MAX_VALUE_BYTES}")
--- a/src/magnoliaroad/store/__init__.py
+++ b/src/magnoliaroad/store/__init__.py
@@ -7,6 +7,7 @@
     StoreConflict,
     StoreError,
     StoreRateLimited,
+    StoreRejected,
     StoreUnavailable,
 )
 from magnoliaroad.store.follower import PrefixFollower
@@ -23,6 +24,7 @@
     "StoreError",
     "StorePut",
     "StoreRateLimited",
+    "StoreRejected",
     "StoreUnavailable",
     "WatchBatch",
 ]
--- a/src/magnoliaroad/store/errors.py
+++ b/src/magnoliaroad/store/errors.py
@@ -26,6 +26,13 @@
     """The store rejected the call because of its rate limit."""
 
 
+class StoreRejected(StoreError):
+    """The store does not accept the call as it is, and never will.
+
+    For example, a key or a value is larger than the store allows.
+    """
+
+
 class LeaseLost(StoreError):
     """The lease has expired or never existed."""
 
--- a/src/magnoliaroad/store/interface.py
+++ b/src/magnoliaroad/store/interface.py
@@ -6,6 +6,11 @@
 from magnoliaroad.store.entry import StoreEntry, StorePut
 from magnoliaroad.store.watch import WatchBatch
 
+# Longest key, in bytes, and longest time to live of a lease, in seconds, that every
+# service accepts.
+MAX_KEY_BYTES = 200
+MAX_LEASE_S = 600.0
+
 
 class Store(abc.ABC):
     """A key-value service with compare-and-swap, leases and watches.
@@ -38,7 +43,7 @@
 
         Args:
             key: Key to write.
-            value: Value of at most 1 MB.
+            value: Value of at most ``StoreSettings.max_value_bytes``.
             expected: Revision that the entry must have; 0 if it must not exist;
                 ``None`` writes unconditionally.
             lease: Lease that the entry is attached to; the entry is deleted when
@@ -47,6 +52,7 @@
         Raises:
             StoreConflict: The entry is not at ``expected``.
             LeaseLost: ``lease`` has expired.
+            StoreRejected: The key or the value is too large.
         """
 
     async def put_many(self, puts: Sequence[StorePut]) -> Sequence[int]:
@@ -58,6 +64,8 @@
             StoreConflict: At least one entry is not at its expected revision; none
                 or some of the keys were written.
             LeaseLost: A lease has expired; none or some of the keys were written.
+            StoreRejected: At least one key or value is too large; none or some of the
+                keys were written.
         """
         return [await self.put(p.key, p.value, p.expected, p.lease) for p in puts]
 
@@ -67,7 +75,11 @@
 
     @abc.abstractmethod
     async def grant_lease(self, ttl_s: float) -> int:
-        """Grants a lease that expires after ``ttl_s`` and returns its id."""
+        """Grants a lease that expires after ``ttl_s`` and returns its id.
+
+        Args:
+            ttl_s: Time to live in seconds; at most ``MAX_LEASE_S``.
+        """
 
     @abc.abstractmethod
     async def renew_lease(self, lease: int) -> None:
--- a/tests/platform/kv_standin.py
+++ b/tests/platform/kv_standin.py
@@ -10,9 +10,14 @@
 from aiohttp import web
 
 from magnoliaroad.standins.kv_state import KvState
-from magnoliaroad.store import LeaseLost, StoreConflict
+from magnoliaroad.store import LeaseLost, StoreConflict, StorePut, StoreRejected
 
 WATCH_POLL_INTERVAL_S = 0.02
+MAX_WATCH_MS = 30_000
+MAX_TXN_ENTRIES = 32
+MIN_LEASE_MS = 1000
+# Keys that only the operator and the targets write.
+RESERVED_PREFIXES = ("op/", "servers/")
 PAGE_SIZE = 3
 
 
@@ -77,6 +82,8 @@
             resp = web.json_response({"items": items}, status=412)
         except LeaseLost:
             resp = web.Response(status=404)
+        except StoreRejected:
+            resp = web.Response(status=400)
         if self.fault == "lost":
             req.transport.abort()
         return resp
@@ -97,6 +104,8 @@
             return self._txn(await req.json())
         if path == "/-/kv-lease":
             ttl_ms = (await req.json())["ttl_ms"]
+            if ttl_ms < MIN_LEASE_MS:
+                raise StoreRejected(f"lease of {ttl_ms} ms")
             lease = self.state.grant_lease(ttl_ms / 1000, time.monotonic())
             return web.json_response({"lease": lease, "ttl_ms": ttl_ms})
         if path.startswith("/-/kv-keep/"):
@@ -136,6 +145,8 @@
             self.history_gone = False
             return web.Response(status=410)
         after = int(query["after"])
+        if int(query["wait_ms"]) > MAX_WATCH_MS:
+            raise StoreRejected(f"watch of {query['wait_ms']} ms")
         ends = time.monotonic() + int(query["wait_ms"]) / 1000
         while True:
             batch = self.state.changes(query["path_prefix"], after)
@@ -152,6 +163,12 @@
             await asyncio.sleep(WATCH_POLL_INTERVAL_S)
 
     def _txn(self, body):
+        changed = [put["key"] for put in body["puts"]] + body["remove"]
+        if any(key.startswith(RESERVED_PREFIXES) for key in changed):
+            return web.Response(status=403)
+        entries = len(changed) + len(body["expected_rev"])
+        if entries > MAX_TXN_ENTRIES:
+            raise StoreRejected(f"{entries} entries")
         rows = {row["key"]: row["revision"] for row in body["expected_rev"]}
         now = {key: self.state.get(key) for key in rows}
         for key, revision in rows.items():
@@ -160,9 +177,11 @@
         for put in body["puts"]:
             if put["lease"] and put["lease"] not in self.state._deadline:
                 raise LeaseLost(str(put["lease"]))
-        for put in body["puts"]:
-            value = base64.b64decode(put["value"])
-            self.state.put(put["key"], value, lease=put["lease"] or None)
+        puts = [
+            StorePut(p["key"], base64.b64decode(p["value"]), p["lease"] or None)
+            for p in body["puts"]
+        ]
+        self.state.put_many(puts)
         for key in body["remove"]:
             self.state.delete(key)
         return web.json_response({"revision": self.state.revision})
--- a/tests/records/test_pending.py
+++ b/tests/records/test_pending.py
@@ -85,3 +85,16 @@
     It is 6 s with more than eight record hosts.
     """
     assert CFG.partner_after_s + CFG.delay_s(1000) < 6.0
+
+
+def test_a_refused_record_is_kept_until_it_expires_but_not_written():
+    pending = PendingRecords(CFG)
+    pending.add(0.0, record("a"), (), writes_first=True)
+    pending.refuse(10.0, "a")
+    assert pending.next_batch(20.0, everything=True) == []
+    assert (len(pending), pending.refused_count, pending.size_bytes) == (0, 1, 100)
+    assert pending.get("a") == b"x" * 100
+    assert pending.expired(74.0) == []
+    assert pending.expired(75.0) == ["a"]
+    pending.pop("a")
+    assert (pending.get("a"), pending.size_bytes) == (None, 0)
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -11,10 +11,10 @@
 from magnoliaroad.records.settings import RecordSettings
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.standins.faults import StoreFaults
-from magnoliaroad.standins.kv_state import KvState
+from magnoliaroad.standins.kv_state import MAX_VALUE_BYTES, KvState
 from magnoliaroad.standins.local_store import LocalStore
 from magnoliaroad.store import StoreUnavailable
-from magnoliaroad.store.leases import LeasePool
+from magnoliaroad.store.leases import MAX_RETENTION_S, LeasePool
 from tests.fakes.loop import VirtualTimeLoop
 from tests.fakes.peers import PeerNetwork
 
@@ -520,3 +520,66 @@
         assert await client.fetch("turns/none") is None
 
     run_scenario(loop, tmp_path, body)
+
+
+# A record that the store does not accept, as hosts of an older version send it.
+TOO_LARGE = b"x" * (MAX_VALUE_BYTES + 1)
+
+
+def test_a_record_that_the_store_refuses_holds_up_no_other(loop, tmp_path):
+    """Guards against turns that are lost since a larger one comes first (LOST)."""
+
+    async def body(fleet):
+        await fleet.client.keep("turns/large", TOO_LARGE, 65.0)
+        for n in range(20):
+            await fleet.client.keep(f"turns/{n}", b"hello", 65.0)
+        await asyncio.sleep(2 * CFG.partner_after_s)
+        assert all(fleet.state.get(f"turns/{n}") for n in range(20))
+        assert await fleet.client.fetch("turns/large") == TOO_LARGE
+
+    run_scenario(loop, tmp_path, body)
+
+
+def test_a_stopping_host_does_not_wait_for_a_refused_record(loop, tmp_path):
+    """It still counts as a holder, so that the record is not reported as absent."""
+
+    async def body(fleet):
+        await fleet.client.keep("turns/large", TOO_LARGE, 65.0)
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        for host in fleet.hosts.values():
+            assert await host.flush()
+        assert fleet.state.get("turns/1") is not None
+        holders = [host for host in fleet.hosts.values() if not host.stored_all]
+        assert len(holders) == CFG.copies
+
+    run_scenario(loop, tmp_path, body)
+
+
+def test_a_refused_record_leaves_the_disk_when_it_expires(loop, tmp_path):
+    async def body(fleet):
+        # Together they fill a segment, so the next record begins another one.
+        await fleet.client.keep("turns/1", TOO_LARGE, 65.0)
+        await fleet.client.keep("turns/2", TOO_LARGE, 65.0)
+        await asyncio.sleep(10.0)
+        assert on_disk(tmp_path, "r1")
+        await asyncio.sleep(70.0)
+        fleet.send_heartbeats(*fleet.hosts)
+        await fleet.client.keep("turns/next", b"hello", 65.0)
+        await asyncio.sleep(2 * CFG.partner_after_s)
+        assert not on_disk(tmp_path, "r1")
+
+    run_scenario(loop, tmp_path, body)
+
+
+@pytest.mark.parametrize("retention_s", [10.0, 125.0, 200.0, 290.0, 400.0, 900.0])
+def test_leases_are_no_longer_than_the_store_grants(loop, retention_s):
+    async def scenario():
+        state = KvState()
+        pool = LeasePool(LocalStore(state, loop.time), loop.time)
+        wanted_s = min(retention_s, MAX_RETENTION_S)
+        for _ in range(40):
+            lease = await pool.get(retention_s)
+            assert state._deadline[lease] >= loop.time() + wanted_s
+            await asyncio.sleep(17.0)
+
+    loop.run_until_complete(scenario())
--- a/tests/relay/test_claims.py
+++ b/tests/relay/test_claims.py
@@ -20,7 +20,7 @@
 )
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.standins.faults import StoreFaults
-from magnoliaroad.standins.kv_state import KvState
+from magnoliaroad.standins.kv_state import MAX_VALUE_BYTES, KvState
 from magnoliaroad.standins.local_store import LocalStore
 from magnoliaroad.store import Store, StoreConflict, StoreError
 from magnoliaroad.store.leases import LeasePool
@@ -289,3 +289,29 @@
             await pending
 
     loop.run_until_complete(scenario())
+
+
+def test_a_claim_that_the_store_refuses_fails_no_other(loop):
+    async def scenario():
+        fleet = Fleet(loop)
+        host = fleet.hosts["a"]
+        await host.claim("warm")
+        too_large = b"x" * (MAX_VALUE_BYTES + 1)
+        claims = [host.claim("large", too_large), *(host.claim(f"p{n}") for n in "12")]
+        results = await asyncio.gather(*claims, return_exceptions=True)
+        assert isinstance(results[0], StoreError)
+        assert fleet.value("p1") == fleet.value("p2") == b"new"
+
+    loop.run_until_complete(scenario())
+
+
+def test_a_long_program_id_makes_no_key_that_the_store_refuses(loop):
+    async def scenario():
+        fleet = Fleet(loop)
+        revision = await fleet.hosts["a"].claim("p" * 300)
+        (entry,) = fleet.state.list(PREFIX).changed
+        assert (entry.value, entry.revision) == (b"new", revision)
+        with pytest.raises(StoreConflict):
+            await fleet.hosts["b"].claim("p" * 300, b"other")
+
+    loop.run_until_complete(scenario())
--- a/tests/relay/test_turns.py
+++ b/tests/relay/test_turns.py
@@ -6,6 +6,8 @@
 from magnoliaroad.relay.refusals import NO_TURN
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.relay.turn_ledger import TurnLedger
+from magnoliaroad.store.interface import MAX_KEY_BYTES
+from magnoliaroad.store.leases import MAX_RETENTION_S
 
 RETENTION_S = 60.0
 
@@ -90,3 +92,46 @@
     records.now += 3 * RETENTION_S
     with pytest.raises(Refused):
         await ledger(records).load("t-0", "team")
+
+
+@pytest.mark.parametrize("turns", [1, 3])
+async def test_a_large_turn_is_split_into_records(records, turns):
+    """Guards against records larger than a value of the store (LOST)."""
+    text, previous = b"", None
+    for number in range(turns):
+        part = bytes([65 + number]) * 1_200_000
+        await ledger(records).save(f"t-{number}", "team", part, previous, RETENTION_S)
+        previous = await ledger(records).load(f"t-{number}", "team")
+        text += part
+        records.now += 58.0
+    assert previous.text == text
+    most = TurnSettings().part_bytes
+    assert max(len(value) for value, _ in records.held.values()) < most + 1000
+
+
+@pytest.mark.parametrize("size", [195, 198, 4000])
+async def test_long_ids_make_no_key_that_the_store_refuses(records, size):
+    turn_id = "ß" * (size // 2)
+    await ledger(records).save(turn_id, "team", b"x" * 700_000, None, RETENTION_S)
+    assert max(len(key.encode()) for key in records.held) <= MAX_KEY_BYTES
+    loaded = await ledger(records).load(turn_id, "team")
+    assert loaded.text == b"x" * 700_000
+    with pytest.raises(Refused):
+        await ledger(records).load(turn_id + "ß", "team")
+
+
+@pytest.mark.parametrize("retention_s", [100.0, 143.0, 200.0, 400.0, 570.0])
+async def test_a_chain_of_a_long_retention_is_complete_when_its_leases_end(
+    records, retention_s
+):
+    previous, text = None, b""
+    for number in range(8):
+        host = ledger(records)
+        if number:
+            previous = await host.load(f"t-{number - 1}", "team")
+        await host.save(f"t-{number}", "team", b"part", previous, retention_s)
+        text += b"part"
+        ends = [until - records.now for _, until in records.held.values()]
+        assert max(ends) <= MAX_RETENTION_S
+        records.now += 0.9 * retention_s
+    assert (await ledger(records).load("t-7", "team")).text == text
