--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from magnoliaroad.records.lru_cache import LruCache
 from magnoliaroad.refusal import Refused
 from magnoliaroad.relay.budget import BudgetRecord, claim_size, unpack_budget
 from magnoliaroad.relay.budget_parts import divide_budget
@@ -26,6 +27,9 @@
 RETRY_INTERVAL_S = 0.05
 # Time between two removals of idle programs.
 SWEEP_INTERVAL_S = 30.0
+# Most idle programs of which a host remembers what was spent of its claims; at the
+# design size these are the programs of an hour.
+MAX_IDLE_PROGRAMS = 20_000
 
 BorrowFunc = Callable[[str, str], Awaitable[BudgetLoanReply | None]]
 
@@ -72,10 +76,14 @@
         share: Tokens that this host may spend.
         lock: Held while a claim or a loan is in progress.
         stored: The record as last seen in the store; ``None`` before the first claim.
+
+    Args:
+        now: Time in seconds.
+        spent: Tokens of this host's claims that were spent before the program was idle.
     """
 
-    def __init__(self, now: float) -> None:
-        self.share = BudgetShare(now)
+    def __init__(self, now: float, spent: int) -> None:
+        self.share = BudgetShare(now, spent)
         self.lock = asyncio.Lock()
         self.stored: _StoredRecord | None = None
 
@@ -116,6 +124,9 @@
         self._borrow_from = borrow_from
         self._now = now
         self._programs: dict[str, _ProgramState] = {}
+        # The record of an idle program lives on if other hosts claim, and then still
+        # has the claim of this host, which must not be spent again.
+        self._spent_before: LruCache[int] = LruCache(MAX_IDLE_PROGRAMS, lambda _: 1)
         self._last_sweep = now()
 
     async def reserve(self, name: str, limit: int, tokens: int) -> BudgetShare:
@@ -260,15 +271,19 @@
             self._remove_idle(now)
         program = self._programs.get(name)
         if program is None:
-            program = self._programs[name] = _ProgramState(now)
+            spent = self._spent_before.get(name) or 0
+            program = self._programs[name] = _ProgramState(now, spent)
         return program
 
     def _remove_idle(self, now: float) -> None:
-        """Removes idle programs whose records have expired or are about to."""
+        """Removes idle programs; keeps only what was spent of them."""
         for name, program in list(self._programs.items()):
             idle_s = now - program.share.touched
             if idle_s > self.cfg.budget_retention_s and not program.share.reserved:
                 del self._programs[name]
+                spent = program.share.spent_claim
+                if spent or name in self._spent_before:
+                    self._spent_before.add(name, spent)
 
 
 def _read_budget(name: str, entry: StoreEntry) -> BudgetRecord | None:
--- a/src/magnoliaroad/relay/budget_share.py
+++ b/src/magnoliaroad/relay/budget_share.py
@@ -6,6 +6,10 @@
 
     Lent tokens are not returned.
 
+    Args:
+        now: Time in seconds.
+        spent: Tokens of this incarnation's claims that an earlier share has spent.
+
     Attributes:
         claimed: Tokens that this incarnation of the host has claimed in the store.
         lent: Tokens of this share that were lent to other hosts.
@@ -17,11 +21,11 @@
 
     __slots__ = ("borrowed", "claimed", "lent", "reserved", "touched", "used")
 
-    def __init__(self, now: float) -> None:
-        self.claimed = 0
+    def __init__(self, now: float, spent: int = 0) -> None:
+        self.claimed = spent
         self.lent = 0
         self.borrowed = 0
-        self.used = 0
+        self.used = spent
         self.reserved = 0
         self.touched = now
 
@@ -30,6 +34,11 @@
         """Tokens that are neither spent, reserved nor lent."""
         return self.claimed + self.borrowed - self.lent - self.used - self.reserved
 
+    @property
+    def spent_claim(self) -> int:
+        """Tokens of this host's own claims that are spent or lent."""
+        return max(0, self.used + self.lent - self.borrowed)
+
     def reserve(self, now: float, tokens: int) -> bool:
         """Reserves ``tokens`` for a turn; returns whether they were available."""
         self.touched = now
--- a/src/magnoliaroad/relay/escrow_ledger.py
+++ b/src/magnoliaroad/relay/escrow_ledger.py
@@ -5,6 +5,9 @@
 from magnoliaroad.relay.budget_parts import divide_budget
 from magnoliaroad.relay.escrow_messages import EscrowRequest
 
+# Most programs whose grants are remembered once they are idle.
+MAX_PROGRAMS = 50_000
+
 
 class EscrowGrant(NamedTuple):
     """Tokens granted of one program.
@@ -56,8 +59,17 @@
         return tokens
 
     def remove_idle(self, now: float, idle_s: float) -> list[str]:
-        """Removes the programs without a grant for ``idle_s``; returns their names."""
+        """Removes programs without a grant for ``idle_s``, if there are too many.
+
+        A program may go on elsewhere and return, so its grants are not forgotten before
+        ``MAX_PROGRAMS`` others have come.
+
+        Returns:
+            The names of the programs that were removed, the longest idle first.
+        """
+        excess = max(0, len(self._grants) - MAX_PROGRAMS)
         idle = [p for p, grant in self._grants.items() if now - grant.at > idle_s]
-        for program in idle:
+        removed = sorted(idle, key=lambda p: self._grants[p].at)[:excess]
+        for program in removed:
             del self._grants[program]
-        return idle
+        return removed
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -335,3 +335,51 @@
         assert spent <= LIMIT
 
     loop.run_until_complete(scenario())
+
+
+async def spend_until_refused(fleet, name, pause_s, turns=100):
+    """Runs turns in the share of host ``name``; returns the tokens that they spent."""
+    spent = 0
+    for _ in range(turns):
+        try:
+            share = await fleet.hosts[name].ledger.reserve("p", LIMIT, TURN_TOKENS)
+        except Refused as exc:
+            if exc.refusal is not BUDGET_SPENT:
+                raise
+            break
+        share.settle(fleet.loop.time(), TURN_TOKENS, TURN_TOKENS)
+        spent += TURN_TOKENS
+        await asyncio.sleep(pause_s)
+    return spent
+
+
+@pytest.mark.parametrize("pause_s", [3.0, 57.0])
+@pytest.mark.parametrize("turns", [1, 4])
+def test_a_host_does_not_spend_its_claim_again_after_a_pause(loop, turns, pause_s):
+    """Guards against a program that returns after its state was removed (BUDGET)."""
+
+    async def scenario():
+        fleet = Fleet(loop)
+        spent = await spend_until_refused(fleet, "a", 0.1, turns)
+        spent += await spend_until_refused(fleet, "b", 10.0, 3)
+        spent += await spend_until_refused(fleet, "c", 10.0)
+        await asyncio.sleep(pause_s)
+        for name in "abcabc":
+            spent += await spend_until_refused(fleet, name, 10.0)
+        assert spent == LIMIT
+
+    loop.run_until_complete(scenario())
+
+
+def test_a_host_spends_the_rest_of_its_claim_after_a_pause(loop):
+    async def scenario():
+        fleet = Fleet(loop, names=("a",))
+        spent = 0
+        for _ in range(LIMIT // TURN_TOKENS):
+            spent += await spend_until_refused(fleet, "a", 0.1, 1)
+            # Other programs make the host remove this one, whose record lives on.
+            fleet.hosts["a"].ledger._remove_idle(loop.time() + 100.0)
+        assert spent == LIMIT
+        assert await spend_until_refused(fleet, "a", 0.1) == 0
+
+    loop.run_until_complete(scenario())
--- a/tests/relay/test_escrow.py
+++ b/tests/relay/test_escrow.py
@@ -409,15 +409,19 @@
     assert not after.settled
 
 
-def test_idle_programs_are_removed():
-    ledger = EscrowLedger(3)
-    req = EscrowRequest("p", LIMIT, TURN_TOKENS)
-    granted = ledger.grant(0.0, req)
-    assert granted == divide_budget(LIMIT, 3).data_centre
-    assert ledger.grant(10.0, req) == 0
-    assert ledger.remove_idle(80.0, TurnSettings().budget_retention_s) == []
-    assert ledger.remove_idle(91.0, TurnSettings().budget_retention_s) == ["p"]
-    assert ledger.total("p") == 0
+def test_grants_are_remembered_until_there_are_too_many_programs(monkeypatch):
+    """Guards against a program that returns and is granted its part again (BUDGET)."""
+    monkeypatch.setattr("magnoliaroad.relay.escrow_ledger.MAX_PROGRAMS", 2)
+    idle_s = TurnSettings().budget_retention_s
+    ledger = EscrowLedger(1)
+    for number, program in enumerate("pqrs"):
+        assert ledger.grant(float(number), EscrowRequest(program, 300, 100)) == 100
+    assert ledger.remove_idle(80.0, idle_s) == []
+    assert ledger.remove_idle(90.5, idle_s) == ["p"]
+    assert ledger.remove_idle(1000.0, idle_s) == ["q"]
+    assert ledger.remove_idle(2000.0, idle_s) == []
+    assert [ledger.total(program) for program in "pqrs"] == [0, 0, 100, 100]
+    assert ledger.grant(2001.0, EscrowRequest("r", 300, 100)) == 0
 
 
 def test_the_first_holder_grants_at_once_and_a_later_one_waits():
