--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -85,7 +85,12 @@
         self.plans = PlanHolder(decoder)
         self.table = TargetTable()
         self.quota = TeamTokenBuckets(cfg.quota, time.monotonic(), self.plans.find_team)
-        self.follower = TargetFollower(decoder, self.table, cfg.follow.lapse_grace_s)
+        self.follower = TargetFollower(
+            decoder,
+            self.table,
+            cfg.follow.lapse_grace_s,
+            store_lost_at=lambda: self.contact.last_lost_at,
+        )
         leases = LeasePool(self.store)
         self.records = RecordClient(
             cfg.records,
--- a/src/magnoliaroad/relay/mirror.py
+++ b/src/magnoliaroad/relay/mirror.py
@@ -9,7 +9,13 @@
 from mode import Service
 
 from magnoliaroad.relay.settings import FollowSettings
-from magnoliaroad.store import Store, StoreEntry, StoreError, WatchBatch
+from magnoliaroad.store import (
+    HistoryGone,
+    Store,
+    StoreEntry,
+    StoreError,
+    WatchBatch,
+)
 
 
 class MirrorListener(abc.ABC):
@@ -24,8 +30,8 @@
         Args:
             entries: The entries by key.
             revision: Revision of the store at which they were read.
-            after_loss: Whether an earlier listing was given, so that the store may have
-                been out of reach in between.
+            after_loss: Whether calls on the store have failed since an earlier listing,
+                so that it may have been out of reach.
         """
 
     @abc.abstractmethod
@@ -66,6 +72,7 @@
         self._following = following
         self._short_watches = short_watches
         self._listed = False
+        self._failed = False
         self._pause_s = cfg.retry_s
 
     @Service.task
@@ -88,9 +95,12 @@
         logger.bind(
             prefix=self._prefix, revision=batch.revision, entries=len(entries)
         ).info("entries listed")
-        self._listener.on_snapshot(entries, batch.revision, self._listed)
+        self._listener.on_snapshot(
+            entries, batch.revision, self._listed and self._failed
+        )
         self.revision = batch.revision
         self._listed = True
+        self._failed = False
         self._pause_s = self.cfg.retry_s
 
     async def _watch(self) -> None:
@@ -105,6 +115,8 @@
             prefix=self._prefix, revision=self.revision, reason=str(exc)
         ).warning("entries not followed")
         self.revision = 0
+        # A store that has discarded its history was in reach.
+        self._failed = self._failed or not isinstance(exc, HistoryGone)
         # Jitter, so that hosts do not all retry at the same time.
         await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.0))
         self._pause_s = min(self.cfg.retry_limit_s, self._pause_s * 2)
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -20,7 +20,16 @@
 
     Leases of entries may expire while the store is unavailable, although the targets
     still run. Once the store is available again, a missing entry has a grace period of
-    ``grace_s`` to return before its target is dropped.
+    ``grace_s`` to return before its target is dropped. Without such a time it was
+    removed, also if this host has just begun to watch the store.
+
+    Args:
+        decoder: Decodes the entries.
+        table: The table.
+        grace_s: Length of the grace period, in seconds.
+        now: Clock in seconds.
+        store_lost_at: Returns the time at which the store was last known to be out of
+            reach, by ``now``.
 
     Attributes:
         listed: Whether all entries were read at least once.
@@ -37,6 +46,7 @@
         table: TargetTable,
         grace_s: float,
         now: Callable[[], float] = time.monotonic,
+        store_lost_at: Callable[[], float] = lambda: -math.inf,
     ) -> None:
         self.listed = False
         self.listed_at = -math.inf
@@ -48,6 +58,7 @@
         self._table = table
         self._grace_s = grace_s
         self._now = now
+        self._store_lost_at = store_lost_at
         self._grace_deadlines: dict[str, float] = {}
         self._grace_until = 0.0
         self._snapshot_revision = 0
@@ -59,14 +70,14 @@
         self.listed = True
         self._snapshot_revision = revision
         now = self.listed_at = self._now()
-        if after_loss:
-            self._grace_until = now + self._grace_s
+        lost_at = now if after_loss else self._store_lost_at()
+        self._grace_until = max(self._grace_until, lost_at + self._grace_s)
         for entry in entries.values():
             self._set(entry)
         missing = self._entries.keys() - entries.keys()
         for key in missing:
             self._remove(key, now)
-        if missing and not after_loss:
+        if missing and now >= self._grace_until:
             self.revision = max(self.revision, revision)
 
     def on_batch(self, batch: WatchBatch) -> None:
--- a/src/magnoliaroad/store/contact.py
+++ b/src/magnoliaroad/store/contact.py
@@ -1,6 +1,7 @@
 """Detects whether this host can reach the store."""
 
 import asyncio
+import math
 import random
 import time
 from collections.abc import Callable
@@ -43,6 +44,7 @@
         super().__init__()
         self.lost = False
         self.connected_since = now()
+        self._was_lost = False
         self.on_regained: list[Callable[[], None]] = []
         self._store = store
         store.on_failure = self.request_probe
@@ -55,6 +57,16 @@
         """Seconds since contact was established; 0 while the store is lost."""
         return 0.0 if self.lost else self._now() - self.connected_since
 
+    @property
+    def last_lost_at(self) -> float:
+        """Time at which the store was last out of reach, by ``now``; ``-inf`` if never.
+
+        It is the present time while the store is lost.
+        """
+        if self.lost:
+            return self._now()
+        return self.connected_since if self._was_lost else -math.inf
+
     def request_probe(self) -> None:
         """Requests a probe of the store."""
         self._probe_requested.set()
@@ -76,7 +88,7 @@
                 logger.bind(up_s=round(self.up_s, 2), reason=reason).warning(
                     "store lost"
                 )
-            self.lost = True
+            self.lost = self._was_lost = True
             # Jitter, so that the hosts do not all retry at the same time.
             await asyncio.sleep(delay_s * random.uniform(0.5, 1.0))
             delay_s = min(RETRY_LIMIT_S, 2 * delay_s)
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -1,14 +1,24 @@
 """The table of targets, its follower and the choice of a target."""
 
+import asyncio
+import math
+
 import pytest
 
 from magnoliaroad.relay.entry_decoder import BadEntry, EntryDecoder
+from magnoliaroad.relay.mirror import PrefixMirror
 from magnoliaroad.relay.placement import choose_by_session, choose_least_loaded
+from magnoliaroad.relay.settings import FollowSettings
 from magnoliaroad.relay.target import RelayTarget, TargetState
 from magnoliaroad.relay.target_follower import TargetFollower
 from magnoliaroad.relay.target_table import TargetCooldown, TargetTable
+from magnoliaroad.standins.faults import StoreFaults
+from magnoliaroad.standins.kv_state import KvState
+from magnoliaroad.standins.local_store import LocalStore
 from magnoliaroad.store import StoreEntry, WatchBatch
 
+GRACE_S = FollowSettings().lapse_grace_s
+
 
 class StandinEntryDecoder(EntryDecoder):
     operator_prefix = "op/"
@@ -416,3 +426,103 @@
         table.record_start(target.name)
         stayed += target.name == alone[number % 400]
     assert stayed >= 0.7 * int(30 * slots * 0.3)
+
+
+class StoreLoss:
+    """The time at which the store was last out of reach."""
+
+    def __init__(self):
+        self.at = -math.inf
+
+    def __call__(self):
+        return self.at
+
+
+class MirroredFollower:
+    """A follower with a mirror that watches the store only while it is told to."""
+
+    def __init__(self, loop):
+        self.loop, self.state, self.lost = loop, KvState(), StoreLoss()
+        self.store = LocalStore(self.state, loop.time)
+        self.table = TargetTable()
+        self.follower = TargetFollower(
+            StandinEntryDecoder(), self.table, GRACE_S, loop.time, self.lost
+        )
+        self.following = asyncio.Event()
+        self.mirror = PrefixMirror(
+            self.store,
+            "targets/",
+            FollowSettings(),
+            self.follower,
+            self.following,
+            lambda: True,
+        )
+        for entry in entries(a="ready", b="ready").values():
+            self.state.put(entry.key, entry.value)
+
+    async def __aenter__(self):
+        await self.mirror.start()
+        self.following.set()
+        await asyncio.sleep(1.0)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.mirror.stop()
+
+    async def sweep_for(self, duration_s):
+        for _ in range(round(duration_s / 0.1)):
+            await asyncio.sleep(0.1)
+            self.follower.sweep()
+
+    def usable(self):
+        return usable(self.table, self.loop.time())
+
+
+@pytest.mark.parametrize("unwatched_s", [0.02, 0.55, 0.8, 3.0, 60.0])
+def test_an_entry_removed_while_another_host_watched_is_gone_at_once(loop, unwatched_s):
+    """Guards against work for a target whose watchers were killed (DRAIN)."""
+
+    async def scenario():
+        async with MirroredFollower(loop) as host:
+            host.following.clear()
+            await asyncio.sleep(FollowSettings().watch_s)
+            host.state.delete("targets/a")
+            await asyncio.sleep(unwatched_s)
+            host.following.set()
+            await asyncio.sleep(0.1)
+            assert host.usable() == ["b"]
+            assert host.follower.revision == host.state.revision
+
+    loop.run_until_complete(scenario())
+
+
+def test_an_entry_that_lapsed_before_a_host_watches_has_its_grace_period(loop):
+    async def scenario():
+        async with MirroredFollower(loop) as host:
+            host.following.clear()
+            await asyncio.sleep(FollowSettings().watch_s)
+            host.state.delete("targets/a")
+            host.lost.at = loop.time()
+            await asyncio.sleep(0.5)
+            host.following.set()
+            await host.sweep_for(GRACE_S - 0.8)
+            assert host.usable() == ["a", "b"]
+            await host.sweep_for(0.5)
+            assert host.usable() == ["b"]
+
+    loop.run_until_complete(scenario())
+
+
+def test_an_entry_that_lapsed_while_this_host_watched_has_a_grace_period(loop):
+    async def scenario():
+        async with MirroredFollower(loop) as host:
+            host.store.faults = StoreFaults(down=True)
+            await asyncio.sleep(5.0)
+            host.state.delete("targets/a")
+            host.store.faults = StoreFaults()
+            await host.sweep_for(1.2)
+            assert host.usable() == ["a", "b"]
+            await host.sweep_for(GRACE_S)
+            assert host.usable() == ["b"]
+
+    loop.run_until_complete(scenario())
