--- a/src/magnoliaroad/caller_listener.py
+++ b/src/magnoliaroad/caller_listener.py
@@ -46,7 +46,11 @@
         family = socket.AF_INET6 if ":" in address else socket.AF_INET
         self.socket = socket.socket(family)
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.bind((address, port))
+        try:
+            self.socket.bind((address, port))
+        except OSError:
+            self.socket.close()
+            raise
         self._site = _CallerSite(runner, self.socket, backlog=BACKLOG)
 
     async def start(self) -> None:
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -10,6 +10,7 @@
 from mode import Service
 from typing_extensions import override
 
+from magnoliaroad.listening import open_when_free
 from magnoliaroad.peers.address import PeerAddress
 from magnoliaroad.peers.catalogue import (
     MessageCatalogue,
@@ -115,8 +116,11 @@
 
     async def on_start(self) -> None:
         """Starts listening."""
-        self._server = await asyncio.start_server(
-            self._serve_connection, self.address, self.port
+        self._server = await open_when_free(
+            lambda: asyncio.start_server(
+                self._serve_connection, self.address, self.port
+            ),
+            f"{self.address}:{self.port}",
         )
         self.port = self._server.sockets[0].getsockname()[1]
 
--- a/src/magnoliaroad/relay/metrics_server.py
+++ b/src/magnoliaroad/relay/metrics_server.py
@@ -3,12 +3,17 @@
 import aioprometheus
 from aiohttp import web
 from aioprometheus.renderer import render
+from loguru import logger
 from mode import Service
 
+from magnoliaroad.listening import open_when_free
+
 
 class MetricsServer(Service):
     """Answers every request with all metrics of the process.
 
+    The host does without metrics while their address cannot be had.
+
     Args:
         address: Address ``ip:port`` to listen on.
     """
@@ -19,17 +24,33 @@
         self._runner: web.ServerRunner | None = None
 
     async def on_start(self) -> None:
-        """Starts listening."""
+        """Prepares the server."""
         self._runner = web.ServerRunner(web.Server(self._answer, access_log=None))
         await self._runner.setup()
-        host, _, port = self._address.rpartition(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
 
     async def on_stop(self) -> None:
         """Stops listening."""
         if self._runner is not None:
             await self._runner.cleanup()
 
+    @Service.task
+    async def _listen(self) -> None:
+        try:
+            await open_when_free(self._open, self._address)
+        except OSError as exc:
+            logger.bind(address=self._address, reason=str(exc)).error(
+                "metrics not served"
+            )
+
+    async def _open(self) -> None:
+        host, _, port = self._address.rpartition(":")
+        site = web.TCPSite(self._runner, host, int(port))
+        try:
+            await site.start()
+        except OSError:
+            await site.stop()
+            raise
+
     async def _answer(self, req: web.BaseRequest) -> web.Response:
         accepts = req.headers.getall("Accept", [])
         content, headers = render(aioprometheus.REGISTRY, accepts)
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -14,6 +14,7 @@
 from magnoliaroad.drain_limit import DrainLimit
 from magnoliaroad.expectation import expects_continue, send_continue
 from magnoliaroad.in_flight import InFlightRequests
+from magnoliaroad.listening import open_when_free
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import admit
 from magnoliaroad.relay.body import check_length, read_body
@@ -91,9 +92,13 @@
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
         self._runners.append(runner)
-        listener = CallerListener(runner, host, int(port))
-        await listener.start()
-        return listener
+
+        async def start_listener() -> CallerListener:
+            listener = CallerListener(runner, host, int(port))
+            await listener.start()
+            return listener
+
+        return await open_when_free(start_listener, address)
 
     async def drain(self) -> None:
         """Fails readiness checks, refuses connections, ends requests in flight."""
