--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -7,6 +7,10 @@
 import subprocess
 import sys
 
+from loguru import logger
+from magnoliaroad_platform import main
+from mode import Service
+
 from magnoliaroad.gc_tuning import tune_gc
 from tests.soak.fleet import ROOT, catches_sigterm
 
@@ -83,3 +87,31 @@
         gc.unfreeze()
         gc.set_threshold(700, 10, 10)
         (gc.enable if enabled else gc.disable)()
+
+
+class FailingHost(Service):
+    """A host with a background task that fails."""
+
+    drained = False
+
+    @Service.task
+    async def _fail(self):
+        raise LookupError("unexpected")
+
+    async def drain(self):
+        self.drained = True
+
+
+async def test_a_host_whose_background_task_fails_ends_and_says_why(monkeypatch):
+    """Guards against hosts that go on without their background tasks (FAULT)."""
+    host, lines = FailingHost(), []
+    monkeypatch.setattr(main, "_application", lambda cfg: host)
+    sink = logger.add(lines.append, level="ERROR")
+    try:
+        async with asyncio.timeout(5.0):
+            assert await main._run(None, "") == 1
+    finally:
+        logger.remove(sink)
+    assert host.drained
+    (failed,) = (line for line in lines if line.record["message"] == "host failed")
+    assert failed.record["exception"].type is LookupError
