Bound the memory of the requests that a host holds (FAULT)

Cause: the bodies that callers send at the same time, each within max_body_bytes, and the chains before turns had no common bound. A host over its memory is ended by the platform, with the requests of all its callers.

A request that exceeds this alone still runs while the others hold little, so none is refused each time.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -34,6 +34,7 @@
 from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.quarantine_mirror import QuarantineMirror
 from magnoliaroad.relay.quota import TeamTokenBuckets
+from magnoliaroad.relay.request_memory import RequestMemory
 from magnoliaroad.relay.server import RelayServer
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.stream_origins import StreamOrigins
@@ -156,6 +157,7 @@
             cfg=cfg,
             dialect=dialect,
             plans=self.plans,
+            memory=RequestMemory(cfg.memory.request_bytes),
             limiter=TeamLimiter(
                 cfg.name, self.peers, self.plans, self.quota, self.fleet.count_hosts
             ),
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -9,6 +9,7 @@
 from magnoliaroad.relay.dialect import Dialect
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.program_targets import ProgramTargets
+from magnoliaroad.relay.request_memory import RequestMemory
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.stream_origins import StreamOrigins
 from magnoliaroad.relay.target_sender import TargetSender
@@ -21,6 +22,7 @@
     """The components of a host that its request handlers use.
 
     Attributes:
+        memory: Bounds the memory of the requests.
         quarantine: Refuses requests that crash targets.
         program_targets: The target that serves each program.
         stream_origins: The software that began each stream that may be resumed.
@@ -34,6 +36,7 @@
     cfg: RelaySettings
     dialect: Dialect
     plans: PlanHolder
+    memory: RequestMemory
     limiter: TeamLimiter
     table: TargetTable
     sender: TargetSender
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -37,6 +37,13 @@
     message="The body is larger than this host accepts.",
     action="Send a smaller body.",
 )
+MEMORY_FULL = Refusal(
+    code="memory_full",
+    status=503,
+    message="The requests of this host hold as much memory as it may use.",
+    action="Send the request again; another host may take it.",
+    retry_after_s=HOST_START_RETRY_S,
+)
 BODY_STALLED = Refusal(
     code="body_stalled",
     status=408,
--- /dev/null
+++ b/src/magnoliaroad/relay/request_memory.py
@@ -0,0 +1,85 @@
+"""Bounds the memory that the requests of a host hold at the same time."""
+
+from types import TracebackType
+from typing import Self
+
+from magnoliaroad.refusal import Refused
+from magnoliaroad.relay.refusals import MEMORY_FULL
+
+# Part of the limit that other requests may hold beside one that exceeds the limit.
+MAX_OTHERS_FRACTION = 0.25
+
+
+class RequestMemory:
+    """Counts the bytes of the bodies that are read, joined and sent.
+
+    Args:
+        limit_bytes: Most bytes of all requests together.
+
+    Attributes:
+        held_bytes: Bytes of all requests now.
+    """
+
+    def __init__(self, limit_bytes: int) -> None:
+        self.held_bytes = 0
+        self._limit_bytes = limit_bytes
+
+    def hold(self) -> "HeldMemory":
+        """Returns the memory of one request, to be used as a context manager."""
+        return HeldMemory(self)
+
+    def take(self, size: int, own: int = 0) -> None:
+        """Counts ``size`` bytes more for a request that already holds ``own``.
+
+        A request may exceed the limit by itself while the others hold little, so that
+        no request is refused each time.
+
+        Raises:
+            Refused: The limit does not hold as much.
+        """
+        others = self.held_bytes - own
+        full = self.held_bytes + size > self._limit_bytes
+        if full and others > MAX_OTHERS_FRACTION * self._limit_bytes:
+            raise Refused(MEMORY_FULL, held=self.held_bytes, needed=size)
+        self.held_bytes += size
+
+    def free(self, size: int) -> None:
+        """Counts ``size`` bytes less."""
+        self.held_bytes -= size
+
+
+class HeldMemory:
+    """The memory of one request, which is freed when the request has ended."""
+
+    def __init__(self, memory: RequestMemory) -> None:
+        self._memory = memory
+        self._size = 0
+
+    def __enter__(self) -> Self:
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        exc: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        self._memory.free(self._size)
+
+    def grow(self, size: int) -> None:
+        """Takes ``size`` bytes more for the request.
+
+        Raises:
+            Refused: The requests of the host hold too much.
+        """
+        if size > 0:
+            self._memory.take(size, self._size)
+            self._size += size
+
+    def grow_to(self, size: int) -> None:
+        """Takes as much as the request lacks of ``size`` bytes.
+
+        Raises:
+            Refused: The requests of the host hold too much.
+        """
+        self.grow(size - self._size)
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -52,6 +52,7 @@
     bad_call,
     over_limit,
 )
+from magnoliaroad.relay.request_memory import HeldMemory
 from magnoliaroad.relay.reservation import Reservation
 from magnoliaroad.relay.route_durations import RouteDurations
 from magnoliaroad.relay.route_kind import RouteKind
@@ -93,6 +94,7 @@
         parts: Components of the host.
         admitted: The call with its route and team.
         req: The caller's request.
+        held: The memory that the request holds.
         began: Monotonic time at which its headers arrived, in seconds.
         should_close: Returns whether an answer that begins now is to end the caller's
             connection.
@@ -108,6 +110,7 @@
         parts: RelayParts,
         admitted: AdmittedCall,
         req: web.BaseRequest,
+        held: HeldMemory,
         began: float,
         should_close: Callable[[], bool],
         drain: DrainLimit,
@@ -126,6 +129,7 @@
         self.sent = False
         self.resp: web.StreamResponse | None = None
         self._req = req
+        self._held = held
         self._should_close = should_close
         self._limit: asyncio.Timeout | None = None
         self._previous: LoadedTurn | None = None
@@ -213,6 +217,8 @@
             self._previous = await self.parts.turns.load(
                 call.previous_turn, self.admitted.team_name
             )
+            # The texts of the chain, and the body that joins them.
+            self._held.grow(2 * len(self._previous.text) + len(call.body))
         if self.streams and call.resume_after is not None:
             await self._restrict_to_origin()
         if self.streams and call.program:
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -141,13 +141,15 @@
         kind = "none"
         run = None
         log_fields: dict[str, object] = {}
-        with self.in_flight:
+        with self.in_flight, self.parts.memory.hold() as held:
             IN_FLIGHT.set({}, self.in_flight.count)
             try:
+                held.grow(req.content_length or 0)
                 if expects_continue(req):
                     self._check_head(req)
                     await send_continue(req)
                 body = await read_body(req)
+                held.grow_to(len(body))
                 call = self.parts.dialect.read_call(
                     req.method, req.raw_path, req.headers, body
                 )
@@ -159,6 +161,7 @@
                     self.parts,
                     admitted,
                     req,
+                    held,
                     began,
                     self._should_close,
                     self._drain_limit,
--- a/tests/platform/test_large_turns.py
+++ b/tests/platform/test_large_turns.py
@@ -3,6 +3,7 @@
 Guards against turns that the store refuses, which then hold up the records of others.
 """
 
+import asyncio
 import shutil
 
 import pytest
@@ -53,3 +54,28 @@
         run = next(run for run in target.runs if run[3].endswith(b"next"))
         assert run[3].startswith(text)
         assert len(run[3]) > len(text) + 10
+
+
+async def test_large_requests_do_not_take_a_host_over_its_memory(tmp_path):
+    """Guards against a host that the platform ends for its memory (FAULT)."""
+    target = TargetStandin("i-1", "app")
+    target.script = ["slow"]
+    async with Deployment(tmp_path, target) as deployment:
+        memory = deployment.relays[0].server.parts.memory
+        most = 0
+
+        async def send():
+            nonlocal most
+            answer = await deployment.call("/pay/x", "POST", b"x" * 900_000)
+            most = max(most, memory.held_bytes)
+            return answer
+
+        answers = await asyncio.gather(*(send() for _ in range(60)))
+        statuses = [status for status, _, _ in answers]
+        assert set(statuses) == {200, 503}
+        assert most <= deployment.relays[0].cfg.memory.request_bytes
+        for status, headers, _ in answers:
+            assert (status == 200) != ("Retry-After" in headers)
+        assert len(target.runs) == statuses.count(200)
+        assert not memory.held_bytes
+        assert (await deployment.call("/pay/x", "POST", b"m"))[0] == 200
