--- a/src/magnoliaroad/relay/event_scanner.py
+++ b/src/magnoliaroad/relay/event_scanner.py
@@ -15,13 +15,15 @@
     """What a stream may carry.
 
     Attributes:
-        event_bytes: Most bytes up to the end of the next event with data, comments
-            included.
+        event_bytes: Most bytes of an event.
+        filler_bytes: Most bytes between two events with data that belong to neither,
+            such as comments. They are cheap to send and cost time to parse.
         data_bytes: Most bytes of data of all events, if they are kept.
         events: Most events with data; ``None`` for no limit.
     """
 
     event_bytes: int = 4_194_304
+    filler_bytes: int = 65_536
     data_bytes: int = 4_194_304
     events: int | None = None
 
@@ -90,6 +92,8 @@
         ]
         if not lines:
             self._filler_bytes += size
+            if self._filler_bytes > self._limits.filler_bytes:
+                raise StreamTooLong(f"{self._limits.filler_bytes} B without data")
             return
         self._filler_bytes = 0
         self.count += 1
@@ -101,7 +105,7 @@
                 raise StreamTooLong(f"more than {self._limits.data_bytes} B of data")
 
     def _check_event_size(self, size: int) -> None:
-        if self._filler_bytes + size > self._limits.event_bytes:
+        if size > self._limits.event_bytes:
             raise StreamTooLong(f"no event within {self._limits.event_bytes} B")
 
     @property
--- a/tests/relay/test_streams.py
+++ b/tests/relay/test_streams.py
@@ -68,7 +68,8 @@
 @pytest.mark.parametrize(
     ("limits", "piece"),
     [
-        (EventLimits(event_bytes=1000), b": comment\n\n"),
+        (EventLimits(filler_bytes=1000), b": comment\n\n"),
+        (EventLimits(filler_bytes=1000), b"\n\n\n\n"),
         (EventLimits(event_bytes=1000), b": comment\n"),
         (EventLimits(event_bytes=1000), b"data: one event\n"),
         (EventLimits(event_bytes=1000), b"x"),
@@ -83,7 +84,7 @@
 
 
 def test_comments_between_events_do_not_add_up():
-    scanner = EventScanner(EventLimits(event_bytes=100))
+    scanner = EventScanner(EventLimits(filler_bytes=50))
     for _ in range(100):
         scanner.feed(b": comment\n\n: comment\ndata: x\n\n")
     assert scanner.count == 100
