Keep the record of a budget for as long as its program runs (BUDGET)

Cause: the record in the store expired 90 to 195 s after the last claim. A claim may suffice for many turns, so the record could expire while a program ran, and another host then claimed the whole budget beside the older claim.

Evidence: a program whose turns come 55 s or 80 s apart spends 6,000 tokens of 4,000.

Change: records are stored for 285 s or more after a claim, as long as one lease allows, and a host writes a record again when a turn finds it older than 195 s. So it outlives every turn by 90 s. Programs of usual length cost no call more.

The tests of idle programs pause longer now, as their state is also kept for 285 s.

--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -31,6 +31,9 @@
 # design size these are the programs of an hour.
 MAX_IDLE_PROGRAMS = 20_000
 
+# Log event of a record that was written.
+CLAIMED_EVENT = "budget claimed"
+
 BorrowFunc = Callable[[str, str], Awaitable[BudgetLoanReply | None]]
 
 
@@ -76,6 +79,8 @@
         share: Tokens that this host may spend.
         lock: Held while a claim or a loan is in progress.
         stored: The record as last seen in the store; ``None`` before the first claim.
+        written_at: Time at which this host last wrote it, in seconds.
+        renewal: Writes the record again, so that it does not expire.
 
     Args:
         now: Time in seconds.
@@ -86,6 +91,13 @@
         self.share = BudgetShare(now, spent)
         self.lock = asyncio.Lock()
         self.stored: _StoredRecord | None = None
+        self.written_at = now
+        self.renewal: asyncio.Task[None] | None = None
+
+    @property
+    def is_renewed(self) -> bool:
+        """Whether the record is being written again."""
+        return self.renewal is not None and not self.renewal.done()
 
 
 class BudgetLedger:
@@ -148,6 +160,7 @@
             raise Refused(BUDGET_SPENT)
         program = self._program(name)
         if program.share.reserve(self._now(), tokens):
+            self._renew_if_old(name, program)
             return program.share
         try:
             async with asyncio.timeout(self.cfg.claim_s), program.lock:
@@ -167,6 +180,21 @@
         program = self._programs.get(name)
         return BudgetLoanReply(0 if program is None else program.share.lend())
 
+    def _renew_if_old(self, name: str, program: _ProgramState) -> None:
+        """Writes the record again if it could expire before the program returns.
+
+        A host whose claim suffices for many turns makes no other calls on the store,
+        and without its record the program could claim its whole budget anew.
+        """
+        age_s = self._now() - program.written_at
+        old = age_s > self.cfg.budget_retention_s - self.cfg.budget_return_s
+        if old and program.stored is not None and not program.is_renewed:
+            program.renewal = asyncio.create_task(self._renew(name, program))
+
+    async def _renew(self, name: str, program: _ProgramState) -> None:
+        async with program.lock:
+            await self._write(name, program, program.stored.record)
+
     async def _get_tokens(self, name: str, program: _ProgramState, need: _Need) -> None:
         """Adds tokens to this host's share, from the first source that has some.
 
@@ -241,7 +269,7 @@
         A write whose reply is lost does no harm: it can only have raised the claim of
         this host.
         """
-        event = "budget claimed"
+        event = CLAIMED_EVENT
         claim = ClaimWriteRequest(name, record.pack(), program.stored.revision)
         try:
             revision = await self._claims.write(claim)
@@ -258,6 +286,8 @@
             logger.bind(program=name, reason=reason).warning("budget not claimed yet")
             return _StorePart.UNKNOWN
         program.stored = _StoredRecord(record, revision)
+        if event == CLAIMED_EVENT:
+            program.written_at = self._now()
         program.share.claimed = record.claims.get(self._holder, 0)
         logger.bind(
             program=name, claims=record.claims, limit=record.limit, revision=revision
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -54,7 +54,10 @@
         part_bytes: Largest record of a chain that is written again; well below the
             store's limit of 1 MB.
         max_output_bytes: Most output of one turn that is kept; a longer one is cut off.
-        budget_retention_s: Shortest time that a program's budget is stored.
+        budget_retention_s: Shortest time that a program's budget is stored after a
+            claim; as long as one lease of the store allows.
+        budget_return_s: Shortest time that it is stored after a turn. Longer than
+            programs may pause.
         store_patience_s: Longest wait for a turn to be stored or loaded.
         claim_s: Longest wait for a claim on a budget; covers several slow answers of
             the store, and is well within the time that callers wait for a first byte.
@@ -69,7 +72,8 @@
     cache_bytes: int = 16_000_000
     part_bytes: int = 300_000
     max_output_bytes: int = 4_194_304
-    budget_retention_s: float = 90.0
+    budget_retention_s: float = 285.0
+    budget_return_s: float = 90.0
     store_patience_s: float = 2.0
     claim_s: float = 0.7
     claim_call_s: float = 0.3
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -33,6 +33,8 @@
 NO_RECORD_HOSTS = None
 LIMIT = 4000
 TURN_TOKENS = 500
+# Tokens of a small turn.
+USED_TOKENS = 100
 
 
 class Host:
@@ -361,11 +363,12 @@
     async def scenario():
         fleet = Fleet(loop)
         spent = await spend_until_refused(fleet, "a", 0.1, turns)
-        spent += await spend_until_refused(fleet, "b", 10.0, 3)
-        spent += await spend_until_refused(fleet, "c", 10.0)
+        # Together longer than a host keeps the state of an idle program.
+        spent += await spend_until_refused(fleet, "b", 75.0, 3)
+        spent += await spend_until_refused(fleet, "c", 75.0)
         await asyncio.sleep(pause_s)
         for name in "abcabc":
-            spent += await spend_until_refused(fleet, name, 10.0)
+            spent += await spend_until_refused(fleet, name, 75.0)
         assert spent == LIMIT
 
     loop.run_until_complete(scenario())
@@ -378,8 +381,28 @@
         for _ in range(LIMIT // TURN_TOKENS):
             spent += await spend_until_refused(fleet, "a", 0.1, 1)
             # Other programs make the host remove this one, whose record lives on.
-            fleet.hosts["a"].ledger._remove_idle(loop.time() + 100.0)
+            fleet.hosts["a"].ledger._remove_idle(loop.time() + 1000.0)
         assert spent == LIMIT
         assert await spend_until_refused(fleet, "a", 0.1) == 0
 
     loop.run_until_complete(scenario())
+
+
+@pytest.mark.parametrize("pause_s", [5.0, 55.0, 80.0])
+def test_a_record_does_not_expire_while_its_program_runs(loop, pause_s):
+    """Guards against a budget that is claimed anew beside an older claim (BUDGET)."""
+
+    async def scenario():
+        fleet = Fleet(loop)
+        # A claim of half the budget lasts for these turns.
+        spent, turns = 0, LIMIT // 2 // USED_TOKENS
+        for _ in range(turns):
+            share = await fleet.hosts["a"].ledger.reserve("p", LIMIT, USED_TOKENS)
+            share.settle(loop.time(), USED_TOKENS, USED_TOKENS)
+            spent += USED_TOKENS
+            await asyncio.sleep(pause_s)
+        assert spent == LIMIT // 2
+        spent += await spend_until_refused(fleet, "b", 0.1)
+        assert spent == LIMIT
+
+    loop.run_until_complete(scenario())
--- a/tests/relay/test_escrow.py
+++ b/tests/relay/test_escrow.py
@@ -416,8 +416,8 @@
     ledger = EscrowLedger(1)
     for number, program in enumerate("pqrs"):
         assert ledger.grant(float(number), EscrowRequest(program, 300, 100)) == 100
-    assert ledger.remove_idle(80.0, idle_s) == []
-    assert ledger.remove_idle(90.5, idle_s) == ["p"]
+    assert ledger.remove_idle(idle_s - 10.0, idle_s) == []
+    assert ledger.remove_idle(idle_s + 0.5, idle_s) == ["p"]
     assert ledger.remove_idle(1000.0, idle_s) == ["q"]
     assert ledger.remove_idle(2000.0, idle_s) == []
     assert [ledger.total(program) for program in "pqrs"] == [0, 0, 100, 100]
