Refuse no small request for the memory that large ones hold (FAULT)

Change: requests of up to 16 KiB are never refused for memory; the number of connections bounds them.

--- a/src/magnoliaroad/relay/request_memory.py
+++ b/src/magnoliaroad/relay/request_memory.py
@@ -8,6 +8,9 @@
 
 # Part of the limit that other requests may hold beside one that exceeds the limit.
 MAX_OTHERS_FRACTION = 0.25
+# Largest request that is never refused, in bytes. Requests of this size are bounded by
+# the number of connections, and must not wait for a few large ones.
+SMALL_BYTES = 16_384
 
 
 class RequestMemory:
@@ -32,13 +35,14 @@
         """Counts ``size`` bytes more for a request that already holds ``own``.
 
         A request may exceed the limit by itself while the others hold little, so that
-        no request is refused each time.
+        no request is refused each time. Small requests are never refused.
 
         Raises:
             Refused: The limit does not hold as much.
         """
         others = self.held_bytes - own
-        full = self.held_bytes + size > self._limit_bytes
+        large = own + size > SMALL_BYTES
+        full = large and self.held_bytes + size > self._limit_bytes
         if full and others > MAX_OTHERS_FRACTION * self._limit_bytes:
             raise Refused(MEMORY_FULL, held=self.held_bytes, needed=size)
         self.held_bytes += size
