Renew a record that another host wrote last (BUDGET)

Cause: the age of a record was counted from the time at which this host learned of it. A program that returns to a host whose former claim suffices could lose its record while it runs, if another host had written it long before.

Change: the next turn writes such a record again.

Before: the new test fails. After: it passes.

--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import math
 import time
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -79,7 +80,8 @@
         share: Tokens that this host may spend.
         lock: Held while a claim or a loan is in progress.
         stored: The record as last seen in the store; ``None`` before the first claim.
-        written_at: Time at which this host last wrote it, in seconds.
+        written_at: Time at which this host last wrote it, in seconds; ``-inf`` if it
+            was written by another host since.
         renewal: Writes the record again, so that it does not expire.
 
     Args:
@@ -286,8 +288,8 @@
             logger.bind(program=name, reason=reason).warning("budget not claimed yet")
             return _StorePart.UNKNOWN
         program.stored = _StoredRecord(record, revision)
-        if event == CLAIMED_EVENT:
-            program.written_at = self._now()
+        # Another host may have written its record long ago, so the next turn renews it.
+        program.written_at = self._now() if event == CLAIMED_EVENT else -math.inf
         program.share.claimed = record.claims.get(self._holder, 0)
         logger.bind(
             program=name, claims=record.claims, limit=record.limit, revision=revision
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -406,3 +406,20 @@
         assert spent == LIMIT
 
     loop.run_until_complete(scenario())
+
+
+def test_a_host_that_returns_to_its_claim_renews_the_record(loop):
+    """The claim of another host may be the newest, and nearly expired."""
+
+    async def scenario():
+        fleet = Fleet(loop)
+        await spend_until_refused(fleet, "a", 0.1, 1)
+        await spend_until_refused(fleet, "b", 0.1, 1)
+        fleet.hosts["a"].ledger._remove_idle(loop.time() + 1000.0)
+        revision = fleet.state.revision
+        await spend_until_refused(fleet, "a", 0.1, 1)
+        assert fleet.state.revision == revision
+        await spend_until_refused(fleet, "a", 0.1, 1)
+        assert fleet.state.revision == revision + 1
+
+    loop.run_until_complete(scenario())
