--- a/src/magnoliaroad/keepalive_socket.py
+++ b/src/magnoliaroad/keepalive_socket.py
@@ -1,7 +1,6 @@
 """Sockets that detect an unresponsive peer by TCP keepalive."""
 
 import socket
-import struct
 from typing import Any
 
 # A connection whose peer disappeared without a reset is closed after about the idle
@@ -10,8 +9,6 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 UNACKED_TIMEOUT_MS = 2500
-# Value of ``SO_LINGER`` with which ``close`` resets the connection.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def keepalive_socket(address: Any) -> socket.socket:
@@ -26,14 +23,3 @@
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
     sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MS)
     return sock
-
-
-def resetting_socket(address: Any) -> socket.socket:
-    """Returns a socket as ``keepalive_socket`` does, which ``close`` resets.
-
-    Otherwise the kernel goes on sending what the peer has not acknowledged, and a
-    request that was given up could still arrive once a network partition ends.
-    """
-    sock = keepalive_socket(address)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    return sock
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -8,7 +8,7 @@
 import yarl
 from mode import Service
 
-from magnoliaroad.keepalive_socket import resetting_socket
+from magnoliaroad.keepalive_socket import keepalive_socket
 from magnoliaroad.targets.closable_response import ClosableResponse
 from magnoliaroad.targets.connector import TargetConnector
 from magnoliaroad.targets.errors import (
@@ -95,7 +95,7 @@
                 limit=0,
                 limit_per_host=self.cfg.pool_size,
                 keepalive_timeout=self.cfg.idle_s,
-                socket_factory=resetting_socket,
+                socket_factory=keepalive_socket,
             ),
             timeout=aiohttp.ClientTimeout(
                 total=None,
--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -47,14 +47,6 @@
         self._open_body = None if has_end else body
         super().feed_data(data, size)
 
-    @override
-    def close(self) -> None:
-        """Closes the connection; what was not sent yet is dropped."""
-        if self.transport is not None and self.transport.get_write_buffer_size():
-            self.abort()
-        else:
-            super().close()
-
     def _reject_interim(self, status: int) -> None:
         if self.transport is not None and not self.transport.is_closing():
             self.transport.close()
