Use the key of a long program id in conflicts as well

ClaimRouter named a conflicting record by its prefix and program; the record of a long id stands under its hash. Checks: lint, tests of claims and budgets.

--- a/src/magnoliaroad/relay/claim_router.py
+++ b/src/magnoliaroad/relay/claim_router.py
@@ -14,6 +14,7 @@
 from magnoliaroad.relay.claim_writer import PREFIX, ClaimWriter
 from magnoliaroad.rendezvous import highest_ranked
 from magnoliaroad.store import StoreConflict, StoreEntry, StoreError
+from magnoliaroad.store.keys import key_of
 
 # Time that a writer host may take beyond its interval between two batches: ten usual
 # replies of the store, so that this host still has time to write the claim itself.
@@ -66,7 +67,7 @@
             if reply is not None and reply.outcome == ClaimOutcome.WRITTEN:
                 return reply.revision
             if reply is not None and reply.outcome == ClaimOutcome.CONFLICT:
-                key = PREFIX + claim.program
+                key = key_of(PREFIX, claim.program)
                 entry = StoreEntry(key, reply.value, reply.revision)
                 raise StoreConflict(key, entry if reply.revision else None)
             self._cooldown_until[host] = self._now() + WRITER_COOLDOWN_S
