Log the memory of a process and who holds it (FAULT)

Nothing said how much memory a host holds, or for whom, so that an end for memory could not be told from others, nor its causes from each other.

--- /dev/null
+++ b/src/magnoliaroad/memory/settings.py
@@ -0,0 +1,33 @@
+"""Settings of the memory of a process."""
+
+from typing import NamedTuple
+
+
+class MemorySettings(NamedTuple):
+    """How much memory the process may use.
+
+    Attributes:
+        limit_mb: Memory at which the platform ends the process, in megabytes.
+        request_fraction: Part of it for the bodies of requests. The largest is copied
+            twice on its way, and the rest of the process takes a third of the memory of
+            a small host.
+        check_interval_s: Time between two checks of the resident memory, in seconds.
+        high_fraction: Part of the limit from which on memory is reported by holder.
+        log_interval_s: Shortest time between two log lines about memory, in seconds.
+    """
+
+    limit_mb: int = 150
+    request_fraction: float = 0.15
+    check_interval_s: float = 0.2
+    high_fraction: float = 0.4
+    log_interval_s: float = 1.0
+
+    @property
+    def limit_bytes(self) -> int:
+        """Memory at which the platform ends the process, in bytes."""
+        return self.limit_mb * 1_000_000
+
+    @property
+    def request_bytes(self) -> int:
+        """Most bytes of the bodies of all requests together."""
+        return int(self.limit_bytes * self.request_fraction)
--- a/src/magnoliaroad/peers/connection.py
+++ b/src/magnoliaroad/peers/connection.py
@@ -79,6 +79,12 @@
         self._last_used_at = time.monotonic()
         self._write_bytes(data)
 
+    def unsent_bytes(self) -> int:
+        """Returns the bytes that the process holds because the peer reads slowly."""
+        if self.closed or self._writer is None:
+            return 0
+        return self._writer.transport.get_write_buffer_size()
+
     def close(self) -> None:
         """Aborts the connection; pending calls fail with ``MAY_HAVE_RUN``."""
         if self.closed:
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -114,6 +114,13 @@
     def _pack_one_way(self, message: Any) -> bytes:
         return pack_frame(Frame(FrameKind.SEND, 0, *self._catalogue.pack(message)))
 
+    def unsent_bytes(self) -> int:
+        """Returns the bytes that the process holds for slow peers."""
+        inbound = sum(
+            writer.transport.get_write_buffer_size() for writer in self._inbound_writers
+        )
+        return inbound + sum(conn.unsent_bytes() for conn in self._connections.values())
+
     async def on_start(self) -> None:
         """Starts listening."""
         self._server = await open_when_free(
--- a/src/magnoliaroad/records/service.py
+++ b/src/magnoliaroad/records/service.py
@@ -104,6 +104,11 @@
         """Sets the number of record hosts; with more hosts each writes less often."""
         self._pending.delay_s = self.cfg.delay_s(hosts)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Size of the records that the store may not hold yet."""
+        return self._pending.size_bytes
+
     async def flush(self) -> bool:
         """Stops accepting records and writes all of them to the store.
 
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from magnoliaroad.event_wait import wait_for_event
+from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerService
 from magnoliaroad.quarantine import QuarantineService
 from magnoliaroad.quarantine.stored_list import PREFIX as QUARANTINE_PREFIX
@@ -153,11 +154,12 @@
         )
         self.prober = PathProber(self.table, TargetPaths(), self.client)
         direct = DirectSender(self.client, self.prober)
+        requests = RequestMemory(cfg.memory.request_bytes)
         parts = RelayParts(
             cfg=cfg,
             dialect=dialect,
             plans=self.plans,
-            memory=RequestMemory(cfg.memory.request_bytes),
+            memory=requests,
             limiter=TeamLimiter(
                 cfg.name, self.peers, self.plans, self.quota, self.fleet.count_hosts
             ),
@@ -186,6 +188,15 @@
             notify_peers=self.fleet.send_heartbeat_soon,
         )
         self.server = RelayServer(parts, self._ready)
+        self.memory = MemoryWatch(
+            cfg.memory,
+            [
+                MemoryHolder("requests", lambda: requests.held_bytes),
+                MemoryHolder("answers", self.server.unsent_bytes),
+                MemoryHolder("turns", lambda: parts.turns.cached_bytes),
+                MemoryHolder("peers", self.peers.unsent_bytes),
+            ],
+        )
         self.detours = DetourService(
             self.peers,
             dialect,
@@ -205,6 +216,7 @@
     async def on_start(self) -> None:
         """Starts the components; those that others depend on come first."""
         for part in (
+            self.memory,
             self.peers,
             self.contact,
             self.client,
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -8,6 +8,7 @@
 from mode import Service
 
 from magnoliaroad.event_wait import wait_for_event
+from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerAddress, PeerService
 from magnoliaroad.records.messages import RecordHostHeartbeat, RelayHostAnnouncement
 from magnoliaroad.records.service import RecordService
@@ -81,6 +82,13 @@
             following=_always_set(),
             short_watches=lambda: True,
         )
+        self.memory = MemoryWatch(
+            cfg.memory,
+            [
+                MemoryHolder("records", lambda: self.records.pending_bytes),
+                MemoryHolder("peers", self.peers.unsent_bytes),
+            ],
+        )
         self._addresses: dict[str, PeerAddress] = {}
         self._relays: set[str] = set()
         self._contacted_at: dict[str, float] = {}
@@ -95,6 +103,7 @@
         # ``records`` and ``escrow`` are first: they read their files before peers can
         # ask for anything.
         for part in (
+            self.memory,
             self.records,
             self.escrow,
             self.peers,
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -100,6 +100,13 @@
 
         return await open_when_free(start_listener, address)
 
+    def unsent_bytes(self) -> int:
+        """Returns the bytes of answers that the process holds for slow callers."""
+        if self._server is None:
+            return 0
+        transports = (conn.transport for conn in self._server.connections)
+        return sum(t.get_write_buffer_size() for t in transports if t is not None)
+
     async def drain(self) -> None:
         """Fails readiness checks, refuses connections, ends requests in flight."""
         cfg = self.parts.cfg.drain
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from magnoliaroad.logs.settings import LogSettings
+from magnoliaroad.memory.settings import MemorySettings
 from magnoliaroad.peers.settings import PeerSettings
 from magnoliaroad.quarantine.settings import QuarantineSettings
 from magnoliaroad.records.settings import RecordSettings
@@ -156,25 +157,6 @@
     lapse_grace_s: float = 1.9
 
 
-class MemorySettings(NamedTuple):
-    """How much memory the process may use.
-
-    Attributes:
-        limit_mb: Memory at which the platform ends the process, in megabytes.
-        request_fraction: Part of it for the bodies of requests. The largest is copied
-            twice on its way, and the rest of the process takes a third of the memory of
-            a small host.
-    """
-
-    limit_mb: int = 150
-    request_fraction: float = 0.15
-
-    @property
-    def request_bytes(self) -> int:
-        """Most bytes of the bodies of all requests together."""
-        return int(self.limit_mb * 1_000_000 * self.request_fraction)
-
-
 # Targets also crash for other reasons, so one crash more than for the product's own API
 # is needed; the platform's bounds count from the third. The platform's requests are
 # hardly ever repeated after they have succeeded.
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -54,6 +54,11 @@
             cfg.cache_bytes, lambda turn: len(turn.text)
         )
 
+    @property
+    def cached_bytes(self) -> int:
+        """Size of the turns that were read or written recently."""
+        return self._cache.size
+
     async def load(self, turn_id: str, team: str) -> LoadedTurn:
         """Returns a turn with its chain.
 
