Free the bytes of malformed requests at once (FAULT)

Seen: five callers that send 100 KB which are no HTTP, again and again, took a relay host to 1,043 MB in 12 s, of the 150 MB at which the platform ends it; a record host too, by its metrics port.

Cause: the parser's error refers to its trace, the trace to the frame of data_received, and that frame to the bytes and to the error. Such a cycle waits for a garbage collection, which counts 50,000 objects and not their size.

Change: the connection drops the trace of a parser's error, and the metrics are served by connections of the same kind.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -46,7 +46,8 @@
         count = self._request_count
         super().data_received(data)
         if self._request_count > count:
-            self._last_body = self._messages[-1][1]
+            message, self._last_body = self._messages[-1]
+            _forget_trace(message)
             self.head_began_at = None
         elif between and self.head_began_at is None and data.strip(b"\r\n"):
             self.head_began_at = time.monotonic()
@@ -122,6 +123,17 @@
         return self.transport
 
 
+def _forget_trace(message: object) -> None:
+    """Frees the frames of a parser's error, one of which holds the bytes and the error.
+
+    Only the garbage collector would free such a cycle, and it counts objects, not their
+    size.
+    """
+    exc = getattr(message, "exc", None)
+    if isinstance(exc, BaseException):
+        exc.__traceback__ = None
+
+
 def make_connection(server: web.Server) -> CallerConnection:
     """Returns the protocol of a new connection; aiohttp has no option for its class."""
     return CallerConnection(server, loop=server._loop, **server._kwargs)
--- a/src/magnoliaroad/relay/metrics_server.py
+++ b/src/magnoliaroad/relay/metrics_server.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.listening import open_when_free
 
 
@@ -44,12 +45,8 @@
 
     async def _open(self) -> None:
         host, _, port = self._address.rpartition(":")
-        site = web.TCPSite(self._runner, host, int(port))
-        try:
-            await site.start()
-        except OSError:
-            await site.stop()
-            raise
+        assert self._runner is not None
+        await CallerListener(self._runner, host, int(port)).start()
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
         accepts = req.headers.getall("Accept", [])
--- /dev/null
+++ b/tests/platform/host_process.py
@@ -0,0 +1,111 @@
+"""A host as a process of its own, with stand-ins of the store and the targets."""
+
+import asyncio
+import contextlib
+import json
+import os
+import sys
+from typing import NamedTuple
+
+import aiohttp
+
+from tests.platform.deployment import config, free_address
+from tests.platform.kv_standin import KvStandin
+from tests.platform.raw_caller import raw_connection
+from tests.soak.fleet import HOST_PROGRAM
+
+RELAY_LISTENERS = ("peers", "metrics", "callers", "ready")
+RECORD_LISTENERS = RELAY_LISTENERS[:2]
+
+
+class HostProcess(NamedTuple):
+    """A running host.
+
+    Attributes:
+        proc: Its process.
+        listen: Its addresses by name.
+        kv: The stand-in of the store.
+        log: File with its log.
+    """
+
+    proc: asyncio.subprocess.Process
+    listen: dict[str, str]
+    kv: KvStandin
+    log: os.PathLike
+
+    def logged(self, event):
+        """Returns the lines of its log with this event."""
+        lines = map(json.loads, self.log.read_text().splitlines())
+        return [line for line in lines if line["event"] == event]
+
+    async def until_logged(self, event):
+        async with asyncio.timeout(20.0):
+            while not self.logged(event):
+                assert self.proc.returncode is None, self.log.read_text()[-2000:]
+                await asyncio.sleep(0.02)
+
+    async def until_ready(self):
+        async with aiohttp.ClientSession() as session, asyncio.timeout(20.0):
+            while not await self._is_ready(session):
+                assert self.proc.returncode is None, self.log.read_text()[-2000:]
+                await asyncio.sleep(0.02)
+
+    async def _is_ready(self, session):
+        with contextlib.suppress(aiohttp.ClientConnectionError):
+            async with session.get(f"http://{self.listen['ready']}/-/ready") as resp:
+                return resp.status == 200
+        return False
+
+    def peak_mb(self):
+        """Returns the most memory that the process has held, in megabytes."""
+        with open(f"/proc/{self.proc.pid}/status") as status:
+            lines = dict(line.split(":", 1) for line in status)
+        return int(lines["VmHWM"].split()[0]) * 1024 / 1_000_000
+
+
+@contextlib.asynccontextmanager
+async def host_process(tmp_path, *targets, names=RELAY_LISTENERS, **settings):
+    """Starts a host and its targets; ends the host if it still runs."""
+    kv = await KvStandin().start()
+    kv.write("op/config", config())
+    for target in targets:
+        await target.start()
+        kv.write(f"servers/{target.name}", target.entry())
+    listen = {name: free_address() for name in names}
+    fields = {
+        "name": "host-1",
+        "data_centre": "dc-1",
+        "data_folder": str(tmp_path),
+        "listen": listen,
+        "store": {"url": kv.url},
+        "drain": {"notice_s": 0.1},
+        **settings,
+    }
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(fields))
+    env = {**os.environ, "MAGNOLIAROAD_NODE_FILE": str(path)}
+    log = tmp_path / "log"
+    with log.open("w") as output:
+        proc = await asyncio.create_subprocess_exec(
+            sys.executable, HOST_PROGRAM, stdout=output, stderr=output, env=env
+        )
+    try:
+        yield HostProcess(proc, listen, kv, log)
+    finally:
+        if proc.returncode is None:
+            proc.kill()
+        await proc.wait()
+        for target in targets:
+            await target.stop()
+        await kv.stop()
+
+
+async def send_and_leave(address, data, wait_s=0.0):
+    """Sends bytes, waits for an answer or ``wait_s``, and resets the connection."""
+    with contextlib.suppress(OSError, TimeoutError):
+        async with raw_connection(address) as (reader, writer):
+            writer.write(data)
+            await writer.drain()
+            if wait_s:
+                async with asyncio.timeout(wait_s):
+                    await reader.read(1)
