Refuse a head of more than 64 KB before it has ended (FAULT)

Seen: 200 callers that send header fields without an end took a relay host to 452 MB in 12 s; the platform ends it at 150 MB.

Cause: each field of a head was bounded, and their number, but not their sum: 128 fields of 64 KB for each connection, at callers, ready and metrics.

Change: an incomplete head of more than 64 KB is refused with 431, logged ("head too large"), what the parser holds of it is dropped, and what still arrives is discarded for 0.5 s.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -9,6 +9,7 @@
 from aiohttp import web
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
+from loguru import logger
 from typing_extensions import override
 
 from magnoliaroad.idle import awaits_request
@@ -17,6 +18,15 @@
 TIMED_OUT = (
     b"HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
 )
+HEAD_TOO_LARGE = (
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
+# Largest head of a request while it is incomplete, in bytes; its fields are bounded one
+# by one by the server.
+MAX_HEAD_BYTES = 65_536
+# Time for which the rest of a head that is too large is discarded, in seconds.
+REFUSED_HEAD_S = 0.5
 # Most bytes that are read from a connection at once; what exceeds the buffer of a body
 # is held for each caller.
 READ_BYTES = 65_536
@@ -34,13 +44,15 @@
         head_began_at: Monotonic time in seconds at which an incomplete head of a
             request began; ``None`` if there is none. Not known of a head that arrives
             in one piece with the end of the request before it.
+        head_bytes: What has arrived of that head, in bytes.
     """
 
-    __slots__ = ("_last_body", "head_began_at")
+    __slots__ = ("_last_body", "head_began_at", "head_bytes")
 
     def __init__(self, server: web.Server, **options) -> None:
         super().__init__(server, **options)
         self.head_began_at: float | None = None
+        self.head_bytes = 0
         self._last_body: StreamReader | None = None
 
     @override
@@ -58,8 +70,23 @@
             message, self._last_body = self._messages[-1]
             _forget_trace(message)
             self.head_began_at = None
-        elif between and self.head_began_at is None and data.strip(b"\r\n"):
-            self.head_began_at = time.monotonic()
+            self.head_bytes = 0
+        elif between:
+            self._head_arrives(data)
+
+    def _head_arrives(self, data: bytes) -> None:
+        """Counts a part of an incomplete head; refuses one that is too large."""
+        if self.head_began_at is None:
+            if not data.strip(b"\r\n"):
+                return
+            self.head_began_at, self.head_bytes = time.monotonic(), 0
+        self.head_bytes += len(data)
+        if self.head_bytes > MAX_HEAD_BYTES and not self._close:
+            logger.bind(head_bytes=self.head_bytes).info("head too large")
+            self.refuse_head(HEAD_TOO_LARGE)
+            # What still arrives is discarded, and the parser holds the whole head.
+            self._parser = None
+            self._loop.call_later(REFUSED_HEAD_S, self.force_close)
 
     @override
     def connection_lost(self, exc: BaseException | None) -> None:
@@ -126,13 +153,13 @@
             self._transport.write_eof()
         self.force_close()
 
-    def refuse_head(self) -> None:
-        """Answers a request whose head is incomplete with 408.
+    def refuse_head(self, answer: bytes = TIMED_OUT) -> None:
+        """Answers a request whose head is incomplete, and ends the connection.
 
         The connection stays open for what still arrives, which is discarded: closing it
         with unread bytes would reset it, and the caller might not see the answer.
         """
-        self._transport.write(TIMED_OUT)
+        self._transport.write(answer)
         self.close()
         self._transport.write_eof()
 
--- a/tests/platform/test_memory_of_callers.py
+++ b/tests/platform/test_memory_of_callers.py
@@ -4,13 +4,17 @@
 have sent is not counted, or lives on after them.
 """
 
+import asyncio
+import contextlib
+
 import pytest
 
 from tests.platform.host_process import HEADERS, host_process, send_again
-from tests.platform.raw_caller import request_bytes
+from tests.platform.raw_caller import raw_connection, read_head, request_bytes
 
 # A host holds 45 to 50 MB at rest; the platform ends the smallest at 150 MB.
 MOST_MB = 100.0
+FIELD = b"X-Field-%d: " + b"a" * 8_000 + b"\r\n"
 
 
 @pytest.mark.parametrize("name", ["callers", "ready", "metrics"])
@@ -32,3 +36,36 @@
         await send_again(host.listen["callers"], data, 200, 40, 0.005)
         assert host.proc.returncode is None
         assert host.peak_mb() < MOST_MB
+
+
+@pytest.mark.parametrize("name", ["callers", "ready", "metrics"])
+async def test_heads_without_an_end_do_not_take_a_host_over_its_memory(tmp_path, name):
+    async with host_process(tmp_path) as host:
+        await host.until_ready()
+
+        async def send():
+            with contextlib.suppress(OSError):
+                async with raw_connection(host.listen[name]) as (_, writer):
+                    writer.write(b"GET /safe/a HTTP/1.1\r\n")
+                    for number in range(100):
+                        writer.write(FIELD % number)
+                        await writer.drain()
+                        await asyncio.sleep(0.02)
+
+        await asyncio.gather(*(send() for _ in range(200)))
+        assert host.proc.returncode is None
+        assert host.peak_mb() < MOST_MB
+
+
+async def test_a_head_that_is_too_large_is_refused(tmp_path):
+    async with host_process(tmp_path) as host:
+        await host.until_ready()
+        async with raw_connection(host.listen["callers"]) as (reader, writer):
+            writer.write(b"GET /safe/a HTTP/1.1\r\n")
+            for number in range(10):
+                writer.write(FIELD % number)
+                await asyncio.sleep(0.02)
+            status, headers = await read_head(reader)
+            assert (status, headers["connection"]) == (431, "close")
+            assert await reader.read() == b""
+        assert host.logged("head too large")
