--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -12,6 +12,7 @@
 from loguru import logger
 from typing_extensions import override
 
+from magnoliaroad.head_memory import HeadMemory
 from magnoliaroad.idle import awaits_request
 from magnoliaroad.unsent_bytes import unsent_bytes
 
@@ -22,9 +23,14 @@
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
+MEMORY_FULL = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"Connection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+)
 # Largest head of a request while it is incomplete, in bytes; its fields are bounded one
 # by one by the server.
 MAX_HEAD_BYTES = 65_536
+HEADS = HeadMemory()
 # Time for which the rest of a head that is too large is discarded, in seconds.
 REFUSED_HEAD_S = 0.5
 # Most bytes that are read from a connection at once; what exceeds the buffer of a body
@@ -70,7 +76,7 @@
             message, self._last_body = self._messages[-1]
             _forget_trace(message)
             self.head_began_at = None
-            self.head_bytes = 0
+            self._free_head()
         elif between:
             self._head_arrives(data)
 
@@ -79,19 +85,40 @@
         if self.head_began_at is None:
             if not data.strip(b"\r\n"):
                 return
-            self.head_began_at, self.head_bytes = time.monotonic(), 0
+            self.head_began_at = time.monotonic()
+        if self._close:
+            return
+        fits = HEADS.take(len(data), self.head_bytes)
         self.head_bytes += len(data)
-        if self.head_bytes > MAX_HEAD_BYTES and not self._close:
-            logger.bind(head_bytes=self.head_bytes).info("head too large")
-            self.refuse_head(HEAD_TOO_LARGE)
-            # What still arrives is discarded, and the parser holds the whole head.
-            self._parser = None
+        if self.head_bytes > MAX_HEAD_BYTES:
+            self._give_up_head("head too large", HEAD_TOO_LARGE)
+        elif not fits and awaits_request(self):
+            self._give_up_head("heads too large", MEMORY_FULL)
+
+    def _free_head(self) -> None:
+        if self.head_bytes:
+            HEADS.free(self.head_bytes)
+            self.head_bytes = 0
+
+    def _give_up_head(self, reason: str, answer: bytes) -> None:
+        """Refuses an incomplete head and frees it; what still arrives is discarded."""
+        logger.bind(
+            reason=reason, head_bytes=self.head_bytes, heads_bytes=HEADS.held_bytes
+        ).info("head refused")
+        if awaits_request(self):
+            self.refuse_head(answer)
             self._loop.call_later(REFUSED_HEAD_S, self.force_close)
+        else:
+            # It follows a request that is not answered yet.
+            self._transport.abort()
+        self._parser = None
+        self._free_head()
 
     @override
     def connection_lost(self, exc: BaseException | None) -> None:
         unread = [body for _, body in self._messages]
         super().connection_lost(exc)
+        self._free_head()
         for body in (*unread, self._last_body):
             # The parts of a connection refer to each other, so that only the garbage
             # collector frees them; it counts objects, not their size.
--- a/tests/platform/test_memory_of_callers.py
+++ b/tests/platform/test_memory_of_callers.py
@@ -10,7 +10,13 @@
 import pytest
 
 from tests.platform.host_process import HEADERS, host_process, send_again
-from tests.platform.raw_caller import raw_connection, read_head, request_bytes
+from tests.platform.raw_caller import (
+    raw_connection,
+    read_answer,
+    read_head,
+    request_bytes,
+)
+from tests.platform.target_standin import TargetStandin
 
 # A host holds 45 to 50 MB at rest; the platform ends the smallest at 150 MB.
 MOST_MB = 100.0
@@ -38,8 +44,13 @@
         assert host.peak_mb() < MOST_MB
 
 
-@pytest.mark.parametrize("name", ["callers", "ready", "metrics"])
-async def test_heads_without_an_end_do_not_take_a_host_over_its_memory(tmp_path, name):
+@pytest.mark.parametrize(
+    ("name", "callers"),
+    [("callers", 200), ("ready", 200), ("metrics", 200), ("callers", 800)],
+)
+async def test_heads_without_an_end_do_not_take_a_host_over_its_memory(
+    tmp_path, name, callers
+):
     async with host_process(tmp_path) as host:
         await host.until_ready()
 
@@ -52,7 +63,7 @@
                         await writer.drain()
                         await asyncio.sleep(0.02)
 
-        await asyncio.gather(*(send() for _ in range(200)))
+        await asyncio.gather(*(send() for _ in range(callers)))
         assert host.proc.returncode is None
         assert host.peak_mb() < MOST_MB
 
@@ -68,4 +79,27 @@
             status, headers = await read_head(reader)
             assert (status, headers["connection"]) == (431, "close")
             assert await reader.read() == b""
-        assert host.logged("head too large")
+        assert host.logged("head refused")
+
+
+async def test_whole_heads_are_served_beside_many_that_do_not_end(tmp_path):
+    async with host_process(tmp_path, TargetStandin("i-app", "app")) as host:
+        await host.until_ready()
+
+        async def hold():
+            with contextlib.suppress(OSError):
+                async with raw_connection(host.listen["callers"]) as (reader, writer):
+                    writer.write(b"GET /safe/a HTTP/1.1\r\n" + FIELD % 1 * 6)
+                    await reader.read()
+
+        held = [asyncio.create_task(hold()) for _ in range(800)]
+        while not host.logged("head refused"):
+            await asyncio.sleep(0.05)
+        async with raw_connection(host.listen["callers"]) as (reader, writer):
+            writer.write(request_bytes(HEADERS, "/pay/x", "POST", body=b"x"))
+            assert (await read_answer(reader, "POST")).status == 200
+        assert host.peak_mb() < MOST_MB
+        for task in held:
+            task.cancel()
+        reasons = {line["reason"] for line in host.logged("head refused")}
+        assert reasons == {"heads too large"}
