Collect garbage by memory, and give up connections near the limit (FAULT)

Garbage was collected by the number of objects, of which a few may hold large buffers, and a host that outgrew its limit went on until the platform ended it with all its requests.

The watch now collects garbage whenever the resident memory has grown by 10 % of the limit, from 40 % on. Above 70 %, and after each 5 % more, it ends the connections that hold most (32 KB or more): incomplete heads are refused with 503, unread bodies and unsent answers cut off. Both are counted, the latter is logged ("memory given up").

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -30,6 +30,8 @@
 # Largest head of a request while it is incomplete, in bytes; its fields are bounded one
 # by one by the server.
 MAX_HEAD_BYTES = 65_536
+# How often the parser holds the fields of a head: as they came and decoded.
+HEAD_COPIES = 2
 HEADS = HeadMemory()
 # Time for which the rest of a head that is too large is discarded, in seconds.
 REFUSED_HEAD_S = 0.5
@@ -163,6 +165,22 @@
                 return
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    def held_bytes(self) -> int:
+        """Returns what the process holds of requests and answers that are under way."""
+        if self.transport is None:
+            return 0
+        body = self._last_body
+        unread = body._size if type(body) is StreamReader else 0
+        unsent = self._transport.get_write_buffer_size()
+        return HEAD_COPIES * self.head_bytes + unread + unsent
+
+    def shed(self) -> None:
+        """Gives up what it holds; an incomplete head is refused, all else cut off."""
+        if self.head_began_at is not None and awaits_request(self):
+            self._give_up_head("memory of the host", MEMORY_FULL)
+        elif self.transport is not None:
+            self._transport.abort()
+
     def is_idle(self) -> bool:
         """Returns whether no part of a request has arrived or waits to be read."""
         return (
--- /dev/null
+++ b/src/magnoliaroad/memory/policy.py
@@ -0,0 +1,60 @@
+"""When a process collects garbage and gives up memory."""
+
+import enum
+
+from magnoliaroad.memory.settings import MemorySettings
+
+
+class MemoryStep(enum.Enum):
+    """What is to be done about the memory of the process."""
+
+    NONE = "none"
+    COLLECT = "collect"
+    SHED = "shed"
+
+
+class MemoryPolicy:
+    """Decides by the resident memory and by what the last collection has left.
+
+    Args:
+        cfg: Limit of the process and parts of it.
+    """
+
+    def __init__(self, cfg: MemorySettings) -> None:
+        self.cfg = cfg
+        self._kept_bytes = 0
+        self._shed_at_bytes = 0
+
+    def step(self, resident: int) -> MemoryStep:
+        """Returns what is to be done now.
+
+        Garbage is collected whenever memory has grown by a part of the limit, so that
+        the cost of collections follows the growth.
+        """
+        cfg = self.cfg
+        self._kept_bytes = min(self._kept_bytes, resident)
+        self._shed_at_bytes = min(self._shed_at_bytes, resident)
+        growth = resident - self._kept_bytes
+        if resident < cfg.high_fraction * cfg.limit_bytes:
+            return MemoryStep.NONE
+        if growth >= cfg.growth_fraction * cfg.limit_bytes:
+            return MemoryStep.COLLECT
+        shed_growth = resident - self._shed_at_bytes
+        if (
+            self.excess(resident)
+            and shed_growth >= cfg.shed_growth_fraction * cfg.limit_bytes
+        ):
+            return MemoryStep.SHED
+        return MemoryStep.NONE
+
+    def collected(self, resident: int) -> None:
+        """Notes what was resident after a collection."""
+        self._kept_bytes = resident
+
+    def shed(self, resident: int) -> None:
+        """Notes what was resident when memory was given up."""
+        self._shed_at_bytes = resident
+
+    def excess(self, resident: int) -> int:
+        """Returns how many bytes the process holds above the part it may keep."""
+        return max(0, resident - int(self.cfg.shed_fraction * self.cfg.limit_bytes))
--- a/src/magnoliaroad/memory/settings.py
+++ b/src/magnoliaroad/memory/settings.py
@@ -12,14 +12,23 @@
             twice on its way, and the rest of the process takes a third of the memory of
             a small host.
         check_interval_s: Time between two checks of the resident memory, in seconds.
-        high_fraction: Part of the limit from which on memory is reported by holder.
+        high_fraction: Part of the limit from which on memory is reported by holder, and
+            garbage is collected as memory grows.
+        growth_fraction: Part of the limit by which memory grows between two of these
+            collections.
+        shed_fraction: Part of the limit above which the host gives up what is largest.
+        shed_growth_fraction: Part of the limit by which memory grows before it does so
+            again; what was given up stays resident until it is used again.
         log_interval_s: Shortest time between two log lines about memory, in seconds.
     """
 
     limit_mb: int = 150
     request_fraction: float = 0.1
-    check_interval_s: float = 0.2
+    check_interval_s: float = 0.1
     high_fraction: float = 0.4
+    growth_fraction: float = 0.1
+    shed_fraction: float = 0.7
+    shed_growth_fraction: float = 0.05
     log_interval_s: float = 1.0
 
     @property
--- a/src/magnoliaroad/memory/watch.py
+++ b/src/magnoliaroad/memory/watch.py
@@ -1,6 +1,7 @@
 """Watches the memory of the process."""
 
 import asyncio
+import gc
 import time
 from collections.abc import Callable, Sequence
 
@@ -8,16 +9,21 @@
 from mode import Service
 
 from magnoliaroad.memory.holder import MemoryHolder
-from magnoliaroad.memory.metrics import HELD, RESIDENT
+from magnoliaroad.memory.metrics import COLLECTIONS, HELD, RESIDENT, SHED
+from magnoliaroad.memory.policy import MemoryPolicy, MemoryStep
 from magnoliaroad.memory.resident import resident_bytes
 from magnoliaroad.memory.settings import MemorySettings
 
 
 class MemoryWatch(Service):
-    """Reports the resident memory and who holds it.
+    """Reports the memory of the process, collects garbage and sheds what is largest.
+
+    The interpreter collects garbage by the number of objects, of which a few may hold
+    large buffers. A process that comes near its limit gives up what it can, as the
+    platform would end it with everything that it holds.
 
     Args:
-        cfg: Limit, and when memory is reported.
+        cfg: Limit of the process and parts of it.
         holders: Parts of the process that know what they hold.
         read_resident: Returns the resident memory, in bytes.
     """
@@ -32,6 +38,7 @@
         self.cfg = cfg
         self._holders = holders
         self._read_resident = read_resident
+        self._policy = MemoryPolicy(cfg)
         self._next_log_at = 0.0
 
     @Service.task
@@ -45,9 +52,35 @@
             await asyncio.sleep(self.cfg.check_interval_s)
 
     def _check(self, resident: int) -> None:
-        RESIDENT.set({}, resident)
+        step = self._policy.step(resident)
+        if step is MemoryStep.COLLECT:
+            gc.collect()
+            COLLECTIONS.inc({})
+            resident = self._read_resident()
+            self._policy.collected(resident)
         if resident >= self.cfg.high_fraction * self.cfg.limit_bytes:
             self._report(resident)
+        if self._policy.step(resident) is MemoryStep.SHED:
+            self._shed(resident)
+        RESIDENT.set({}, resident)
+
+    def _shed(self, resident: int) -> None:
+        """Gives up memory, first of the holders that hold most."""
+        self._policy.shed(resident)
+        excess = self._policy.excess(resident)
+        for holder in sorted(self._holders, key=lambda h: -h.held_bytes()):
+            shed = holder.shed(excess)
+            if shed:
+                SHED.add({"holder": holder.name}, shed)
+                logger.bind(
+                    holder=holder.name,
+                    shed=shed,
+                    resident=resident,
+                    limit=self.cfg.limit_bytes,
+                ).warning("memory given up")
+            excess -= shed
+            if excess <= 0:
+                return
 
     def _report(self, resident: int) -> None:
         """Logs who holds the memory, once in ``log_interval_s``."""
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -192,7 +192,7 @@
             cfg.memory,
             [
                 MemoryHolder("requests", lambda: requests.held_bytes),
-                MemoryHolder("answers", self.server.unsent_bytes),
+                MemoryHolder("callers", self.server.held_bytes, self.server.shed),
                 MemoryHolder("turns", lambda: parts.turns.cached_bytes),
                 MemoryHolder("peers", self.peers.unsent_bytes),
             ],
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -3,11 +3,13 @@
 import asyncio
 import contextlib
 import time
+import typing
 
 from aiohttp import web
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.caller_connection import CallerConnection
 from magnoliaroad.caller_left import caller_left
 from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.connection_drain import ConnectionDrain
@@ -38,6 +40,8 @@
 MAX_HEAD_BYTES = 65_536
 # Part of a body that is held while its handler does not read it, in bytes.
 BODY_BUFFER_BYTES = 8192
+# Least that a connection holds which is given up for memory, in bytes.
+MIN_SHED_BYTES = 32_768
 # Longest wait for handlers that still run when a server is closed, in seconds. 0 would
 # stand for no limit.
 SHUTDOWN_TIMEOUT_S = 0.1
@@ -103,12 +107,30 @@
 
         return await open_when_free(start_listener, address)
 
-    def unsent_bytes(self) -> int:
-        """Returns the bytes of answers that the process holds for slow callers."""
+    def held_bytes(self) -> int:
+        """Returns what connections hold of requests and answers that are under way."""
+        return sum(conn.held_bytes() for conn in self._connections())
+
+    def shed(self, size: int) -> int:
+        """Gives up the connections that hold most, until ``size`` bytes are free.
+
+        Returns:
+            How many bytes they held.
+        """
+        shed = 0
+        by_size = sorted(self._connections(), key=lambda conn: -conn.held_bytes())
+        for conn in by_size:
+            held = conn.held_bytes()
+            if shed >= size or held < MIN_SHED_BYTES:
+                break
+            conn.shed()
+            shed += held
+        return shed
+
+    def _connections(self) -> list[CallerConnection]:
         if self._server is None:
-            return 0
-        transports = (conn.transport for conn in self._server.connections)
-        return sum(t.get_write_buffer_size() for t in transports if t is not None)
+            return []
+        return typing.cast(list[CallerConnection], self._server.connections)
 
     async def drain(self) -> None:
         """Fails readiness checks, refuses connections, ends requests in flight."""
--- a/tests/memory/test_watch.py
+++ b/tests/memory/test_watch.py
@@ -1,4 +1,5 @@
 import asyncio
+import gc
 
 import pytest
 from loguru import logger
@@ -58,3 +59,48 @@
 
 def test_resident_memory_is_read():
     assert 1_000_000 < resident_bytes() < 100_000_000_000
+
+
+async def test_garbage_is_collected_as_memory_grows():
+    kept = []
+
+    class Cycle:
+        def __init__(self):
+            self.own = self
+
+        def __del__(self):
+            kept.append(1)
+
+    Cycle()
+    gc.disable()
+    try:
+        await run_for(MemoryWatch(CFG, [], lambda: 50_000_000))
+    finally:
+        gc.enable()
+    assert kept
+
+
+async def test_the_holder_of_most_is_asked_first_until_enough_is_free(lines):
+    asked = []
+
+    def holder(name, held, shed):
+        def shed_some(size):
+            asked.append((name, size))
+            return shed
+
+        return MemoryHolder(name, lambda: held, shed_some)
+
+    resident = iter([75_000_000, 75_000_000])
+    holders = [
+        holder("small", 1_000_000, 900_000),
+        holder("large", 9_000_000, 2_000_000),
+        holder("middle", 4_000_000, 3_000_000),
+    ]
+    watch = MemoryWatch(CFG, holders, lambda: next(resident, 30_000_000))
+    await run_for(watch)
+    assert asked == [("large", 5_000_000), ("middle", 3_000_000)]
+    given_up = [line["extra"] for line in lines if line["message"] == "memory given up"]
+    assert [(line["holder"], line["shed"]) for line in given_up] == [
+        ("large", 2_000_000),
+        ("middle", 3_000_000),
+    ]
