Accept a few connections at a time (FAULT)

Cause: asyncio accepts as many connections in one iteration of its loop as the kernel's queue may hold, 1,024, before it goes on with the requests that it has. So 1,024 requests were begun at once, each iteration took over a second, and the objects of all of them were held.

Change: 16 connections are accepted in one iteration; the kernel's queue stays as long as it was.

tests/platform/test_memory_of_callers.py: 121 MB before (1 failed), below 100 MB now.

--- a/src/magnoliaroad/caller_listener.py
+++ b/src/magnoliaroad/caller_listener.py
@@ -11,7 +11,10 @@
 from magnoliaroad.caller_connection import CallerConnection, make_connection
 from magnoliaroad.connection_filter import drop_new_connections
 
+# Most connections that wait in the kernel's queue.
 BACKLOG = 1024
+# Most connections that are accepted in one iteration of the event loop.
+ACCEPTED_AT_ONCE = 16
 # Time in which handshakes end that have begun before a stop, in seconds; a round trip
 # within a continent.
 HANDSHAKE_S = 0.1
@@ -23,9 +26,12 @@
     @override
     async def start(self) -> None:
         await web.BaseSite.start(self)
+        # asyncio accepts as many connections at once as the queue may hold, before it
+        # goes on with the requests that it has.
         self._server = await asyncio.get_running_loop().create_server(
-            self.make_connection, sock=self._sock, backlog=self._backlog
+            self.make_connection, sock=self._sock, backlog=ACCEPTED_AT_ONCE
         )
+        self._sock.listen(self._backlog)
 
     def make_connection(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
--- a/tests/platform/test_memory_of_callers.py
+++ b/tests/platform/test_memory_of_callers.py
@@ -37,9 +37,9 @@
 
 async def test_requests_that_are_given_up_do_not_take_a_host_over_its_memory(tmp_path):
     data = request_bytes(HEADERS, "/pay/x", "POST", body=b"x")
-    async with host_process(tmp_path) as host:
+    async with host_process(tmp_path, TargetStandin("i-app", "app")) as host:
         await host.until_ready()
-        await send_again(host.listen["callers"], data, 200, 40, 0.005)
+        await send_again(host.listen["callers"], data, 200, 60, 0.005)
         assert host.proc.returncode is None
         assert host.peak_mb() < MOST_MB
 
