Drop connections that were reset before they are accepted (FAULT)

Seen: beside 200 callers that reset their connections 5 ms after a request, 5 payments of another caller were served in 8 s, one after the other with 0.1 s between them.

Cause: what such a caller has sent can still be read, so that its request is begun, placed and logged before the reset is noticed an iteration later.

Change: a new connection that has an error already is ended before anything is read of it.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -5,6 +5,7 @@
 import select
 import time
 from collections.abc import Awaitable
+from socket import SO_ERROR, SOL_SOCKET
 
 from aiohttp import web
 from aiohttp.streams import StreamReader
@@ -68,6 +69,11 @@
         # asyncio has no public option for the size of a read.
         transport.max_size = READ_BYTES
         super().connection_made(transport)
+        if transport.get_extra_info("socket").getsockopt(SOL_SOCKET, SO_ERROR):
+            # The caller reset it while it waited to be accepted; what it sent before
+            # could still be read.
+            logger.debug("connection reset before it was accepted")
+            self._transport.abort()
 
     @override
     def data_received(self, data: bytes) -> None:
--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import socket
 import sys
 from typing import NamedTuple
 
@@ -12,6 +13,7 @@
 from tests.platform.deployment import KEY, config, free_address
 from tests.platform.kv_standin import KvStandin
 from tests.platform.raw_caller import raw_connection
+from tests.platform.raw_target import LINGER_0
 from tests.soak.fleet import HOST_PROGRAM
 
 RELAY_LISTENERS = ("peers", "metrics", "callers", "ready")
@@ -106,8 +108,16 @@
         await kv.stop()
 
 
+def send_and_reset(address, data):
+    """Sends bytes and resets the connection, without waiting for the host."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(data)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_0)
+
+
 async def send_and_leave(address, data, wait_s=0.0):
-    """Sends bytes, waits for an answer or ``wait_s``, and resets the connection."""
+    """Sends bytes, waits for an answer or ``wait_s``, and closes the connection."""
     with contextlib.suppress(OSError, TimeoutError):
         async with raw_connection(address) as (reader, writer):
             writer.write(data)
