Recover records kept after a write that failed half-way (FAULT, disks)

Seen: a write that fails after a part of its bytes (full disk, EIO) leaves a torn record in the segment. Records that are kept afterwards follow it, and recovery ignores what follows a torn record: kept records were lost at the next start. Change: a failed append closes its segment, so that the next one opens another, and removes it if nothing in it is left to store. Found by patched calls of os, not in a process.

--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -68,11 +68,18 @@
         Raises:
             OSError: Writing or syncing failed.
         """
-        if self._file is None or self._segment_size >= self.segment_bytes:
-            self._open_segment()
         data = b"".join(_pack_record(record) for record in records)
-        _write_all(self._file, data)
-        os.fdatasync(self._file)
+        try:
+            if self._file is None or self._segment_size >= self.segment_bytes:
+                self._open_segment()
+            _write_all(self._file, data)
+            os.fdatasync(self._file)
+        except OSError:
+            # Recovery ignores what follows a torn record, so a segment that may end
+            # with one gets no more records.
+            self.close()
+            self._remove_if_stored(self._segment)
+            raise
         self._segment_size += len(data)
         for record in records:
             self._track(record.key, self._segment)
@@ -94,12 +101,12 @@
         self.close()
         previous = self._segment
         self._segment += 1
+        self._segment_size = 0
+        self._unstored[self._segment] = set()
         path = self.folder / f"{self._segment:08}.log"
         self._file = os.open(path, os.O_CREAT | os.O_WRONLY | os.O_TRUNC, 0o600)
         # A file whose folder was not synced may be gone after a power failure.
         sync_folder(self.folder)
-        self._segment_size = 0
-        self._unstored.setdefault(self._segment, set())
         self._remove_if_stored(previous)
 
     def _track(self, key: str, segment: int) -> None:
