--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -120,8 +120,16 @@
         writing = self._file is not None and segment == self._segment
         if writing or self._unstored.get(segment):
             return
-        if self._unstored.pop(segment, None) is not None:
-            (self.folder / f"{segment:08}.log").unlink(missing_ok=True)
+        if self._unstored.pop(segment, None) is None:
+            return
+        path = self.folder / f"{segment:08}.log"
+        try:
+            path.unlink(missing_ok=True)
+        except OSError as exc:
+            # Its records are merely stored once more after the next start.
+            logger.bind(file=path.name, reason=str(exc)).warning(
+                "journal segment not removed"
+            )
 
 
 def _pack_record(record: JournalRecord) -> bytes:
--- a/tests/records/test_disk_errors.py
+++ b/tests/records/test_disk_errors.py
@@ -69,3 +69,20 @@
         with pytest.raises(OSError):
             journal.append([record("failed")])
     assert not list(tmp_path.glob("*.log"))
+
+
+@pytest.mark.parametrize("code", [errno.EIO, errno.EROFS])
+def test_a_segment_that_cannot_be_removed_ends_nothing(tmp_path, monkeypatch, code):
+    """Guards against a background task, and so a host, that ended for it (FAULT)."""
+    journal = Journal(tmp_path, SEGMENT_BYTES)
+    journal.recover()
+    names = [str(number) for number in range(30)]
+    disk = FailingDisk(monkeypatch, "unlink", code)
+    disk.failing = True
+    for name in names:
+        journal.append([record(name)])
+    for name in names:
+        journal.mark_stored(f"turns/{name}")
+    journal.close()
+    disk.failing = False
+    assert recovered(tmp_path) == {f"turns/{name}" for name in names}
