Start record hosts on full, read-only and damaged disks (FAULT, disks)

Cause: starting let any OSError, and Undecodable of a sound record, through. Change: what can't be read is logged and skipped, the rest is kept; the host starts, and refuses records until it can write. A segment is created only if there is none, as a folder that could not be listed may hold some. An escrow disk whose grants were not all read counts as another disk, which grants nothing until programs have ended. Lengths in a damaged segment are bounded before the decoder reserves memory.

--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -2,6 +2,7 @@
 
 import os
 import pathlib
+import re
 from collections.abc import Iterator
 from typing import NamedTuple
 
@@ -9,9 +10,11 @@
 import xxhash
 from loguru import logger
 
-from magnoliaroad.decoding import unpack
+from magnoliaroad.decoding import Undecodable, unpack
 from magnoliaroad.synced_folder import sync_folder
 
+SEGMENT_NAME = re.compile(r"(\d{8,})\.log")
+
 
 class JournalRecord(NamedTuple):
     """A record in the journal.
@@ -37,11 +40,15 @@
     Args:
         folder: Folder of the segment files.
         segment_bytes: Size at which a new segment is started.
+
+    Attributes:
+        unread: Whether segments were left that could not be read.
     """
 
     def __init__(self, folder: pathlib.Path, segment_bytes: int) -> None:
         self.folder = folder
         self.segment_bytes = segment_bytes
+        self.unread = False
         self._segment = 0
         self._segment_size = 0
         self._file: int | None = None
@@ -49,19 +56,40 @@
         self._segment_of: dict[str, int] = {}
 
     def recover(self) -> list[JournalRecord]:
-        """Returns the intact records left by earlier runs."""
-        self.folder.mkdir(parents=True, exist_ok=True)
+        """Returns the intact records left by earlier runs; logs what it cannot read."""
         found: dict[str, JournalRecord] = {}
-        for path in sorted(self.folder.glob("*.log")):
-            segment = int(path.stem)
+        for segment, path in self._segment_files():
             self._segment = max(self._segment, segment)
-            for record in _read_segment(path):
+            try:
+                data = path.read_bytes()
+            except OSError as exc:
+                self._log_unread(path.name, exc)
+                continue
+            for record in _read_records(path.name, data):
                 found[record.key] = record
                 self._track(record.key, segment)
         for segment in list(self._unstored):
             self._remove_if_stored(segment)
         return list(found.values())
 
+    def _segment_files(self) -> list[tuple[int, pathlib.Path]]:
+        try:
+            self.folder.mkdir(parents=True, exist_ok=True)
+            names = os.listdir(self.folder)
+        except OSError as exc:
+            self._log_unread(str(self.folder), exc)
+            return []
+        matches = map(SEGMENT_NAME.fullmatch, names)
+        numbers = sorted(int(match[1]) for match in matches if match)
+        return [(number, self._path(number)) for number in numbers]
+
+    def _path(self, segment: int) -> pathlib.Path:
+        return self.folder / f"{segment:08}.log"
+
+    def _log_unread(self, name: str, exc: OSError) -> None:
+        self.unread = True
+        logger.bind(file=name, reason=str(exc)).error("journal not read")
+
     def append(self, records: list[JournalRecord]) -> None:
         """Appends ``records`` and syncs them to disk.
 
@@ -102,9 +130,11 @@
         previous = self._segment
         self._segment += 1
         self._segment_size = 0
+        self.folder.mkdir(parents=True, exist_ok=True)
+        # Not truncated: if recovery could not list the folder, segments may be there.
+        flags = os.O_CREAT | os.O_WRONLY | os.O_EXCL
+        self._file = os.open(self._path(self._segment), flags, 0o600)
         self._unstored[self._segment] = set()
-        path = self.folder / f"{self._segment:08}.log"
-        self._file = os.open(path, os.O_CREAT | os.O_WRONLY | os.O_TRUNC, 0o600)
         # A file whose folder was not synced may be gone after a power failure.
         sync_folder(self.folder)
         self._remove_if_stored(previous)
@@ -122,7 +152,7 @@
             return
         if self._unstored.pop(segment, None) is None:
             return
-        path = self.folder / f"{segment:08}.log"
+        path = self._path(segment)
         try:
             path.unlink(missing_ok=True)
         except OSError as exc:
@@ -137,18 +167,30 @@
     return msgpack.packb((xxhash.xxh3_64_intdigest(data), data))
 
 
-def _read_segment(path: pathlib.Path) -> Iterator[JournalRecord]:
-    unpacker = msgpack.Unpacker(max_buffer_size=0)
-    unpacker.feed(path.read_bytes())
+def _read_records(name: str, data: bytes) -> Iterator[JournalRecord]:
+    # A damaged length must not let the decoder reserve memory for it.
+    unpacker = msgpack.Unpacker(
+        max_buffer_size=0, max_array_len=2, max_map_len=0, max_ext_len=0
+    )
+    unpacker.feed(data)
+    end = 0
     try:
-        for checksum, data in unpacker:
-            if xxhash.xxh3_64_intdigest(data) != checksum:
+        for checksum, packed in unpacker:
+            if xxhash.xxh3_64_intdigest(packed) != checksum:
                 raise ValueError("checksum mismatch")
-            yield unpack(data, JournalRecord)
-    except (ValueError, TypeError) as exc:
+            end = unpacker.tell()
+            try:
+                yield unpack(packed, JournalRecord)
+            except Undecodable as exc:
+                logger.bind(file=name, offset=end, reason=str(exc)).warning(
+                    "journal record of unknown format ignored"
+                )
+        if end < len(data):
+            raise ValueError("incomplete record")
+    except (ValueError, TypeError, msgpack.UnpackException) as exc:
         # Nothing after this point was acknowledged: a sync covers everything written
         # before it.
-        logger.bind(file=path.name, reason=repr(exc)).warning(
+        logger.bind(file=name, offset=end, reason=repr(exc)).warning(
             "rest of damaged journal segment ignored"
         )
 
--- a/src/magnoliaroad/relay/escrow_disk.py
+++ b/src/magnoliaroad/relay/escrow_disk.py
@@ -39,29 +39,56 @@
     def __init__(self, folder: pathlib.Path) -> None:
         self._folder = folder
         self._journal = Journal(folder, SEGMENT_BYTES)
+        self._incomplete = False
 
     def recover(self) -> dict[str, int]:
         """Returns the tokens that earlier runs granted, by program."""
-        return {
-            record.key: unpack(record.value, int) for record in self._journal.recover()
-        }
-
-    def load_identity(self) -> DiskIdentity:
-        """Returns the identity of the disk; without a sound one it gets a new one."""
-        path = self._folder / IDENTITY_FILE
-        if path.exists():
+        totals = {}
+        for record in self._journal.recover():
             try:
-                return unpack(path.read_bytes(), DiskIdentity)
+                totals[record.key] = unpack(record.value, int)
             except Undecodable as exc:
-                logger.bind(file=path.name, reason=repr(exc)).warning(
-                    "damaged identity of the disk replaced"
+                self._incomplete = True
+                logger.bind(program=record.key, reason=str(exc)).error(
+                    "grants of a program not read"
                 )
+        self._incomplete |= self._journal.unread
+        return totals
+
+    def load_identity(self) -> DiskIdentity:
+        """Returns the identity of the disk; without a sound one it gets a new one.
+
+        So does a disk with grants that could not be read.
+        """
+        identity = self._read_identity()
+        if identity is not None and not self._incomplete:
+            return identity
         identity = DiskIdentity(uuid.uuid4().hex, False)
-        self.save_identity(identity)
+        try:
+            self.save_identity(identity)
+        except OSError as exc:
+            # The next run takes it for another disk, which grants nothing at first.
+            logger.bind(reason=str(exc)).error("identity of the disk not written")
         return identity
 
+    def _read_identity(self) -> DiskIdentity | None:
+        path = self._folder / IDENTITY_FILE
+        try:
+            return unpack(path.read_bytes(), DiskIdentity)
+        except FileNotFoundError:
+            return None
+        except (Undecodable, OSError) as exc:
+            logger.bind(file=path.name, reason=repr(exc)).warning(
+                "damaged identity of the disk replaced"
+            )
+            return None
+
     def save_identity(self, identity: DiskIdentity) -> None:
-        """Writes and syncs the identity of the disk."""
+        """Writes and syncs the identity of the disk.
+
+        Raises:
+            OSError: Writing or syncing failed.
+        """
         path = self._folder / IDENTITY_FILE
         draft = path.with_suffix(".new")
         with draft.open("wb") as file:
--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -41,8 +41,11 @@
 
     def logged(self, event):
         """Returns the lines of its log with this event."""
-        lines = map(json.loads, self.log.read_text().splitlines())
-        return [line for line in lines if line["event"] == event]
+        return [line for line in self.lines() if line["event"] == event]
+
+    def lines(self):
+        """Returns the lines of its log."""
+        return [json.loads(line) for line in self.log.read_text().splitlines()]
 
     async def until_logged(self, event):
         async with asyncio.timeout(20.0):
--- a/tests/records/test_disk_errors.py
+++ b/tests/records/test_disk_errors.py
@@ -86,3 +86,46 @@
     journal.close()
     disk.failing = False
     assert recovered(tmp_path) == {f"turns/{name}" for name in names}
+
+
+def damaged(data):
+    """Yields ``data`` cut and with flipped bits, and where the damage begins."""
+    for at in range(len(data)):
+        yield at, data[:at]
+        for mask in (0x01, 0x10, 0x4F, 0x80, 0xFF):
+            yield at, data[:at] + bytes([data[at] ^ mask]) + data[at + 1 :]
+
+
+def test_records_before_any_damage_are_recovered(tmp_path):
+    journal = Journal(tmp_path, SEGMENT_BYTES)
+    journal.recover()
+    names, ends = [f"turns/{number}" for number in range(3)], []
+    path = tmp_path / "00000001.log"
+    for number in range(3):
+        journal.append([record(number, 40)])
+        ends.append(path.stat().st_size)
+    journal.close()
+    for at, data in damaged(path.read_bytes()):
+        path.write_bytes(data)
+        sound = sum(end <= at for end in ends)
+        assert recovered(tmp_path) == set(names[:sound])
+
+
+def test_a_segment_that_recovery_could_not_list_is_not_overwritten(
+    tmp_path, monkeypatch
+):
+    journal = Journal(tmp_path, SEGMENT_BYTES)
+    journal.recover()
+    journal.append([record("before")])
+    journal.close()
+    disk = FailingDisk(monkeypatch, "listdir", errno.EIO)
+    disk.failing = True
+    journal = Journal(tmp_path, SEGMENT_BYTES)
+    assert journal.recover() == []
+    assert journal.unread
+    disk.failing = False
+    with pytest.raises(OSError):
+        journal.append([record("refused")])
+    journal.append([record("after")])
+    journal.close()
+    assert recovered(tmp_path) == {"turns/before", "turns/after"}
--- a/tests/relay/test_escrow.py
+++ b/tests/relay/test_escrow.py
@@ -409,6 +409,16 @@
     assert not after.settled
 
 
+def test_a_disk_whose_grants_cannot_be_read_is_another_disk(tmp_path):
+    disk = EscrowDisk(tmp_path)
+    disk.recover()
+    disk.save_identity(disk.load_identity()._replace(settled=True))
+    (tmp_path / "00000001.log").mkdir()
+    disk = EscrowDisk(tmp_path)
+    assert disk.recover() == {}
+    assert not disk.load_identity().settled
+
+
 def test_grants_are_remembered_until_there_are_too_many_programs(monkeypatch):
     """Guards against a program that returns and is granted its part again (BUDGET)."""
     monkeypatch.setattr("magnoliaroad.relay.escrow_ledger.MAX_PROGRAMS", 2)
