--- a/src/magnoliaroad/logs/setup.py
+++ b/src/magnoliaroad/logs/setup.py
@@ -45,9 +45,14 @@
 
     Returns:
         What the lines are written to.
+
+    Raises:
+        OSError: The log file cannot be opened; the sinks stay as they were.
+        ValueError: There is no such level; the sinks stay as they were.
     """
-    logger.remove()
+    logger.level(cfg.level)
     stream = _open(cfg.path)
+    logger.remove()
 
     def write(message: Any) -> None:
         stream.write(json_line(message.record, trace=str(message)))
