--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -4,8 +4,10 @@
 import os
 import re
 import shutil
+import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 ROOT = Path(__file__).parents[2]
@@ -40,10 +42,12 @@
     "uname": "echo $KIND",
     "python3": """
 if [ "$1" = -V ]; then echo Python 3; exit; fi
-mkdir -p target/deps
+while [ "$1" != --target ]; do shift; done
+mkdir -p "$2"
 echo installed >> calls
 [ "$BREAKS" = 1 ] && exit 1
-touch target/deps/library
+sleep "$PIP_S"
+touch "$2/library"
 """,
 }
 
@@ -68,16 +72,35 @@
 
     def build(self, kind="a", breaks=False):
         """Builds; returns whether it succeeded, and how often it has installed."""
+        succeeded = self.begin_build(kind, breaks).wait() == 0
+        return succeeded, self.installs()
+
+    def begin_build(self, kind="a", breaks=False, pip_s=0.0):
+        """Begins a build, in which pip takes ``pip_s``; returns its process."""
         env = {
             "PATH": f"{self.folder}/bin:{os.environ['PATH']}",
             "KIND": kind,
             "BREAKS": str(int(breaks)),
+            "PIP_S": str(pip_s),
         }
-        done = subprocess.run(
-            ["sh", "deploy/build.sh"], cwd=self.folder, env=env, check=False
+        return subprocess.Popen(
+            ["sh", "deploy/build.sh"],
+            cwd=self.folder,
+            env=env,
+            start_new_session=True,
         )
-        calls = (self.folder / "calls").read_text().count("installed")
-        return done.returncode == 0, calls
+
+    def installs(self):
+        return (self.folder / "calls").read_text().count("installed")
+
+    def until_installs(self, count):
+        deadline = time.monotonic() + 20.0
+        while self.installs() < count:
+            assert time.monotonic() < deadline
+            time.sleep(0.01)
+
+    def is_complete(self):
+        return (self.folder / "target" / "deps" / "library").exists()
 
 
 def test_libraries_are_installed_again_if_they_are_not_for_this_machine(tmp_path):
@@ -96,3 +119,38 @@
     assert checkout.build() == (True, 2)
     (tmp_path / "target" / "deps" / ".installed-for").unlink()
     assert checkout.build() == (True, 3)
+
+
+def test_libraries_stay_until_others_are_complete(tmp_path):
+    """Guards against processes that start while a build runs (FAULT)."""
+    checkout = Checkout(tmp_path)
+    assert checkout.build() == (True, 1)
+    building = checkout.begin_build(kind="b", pip_s=0.5)
+    checkout.until_installs(2)
+    assert checkout.is_complete()
+    assert building.wait() == 0
+    assert checkout.is_complete()
+    assert checkout.build(kind="b") == (True, 2)
+
+
+def test_of_two_builds_at_once_one_installs(tmp_path):
+    checkout = Checkout(tmp_path)
+    first = checkout.begin_build(pip_s=0.5)
+    checkout.until_installs(1)
+    second = checkout.begin_build(pip_s=0.5)
+    assert (first.wait(), second.wait()) == (0, 0)
+    assert checkout.installs() == 1
+    assert checkout.is_complete()
+
+
+def test_a_build_that_is_killed_leaves_the_libraries_and_nothing_else(tmp_path):
+    checkout = Checkout(tmp_path)
+    assert checkout.build() == (True, 1)
+    building = checkout.begin_build(kind="b", pip_s=60.0)
+    checkout.until_installs(2)
+    os.killpg(building.pid, signal.SIGKILL)
+    building.wait()
+    assert checkout.is_complete()
+    assert checkout.build(kind="b") == (True, 3)
+    left = {path.name for path in (tmp_path / "target").iterdir()}
+    assert left == {"deps", ".build-lock"}
