Wait for descriptors instead of spinning (FAULT, descriptors)

Seen 23:54, real hosts at their limit of descriptors, held by idle callers for 6 s: attempts to accept that multiply, each with an ERROR line and a traceback; a relay host used a whole core and served nothing. Cause: asyncio of Python 3.11 accepts as often as the backlog is long in a row; at EMFILE it schedules another attempt for each of these and goes on, instead of waiting a second. Change: after EMFILE, ENFILE, ENOBUFS or ENOMEM our listening sockets let that row end.

--- a/src/magnoliaroad/caller_listener.py
+++ b/src/magnoliaroad/caller_listener.py
@@ -10,6 +10,7 @@
 
 from magnoliaroad.caller_connection import CallerConnection, make_connection
 from magnoliaroad.connection_filter import drop_new_connections
+from magnoliaroad.listening import listening_socket
 
 BACKLOG = 1024
 # Time in which handshakes end that have begun before a stop, in seconds; a round trip
@@ -43,14 +44,7 @@
     """
 
     def __init__(self, runner: web.BaseRunner, address: str, port: int) -> None:
-        family = socket.AF_INET6 if ":" in address else socket.AF_INET
-        self.socket = socket.socket(family)
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            self.socket.bind((address, port))
-        except OSError:
-            self.socket.close()
-            raise
+        self.socket = listening_socket(address, port)
         self._site = _CallerSite(runner, self.socket, backlog=BACKLOG)
 
     async def start(self) -> None:
--- a/src/magnoliaroad/listening.py
+++ b/src/magnoliaroad/listening.py
@@ -1,17 +1,21 @@
-"""Opening of listening sockets whose address another process may still hold."""
+"""Listening sockets: opening them, and accepting connections."""
 
 import asyncio
 import errno
+import socket
 import time
 from collections.abc import Awaitable, Callable
-from typing import TypeVar
+from typing import Any, TypeVar
 
 from loguru import logger
+from typing_extensions import override
 
 T = TypeVar("T")
 # Errors that end by themselves: another process holds the port, as the former one of
 # this host may do until it has ended, or the interface is not up yet.
 TEMPORARY_ERRORS = (errno.EADDRINUSE, errno.EADDRNOTAVAIL)
+# Errors of accept after which asyncio waits for a second.
+RESOURCE_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # Pause between two attempts, in seconds.
 RETRY_S = 0.05
 # Time between two log lines about the same address, in seconds.
@@ -48,3 +52,41 @@
                 address=address, waited_s=round(time.monotonic() - began, 2)
             ).info("listening after a wait")
         return listener
+
+
+class ListeningSocket(socket.socket):
+    """Listening socket that lets asyncio wait after it has run out of descriptors.
+
+    Python 3.11 accepts as many connections as the backlog is long in a row. At an error
+    after which it means to wait it does not stop, but logs the error and schedules an
+    attempt for each of them, which then multiply.
+    """
+
+    _out_of_resources = False
+
+    @override
+    def accept(self) -> tuple[socket.socket, Any]:
+        if self._out_of_resources:
+            self._out_of_resources = False
+            raise BlockingIOError(errno.EAGAIN, "accept waits for resources")
+        try:
+            return super().accept()
+        except OSError as exc:
+            self._out_of_resources = exc.errno in RESOURCE_ERRORS
+            raise
+
+
+def listening_socket(address: str, port: int) -> ListeningSocket:
+    """Returns a TCP socket that is bound to an IP address and a port.
+
+    Raises:
+        OSError: The address cannot be had.
+    """
+    sock = ListeningSocket(socket.AF_INET6 if ":" in address else socket.AF_INET)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((address, port))
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -10,7 +10,7 @@
 from mode import Service
 from typing_extensions import override
 
-from magnoliaroad.listening import open_when_free
+from magnoliaroad.listening import listening_socket, open_when_free
 from magnoliaroad.peers.address import PeerAddress
 from magnoliaroad.peers.catalogue import (
     MessageCatalogue,
@@ -125,7 +125,7 @@
         """Starts listening."""
         self._server = await open_when_free(
             lambda: asyncio.start_server(
-                self._serve_connection, self.address, self.port
+                self._serve_connection, sock=listening_socket(self.address, self.port)
             ),
             f"{self.address}:{self.port}",
         )
--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -109,6 +109,16 @@
         await kv.stop()
 
 
+async def read_metrics(address):
+    """Returns the status of the answer; metrics may be served a little later."""
+    async with aiohttp.ClientSession() as session, asyncio.timeout(5.0):
+        while True:
+            with contextlib.suppress(aiohttp.ClientConnectionError):
+                async with session.get(f"http://{address}/metrics") as resp:
+                    return resp.status
+            await asyncio.sleep(0.02)
+
+
 async def send_and_leave(address, data, wait_s=0.0):
     """Sends bytes, waits for an answer or ``wait_s``, and resets the connection."""
     with contextlib.suppress(OSError, TimeoutError):
--- a/tests/platform/test_taken_ports.py
+++ b/tests/platform/test_taken_ports.py
@@ -12,10 +12,10 @@
 import socket
 import sys
 
-import aiohttp
 import pytest
 
 from tests.platform.deployment import config, free_address
+from tests.platform.host_process import read_metrics
 from tests.platform.kv_standin import KvStandin
 from tests.soak.fleet import HOST_PROGRAM, catches_sigterm
 
@@ -74,16 +74,6 @@
             await asyncio.sleep(0.02)
 
 
-async def read_metrics(address):
-    """Returns the status of the answer; metrics may be served a little later."""
-    async with aiohttp.ClientSession() as session, asyncio.timeout(5.0):
-        while True:
-            with contextlib.suppress(aiohttp.ClientConnectionError):
-                async with session.get(f"http://{address}/metrics") as resp:
-                    return resp.status
-            await asyncio.sleep(0.02)
-
-
 @pytest.mark.parametrize(
     ("names", "name"),
     [
