Read whole numbers of the settings that have a fraction of zero (FAULT, settings)

Seen 23:58, the template of deploy/host.jsonc filled in by a script for 41 variants of the fields of DEPLOY.md (each missing, null, empty, of another kind): with memory_mb 150.0, value_bytes 1048576.0 or machines 1.0 a host ended with status 2, "Expected int, got float". Missing and null optional fields all gave valid settings. Change: a whole number is read as an integer, as the checker that lists faults does. 150.5 is refused, with the path of the field.

tests/relay/test_settings.py, new test: before failed, after passed.

--- a/src/magnoliaroad/relay/load.py
+++ b/src/magnoliaroad/relay/load.py
@@ -52,6 +52,9 @@
 
 def _build(kind: Any, document: Any) -> Any:
     if not hasattr(kind, "_fields"):
+        # JSON has one type of numbers: 150.0 is an integer, too.
+        if kind is int and isinstance(document, float) and document.is_integer():
+            return int(document)
         return msgspec.convert(document, kind)
     hints = typing.get_type_hints(kind)
     fields = {name: _build(hints[name], value) for name, value in document.items()}
--- a/tests/relay/test_settings.py
+++ b/tests/relay/test_settings.py
@@ -31,6 +31,15 @@
         assert path in text
 
 
+def test_whole_numbers_may_have_a_fraction_of_zero():
+    """Hosts did not start, although the checker of settings found no fault (FAULT)."""
+    cfg = parse_settings(json.dumps({**GOOD, "memory": {"limit_mb": 150.0}}))
+    assert cfg.memory.limit_mb == 150
+    assert isinstance(cfg.memory.limit_mb, int)
+    with pytest.raises(SettingsError, match=r"memory\.limit_mb"):
+        parse_settings(json.dumps({**GOOD, "memory": {"limit_mb": 150.5}}))
+
+
 @pytest.mark.parametrize("text", ["", "{", "[]", "5"])
 def test_text_without_a_settings_object_is_refused(text):
     with pytest.raises(SettingsError):
