Compile the sources at the build

Processes can't write to the checkout, so that each start compiled 240 modules again. A build that can't compile succeeds without.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -25,3 +25,8 @@
     mv "$new" target/deps
     rm -rf "$old"
 fi
+
+# Processes can't write to the checkout, so each start would compile the sources again.
+# With hashes, a copy of the checkout may change the times of files.
+python3 -m compileall -q --invalidation-mode checked-hash src platform ||
+    echo "sources not compiled" >&2
--- a/tests/platform/test_deploy.py
+++ b/tests/platform/test_deploy.py
@@ -10,6 +10,8 @@
 import time
 from pathlib import Path
 
+import pytest
+
 ROOT = Path(__file__).parents[2]
 IMPORT = "import sys, magnoliaroad_platform.main; print(*sys.modules)"
 
@@ -42,6 +44,7 @@
     "uname": "echo $KIND",
     "python3": """
 if [ "$1" = -V ]; then echo Python 3; exit; fi
+if [ "$2" = compileall ]; then echo "$*" >> compiled; exit "$COMPILE_STATUS"; fi
 while [ "$1" != --target ]; do shift; done
 mkdir -p "$2"
 echo installed >> calls
@@ -55,8 +58,9 @@
 class Checkout:
     """A folder with the build script, and stand-ins of the programs that it runs."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, compile_status=0):
         self.folder = folder
+        self.compile_status = compile_status
         (folder / "deploy").mkdir()
         (folder / "bin").mkdir()
         (folder / "calls").touch()
@@ -82,6 +86,7 @@
             "KIND": kind,
             "BREAKS": str(int(breaks)),
             "PIP_S": str(pip_s),
+            "COMPILE_STATUS": str(self.compile_status),
         }
         return subprocess.Popen(
             ["sh", "deploy/build.sh"],
@@ -154,3 +159,13 @@
     assert checkout.build(kind="b") == (True, 3)
     left = {path.name for path in (tmp_path / "target").iterdir()}
     assert left == {"deps", ".build-lock"}
+
+
+@pytest.mark.parametrize("status", [0, 1])
+def test_each_build_compiles_the_sources_and_may_do_without(tmp_path, status):
+    checkout = Checkout(tmp_path, status)
+    assert checkout.build() == (True, 1)
+    assert checkout.build() == (True, 1)
+    calls = (tmp_path / "compiled").read_text().splitlines()
+    assert len(calls) == 2
+    assert all(call.endswith(" src platform") for call in calls)
