--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -43,8 +43,11 @@
 
     def logged(self, event):
         """Returns the lines of its log with this event."""
-        lines = map(json.loads, self.log.read_text().splitlines())
-        return [line for line in lines if line["event"] == event]
+        return [line for line in self.lines() if line["event"] == event]
+
+    def lines(self):
+        """Returns the lines of its log."""
+        return [json.loads(line) for line in self.log.read_text().splitlines()]
 
     async def until_logged(self, event):
         async with asyncio.timeout(20.0):
@@ -116,6 +119,16 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_0)
 
 
+async def read_metrics(address):
+    """Returns the status of the answer; metrics may be served a little later."""
+    async with aiohttp.ClientSession() as session, asyncio.timeout(5.0):
+        while True:
+            with contextlib.suppress(aiohttp.ClientConnectionError):
+                async with session.get(f"http://{address}/metrics") as resp:
+                    return resp.status
+            await asyncio.sleep(0.02)
+
+
 async def send_and_leave(address, data, wait_s=0.0):
     """Sends bytes, waits for an answer or ``wait_s``, and closes the connection."""
     with contextlib.suppress(OSError, TimeoutError):
