Free the bytes of unsound answers at once (FAULT)

Seen: a target that answers with 100 KB which are no HTTP took a relay host to 198 MB in 1,000 requests; the platform ends it at 150 MB. Bodies that are cut or reset and bad header fields as well.

Cause: reference cycles, which wait for a garbage collection that counts objects and not their size. The error of a connection refers to the error of the parser, that one to its trace, the trace to the frame of data_received, and the frame to the bytes and to the first error. The same holds for the body of a lost connection, and for errors raised by the object that keeps them.

Change: a connection keeps no cause of an error about bytes that are no HTTP, and only the start of its message, which quoted all of them; a lost connection refers to no body; errors of aiohttp lose their traces where they become errors of ours. Their text and type, by which requests are classified, stay.

--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -15,6 +15,7 @@
     TargetError,
     TargetUnreachable,
     describe_error,
+    forget_traces,
 )
 from magnoliaroad.targets.request import TargetRequest
 from magnoliaroad.targets.response import TargetResponse
@@ -161,8 +162,10 @@
                     trace_request_ctx=send_state,
                 )
         except NOT_SENT_ERRORS as exc:
+            forget_traces(exc)
             raise TargetUnreachable(f"{req.url}: {describe_error(exc)}") from exc
         except (aiohttp.ClientError, TimeoutError) as exc:
+            forget_traces(exc)
             verdict = Verdict.MAY_HAVE_RUN if send_state.started else Verdict.NOT_RUN
             raise TargetError(f"{req.url}: {describe_error(exc)}", verdict) from exc
         if resp.status not in FINAL_STATUSES:
--- a/src/magnoliaroad/targets/response.py
+++ b/src/magnoliaroad/targets/response.py
@@ -8,7 +8,7 @@
 
 from magnoliaroad.targets.answer import TargetAnswer
 from magnoliaroad.targets.closable_response import ClosableResponse
-from magnoliaroad.targets.errors import AnswerCut, describe_error
+from magnoliaroad.targets.errors import AnswerCut, describe_error, forget_traces
 
 
 class TargetResponse(TargetAnswer):
@@ -48,6 +48,7 @@
             if (failure := content.exception()) is not None:
                 raise failure
         except (aiohttp.ClientError, TimeoutError) as exc:
+            forget_traces(exc)
             raise AnswerCut(f"answer cut off: {describe_error(exc)}") from exc
 
     @override
--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -9,6 +9,8 @@
 from aiohttp.streams import StreamReader
 from typing_extensions import override
 
+from magnoliaroad.targets.errors import MAX_DETAIL_CHARS, forget_traces
+
 # Statuses of interim responses, which aiohttp skips. 101 ends HTTP on its connection.
 INTERIM_STATUSES = frozenset({100, *range(102, 200)})
 # Most interim responses before the final one; targets have little to announce.
@@ -58,12 +60,25 @@
         self._target_closed = True
         super().eof_received()
 
+    @override
+    def set_exception(self, exc: BaseException, *cause: BaseException) -> None:
+        if not isinstance(exc, HttpProcessingError):
+            super().set_exception(exc, *cause)
+            return
+        # Without its cause, the parser's error, whose trace leads back to this one and
+        # to the bytes. The message quotes all of them.
+        exc.message = exc.message[:MAX_DETAIL_CHARS]
+        super().set_exception(exc)
+
     @override
     def connection_lost(self, exc: BaseException | None) -> None:
-        body = self._open_body
+        payload = self._payload
+        body, self._open_body = self._open_body, None
         if body is not None and not body.is_eof() and not self._target_closed:
             reason = "closed by this host" if exc is None else repr(exc)
             body.set_exception(
                 aiohttp.ClientPayloadError(f"not ended by a close: {reason}")
             )
         super().connection_lost(exc)
+        if payload is not None:
+            forget_traces(payload.exception())
