End an answer whose chunks are no HTTP at once (FAULT)

Seen: a target that sends a bad chunk size after a sound head holds its request, and what has arrived, until the time limit: 600 such answers took 65 s with 10 callers.

Cause: aiohttp tells the error only to who waits for the head. The reader of the body waits on, as the parser has given the body up and the end of the connection says nothing of it.

Change: the connection fails the body as well. Bytes that are no HTTP are no crash of the target, as before, so the error has a type of its own.

--- a/src/magnoliaroad/targets/errors.py
+++ b/src/magnoliaroad/targets/errors.py
@@ -9,6 +9,10 @@
 MAX_DETAIL_CHARS = 200
 
 
+class NotHttp(aiohttp.ClientPayloadError):
+    """The bytes after the start of a body are not HTTP."""
+
+
 def describe_error(exc: BaseException) -> str:
     """Returns the class and message of ``exc``, without the request's headers."""
     detail = exc.message if isinstance(exc, aiohttp.ClientResponseError) else str(exc)
--- a/src/magnoliaroad/targets/request_end.py
+++ b/src/magnoliaroad/targets/request_end.py
@@ -4,11 +4,11 @@
 
 import aiohttp
 
-from magnoliaroad.targets.errors import TargetError
+from magnoliaroad.targets.errors import NotHttp, TargetError
 from magnoliaroad.verdict import Verdict
 
 # A target that is slow, or that sends bytes which are not HTTP, has not crashed.
-NON_CRASH_ERRORS = (TimeoutError, aiohttp.ClientResponseError)
+NON_CRASH_ERRORS = (TimeoutError, aiohttp.ClientResponseError, NotHttp)
 
 
 class RequestEnd(enum.StrEnum):
--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -9,7 +9,7 @@
 from aiohttp.streams import StreamReader
 from typing_extensions import override
 
-from magnoliaroad.targets.errors import MAX_DETAIL_CHARS, forget_traces
+from magnoliaroad.targets.errors import MAX_DETAIL_CHARS, NotHttp, forget_traces
 
 # Statuses of interim responses, which aiohttp skips. 101 ends HTTP on its connection.
 INTERIM_STATUSES = frozenset({100, *range(102, 200)})
@@ -69,6 +69,9 @@
         # to the bytes. The message quotes all of them.
         exc.message = exc.message[:MAX_DETAIL_CHARS]
         super().set_exception(exc)
+        # aiohttp tells only who waits for a head.
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(NotHttp(exc.message))
 
     @override
     def connection_lost(self, exc: BaseException | None) -> None:
--- a/tests/platform/test_memory_of_answers.py
+++ b/tests/platform/test_memory_of_answers.py
@@ -28,6 +28,7 @@
 BY_LENGTH = head(SEAL, OWN_ID, TEXT, f"Content-Length: {2 * SIZE}") + PIECE
 BY_CHUNKS = head(SEAL, OWN_ID, TEXT, CHUNKED)
 CHUNK = b"%x\r\n%b\r\n" % (SIZE, PIECE)
+NO_CHUNK = b"z\r\n" + PIECE
 BY_CLOSE = head(SEAL, OWN_ID, TEXT) + PIECE
 
 # What a target writes, with pauses in seconds, before it ends the connection.
@@ -41,6 +42,8 @@
     "body reset": (BY_LENGTH, End.RESET),
     "body by close reset": (BY_CLOSE, End.RESET),
     "chunk cut": (BY_CHUNKS + CHUNK[: SIZE // 2], End.CLOSE),
+    "bad chunk size": (BY_CHUNKS + CHUNK + NO_CHUNK, End.CLOSE),
+    "bad chunk size later": (BY_CHUNKS + CHUNK, 0.01, NO_CHUNK, End.CLOSE),
     "bytes after its end": (head(SEAL, OWN_ID, ONE_BYTE) + b"x" + PIECE, End.CLOSE),
     "bytes later": (head(SEAL, OWN_ID, ONE_BYTE) + b"x", 0.01, PIECE, End.CLOSE),
 }
--- a/tests/relay/test_detour_failure.py
+++ b/tests/relay/test_detour_failure.py
@@ -15,6 +15,7 @@
     TargetUnreachable,
     classify_failure,
 )
+from magnoliaroad.targets.errors import NotHttp
 from magnoliaroad.verdict import Verdict
 
 
@@ -30,6 +31,7 @@
         TargetError("not sent", Verdict.NOT_RUN),
         caused(TargetError("late", Verdict.MAY_HAVE_RUN), TimeoutError()),
         caused(AnswerCut("reset"), aiohttp.ClientPayloadError()),
+        caused(AnswerCut("bad chunk"), NotHttp()),
         AnswerCut("stream ended inside an event"),
     ],
 )
