Handle no more messages of a peer that does not read (FAULT)

Seen: 20 connections that send small requests and read no reply took a relay host to 169 MB in 3 s, and a record host to 173 MB; 5 that send heartbeats with a name of 1 MB, 976 and 1,050 MB. The platform ends it at 150 MB.

Cause: replies and echoes were written without regard to what the peer had read, and each message got a task, 11,000 at once for one read of 64 KB.

Change: reading from a connection waits until the peer has read most of what was written to it, and while 1,024 of its messages are being handled (beyond 4,096 of all connections, one of each). Messages that cannot be decoded get their reply without a task, and the text of an error has 200 characters at most. Beyond 16 MB of unread replies the connection that holds most is closed, logged and counted; its calls end as "may have run".

--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -20,10 +20,17 @@
 from magnoliaroad.peers.connection import READ_BYTES, PeerConnection
 from magnoliaroad.peers.errors import PeerError
 from magnoliaroad.peers.frame import Frame, FrameKind, FrameReader, pack_frame
+from magnoliaroad.peers.inbound import PAUSE_S, InboundConnection
 from magnoliaroad.peers.interface import Handler, Peers
+from magnoliaroad.peers.metrics import LOST
 from magnoliaroad.peers.settings import PeerSettings
 from magnoliaroad.verdict import Verdict
 
+# Most bytes of replies, on all connections together, that peers have not read.
+MAX_UNSENT_BYTES = 16_000_000
+# Longest text of an error, in characters; it may quote the message.
+MAX_ERROR_CHARS = 200
+
 
 class PeerService(Service, Peers):
     """Listens for peers and keeps one outgoing connection to each.
@@ -48,7 +55,8 @@
         self._connections: dict[str, PeerConnection] = {}
         self._connect_locks: dict[str, asyncio.Lock] = {}
         self._background_tasks: set[asyncio.Task[None]] = set()
-        self._inbound_writers: set[asyncio.StreamWriter] = set()
+        self._inbound: set[InboundConnection] = set()
+        self._running = 0
         self._server: asyncio.Server | None = None
 
     @override
@@ -116,10 +124,12 @@
 
     def unsent_bytes(self) -> int:
         """Returns the bytes that the process holds for slow peers."""
-        inbound = sum(
-            writer.transport.get_write_buffer_size() for writer in self._inbound_writers
+        return self._unsent_replies() + sum(
+            conn.unsent_bytes() for conn in self._connections.values()
         )
-        return inbound + sum(conn.unsent_bytes() for conn in self._connections.values())
+
+    def _unsent_replies(self) -> int:
+        return sum(conn.unsent_bytes() for conn in self._inbound)
 
     async def on_start(self) -> None:
         """Starts listening."""
@@ -137,8 +147,8 @@
             self._server.close()
         for conn in self._connections.values():
             conn.close()
-        for writer in self._inbound_writers:
-            writer.transport.abort()
+        for inbound in self._inbound:
+            inbound.close()
         for task in list(self._background_tasks):
             task.cancel()
 
@@ -168,32 +178,49 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         frames = FrameReader()
-        sender = ""
+        conn = InboundConnection(writer)
         # The peer closes an idle connection after ``idle_timeout_s``.
         limit_s = self.cfg.silence_timeout_s + self.cfg.idle_timeout_s
         loop = asyncio.get_running_loop()
-        self._inbound_writers.add(writer)
+        self._inbound.add(conn)
         try:
             # Rescheduling one timeout costs less than a new timeout for each message.
             async with asyncio.timeout(limit_s) as limit:
                 while data := await reader.read(READ_BYTES):
                     limit.reschedule(loop.time() + limit_s)
                     for frame in frames.feed(data):
-                        sender = self._dispatch(sender, frame, writer)
+                        while not conn.may_read(self._running):
+                            await asyncio.sleep(PAUSE_S)
+                        self._dispatch(conn, frame)
+                    await conn.drain()
         except (OSError, ValueError, TimeoutError) as exc:
-            logger.bind(host=sender, reason=repr(exc)).debug("peer connection ended")
+            logger.bind(host=conn.sender, reason=repr(exc)).debug(
+                "peer connection ended"
+            )
+            if conn.unsent_bytes():
+                _report_unread(conn)
         finally:
-            self._inbound_writers.discard(writer)
-            writer.transport.abort()
+            self._inbound.discard(conn)
+            conn.close()
 
-    def _dispatch(self, sender: str, frame: Frame, writer: asyncio.StreamWriter) -> str:
-        """Dispatches a frame; returns the sender's name, empty until it is known."""
+    def _dispatch(self, conn: InboundConnection, frame: Frame) -> None:
         if frame.kind == FrameKind.HEARTBEAT:
-            writer.write(pack_frame(frame))
-            return frame.tag
-        if frame.kind != FrameKind.SEND or not self._call_plain(sender, frame):
-            self._spawn(self._call_handler(sender, frame, writer))
-        return sender
+            conn.sender = frame.tag
+            conn.write(frame)
+            return
+        if frame.kind == FrameKind.SEND and self._call_plain(conn.sender, frame):
+            return
+        try:
+            message = self._catalogue.unpack(frame.tag, frame.fields)
+            handler = self._handlers[type(message)]
+        except UnknownMessage as exc:
+            self._reply(conn, frame, _error(frame, str(exc)))
+        except Exception as exc:
+            self._handler_failed(conn, frame, exc)
+        else:
+            conn.running += 1
+            self._running += 1
+            self._spawn(self._call_handler(conn, frame, handler, message))
 
     def _call_plain(self, sender: str, frame: Frame) -> bool:
         """Calls the plain function for a one-way message; returns whether there is one.
@@ -216,23 +243,41 @@
         return True
 
     async def _call_handler(
-        self, sender: str, frame: Frame, writer: asyncio.StreamWriter
+        self, conn: InboundConnection, frame: Frame, handler: Handler, message: Any
     ) -> None:
         try:
-            message = self._catalogue.unpack(frame.tag, frame.fields)
-            reply = await self._handlers[type(message)](sender, message)
-        except UnknownMessage as exc:
-            reply_frame = Frame(FrameKind.ERROR, frame.number, str(exc))
-        except Exception as exc:
-            logger.bind(host=sender, message=frame.tag).opt(exception=exc).error(
-                "message handler failed"
-            )
-            reply_frame = Frame(FrameKind.ERROR, frame.number, repr(exc))
-        else:
+            reply = await handler(conn.sender, message)
             packed = ("", ()) if reply is None else self._catalogue.pack(reply)
-            reply_frame = Frame(FrameKind.REPLY, frame.number, *packed)
-        if frame.kind == FrameKind.REQUEST and not writer.is_closing():
-            writer.write(pack_frame(reply_frame))
+            self._reply(conn, frame, Frame(FrameKind.REPLY, frame.number, *packed))
+        except Exception as exc:
+            self._handler_failed(conn, frame, exc)
+        finally:
+            # A peer that does not read its replies gets no more of them handled.
+            with contextlib.suppress(OSError):
+                await conn.drain()
+            conn.running -= 1
+            self._running -= 1
+
+    def _handler_failed(
+        self, conn: InboundConnection, frame: Frame, exc: Exception
+    ) -> None:
+        logger.bind(host=conn.sender, message=frame.tag).opt(exception=exc).error(
+            "message handler failed"
+        )
+        self._reply(conn, frame, _error(frame, repr(exc)))
+
+    def _reply(self, conn: InboundConnection, frame: Frame, reply: Frame) -> None:
+        if frame.kind != FrameKind.REQUEST:
+            return
+        conn.write(reply)
+        if conn.unsent_bytes() and self._unsent_replies() > MAX_UNSENT_BYTES:
+            self._close_slowest()
+
+    def _close_slowest(self) -> None:
+        """Closes the connection that holds most of the unsent replies."""
+        conn = max(self._inbound, key=InboundConnection.unsent_bytes)
+        _report_unread(conn)
+        conn.close()
 
     def _spawn(self, coro: Any) -> None:
         task = asyncio.create_task(coro)
@@ -240,6 +285,18 @@
         task.add_done_callback(self._background_tasks.discard)
 
 
+def _report_unread(conn: InboundConnection) -> None:
+    LOST.inc({"reason": "unread"})
+    logger.bind(host=conn.sender, unsent_bytes=conn.unsent_bytes()).warning(
+        "peer does not read replies"
+    )
+
+
+def _error(frame: Frame, text: str) -> Frame:
+    """Returns the reply to a request that failed."""
+    return Frame(FrameKind.ERROR, frame.number, text[:MAX_ERROR_CHARS])
+
+
 def _seed_addresses(cfg: PeerSettings) -> dict[str, PeerAddress]:
     parts = {seed: seed.rpartition(":") for seed in cfg.seeds}
     return {
