--- a/src/magnoliaroad/targets/errors.py
+++ b/src/magnoliaroad/targets/errors.py
@@ -9,12 +9,27 @@
 MAX_DETAIL_CHARS = 200
 
 
+class NotHttp(aiohttp.ClientPayloadError):
+    """The bytes after the start of a body are not HTTP."""
+
+
 def describe_error(exc: BaseException) -> str:
     """Returns the class and message of ``exc``, without the request's headers."""
     detail = exc.message if isinstance(exc, aiohttp.ClientResponseError) else str(exc)
     return f"{type(exc).__name__}: {detail[:MAX_DETAIL_CHARS]}"
 
 
+def forget_traces(exc: BaseException | None) -> None:
+    """Frees the frames of ``exc`` and of the errors that led to it.
+
+    A frame that holds both the error and what has been received is a reference cycle.
+    Only the garbage collector would free it, and it counts objects, not their size.
+    """
+    while exc is not None:
+        exc.__traceback__ = None
+        exc = exc.__cause__ or exc.__context__
+
+
 class TargetError(Exception):
     """A request to a target that got no complete response.
 
