Take an answer of the store that is not as its protocol for none (FAULT)

Seen: a store that answers 200 with sound JSON of another shape ended hosts with status 1.

Cause: the client indexed decoded JSON as it came. What had another type raised errors that no task expects; a revision of 0 or a page that repeats itself was asked for again at once.

Everything else is UnusableAnswer, a StoreUnavailable: a write may have been made, the callers' back-offs ask again, their last good state stays. It is logged once for each call and reason, and counted by store_calls_total with that outcome.

--- a/src/magnoliaroad/store/__init__.py
+++ b/src/magnoliaroad/store/__init__.py
@@ -9,6 +9,7 @@
     StoreRateLimited,
     StoreRejected,
     StoreUnavailable,
+    UnusableAnswer,
 )
 from magnoliaroad.store.follower import PrefixFollower
 from magnoliaroad.store.interface import Store
@@ -26,5 +27,6 @@
     "StoreRateLimited",
     "StoreRejected",
     "StoreUnavailable",
+    "UnusableAnswer",
     "WatchBatch",
 ]
--- a/src/magnoliaroad/store/errors.py
+++ b/src/magnoliaroad/store/errors.py
@@ -22,6 +22,18 @@
     verdict = Verdict.MAY_HAVE_RUN
 
 
+class UnusableAnswer(StoreUnavailable):
+    """The store sent an answer that is not as its protocol states.
+
+    Attributes:
+        reason: The field and what is wrong with it; holds nothing of its value.
+    """
+
+    def __init__(self, call: str, reason: str) -> None:
+        self.reason = reason
+        super().__init__(f"{call}: {reason}")
+
+
 class StoreRateLimited(StoreError):
     """The store rejected the call because of its rate limit."""
 
--- a/src/magnoliaroad/store/observed.py
+++ b/src/magnoliaroad/store/observed.py
@@ -1,18 +1,27 @@
 """Store wrapper that counts calls and reports failures."""
 
 import asyncio
+import functools
+import re
 from collections.abc import Awaitable, Callable, Sequence
 from typing import TypeVar
 
+from loguru import logger
 from typing_extensions import override
 
 from magnoliaroad.metrics import Counter
 from magnoliaroad.store.entry import StoreEntry, StorePut
-from magnoliaroad.store.errors import StoreRateLimited, StoreUnavailable
+from magnoliaroad.store.errors import (
+    StoreRateLimited,
+    StoreUnavailable,
+    UnusableAnswer,
+)
 from magnoliaroad.store.interface import Store
 from magnoliaroad.store.watch import WatchBatch
 
 CALLS = Counter("store_calls_total", "Calls on the store, by call and outcome.")
+# Number of kinds of unusable answers that are remembered as logged.
+MAX_REMEMBERED_KINDS = 64
 
 T = TypeVar("T")
 
@@ -91,6 +100,9 @@
             return await call
         except (StoreUnavailable, StoreRateLimited) as exc:
             outcome = type(exc).__name__
+            if isinstance(exc, UnusableAnswer):
+                # Without positions, so that a kind of answer is logged once.
+                _log_unusable(name, re.sub(r"\d+", "N", exc.reason))
             self.on_failure()
             raise
         except asyncio.CancelledError:
@@ -100,3 +112,8 @@
             raise
         finally:
             CALLS.inc({"call": name, "outcome": outcome})
+
+
+@functools.lru_cache(maxsize=MAX_REMEMBERED_KINDS)
+def _log_unusable(call: str, reason: str) -> None:
+    logger.bind(call=call, reason=reason).warning("answer of the store not usable")
--- a/tests/platform/kv_standin.py
+++ b/tests/platform/kv_standin.py
@@ -30,6 +30,8 @@
         delay_s: Time that each call takes, in seconds.
         history_gone: Whether the next watch is answered with 410, history dropped.
         watches_hang: Whether watches return no events, whatever changes.
+        replace_answer: Coroutine function that is called with each request and its
+            answer, and returns the answer that is sent instead.
         open_watches: Number of watches that wait for events, by prefix.
         most_open_watches: Largest number of these at any time.
     """
@@ -41,6 +43,7 @@
         self.delay_s = 0.0
         self.history_gone = False
         self.watches_hang = False
+        self.replace_answer = None
         self.calls = []
         self.open_watches = Counter()
         self.most_open_watches = Counter()
@@ -86,6 +89,8 @@
             resp = web.Response(status=400)
         if self.fault == "lost":
             req.transport.abort()
+        if self.replace_answer is not None:
+            return await self.replace_answer(req, resp)
         return resp
 
     async def _answer(self, req):
