Restart background tasks that fail instead of ending the host (FAULT)

Seen: since an exception in one background task stops all tasks of a host, which ends with status 1. Hosts that meet the same cause end at the same moment, and again after each start. Cause: mode marks all services of a process as crashed when a task raises. Change: background_task takes the place of Service.task.

--- a/src/magnoliaroad/config/service.py
+++ b/src/magnoliaroad/config/service.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.config import metrics
 from magnoliaroad.config.document import Config
 from magnoliaroad.config.exchange import PeerExchange
@@ -108,7 +109,7 @@
         self._updater.activate()
         return True
 
-    @Service.task
+    @background_task
     async def _retry_confirm(self) -> None:
         await self._confirm_requested.wait()
         while self.replica.activation_deferred:
@@ -116,7 +117,7 @@
             if self.replica.activation_deferred:
                 await self.confirm()
 
-    @Service.task
+    @background_task
     async def _watch_store(self) -> None:
         while not self.should_stop:
             watching = self.topology.is_watcher()
@@ -130,7 +131,7 @@
         except StoreError:
             return False
 
-    @Service.task
+    @background_task
     async def _compare_periodically(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self._exchange.next_interval_s())
--- a/src/magnoliaroad/groups/service.py
+++ b/src/magnoliaroad/groups/service.py
@@ -11,6 +11,7 @@
 from mode import Service
 from typing_extensions import override
 
+from magnoliaroad.background import background_task
 from magnoliaroad.groups import metrics
 from magnoliaroad.groups.body_store import FileBodyStore, MemoryBodyStore
 from magnoliaroad.groups.copies import CopyStore
@@ -237,7 +238,7 @@
         """Time since which groups assigned to this host await takeover, by group."""
         return self._waiting_since
 
-    @Service.task
+    @background_task
     async def _watch(self) -> None:
         revision = 0
         while not self.should_stop:
@@ -250,19 +251,19 @@
                 await self.apply_tables()
             revision = batch.revision
 
-    @Service.task
+    @background_task
     async def _maintain(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self.cfg.poll_interval_s)
             await self.run_maintenance()
 
-    @Service.task
+    @background_task
     async def _repair(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self.cfg.poll_interval_s)
             await self.repair()
 
-    @Service.task
+    @background_task
     async def _probe(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self.cfg.probe_interval_s)
--- a/src/magnoliaroad/keys/service.py
+++ b/src/magnoliaroad/keys/service.py
@@ -9,6 +9,7 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
+from magnoliaroad.background import background_task
 from magnoliaroad.config import Config, ConfigService
 from magnoliaroad.keys import metrics
 from magnoliaroad.keys.caller import Caller
@@ -102,7 +103,7 @@
         hosts = self._topology.gossip_peers()
         await asyncio.gather(*map(self._sync.compare, hosts))
 
-    @Service.task
+    @background_task
     async def _watch_store(self) -> None:
         while not self.should_stop:
             if not self._topology.is_watcher() or not await self._watch_once():
@@ -116,7 +117,7 @@
             return False
         return True
 
-    @Service.task
+    @background_task
     async def _compare_periodically(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self.cfg.exchange_interval_s)
--- a/src/magnoliaroad/limits/service.py
+++ b/src/magnoliaroad/limits/service.py
@@ -8,6 +8,7 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
+from magnoliaroad.background import background_task
 from magnoliaroad.config import Config, ConfigService
 from magnoliaroad.limits import metrics
 from magnoliaroad.limits.clock import expiry_clock
@@ -97,7 +98,7 @@
         if len(self._members()) > 1:
             await self._hand_over_shares()
 
-    @Service.task
+    @background_task
     async def _run_rounds(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(ROUND_INTERVAL_S)
--- a/src/magnoliaroad/membership/service.py
+++ b/src/magnoliaroad/membership/service.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.membership import metrics
 from magnoliaroad.membership.departures import Departures, DepartureTracker
 from magnoliaroad.membership.host_list import HostList, HostListError
@@ -133,14 +134,14 @@
         if self._host_list is not None:
             await self._host_list.close()
 
-    @Service.task
+    @background_task
     async def _renew(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(RETRY_S)
             if self._announcing and self._lease.is_due():
                 await self._refresh_lease()
 
-    @Service.task
+    @background_task
     async def _watch(self) -> None:
         while not self.should_stop:
             if not self._is_poller():
@@ -158,7 +159,7 @@
             except StoreError:
                 await asyncio.sleep(RETRY_S)
 
-    @Service.task
+    @background_task
     async def _poll(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self.cfg.poll_interval_s)
--- a/src/magnoliaroad/once/service.py
+++ b/src/magnoliaroad/once/service.py
@@ -10,6 +10,7 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
+from magnoliaroad.background import background_task
 from magnoliaroad.groups import Groups
 from magnoliaroad.once import metrics
 from magnoliaroad.once.attempt import Attempt
@@ -108,7 +109,7 @@
         for task in list(self._report_tasks):
             task.cancel()
 
-    @Service.task
+    @background_task
     async def _sweep(self) -> None:
         while not self.should_stop:
             await self.sleep(self.cfg.sweep_interval_s)
--- a/src/magnoliaroad/programs/service.py
+++ b/src/magnoliaroad/programs/service.py
@@ -10,6 +10,7 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
+from magnoliaroad.background import background_task
 from magnoliaroad.config import ConfigService
 from magnoliaroad.groups import Groups
 from magnoliaroad.peers import Peers
@@ -174,13 +175,13 @@
         for task in list(self._withdrawals):
             task.cancel()
 
-    @Service.task
+    @background_task
     async def _sweep(self) -> None:
         while not self.should_stop:
             await self.sleep(self.cfg.sweep_interval_s)
             await self.sweep()
 
-    @Service.task
+    @background_task
     async def _sweep_engines(self) -> None:
         while not self.should_stop:
             await self.sleep(self.cfg.engine_sweep_s)
--- a/src/magnoliaroad/quarantine/service.py
+++ b/src/magnoliaroad/quarantine/service.py
@@ -9,6 +9,7 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
+from magnoliaroad.background import background_task
 from magnoliaroad.peers import Peers
 from magnoliaroad.quarantine import metrics
 from magnoliaroad.quarantine.blocklist import Blocklist
@@ -172,7 +173,7 @@
         if self.blocklist.state_of(fingerprint, now) is QuarantineState.ALONE:
             self._send_to_detectors(SuspectCleared(fingerprint))
 
-    @Service.task
+    @background_task
     async def _detect_crashes(self) -> None:
         """Sends due crash reports and makes due decisions while any are pending."""
         while not self.should_stop:
@@ -185,7 +186,7 @@
             if not (self._crash_reporter.has_pending or self._detector.has_pending):
                 self._crashes_pending.clear()
 
-    @Service.task
+    @background_task
     async def _save(self) -> None:
         while not self.should_stop:
             await self._save_requested.wait()
--- a/src/magnoliaroad/quarantine/stored_list.py
+++ b/src/magnoliaroad/quarantine/stored_list.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.quarantine.blocklist import (
     Blocklist,
     pack_entries,
@@ -40,7 +41,7 @@
         self._watch_s = watch_s
         self._on_entries = on_entries
 
-    @Service.task
+    @background_task
     async def _watch(self) -> None:
         follower = PrefixFollower(self._store, LIST_KEY, self._watch_s)
         while not self.should_stop:
--- a/src/magnoliaroad/records/service.py
+++ b/src/magnoliaroad/records/service.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.peers import Peers
 from magnoliaroad.records.journal import Journal, JournalRecord
 from magnoliaroad.records.lru_cache import LruCache
@@ -122,7 +123,7 @@
                 return False
         return True
 
-    @Service.task
+    @background_task
     async def _sync(self) -> None:
         while not self.should_stop:
             await self._sync_requested.wait()
@@ -150,7 +151,7 @@
             if not fut.done():
                 fut.set_result(synced)
 
-    @Service.task
+    @background_task
     async def _store_due(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerService
@@ -233,7 +234,7 @@
             await self.add_runtime_dependency(part)
         logger.bind(host=self.cfg.name, boot=self.fleet.boot).info("host started")
 
-    @Service.task
+    @background_task
     async def _sweep(self) -> None:
         while not self.should_stop:
             self.follower.sweep()
--- a/src/magnoliaroad/relay/detour_service.py
+++ b/src/magnoliaroad/relay/detour_service.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.peers import Peers
 from magnoliaroad.relay.detour import Detour
@@ -86,7 +87,7 @@
         for key in list(self._detours):
             self._drop(key)
 
-    @Service.task
+    @background_task
     async def _drop_abandoned(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(CHECK_INTERVAL_S)
--- a/src/magnoliaroad/relay/escrow_service.py
+++ b/src/magnoliaroad/relay/escrow_service.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.peers import Peers
 from magnoliaroad.relay.escrow_disk import DiskIdentity, EscrowDisk
 from magnoliaroad.relay.escrow_ledger import EscrowLedger
@@ -77,7 +78,7 @@
         """Closes the files."""
         self._disk.close()
 
-    @Service.task
+    @background_task
     async def _watch_role(self) -> None:
         if self._cfg.data_centre not in self._cfg.data_centres:
             return
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.peers import PeerAddress, PeerError, PeerService
 from magnoliaroad.quarantine import QuarantineService
@@ -369,7 +370,7 @@
         before = sum(slow for host, slow in near.items() if host < self.cfg.name)
         return before < MAX_DIVERTING_FRACTION * (len(near) + 1) - 1
 
-    @Service.task
+    @background_task
     async def _sample_timer_lag(self) -> None:
         while not self.should_stop:
             due = time.monotonic() + LAG_SAMPLE_S
@@ -396,7 +397,7 @@
         ]
         return [host for _, host in sorted(able)[:MAX_STORE_PROXIES]]
 
-    @Service.task
+    @background_task
     async def _watch_contact(self) -> None:
         """Checks the store when other data centres or all record hosts are silent.
 
@@ -448,7 +449,7 @@
             return True
         return not self.store_lost() and self._tracker.is_lost(now, host)
 
-    @Service.task
+    @background_task
     async def _refresh_members(self) -> None:
         await self._wait_for_relist(ANNOUNCE_WAIT_S)
         while not self.should_stop:
@@ -532,7 +533,7 @@
         if not self._tracker.uses_forwarders:
             self._targets.retain_hosts(members)
 
-    @Service.task
+    @background_task
     async def _send_heartbeats(self) -> None:
         sent, far_at = 0, 0.0
         while not self.should_stop:
--- a/src/magnoliaroad/relay/leased_entry.py
+++ b/src/magnoliaroad/relay/leased_entry.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.store import LeaseLost, Store, StoreError
 
@@ -60,7 +61,7 @@
                 "lease not revoked, entry stays until it expires"
             )
 
-    @Service.task
+    @background_task
     async def _announce(self) -> None:
         while not self.should_stop:
             try:
--- a/src/magnoliaroad/relay/metrics_server.py
+++ b/src/magnoliaroad/relay/metrics_server.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.listening import open_when_free
 
@@ -34,7 +35,7 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    @Service.task
+    @background_task
     async def _listen(self) -> None:
         try:
             await open_when_free(self._open, self._address)
--- a/src/magnoliaroad/relay/mirror.py
+++ b/src/magnoliaroad/relay/mirror.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.relay.settings import FollowSettings
 from magnoliaroad.store import (
     HistoryGone,
@@ -75,7 +76,7 @@
         self._failed = False
         self._pause_s = cfg.retry_s
 
-    @Service.task
+    @background_task
     async def _follow(self) -> None:
         while not self.should_stop:
             if self._listed and not self._following.is_set():
--- a/src/magnoliaroad/relay/path_prober.py
+++ b/src/magnoliaroad/relay/path_prober.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.relay.metrics import CUT_SERVICES
 from magnoliaroad.relay.target import RelayTarget, TargetState
@@ -95,7 +96,7 @@
             "path to targets lost"
         )
 
-    @Service.task
+    @background_task
     async def _probe_in_doubt(self) -> None:
         while not self.should_stop:
             await wait_for_event(self._requested, PROBE_INTERVAL_S)
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerAddress, PeerService
@@ -119,7 +120,7 @@
     async def _read_host_names(self) -> set[str]:
         return set(unpack_hosts(await self.store.list(PREFIX)).hosts)
 
-    @Service.task
+    @background_task
     async def _list_hosts(self) -> None:
         while not self.should_stop:
             # ``_relist`` is set once the own entry is written: of two hosts that start
@@ -157,7 +158,7 @@
         self.records.set_host_count(len(addresses.keys() - relays))
         self.peers.set_addresses(list(addresses.values()))
 
-    @Service.task
+    @background_task
     async def _announce_to_relays(self) -> None:
         while not self.should_stop:
             heartbeat = RecordHostHeartbeat(
--- a/src/magnoliaroad/routing/service.py
+++ b/src/magnoliaroad/routing/service.py
@@ -9,6 +9,7 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
+from magnoliaroad.background import background_task
 from magnoliaroad.config import ConfigService, RouteKind, Target
 from magnoliaroad.peers import Peers
 from magnoliaroad.refusal import Refusal
@@ -96,7 +97,7 @@
         """Withdraws a retry for ``job`` from its budget; returns whether it could."""
         return self.dispatcher.withdraw_retry(job)
 
-    @Service.task
+    @background_task
     async def _tick(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self.cfg.hint_interval_s)
@@ -104,7 +105,7 @@
             self._deliver(self.dispatcher.tick(time.monotonic()))
             self._send_load()
 
-    @Service.task
+    @background_task
     async def _poll_engines(self) -> None:
         async with self._poller:
             while not self.should_stop:
--- a/src/magnoliaroad/store/contact.py
+++ b/src/magnoliaroad/store/contact.py
@@ -9,6 +9,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.store.errors import StoreError
 from magnoliaroad.store.observed import ObservedStore
 
@@ -71,7 +72,7 @@
         """Requests a probe of the store."""
         self._probe_requested.set()
 
-    @Service.task
+    @background_task
     async def _probe_on_request(self) -> None:
         while not self.should_stop:
             await self._probe_requested.wait()
