Fail claims instead of the host when a write of them fails (FAULT)

Seen: an exception that is no StoreError in a write of budget claims ended the relay host with status 1, and its callers waited for their claims for ever. An answer with too few revisions gave a claim the revision of another before that. Cause: the writes run as futures of the service, whose exceptions mode takes for the end of all services. Change: such a batch is logged with its trace and written claim by claim; the claim that fails again fails its own turn as StoreUnavailable.

--- a/src/magnoliaroad/relay/claim_writer.py
+++ b/src/magnoliaroad/relay/claim_writer.py
@@ -116,6 +116,13 @@
         self._batch_timer = loop.call_later(self.cfg.claim_gap_s, self._send_pending)
 
     async def _send(self, batch: Sequence[_PendingClaim]) -> None:
+        try:
+            await self._write(batch)
+        except Exception as exc:
+            logger.bind(claims=len(batch)).opt(exception=exc).error("claims failed")
+            self._isolate(batch, StoreUnavailable(repr(exc)))
+
+    async def _write(self, batch: Sequence[_PendingClaim]) -> None:
         lease = 0
         try:
             async with asyncio.timeout(self.cfg.claim_call_s):
@@ -133,12 +140,7 @@
         except StoreConflict as exc:
             self._handle_conflict(batch, exc)
         except StoreRejected as exc:
-            # One claim that the store does not accept must not fail the others.
-            if len(batch) > 1:
-                for pending in batch:
-                    self.add_future(self._send([pending]))
-            else:
-                self._fail(batch, exc)
+            self._isolate(batch, exc)
         except TimeoutError:
             self._fail(batch, StoreUnavailable("store call timed out"))
         except StoreError as exc:
@@ -146,12 +148,25 @@
                 self._leases.drop(lease)
             self._fail(batch, exc)
         else:
-            for pending, revision in zip(batch, revisions, strict=True):
+            # Fails before any claim gets the revision of another.
+            for pending, revision in list(zip(batch, revisions, strict=True)):
                 program, value, _ = pending.claim
                 entry = StoreEntry(key_of(PREFIX, program), value, revision)
                 self._cache.add(program, entry)
                 pending.succeed(revision)
 
+    def _isolate(self, batch: Sequence[_PendingClaim], exc: StoreError) -> None:
+        """Writes claims one by one, as one that fails must not fail the others.
+
+        A claim that was written after all conflicts with itself, which is harmless.
+        """
+        waiting = [pending for pending in batch if not pending.result.done()]
+        if len(batch) == 1:
+            self._fail(waiting, exc)
+            return
+        for pending in waiting:
+            self.add_future(self._send([pending]))
+
     def _handle_conflict(
         self, batch: Sequence[_PendingClaim], exc: StoreConflict
     ) -> None:
--- a/tests/relay/test_claims.py
+++ b/tests/relay/test_claims.py
@@ -315,3 +315,55 @@
             await fleet.hosts["b"].claim("p" * 300, b"other")
 
     loop.run_until_complete(scenario())
+
+
+class FailingStore(RecordingStore):
+    """A store whose client fails at the entry of one program."""
+
+    failing = PREFIX + "odd"
+
+    async def put_many(self, puts):
+        if any(put.key == self.failing for put in puts):
+            raise TypeError("unexpected")
+        return await super().put_many(puts)
+
+
+class ShortStore(RecordingStore):
+    """A store whose answer has a revision too few."""
+
+    async def put_many(self, puts):
+        return (await super().put_many(puts))[1:]
+
+
+async def claim_both(loop, store):
+    """Claims a program that fails and another in one call; returns the outcomes."""
+    fleet = Fleet(loop, "a")
+    writer = ClaimWriter(
+        store(fleet.state, loop.time),
+        LeasePool(LocalStore(fleet.state, loop.time), loop.time),
+        CFG,
+    )
+    await writer.start()
+    first = asyncio.create_task(writer.write(ClaimWriteRequest("warm", b"new", 0)))
+    claims = [
+        asyncio.create_task(writer.write(ClaimWriteRequest(name, b"new", 0)))
+        for name in ("odd", "p")
+    ]
+    async with asyncio.timeout(10.0):
+        await asyncio.wait([first, *claims])
+    assert not writer.crashed
+    await writer.stop()
+    return [claim.exception() for claim in claims]
+
+
+def test_a_claim_that_fails_unexpectedly_fails_no_other_and_no_host(loop, logged):
+    """Guards against hosts that end for one claim (FAULT)."""
+    odd, sound = loop.run_until_complete(claim_both(loop, FailingStore))
+    assert isinstance(odd, StoreError)
+    assert sound is None
+    assert "claims failed" in {line["event"] for line in logged}
+
+
+def test_an_answer_with_too_few_revisions_fails_claims_and_no_host(loop):
+    outcomes = loop.run_until_complete(claim_both(loop, ShortStore))
+    assert all(isinstance(exc, StoreError) for exc in outcomes)
