--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -53,6 +53,9 @@
         self.folder.mkdir(parents=True, exist_ok=True)
         found: dict[str, JournalRecord] = {}
         for path in sorted(self.folder.glob("*.log")):
+            if not path.stem.isdecimal():
+                logger.bind(file=path.name).warning("file of no journal ignored")
+                continue
             segment = int(path.stem)
             self._segment = max(self._segment, segment)
             for record in _read_segment(path):
--- a/tests/records/test_journal.py
+++ b/tests/records/test_journal.py
@@ -79,3 +79,14 @@
 def test_an_empty_folder_is_an_empty_journal(tmp_path):
     _, found = reopened(tmp_path / "new")
     assert found == set()
+
+
+def test_a_file_that_is_no_segment_is_ignored(tmp_path, logged):
+    """Guards against hosts that never start since a file lies in their folder."""
+    journal, _ = reopened(tmp_path)
+    journal.append(records(1))
+    journal.close()
+    (tmp_path / "copy-of-1.log").write_bytes(b"x")
+    _, found = reopened(tmp_path)
+    assert found == {"turns/0"}
+    assert "file of no journal ignored" in {line["event"] for line in logged}
