Recover the records that follow a write that failed midway (FAULT)

A segment that cannot be removed made its records be written to the store again and again. Change: a write that fails closes its segment, and the next one begins another. A segment that cannot be closed or removed is logged and left.

--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -71,11 +71,16 @@
         Raises:
             OSError: Writing or syncing failed.
         """
-        if self._file is None or self._segment_size >= self.segment_bytes:
-            self._open_segment()
         data = b"".join(_pack_record(record) for record in records)
-        _write_all(self._file, data)
-        os.fdatasync(self._file)
+        try:
+            if self._file is None or self._segment_size >= self.segment_bytes:
+                self._open_segment()
+            _write_all(self._file, data)
+            os.fdatasync(self._file)
+        except BaseException:
+            # What was written in part ends the segment: nothing after it is recovered.
+            self.close()
+            raise
         self._segment_size += len(data)
         for record in records:
             self._track(record.key, self._segment)
@@ -89,9 +94,15 @@
 
     def close(self) -> None:
         """Closes the segment that is open for writing."""
-        if self._file is not None:
-            os.close(self._file)
-            self._file = None
+        file, self._file = self._file, None
+        if file is None:
+            return
+        try:
+            os.close(file)
+        except OSError as exc:
+            logger.bind(segment=self._segment, reason=str(exc)).warning(
+                "journal segment not closed"
+            )
 
     def _open_segment(self) -> None:
         self.close()
@@ -99,10 +110,10 @@
         self._segment += 1
         path = self.folder / f"{self._segment:08}.log"
         self._file = os.open(path, os.O_CREAT | os.O_WRONLY | os.O_TRUNC, 0o600)
-        # A file whose folder was not synced may be gone after a power failure.
-        sync_folder(self.folder)
         self._segment_size = 0
         self._unstored.setdefault(self._segment, set())
+        # A file whose folder was not synced may be gone after a power failure.
+        sync_folder(self.folder)
         self._remove_if_stored(previous)
 
     def _track(self, key: str, segment: int) -> None:
@@ -116,8 +127,16 @@
         writing = self._file is not None and segment == self._segment
         if writing or self._unstored.get(segment):
             return
-        if self._unstored.pop(segment, None) is not None:
-            (self.folder / f"{segment:08}.log").unlink(missing_ok=True)
+        if self._unstored.pop(segment, None) is None:
+            return
+        path = self.folder / f"{segment:08}.log"
+        try:
+            path.unlink(missing_ok=True)
+        except OSError as exc:
+            # Its records are stored once more after the next start.
+            logger.bind(file=path.name, reason=str(exc)).warning(
+                "journal segment not removed"
+            )
 
 
 def _pack_record(record: JournalRecord) -> bytes:
--- a/tests/records/test_journal.py
+++ b/tests/records/test_journal.py
@@ -1,5 +1,8 @@
 """Recovery of the journal after restarts and power failures."""
 
+import errno
+import os
+
 import pytest
 
 from magnoliaroad.records.journal import Journal, JournalRecord
@@ -90,3 +93,44 @@
     _, found = reopened(tmp_path)
     assert found == {"turns/0"}
     assert "file of no journal ignored" in {line["event"] for line in logged}
+
+
+@pytest.mark.parametrize("kept", [0, 1, 30])
+def test_records_after_a_write_that_failed_midway_are_recovered(
+    tmp_path, monkeypatch, kept
+):
+    """Guards against synced turns that are lost since a full disk cut one before."""
+    journal, _ = reopened(tmp_path)
+    journal.append(records(2))
+    write = os.write
+
+    def write_in_part(file, data):
+        write(file, data[:kept])
+        raise OSError(errno.ENOSPC, "No space left on device")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", write_in_part)
+        for _ in range(3):
+            with pytest.raises(OSError, match="No space"):
+                journal.append([JournalRecord("turns/torn", b"y" * 150, 65.0)])
+    journal.append([JournalRecord("turns/last", b"y" * 150, 65.0)])
+    journal.close()
+    segments = len(list(tmp_path.glob("*.log")))
+    _, found = reopened(tmp_path)
+    assert found == {"turns/0", "turns/1", "turns/last"}
+    assert segments <= 2
+
+
+def test_a_segment_that_cannot_be_removed_is_left(tmp_path, monkeypatch, logged):
+    """Guards against records that are written to the store again and again."""
+
+    def refuse(path, missing_ok):
+        raise OSError(errno.EROFS, "Read-only file system")
+
+    journal, _ = reopened(tmp_path)
+    for record in records(40):
+        journal.append([record])
+    monkeypatch.setattr("pathlib.Path.unlink", refuse)
+    for record in records(40):
+        journal.mark_stored(record.key)
+    assert "journal segment not removed" in {line["event"] for line in logged}
