Let no record hold up the others of a record host (FAULT)

Seen in tests: a record at which the store's client fails with anything but a StoreError is at the head of each batch, so that no record of its host reaches the store any more; before background tasks were restarted, the host ended. A batch that cannot be synced for anything but an OSError left its senders waiting until their time limit. Change: such a batch is written record by record, and the one that fails again is due 5 s later, logged. Whatever fails in a sync, the senders get their answer at once. While the sync is down the host refuses records and says so in its announcements.

--- a/src/magnoliaroad/records/pending.py
+++ b/src/magnoliaroad/records/pending.py
@@ -92,6 +92,12 @@
         if pending is not None:
             self._refused[key] = (pending, now + pending.record.ttl_s)
 
+    def postpone(self, now: float, key: str, delay_s: float) -> None:
+        """Makes a record due later, behind the others."""
+        pending = self._records.pop(key, None)
+        if pending is not None:
+            self._records[key] = pending._replace(due_at=now + delay_s)
+
     def expired(self, now: float) -> list[str]:
         """Returns the keys of the refused records that have expired."""
         return [key for key, (_, ends_at) in self._refused.items() if ends_at <= now]
--- a/src/magnoliaroad/records/service.py
+++ b/src/magnoliaroad/records/service.py
@@ -35,6 +35,10 @@
 CHECK_INTERVAL_S = 0.1
 # Pause after a failed call on the store, in seconds.
 RETRY_S = 0.2
+# Delay after which a record that failed unexpectedly is written again, in seconds.
+POSTPONE_S = 5.0
+# Most keys of a batch in a log line.
+MAX_LOGGED_KEYS = 3
 
 
 class RecordService(Service):
@@ -90,6 +94,11 @@
         """Closes the journal."""
         self._journal.close()
 
+    @property
+    def ready(self) -> bool:
+        """Whether new records are accepted and can be synced to disk now."""
+        return self.accepts and not self._sync.is_down(self)
+
     @property
     def unstored_count(self) -> int:
         """Number of records that are still to be written to the store."""
@@ -134,23 +143,30 @@
         batch, self._unsynced = self._unsynced, []
         if not batch:
             return
-        records = [JournalRecord(req.key, req.value, req.ttl_s) for req, _ in batch]
+        synced = False
         try:
-            self._journal.append(records)
+            self._append([req for req, _ in batch])
+            synced = True
         except OSError as exc:
             logger.bind(records=len(batch), reason=str(exc)).error(
                 "journal not written"
             )
-            synced = False
-        else:
-            synced = True
-            now = self._now()
-            for (req, _), record in zip(batch, records, strict=True):
-                self._pending.add(now, record, req.partners, req.writes_first)
+        except Exception as exc:
+            # The senders of these records have them kept elsewhere.
+            logger.bind(records=len(batch)).opt(exception=exc).error(
+                "journal not written"
+            )
         for _, fut in batch:
             if not fut.done():
                 fut.set_result(synced)
 
+    def _append(self, reqs: list[KeepRecord]) -> None:
+        records = [JournalRecord(req.key, req.value, req.ttl_s) for req in reqs]
+        self._journal.append(records)
+        now = self._now()
+        for req, record in zip(reqs, records, strict=True):
+            self._pending.add(now, record, req.partners, req.writes_first)
+
     @background_task
     async def _store_due(self) -> None:
         while not self.should_stop:
@@ -169,6 +185,23 @@
 
     async def _write(self, batch: list[PendingRecord]) -> bool:
         """Writes a batch; returns whether none of it is left to be written."""
+        try:
+            return await self._put(batch)
+        except Exception as exc:
+            keys = [pending.record.key for pending in batch[:MAX_LOGGED_KEYS]]
+            logger.bind(records=len(batch), keys=keys, postponed=len(batch) == 1).opt(
+                exception=exc
+            ).error("records not written")
+        if len(batch) > 1:
+            return await self._write_each(batch)
+        self._pending.postpone(self._now(), batch[0].record.key, POSTPONE_S)
+        return False
+
+    async def _write_each(self, batch: list[PendingRecord]) -> bool:
+        """Writes records one by one, as one that fails must not hold up the others."""
+        return all([await self._write([pending]) for pending in batch])
+
+    async def _put(self, batch: list[PendingRecord]) -> bool:
         lease = 0
         try:
             ttl_s = max(p.record.ttl_s for p in batch)
@@ -182,8 +215,7 @@
             if len(batch) == 1:
                 self._refuse(batch[0], exc)
                 return True
-            # One record that the store does not accept must not hold up the others.
-            return all([await self._write([pending]) for pending in batch])
+            return await self._write_each(batch)
         except StoreError as exc:
             logger.bind(records=len(self._pending), reason=str(exc)).warning(
                 "records not stored yet"
@@ -219,7 +251,7 @@
             self._journal.mark_stored(key)
 
     async def _on_keep(self, sender: str, req: KeepRecord) -> KeepRecordReply:
-        if not self.accepts or self._pending.size_bytes > self.cfg.pending_bytes:
+        if not self.ready or self._pending.size_bytes > self.cfg.pending_bytes:
             return KeepRecordReply(False)
         fut: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         self._unsynced.append((req, fut))
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -166,7 +166,7 @@
                 self.cfg.data_centre,
                 self._entry.address,
                 self._entry.port,
-                self.records.accepts,
+                self.records.ready,
             )
             # A turn is reported as unknown once every host on the store's list has no
             # record of it and no host that is marked there is down, so only hosts with
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -7,7 +7,7 @@
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.records.client import RecordClient
 from magnoliaroad.records.messages import KeepRecord, RecordHostHeartbeat
-from magnoliaroad.records.service import RecordService
+from magnoliaroad.records.service import POSTPONE_S, RecordService
 from magnoliaroad.records.settings import RecordSettings
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.standins.faults import StoreFaults
@@ -583,3 +583,72 @@
             await asyncio.sleep(17.0)
 
     loop.run_until_complete(scenario())
+
+
+def fail_at(store, monkeypatch, key):
+    """Makes the store's client fail at each write with a key."""
+    put_many = store.put_many
+
+    async def put_or_fail(puts):
+        if any(put.key == key for put in puts):
+            raise TypeError("unexpected")
+        return await put_many(puts)
+
+    monkeypatch.setattr(store, "put_many", put_or_fail)
+
+
+def test_a_record_that_fails_unexpectedly_holds_up_no_other(
+    loop, tmp_path, monkeypatch, logged
+):
+    """Guards against records that stay on disk only for one among them (FAULT)."""
+
+    async def body(fleet):
+        with monkeypatch.context() as patch:
+            fail_at(fleet.store, patch, "turns/odd")
+            await fleet.client.keep("turns/odd", b"hello", 65.0)
+            for n in range(20):
+                await fleet.client.keep(f"turns/{n}", b"hello", 65.0)
+            await asyncio.sleep(2 * CFG.partner_after_s)
+            assert all(fleet.state.get(f"turns/{n}") for n in range(20))
+            assert await fleet.client.fetch("turns/odd") == b"hello"
+        await asyncio.sleep(2 * POSTPONE_S)
+        assert fleet.state.get("turns/odd") is not None
+
+    run_scenario(loop, tmp_path, body)
+    assert "records not written" in {line["event"] for line in logged}
+
+
+def test_a_batch_that_cannot_be_synced_is_refused_at_once(loop, tmp_path, logged):
+    """Guards against turns that wait for a host whose sync has failed (FAULT)."""
+
+    async def body(fleet):
+        def fail(records):
+            raise MemoryError
+
+        for name in ("r1", "r2"):
+            fleet.hosts[name]._journal.append = fail
+        began = loop.time()
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert loop.time() - began < STORE_PATIENCE_S / 2
+        assert fleet.state.get("turns/1") is not None
+        assert not any(fleet.hosts[name].crashed for name in fleet.hosts)
+
+    run_scenario(loop, tmp_path, body)
+    assert "journal not written" in {line["event"] for line in logged}
+
+
+def test_a_host_whose_sync_is_down_refuses_records(loop, tmp_path, monkeypatch):
+    async def fail(service):
+        raise LookupError("unexpected")
+
+    monkeypatch.setattr(RecordService._sync, "function", fail)
+
+    async def body(fleet):
+        await asyncio.sleep(0)
+        assert not any(host.ready for host in fleet.hosts.values())
+        began = loop.time()
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert loop.time() - began < STORE_PATIENCE_S / 2
+        assert fleet.state.get("turns/1") is not None
+
+    run_scenario(loop, tmp_path, body)
