Let no entry of the store hold up the others in a mirror (FAULT)

Seen in tests: an entry at which a listener fails each time is read again with each restart of the mirror, and no change that follows it is applied. Change: a listing or batch that fails is delivered change by change; those that fail are logged with their keys and passed over. A lost target that cannot be reported is dropped from the table nevertheless.

--- a/src/magnoliaroad/relay/mirror.py
+++ b/src/magnoliaroad/relay/mirror.py
@@ -2,8 +2,9 @@
 
 import abc
 import asyncio
+import functools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from loguru import logger
 from mode import Service
@@ -18,6 +19,9 @@
     WatchBatch,
 )
 
+# Most keys of a batch in a log line.
+MAX_LOGGED_KEYS = 3
+
 
 class MirrorListener(abc.ABC):
     """Receives the entries and changes that a mirror reads."""
@@ -96,9 +100,14 @@
         logger.bind(
             prefix=self._prefix, revision=batch.revision, entries=len(entries)
         ).info("entries listed")
-        self._listener.on_snapshot(
-            entries, batch.revision, self._listed and self._failed
-        )
+        after_loss = self._listed and self._failed
+
+        def deliver() -> None:
+            self._listener.on_snapshot(entries, batch.revision, after_loss)
+
+        if not self._deliver(batch, deliver):
+            # Now without the changes that fail, to drop what is missing in the list.
+            self._try_to_deliver(batch, deliver)
         self.revision = batch.revision
         self._listed = True
         self._failed = False
@@ -108,9 +117,34 @@
         limit_s = self.cfg.watch_s if self._short_watches() else self.cfg.long_watch_s
         batch = await self._store.watch(self._prefix, self.revision, limit_s)
         if batch.changed or batch.deleted:
-            self._listener.on_batch(batch)
+            self._deliver(batch, lambda: self._listener.on_batch(batch))
         self.revision = batch.revision
 
+    def _deliver(self, batch: WatchBatch, deliver: Callable[[], None]) -> bool:
+        """Delivers a batch; returns whether the listener has taken it as a whole.
+
+        If it fails, each change is delivered by itself: one that fails must not hold up
+        the others, nor those that follow.
+        """
+        if self._try_to_deliver(batch, deliver):
+            return True
+        for change in _single_changes(batch):
+            self._try_to_deliver(
+                change, functools.partial(self._listener.on_batch, change)
+            )
+        return False
+
+    def _try_to_deliver(self, batch: WatchBatch, deliver: Callable[[], None]) -> bool:
+        try:
+            deliver()
+        except Exception as exc:
+            keys = [entry.key for entry in batch.changed] + list(batch.deleted)
+            logger.bind(
+                prefix=self._prefix, keys=keys[:MAX_LOGGED_KEYS], changes=len(keys)
+            ).opt(exception=exc).error("entries not applied")
+            return False
+        return True
+
     async def _back_off(self, exc: StoreError) -> None:
         logger.bind(
             prefix=self._prefix, revision=self.revision, reason=str(exc)
@@ -121,3 +155,11 @@
         # Jitter, so that hosts do not all retry at the same time.
         await asyncio.sleep(self._pause_s * random.uniform(0.5, 1.0))
         self._pause_s = min(self.cfg.retry_limit_s, self._pause_s * 2)
+
+
+def _single_changes(batch: WatchBatch) -> Iterator[WatchBatch]:
+    """Yields the changes of a batch one by one."""
+    for entry in batch.changed:
+        yield WatchBatch((entry,), (), batch.revision)
+    for key in batch.deleted:
+        yield WatchBatch((), (key,), batch.revision)
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -190,8 +190,15 @@
 
     def _report_lost(self, target: RelayTarget) -> None:
         is_leaving = target in self._table.leaving
-        if target.state is TargetState.READY and not is_leaving:
+        if target.state is not TargetState.READY or is_leaving:
+            return
+        try:
             self.on_target_lost(target)
+        except Exception as exc:
+            # The table must follow the store nevertheless.
+            logger.bind(target=target.name).opt(exception=exc).error(
+                "lost target not reported"
+            )
 
     def _name(self, key: str) -> str:
         return key.removeprefix(self._decoder.target_prefix)
--- a/tests/relay/test_targets.py
+++ b/tests/relay/test_targets.py
@@ -6,7 +6,7 @@
 import pytest
 
 from magnoliaroad.relay.entry_decoder import BadEntry, EntryDecoder
-from magnoliaroad.relay.mirror import PrefixMirror
+from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.placement import choose_by_session, choose_least_loaded
 from magnoliaroad.relay.settings import FollowSettings
 from magnoliaroad.relay.target import RelayTarget, TargetState
@@ -478,6 +478,100 @@
         return usable(self.table, self.loop.time())
 
 
+# A value at which the decoder of these tests fails unexpectedly.
+ODD = b"odd"
+
+
+def test_an_entry_that_fails_unexpectedly_holds_up_no_other_change(loop, logged):
+    """Guards against lists of targets that stand still for one entry (FAULT)."""
+
+    async def scenario():
+        async with MirroredFollower(loop) as host:
+            host.state.put("targets/a", ODD)
+            host.state.put("targets/c", b"ready")
+            await asyncio.sleep(0.5)
+            assert host.usable() == ["a", "b", "c"]
+            host.state.delete("targets/b")
+            await asyncio.sleep(0.5)
+            assert host.usable() == ["a", "c"]
+            assert host.follower.revision == host.state.revision
+            assert not host.mirror.crashed
+
+    loop.run_until_complete(scenario())
+    failed = [line for line in logged if line["event"] == "entries not applied"]
+    assert len(failed) == 1
+    assert "targets/a" in failed[0]["keys"]
+
+
+class OddListener(MirrorListener):
+    """A listener that fails at one key, each time."""
+
+    def __init__(self):
+        self.seen = []
+
+    def on_snapshot(self, entries, revision, after_loss):
+        for entry in entries.values():
+            self._take(entry)
+
+    def on_batch(self, batch):
+        for entry in batch.changed:
+            self._take(entry)
+
+    def _take(self, entry):
+        if entry.key == "targets/a":
+            raise LookupError("unexpected")
+        self.seen.append(entry.key)
+
+
+def test_a_listener_that_fails_at_one_key_gets_all_others(loop, logged):
+    async def scenario():
+        host = MirroredFollower(loop)
+        host.mirror._listener = listener = OddListener()
+        async with host:
+            assert "targets/b" in listener.seen
+            for value in (b"1", b"2"):
+                host.state.put("targets/a", value)
+                host.state.put("targets/c", value)
+                await asyncio.sleep(0.5)
+            host.state.put("targets/d", b"3")
+            await asyncio.sleep(0.5)
+        # Once with the whole batch, if it came before the other, and once by itself.
+        assert 2 <= listener.seen.count("targets/c") <= 4
+        assert listener.seen.count("targets/d") == 1
+
+    loop.run_until_complete(scenario())
+    failed = [line for line in logged if line["event"] == "entries not applied"]
+    assert len(failed) <= 8
+
+
+def test_an_entry_that_fails_unexpectedly_holds_up_no_list(loop, logged):
+    async def scenario():
+        async with MirroredFollower(loop) as host:
+            host.following.clear()
+            await asyncio.sleep(FollowSettings().watch_s)
+            host.state.put("targets/a", ODD)
+            host.state.put("targets/c", b"ready")
+            host.state.delete("targets/b")
+            host.following.set()
+            await asyncio.sleep(0.5)
+            assert host.usable() == ["a", "c"]
+
+    loop.run_until_complete(scenario())
+    assert "entries not applied" in {line["event"] for line in logged}
+
+
+def test_a_target_that_cannot_be_reported_as_lost_is_dropped(loop, logged):
+    async def scenario():
+        async with MirroredFollower(loop) as host:
+            host.follower.on_target_lost = lambda target: {}["missing"]
+            host.state.delete("targets/a")
+            await asyncio.sleep(0.5)
+            assert host.usable() == ["b"]
+
+    loop.run_until_complete(scenario())
+    assert "lost target not reported" in {line["event"] for line in logged}
+
+
 @pytest.mark.parametrize("unwatched_s", [0.02, 0.55, 0.8, 3.0, 60.0])
 def test_an_entry_removed_while_another_host_watched_is_gone_at_once(loop, unwatched_s):
     """Guards against work for a target whose watchers were killed (DRAIN)."""
