Keep what a failed background task still has to do (FAULT)

Seen in tests: a task that fails midway runs again, but has lost its request. A store whose probe failed unexpectedly stays lost until another call on it fails; decisions of a quarantine whose save failed are never saved; a record host told to retire never does; its list of hosts is read 45 s later; a lease whose renewal failed is renewed a third of its length later, when it may have expired; grants that cannot be synced leave their callers waiting; a watch of one caller that fails ends those of all. Change: requests are kept until they have been carried out, futures get an answer whatever fails, callbacks and watches fail by themselves, and a retirement is restarted like other tasks.

--- a/src/magnoliaroad/once/service.py
+++ b/src/magnoliaroad/once/service.py
@@ -157,7 +157,13 @@
         pause_s = self.cfg.retry_interval_s
         while _now() < retention_deadline:
             deadline = _now() + self.cfg.begin_timeout_s
-            reply = await self._call_owner(message, self._owner.finish, deadline)
+            try:
+                reply = await self._call_owner(message, self._owner.finish, deadline)
+            except Exception as exc:
+                logger.bind(attempt=message.attempt.attempt_id).opt(
+                    exception=exc
+                ).error("outcome not reported")
+                reply = None
             if reply is not None and reply.recorded:
                 break
             await asyncio.sleep(pause_s)
--- a/src/magnoliaroad/quarantine/service.py
+++ b/src/magnoliaroad/quarantine/service.py
@@ -199,6 +199,11 @@
                 logger.bind(reason=str(exc)).warning("quarantine not saved")
                 await asyncio.sleep(RETRY_S)
                 self._save_requested.set()
+            except Exception:
+                # Saved when the task has been restarted.
+                self._unsaved += entries
+                self._save_requested.set()
+                raise
 
     def _send_report(self, report: CrashReport) -> None:
         metrics.CRASHES.inc({})
--- a/src/magnoliaroad/relay/escrow_service.py
+++ b/src/magnoliaroad/relay/escrow_service.py
@@ -143,14 +143,18 @@
 
     def _sync_all(self) -> None:
         waiting, self._unsynced = self._unsynced, {}
-        totals = {program: self._ledger.total(program) for program in waiting}
+        synced = False
         try:
+            totals = {program: self._ledger.total(program) for program in waiting}
             self._disk.save_grants(totals, self._cfg.turns.budget_retention_s)
         except OSError as exc:
-            logger.bind(programs=len(totals), reason=str(exc)).error(
+            logger.bind(programs=len(waiting), reason=str(exc)).error(
+                "escrow not written"
+            )
+        except Exception as exc:
+            logger.bind(programs=len(waiting)).opt(exception=exc).error(
                 "escrow not written"
             )
-            synced = False
         else:
             synced = True
         for fut in waiting.values():
--- a/src/magnoliaroad/relay/leased_entry.py
+++ b/src/magnoliaroad/relay/leased_entry.py
@@ -63,6 +63,9 @@
 
     @background_task
     async def _announce(self) -> None:
+        if self._lease:
+            # Restarted after a failure, for which the renewal may be overdue.
+            self._renew_now.set()
         while not self.should_stop:
             try:
                 if not self._lease:
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -7,7 +7,7 @@
 from loguru import logger
 from mode import Service
 
-from magnoliaroad.background import background_task
+from magnoliaroad.background import background_task, run_restarting
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerAddress, PeerService
@@ -134,6 +134,10 @@
                 self._relist.set()
                 await asyncio.sleep(RETRY_S)
                 continue
+            except Exception:
+                # Read when the task has been restarted.
+                self._relist.set()
+                raise
             self._set_addresses(
                 {host: entry.peer(host) for host, entry in hosts.items()},
                 {host for host, entry in hosts.items() if entry.relays},
@@ -211,7 +215,11 @@
         ):
             return
         logger.bind(host=retirement.host).info("retirement begun")
-        self._retiring = asyncio.create_task(self._retire(retirement))
+        self._retiring = asyncio.create_task(
+            run_restarting(
+                "RecordApplication._retire", lambda: self._retire(retirement)
+            )
+        )
 
     async def _retire(self, retirement: Retirement) -> None:
         await self._write_status(retirement.status_key, retirement.in_progress_value)
--- a/src/magnoliaroad/stall_watch.py
+++ b/src/magnoliaroad/stall_watch.py
@@ -41,7 +41,11 @@
     def _check_all(self) -> None:
         self._running = False
         for watch in tuple(self._watches):
-            watch.check()
+            try:
+                watch.check()
+            except Exception as exc:
+                self.remove(watch)
+                logger.opt(exception=exc).error("caller not watched")
         if self._watches:
             self._schedule()
 
--- a/src/magnoliaroad/store/contact.py
+++ b/src/magnoliaroad/store/contact.py
@@ -75,8 +75,8 @@
     @background_task
     async def _probe_on_request(self) -> None:
         while not self.should_stop:
+            # Cleared by the probe that succeeds: one that fails is made again.
             await self._probe_requested.wait()
-            self._probe_requested.clear()
             await self._probe_until_reached()
 
     async def _probe_until_reached(self) -> None:
@@ -99,7 +99,13 @@
             self.connected_since = self._now()
             logger.info("store regained")
             for callback in self.on_regained:
-                callback()
+                self._call(callback)
+
+    def _call(self, callback: Callable[[], None]) -> None:
+        try:
+            callback()
+        except Exception as exc:
+            logger.opt(exception=exc).error("store's return not reported")
 
     async def _probe(self) -> str | None:
         """Returns why the store did not respond; ``None`` if it did."""
--- a/tests/platform/test_background_tasks.py
+++ b/tests/platform/test_background_tasks.py
@@ -148,6 +148,45 @@
     assert all(failures(logged, name) for name in started)
 
 
+def fail_first(monkeypatch, store, name, times):
+    """Makes the first calls of a method fail unexpectedly; returns a list of calls."""
+    call, calls = getattr(store, name), []
+
+    async def fail_or_call(*args, **kwargs):
+        calls.append(args)
+        if len(calls) <= times:
+            raise TypeError("unexpected")
+        return await call(*args, **kwargs)
+
+    monkeypatch.setattr(store, name, fail_or_call)
+    return calls
+
+
+async def test_a_record_host_retires_after_writes_that_failed_unexpectedly(
+    tmp_path, monkeypatch
+):
+    async with deployment(tmp_path) as deployed:
+        await deployed.start_records()
+        fail_first(monkeypatch, deployed.records.store, "put", 2)
+        deployed.kv.write("op/retire/records-1", {"deadline_s": 10})
+
+        def is_completed():
+            status = deployed.kv.state.get("status/retire/records-1")
+            return status is not None and b"completed" in status.value
+
+        await deployed.until(is_completed)
+
+
+async def test_a_record_host_lists_hosts_soon_after_a_list_that_failed_unexpectedly(
+    tmp_path, monkeypatch
+):
+    async with deployment(tmp_path) as deployed:
+        await deployed.start_records()
+        calls = fail_first(monkeypatch, deployed.records.store, "list", 2)
+        deployed.records._relist.set()
+        await deployed.until(lambda: len(calls) == 3)
+
+
 @pytest.mark.parametrize("kind", service_classes(), ids=lambda kind: kind.__name__)
 def test_each_task_of_the_product_is_restarted(kind):
     plain = [
--- a/tests/relay/test_stall_watch.py
+++ b/tests/relay/test_stall_watch.py
@@ -88,3 +88,13 @@
             clock.tick()
             req.writer.output_size += 1
         assert not watch.stalled
+
+
+def test_a_watch_that_fails_does_not_end_the_others(clock, logged):
+    timer, failing, stalled = StallTimer(), Request(), Request()
+    del failing.writer
+    with StallWatch(timer, failing, "r-1"), StallWatch(timer, stalled, "r-2"):
+        for _ in range(CHECKS + 1):
+            clock.tick()
+        assert stalled.transport.aborted
+    assert "caller not watched" in {line["event"] for line in logged}
