Divert callers from a host that can send no heartbeats (FAULT)

Seen in tests: a host whose heartbeats fail says that it is ready, counts budgets and writes claims, while its peers take it for lost; and it does not learn which peers are silent, since that came after the heartbeat. Change: peers' silence is checked whether or not the heartbeat was sent. After twice the silence at which a peer counts as lost, the host counts as unfit like a slow one: others of its data centre serve its callers, as long as enough of them are heard. Hosts that fail at the same moment do not hear each other and all stay ready.

Two new tests: 2 of 2 failed before, 2 pass.

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -123,6 +123,7 @@
         self._quarantine = quarantine
         self._slowness = SlownessDetector()
         self._send_now = asyncio.Event()
+        self._heartbeat_sent_at = math.inf
         self._relist = asyncio.Event()
         self._store = store
         self._peers = peers
@@ -145,6 +146,10 @@
         peers.on(Digest, self._on_digest)
         peers.on(RecordHostHeartbeat, self._on_record_host)
 
+    async def on_start(self) -> None:
+        """Counts the silence of this host from its start on."""
+        self._heartbeat_sent_at = time.monotonic()
+
     async def on_stop(self) -> None:
         """Cancels requests to peers."""
         self._state_sync.stop()
@@ -203,7 +208,7 @@
 
     def _find_fit_hosts(self) -> dict[str, str]:
         """Returns hosts that reach the store and are not slow, with data centres."""
-        able = not (self.draining or self.store_lost() or self._slowness.slow)
+        able = not (self.draining or self.store_lost() or self._is_unfit)
         state = (self._tracker.version, able)
         if self._fit_hosts[0] != state:
             fit = {
@@ -340,27 +345,37 @@
         """
         return self.cfg.name == min([*self._tracker.reaching_store(), self.cfg.name])
 
+    @property
+    def _is_unfit(self) -> bool:
+        """Whether this host is slow, or taken for lost as it sends no heartbeats.
+
+        The time includes the silence after which peers with the same fault count as
+        lost here: hosts that have it at the same moment all go on serving.
+        """
+        silent_s = time.monotonic() - self._heartbeat_sent_at
+        return self._slowness.slow or silent_s > 2 * self._tracker.near_silent_s
+
     def diverts_callers(self) -> bool:
         """Whether other hosts serve callers better than this one.
 
-        This is so in three cases: this host is slow; it reaches neither the store nor a
-        record host, while another host of its data centre reaches the store; or the
-        data centre as a whole is isolated, in which case the balancer sends its callers
-        to another one.
+        This is so in three cases: this host is slow or sends no heartbeats; it reaches
+        neither the store nor a record host, while another host of its data centre
+        reaches the store; or the data centre as a whole is isolated, in which case the
+        balancer sends its callers to another one.
         """
-        if self._diverts_as_slow():
+        if self._diverts_as_unfit():
             return True
         if not self.store_lost() or self._records.has_live_host:
             return self.isolated
         near = any(map(self._tracker.is_near, self._tracker.reaching_store().values()))
         return near or self.isolated
 
-    def _diverts_as_slow(self) -> bool:
-        """Whether this host is slow and enough others of its data centre are not.
+    def _diverts_as_unfit(self) -> bool:
+        """Whether this host is unfit and enough others of its data centre are not.
 
-        If many hosts are slow, sending callers to other hosts does not help them.
+        If many hosts are unfit, sending callers to other hosts does not help them.
         """
-        if not self._slowness.slow:
+        if not self._is_unfit:
             return False
         near = {
             host: heartbeat.slow
@@ -546,12 +561,16 @@
                 # which looks like a silent data centre.
                 far_at = now + self._tracker.far_interval_s * random.uniform(0.5, 1.5)
                 sent += 1
-            heartbeat = self._own_heartbeat(
-                has_all_teams=far and sent % FULL_EVERY == 1
-            )
-            self._send_heartbeat(now, heartbeat, far)
-            self._update_silent()
-            self._update_following()
+            try:
+                heartbeat = self._own_heartbeat(
+                    has_all_teams=far and sent % FULL_EVERY == 1
+                )
+                self._send_heartbeat(now, heartbeat, far)
+                self._heartbeat_sent_at = now
+            finally:
+                # A host that peers do not hear must know which of them it hears.
+                self._update_silent()
+                self._update_following()
             self._state_sync.retry(self._tracker)
             self._announce_to_record_hosts(now)
             await wait_for_event(self._send_now, self._tracker.near_interval_s)
--- a/tests/platform/test_background_tasks.py
+++ b/tests/platform/test_background_tasks.py
@@ -148,6 +148,43 @@
     assert all(failures(logged, name) for name in started)
 
 
+def cannot_send_heartbeats(host, monkeypatch):
+    monkeypatch.setattr(host.fleet, "_own_heartbeat", lambda **kwargs: {}["missing"])
+
+
+async def test_callers_go_to_other_hosts_while_one_cannot_send_heartbeats(
+    tmp_path, monkeypatch
+):
+    target = TargetStandin("i-app", "app")
+    async with Deployment(tmp_path, target, hosts=3) as deployed:
+        silent, *others = deployed.relays
+        await deployed.until(lambda: len(silent.fleet.count_hosts()) == 3)
+        with monkeypatch.context() as patch:
+            cannot_send_heartbeats(silent, patch)
+            await deployed.until(lambda: not silent._ready())
+            assert all(host._ready() for host in others)
+            status, _, _ = await deployed.call("/pay/x", "POST", b"m")
+            assert status == 200
+        await deployed.until(silent._ready)
+
+
+async def test_hosts_that_all_cannot_send_heartbeats_stay_ready(tmp_path, monkeypatch):
+    target = TargetStandin("i-app", "app")
+    async with Deployment(tmp_path, target, hosts=3) as deployed:
+        first = deployed.relays[0]
+        await deployed.until(lambda: len(first.fleet.count_hosts()) == 3)
+        with monkeypatch.context() as patch:
+            for host in deployed.relays:
+                cannot_send_heartbeats(host, patch)
+            for _ in range(300):
+                assert all(host._ready() for host in deployed.relays)
+                await asyncio.sleep(0.01)
+            # They know that they do not hear each other.
+            assert not any(host.fleet._tracker.in_contact() for host in deployed.relays)
+            status, _, _ = await deployed.call("/pay/x", "POST", b"m")
+            assert status == 200
+
+
 def fail_first(monkeypatch, store, name, times):
     """Makes the first calls of a method fail unexpectedly; returns a list of calls."""
     call, calls = getattr(store, name), []
