--- a/src/magnoliaroad/once/service.py
+++ b/src/magnoliaroad/once/service.py
@@ -10,6 +10,7 @@
 from mode import Service
 from returns.result import Failure, Result, Success
 
+from magnoliaroad.background import background_task
 from magnoliaroad.groups import Groups
 from magnoliaroad.once import metrics
 from magnoliaroad.once.attempt import Attempt
@@ -108,7 +109,7 @@
         for task in list(self._report_tasks):
             task.cancel()
 
-    @Service.task
+    @background_task
     async def _sweep(self) -> None:
         while not self.should_stop:
             await self.sleep(self.cfg.sweep_interval_s)
@@ -156,7 +157,13 @@
         pause_s = self.cfg.retry_interval_s
         while _now() < retention_deadline:
             deadline = _now() + self.cfg.begin_timeout_s
-            reply = await self._call_owner(message, self._owner.finish, deadline)
+            try:
+                reply = await self._call_owner(message, self._owner.finish, deadline)
+            except Exception as exc:
+                logger.bind(attempt=message.attempt.attempt_id).opt(
+                    exception=exc
+                ).error("outcome not reported")
+                reply = None
             if reply is not None and reply.recorded:
                 break
             await asyncio.sleep(pause_s)
--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -102,7 +102,7 @@
                 self._open_segment()
             _write_all(self._file, data)
             os.fdatasync(self._file)
-        except OSError:
+        except BaseException:
             # Recovery ignores what follows a torn record, so a segment that may end
             # with one gets no more records.
             self.close()
--- a/src/magnoliaroad/relay/escrow_service.py
+++ b/src/magnoliaroad/relay/escrow_service.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.peers import Peers
 from magnoliaroad.relay.escrow_disk import DiskIdentity, EscrowDisk
 from magnoliaroad.relay.escrow_ledger import EscrowLedger
@@ -77,7 +78,7 @@
         """Closes the files."""
         self._disk.close()
 
-    @Service.task
+    @background_task
     async def _watch_role(self) -> None:
         if self._cfg.data_centre not in self._cfg.data_centres:
             return
@@ -142,14 +143,18 @@
 
     def _sync_all(self) -> None:
         waiting, self._unsynced = self._unsynced, {}
-        totals = {program: self._ledger.total(program) for program in waiting}
+        synced = False
         try:
+            totals = {program: self._ledger.total(program) for program in waiting}
             self._disk.save_grants(totals, self._cfg.turns.budget_retention_s)
         except OSError as exc:
-            logger.bind(programs=len(totals), reason=str(exc)).error(
+            logger.bind(programs=len(waiting), reason=str(exc)).error(
+                "escrow not written"
+            )
+        except Exception as exc:
+            logger.bind(programs=len(waiting)).opt(exception=exc).error(
                 "escrow not written"
             )
-            synced = False
         else:
             synced = True
         for fut in waiting.values():
--- a/src/magnoliaroad/relay/leased_entry.py
+++ b/src/magnoliaroad/relay/leased_entry.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.store import LeaseLost, Store, StoreError
 
@@ -60,8 +61,11 @@
                 "lease not revoked, entry stays until it expires"
             )
 
-    @Service.task
+    @background_task
     async def _announce(self) -> None:
+        if self._lease:
+            # Restarted after a failure, for which the renewal may be overdue.
+            self._renew_now.set()
         while not self.should_stop:
             try:
                 if not self._lease:
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -7,6 +7,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task, run_restarting
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerAddress, PeerService
@@ -119,7 +120,7 @@
     async def _read_host_names(self) -> set[str]:
         return set(unpack_hosts(await self.store.list(PREFIX)).hosts)
 
-    @Service.task
+    @background_task
     async def _list_hosts(self) -> None:
         while not self.should_stop:
             # ``_relist`` is set once the own entry is written: of two hosts that start
@@ -133,6 +134,10 @@
                 self._relist.set()
                 await asyncio.sleep(RETRY_S)
                 continue
+            except Exception:
+                # Read when the task has been restarted.
+                self._relist.set()
+                raise
             self._set_addresses(
                 {host: entry.peer(host) for host, entry in hosts.items()},
                 {host for host, entry in hosts.items() if entry.relays},
@@ -157,7 +162,7 @@
         self.records.set_host_count(len(addresses.keys() - relays))
         self.peers.set_addresses(list(addresses.values()))
 
-    @Service.task
+    @background_task
     async def _announce_to_relays(self) -> None:
         while not self.should_stop:
             heartbeat = RecordHostHeartbeat(
@@ -165,7 +170,7 @@
                 self.cfg.data_centre,
                 self._entry.address,
                 self._entry.port,
-                self.records.accepts,
+                self.records.ready,
             )
             # A turn is reported as unknown once every host on the store's list has no
             # record of it and no host that is marked there is down, so only hosts with
@@ -210,7 +215,11 @@
         ):
             return
         logger.bind(host=retirement.host).info("retirement begun")
-        self._retiring = asyncio.create_task(self._retire(retirement))
+        self._retiring = asyncio.create_task(
+            run_restarting(
+                "RecordApplication._retire", lambda: self._retire(retirement)
+            )
+        )
 
     async def _retire(self, retirement: Retirement) -> None:
         await self._write_status(retirement.status_key, retirement.in_progress_value)
