--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -13,7 +13,8 @@
 from magnoliaroad.decoding import Undecodable, unpack
 from magnoliaroad.synced_folder import sync_folder
 
-SEGMENT_NAME = re.compile(r"(\d{8,})\.log")
+SUFFIX = ".log"
+SEGMENT_NAME = re.compile(r"(\d{8,})" + re.escape(SUFFIX))
 
 
 class JournalRecord(NamedTuple):
@@ -79,12 +80,15 @@
         except OSError as exc:
             self._log_unread(str(self.folder), exc)
             return []
+        for name in names:
+            if name.endswith(SUFFIX) and SEGMENT_NAME.fullmatch(name) is None:
+                logger.bind(file=name).warning("file of no journal ignored")
         matches = map(SEGMENT_NAME.fullmatch, names)
         numbers = sorted(int(match[1]) for match in matches if match)
         return [(number, self._path(number)) for number in numbers]
 
     def _path(self, segment: int) -> pathlib.Path:
-        return self.folder / f"{segment:08}.log"
+        return self.folder / f"{segment:08}{SUFFIX}"
 
     def _log_unread(self, name: str, exc: OSError) -> None:
         self.unread = True
