--- a/tests/platform/test_store_answers_hosts.py
+++ b/tests/platform/test_store_answers_hosts.py
@@ -5,6 +5,8 @@
 """
 
 import asyncio
+import base64
+import itertools
 import json
 
 import aiohttp
@@ -51,7 +53,63 @@
 @pytest.mark.parametrize("names", [RELAY_LISTENERS, RECORD_LISTENERS])
 @pytest.mark.parametrize("kind", BODIES)
 async def test_a_host_outlives_answers_that_cannot_be_used(tmp_path, kind, names):
-    await outlive(tmp_path, names, with_body(BODIES[kind]))
+    assert await outlive(tmp_path, names, with_body(BODIES[kind]))
+
+
+@pytest.mark.parametrize("names", [RELAY_LISTENERS, RECORD_LISTENERS])
+@pytest.mark.parametrize("kind", ["40 MB", "body", "slow body", "pages", "head"])
+async def test_a_host_outlives_answers_without_an_end(tmp_path, kind, names):
+    large = b'{"items":[' + b",".join([ENTRY] * (40_000_000 // len(ENTRY))) + b"]}"
+    replace_answer = {
+        "40 MB": with_body(large),
+        "body": endless_body,
+        "slow body": slow_body,
+        "pages": endless_pages(),
+        "head": endless_head,
+    }
+    await outlive(tmp_path, names, replace_answer[kind])
+
+
+async def endless_body(req, resp):
+    answer = web.StreamResponse()
+    await answer.prepare(req)
+    while True:
+        await answer.write(b" " * 100_000)
+
+
+async def slow_body(req, resp):
+    answer = web.StreamResponse()
+    await answer.prepare(req)
+    while True:
+        await answer.write(b" ")
+        await asyncio.sleep(0.01)
+
+
+async def endless_head(req, resp):
+    req.transport.write(b"HTTP/1.1 200 OK\r\n")
+    number = 0
+    while not req.transport.is_closing():
+        number += 1
+        if req.transport.get_write_buffer_size() < 100_000:
+            req.transport.write(b"X-Field-%d: " % number + b"x" * 4_000 + b"\r\n")
+        await asyncio.sleep(0)
+    return resp
+
+
+def endless_pages():
+    numbers = itertools.count()
+    value = base64.b64encode(b"x" * 50_000).decode()
+
+    async def replace(req, resp):
+        prefix = req.query.get("path_prefix", "")
+        items = [
+            {"key": f"{prefix}{next(numbers):012}", "value": value, "revision": 3}
+            for _ in range(20)
+        ]
+        fields = {"items": items, "events": items, "more_pages": True, "as_of": 1000}
+        return web.json_response(fields)
+
+    return replace
 
 
 def with_body(body):
@@ -62,7 +120,10 @@
 
 
 async def outlive(tmp_path, names, replace_answer):
-    """Runs a host whose store's answers are replaced for ``ODD_S``, then sound."""
+    """Runs a host whose store's answers are replaced for ``ODD_S``, then sound.
+
+    Returns the lines in which the host has logged answers as not usable.
+    """
     target = TargetStandin("i-app", "app")
     async with host_process(tmp_path, target, names=names) as host:
         relays = names == RELAY_LISTENERS
@@ -94,7 +155,9 @@
         assert host.peak_mb() < MOST_MB
         # About 60 with back-offs of 0.1 to 0.8 s in each of a host's tasks.
         assert calls < 200
-        assert 0 < len(host.logged("answer of the store not usable")) < 20
+        lines = host.logged("answer of the store not usable")
+        assert len(lines) < 20
+        return lines
 
 
 async def pay(session, host, path):
