Wait for settings that are still being written at the start (FAULT, settings)

Seen 00:01, a real host whose file of settings is missing, empty or cut when it first reads it and whole a moment later, as when the platform rewrites it while the process starts: it ended with status 2. Settings that are whole cost one more parse.

--- a/src/magnoliaroad/relay/load.py
+++ b/src/magnoliaroad/relay/load.py
@@ -1,6 +1,8 @@
 """Reads the settings of a relay host."""
 
+import contextlib
 import pathlib
+import time
 import typing
 from typing import Any
 
@@ -9,6 +11,9 @@
 
 from magnoliaroad.relay.settings import RelaySettings
 
+# Pause between two reads of a file that is incomplete, in seconds.
+RETRY_S = 0.02
+
 
 def load_settings(path: str | pathlib.Path) -> RelaySettings:
     """Returns the checked settings in the file at ``path``.
@@ -21,6 +26,20 @@
     return parse_settings(text, str(path))
 
 
+def wait_for_settings(path: str | pathlib.Path, timeout_s: float) -> None:
+    """Waits while the file at ``path`` is missing or incomplete.
+
+    The platform may be writing it while the process starts. Returns after ``timeout_s``
+    at the latest, whatever the file holds.
+    """
+    ends_at = time.monotonic() + timeout_s
+    while time.monotonic() < ends_at:
+        with contextlib.suppress(OSError, ValueError):
+            jsonc.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+            return
+        time.sleep(RETRY_S)
+
+
 def parse_settings(text: str, source: str = "settings") -> RelaySettings:
     """Returns the checked settings in ``text``.
 
--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -73,8 +73,17 @@
 
 
 @contextlib.asynccontextmanager
-async def host_process(tmp_path, *targets, names=RELAY_LISTENERS, **settings):
-    """Starts a host and its targets; ends the host if it still runs."""
+async def host_process(
+    tmp_path,
+    *targets,
+    names=RELAY_LISTENERS,
+    before_start=lambda path: None,
+    **settings,
+):
+    """Starts a host and its targets; ends the host if it still runs.
+
+    ``before_start`` is called with the path of the file of settings.
+    """
     kv = await KvStandin().start()
     kv.write("op/config", config())
     for target in targets:
@@ -92,6 +101,7 @@
     }
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(fields))
+    before_start(path)
     env = {**os.environ, "MAGNOLIAROAD_NODE_FILE": str(path)}
     log = tmp_path / "log"
     with log.open("w") as output:
