--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -76,9 +76,17 @@
 
 @contextlib.asynccontextmanager
 async def host_process(
-    tmp_path, *targets, names=RELAY_LISTENERS, program=(HOST_PROGRAM,), **settings
+    tmp_path,
+    *targets,
+    names=RELAY_LISTENERS,
+    program=(HOST_PROGRAM,),
+    before_start=lambda path: None,
+    **settings,
 ):
-    """Starts a host and its targets; ends the host if it still runs."""
+    """Starts a host and its targets; ends the host if it still runs.
+
+    ``before_start`` is called with the path of the file of settings.
+    """
     kv = await KvStandin().start()
     kv.write("op/config", config())
     for target in targets:
@@ -96,6 +104,7 @@
     }
     path = tmp_path / "settings.json"
     path.write_text(json.dumps(fields))
+    before_start(path)
     env = {**os.environ, "MAGNOLIAROAD_NODE_FILE": str(path)}
     log = tmp_path / "log"
     with log.open("w") as output:
