Free what a failed call on the store was to write (FAULT)

Seen: programs with turns of 3 MB, ten turns a second, and the store away for 12 s: three relay hosts came to 235, 234 and 298 MB of the 150 MB at which the platform ends them.

Cause: the error of a call that fails refers to its trace, the trace to frames with the request and the error. The bodies of these requests, 94 MB in one host at one moment, wait for a garbage collection, and each write is tried again every 50 ms.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -13,6 +13,7 @@
 from loguru import logger
 from typing_extensions import override
 
+from magnoliaroad.error_traces import forget_traces
 from magnoliaroad.head_memory import HeadMemory
 from magnoliaroad.idle import awaits_request
 from magnoliaroad.unsent_bytes import unsent_bytes
@@ -82,7 +83,8 @@
         super().data_received(data)
         if self._request_count > count:
             message, self._last_body = self._messages[-1]
-            _forget_trace(message)
+            # Of a malformed request the parser gives an error in place of a message.
+            forget_traces(getattr(message, "exc", None))
             self.head_began_at = None
             self._free_head()
         elif between:
@@ -220,17 +222,6 @@
         return self.transport
 
 
-def _forget_trace(message: object) -> None:
-    """Frees the frames of a parser's error, one of which holds the bytes and the error.
-
-    Only the garbage collector would free such a cycle, and it counts objects, not their
-    size.
-    """
-    exc = getattr(message, "exc", None)
-    if isinstance(exc, BaseException):
-        exc.__traceback__ = None
-
-
 def make_connection(server: web.Server) -> CallerConnection:
     """Returns the protocol of a new connection; aiohttp has no option for its class."""
     return CallerConnection(server, loop=server._loop, **server._kwargs)
--- a/src/magnoliaroad/store/client.py
+++ b/src/magnoliaroad/store/client.py
@@ -8,6 +8,7 @@
 from typing_extensions import override
 
 from magnoliaroad.decoding import Undecodable, unpack
+from magnoliaroad.error_traces import forget_traces
 from magnoliaroad.store.entry import StoreEntry
 from magnoliaroad.store.errors import (
     LeaseLost,
@@ -96,6 +97,8 @@
                 content = await resp.read()
                 status = resp.status
         except (aiohttp.ClientError, TimeoutError) as exc:
+            # The frames hold what was to be written.
+            forget_traces(exc)
             raise StoreUnavailable(f"{operation}: {exc!r}") from exc
         return _decode_response(fields.get("key", ""), status, content)
 
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -8,6 +8,7 @@
 import yarl
 from mode import Service
 
+from magnoliaroad.error_traces import forget_traces
 from magnoliaroad.keepalive_socket import keepalive_socket
 from magnoliaroad.targets.closable_response import ClosableResponse
 from magnoliaroad.targets.connector import TargetConnector
@@ -15,7 +16,6 @@
     TargetError,
     TargetUnreachable,
     describe_error,
-    forget_traces,
 )
 from magnoliaroad.targets.request import TargetRequest
 from magnoliaroad.targets.response import TargetResponse
--- a/src/magnoliaroad/targets/errors.py
+++ b/src/magnoliaroad/targets/errors.py
@@ -19,17 +19,6 @@
     return f"{type(exc).__name__}: {detail[:MAX_DETAIL_CHARS]}"
 
 
-def forget_traces(exc: BaseException | None) -> None:
-    """Frees the frames of ``exc`` and of the errors that led to it.
-
-    A frame that holds both the error and what has been received is a reference cycle.
-    Only the garbage collector would free it, and it counts objects, not their size.
-    """
-    while exc is not None:
-        exc.__traceback__ = None
-        exc = exc.__cause__ or exc.__context__
-
-
 class TargetError(Exception):
     """A request to a target that got no complete response.
 
--- a/src/magnoliaroad/targets/response.py
+++ b/src/magnoliaroad/targets/response.py
@@ -6,9 +6,10 @@
 import aiohttp
 from typing_extensions import override
 
+from magnoliaroad.error_traces import forget_traces
 from magnoliaroad.targets.answer import TargetAnswer
 from magnoliaroad.targets.closable_response import ClosableResponse
-from magnoliaroad.targets.errors import AnswerCut, describe_error, forget_traces
+from magnoliaroad.targets.errors import AnswerCut, describe_error
 
 
 class TargetResponse(TargetAnswer):
--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -9,7 +9,8 @@
 from aiohttp.streams import StreamReader
 from typing_extensions import override
 
-from magnoliaroad.targets.errors import MAX_DETAIL_CHARS, NotHttp, forget_traces
+from magnoliaroad.error_traces import forget_traces
+from magnoliaroad.targets.errors import MAX_DETAIL_CHARS, NotHttp
 
 # Statuses of interim responses, which aiohttp skips. 101 ends HTTP on its connection.
 INTERIM_STATUSES = frozenset({100, *range(102, 200)})
