--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -215,10 +215,10 @@
             await self._acquire_token(team)
         if self.route.keeps_turns and call.previous_turn:
             self._previous = await self.parts.turns.load(
-                call.previous_turn, self.admitted.team_name
+                call.previous_turn, self.admitted.team_name, self._held.grow
             )
-            # The texts of the chain, and the body that joins them.
-            self._held.grow(2 * len(self._previous.text) + len(call.body))
+            # The joined text of the chain, and the body that joins it with the new one.
+            self._held.grow(len(self._previous.text) + len(call.body))
         if self.streams and call.resume_after is not None:
             await self._restrict_to_origin()
         if self.streams and call.program:
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -54,6 +54,10 @@
         cache_bytes: Most memory for turns that were read or written recently.
         part_bytes: Largest record of a chain that is written again; well below the
             store's limit of 1 MB.
+        small_bytes: Largest record whose writing never waits for that of others.
+        writing_bytes: Most bytes of larger records that are written at the same time;
+            each is held several times in calls on hosts and the store.
+        chain_reads: Records of a chain that are read at the same time.
         max_output_bytes: Most output of one turn that is kept; a longer one is cut off.
         budget_retention_s: Shortest time that a program's budget is stored after a
             claim; as long as one lease of the store allows.
@@ -72,6 +76,9 @@
 
     cache_bytes: int = 16_000_000
     part_bytes: int = 300_000
+    small_bytes: int = 65_536
+    writing_bytes: int = 3_000_000
+    chain_reads: int = 16
     max_output_bytes: int = 4_194_304
     budget_retention_s: float = 285.0
     budget_return_s: float = 90.0
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from magnoliaroad.batched import batched
+from magnoliaroad.byte_slots import ByteSlots
 from magnoliaroad.records.client import RecordClient
 from magnoliaroad.records.lru_cache import LruCache
 from magnoliaroad.refusal import Refused
@@ -53,15 +54,23 @@
         self._cache: LruCache[Turn] = LruCache(
             cfg.cache_bytes, lambda turn: len(turn.text)
         )
+        self._writing = ByteSlots(cfg.writing_bytes)
 
     @property
     def cached_bytes(self) -> int:
         """Size of the turns that were read or written recently."""
         return self._cache.size
 
-    async def load(self, turn_id: str, team: str) -> LoadedTurn:
+    async def load(
+        self, turn_id: str, team: str, hold: Callable[[int], None] = lambda size: None
+    ) -> LoadedTurn:
         """Returns a turn with its chain.
 
+        Args:
+            turn_id: Request id of the attempt that answered it.
+            team: Team that asks for it.
+            hold: Counts bytes of the chain as they arrive; may refuse.
+
         Raises:
             Refused: There is no such turn of ``team``, or it could not be looked up.
         """
@@ -73,7 +82,12 @@
                         "turn of another team"
                     )
                     raise Refused(NO_TURN)
-                before = await asyncio.gather(*map(self._read, turn.chain))
+                hold(len(turn.text))
+                before: list[Turn] = []
+                for ids in batched(turn.chain, self.cfg.chain_reads):
+                    read = await asyncio.gather(*map(self._read, ids))
+                    hold(sum(len(part.text) for part in read))
+                    before += read
         except TimeoutError as exc:
             raise Refused(TURN_UNCERTAIN) from exc
         text = b"".join([*(other.text for other in before), turn.text])
@@ -132,9 +146,12 @@
 
     async def _write(self, name: str, turn: Turn, retention_s: float) -> None:
         self._cache.add(name, turn)
-        await self._records.keep(
-            key_of(PREFIX, name), pack_turn(turn), _lifetime_s(retention_s)
-        )
+        key, lifetime_s = key_of(PREFIX, name), _lifetime_s(retention_s)
+        if len(turn.text) <= self.cfg.small_bytes:
+            await self._records.keep(key, pack_turn(turn), lifetime_s)
+            return
+        async with self._writing.hold(len(turn.text)):
+            await self._records.keep(key, pack_turn(turn), lifetime_s)
 
     async def _read(self, turn_id: str) -> Turn:
         turn = self._cache.get(turn_id)
--- a/tests/relay/test_turns.py
+++ b/tests/relay/test_turns.py
@@ -1,9 +1,11 @@
 """Turns and their chains as records."""
 
+import asyncio
+
 import pytest
 
 from magnoliaroad.refusal import Refused
-from magnoliaroad.relay.refusals import NO_TURN
+from magnoliaroad.relay.refusals import MEMORY_FULL, NO_TURN
 from magnoliaroad.relay.settings import TurnSettings
 from magnoliaroad.relay.turn_ledger import TurnLedger
 from magnoliaroad.store.interface import MAX_KEY_BYTES
@@ -35,6 +37,22 @@
     return TimedRecords()
 
 
+class SlowRecords(TimedRecords):
+    """Counts the bytes of the large records that are written at the same time."""
+
+    def __init__(self):
+        super().__init__()
+        self.writing = self.most_writing = 0
+
+    async def keep(self, key, value, keep_s):
+        size = len(value) if len(value) > TurnSettings().small_bytes else 0
+        self.writing += size
+        self.most_writing = max(self.most_writing, self.writing)
+        await asyncio.sleep(0.001)
+        self.writing -= size
+        await super().keep(key, value, keep_s)
+
+
 def ledger(records, **changes):
     return TurnLedger(records, TurnSettings(**changes), records)
 
@@ -135,3 +153,41 @@
         assert max(ends) <= MAX_RETENTION_S
         records.now += 0.9 * retention_s
     assert (await ledger(records).load("t-7", "team")).text == text
+
+
+async def test_large_turns_are_written_a_few_records_at_a_time():
+    """Guards against hosts over their memory while the store is away (FAULT)."""
+    records = SlowRecords()
+    host = ledger(records)
+    text = b"x" * 3_000_000
+    await asyncio.gather(
+        *(host.save(f"t-{n}", "team", text, None, RETENTION_S) for n in range(5)),
+        host.save("small", "team", b"y", None, RETENTION_S),
+    )
+    assert records.most_writing <= 1.01 * host.cfg.writing_bytes
+    for n in range(5):
+        assert (await ledger(records).load(f"t-{n}", "team")).text == text
+
+
+async def test_a_chain_that_holds_too_much_is_refused_before_it_is_read(records):
+    await chain(records, 40, 0.0)
+    reads = []
+    fetch = records.fetch
+
+    async def count(key):
+        reads.append(key)
+        return await fetch(key)
+
+    records.fetch = count
+    held = []
+
+    def hold(size):
+        held.append(size)
+        if sum(held) > 1000:
+            raise Refused(MEMORY_FULL)
+
+    host = ledger(records)
+    with pytest.raises(Refused) as refused:
+        await host.load("t-39", "team", hold)
+    assert refused.value.refusal is MEMORY_FULL
+    assert len(reads) <= 1 + host.cfg.chain_reads
