Probe other targets though the probe of one fails (FAULT)

Seen in a test: a probe that fails unexpectedly ends the task that probes all services, so that cuts of the others are found only after its restart. Change: such a target is logged and counts as not connected.

One new test: failed before, passes.

--- a/src/magnoliaroad/relay/path_prober.py
+++ b/src/magnoliaroad/relay/path_prober.py
@@ -124,7 +124,7 @@
             return
         chosen = random.sample(targets, min(PROBED_TARGETS, len(targets)))
         connected = await asyncio.gather(
-            *(self._client.can_connect(target.address) for target in chosen)
+            *(self._can_connect(target) for target in chosen)
         )
         logger.bind(
             service=service,
@@ -136,3 +136,11 @@
             return
         for target in chosen:
             self.record_unreachable(target)
+
+    async def _can_connect(self, target: RelayTarget) -> bool:
+        try:
+            return await self._client.can_connect(target.address)
+        except Exception as exc:
+            # The probes of other targets must go on.
+            logger.bind(target=target.name, reason=repr(exc)).error("target not probed")
+            return False
--- a/tests/relay/test_path_prober.py
+++ b/tests/relay/test_path_prober.py
@@ -1,5 +1,7 @@
 """Probes of targets, in virtual time."""
 
+import asyncio
+
 import pytest
 
 from magnoliaroad.relay.path_prober import SILENCE_S, PathProber
@@ -87,3 +89,30 @@
     prober._suspected.clear()
     prober._suspect_silent(prober._heard_at + 60.0)
     assert prober._suspected == set()
+
+
+async def test_a_probe_that_fails_holds_up_no_other_service(prober, client, logged):
+    """Guards against cuts that are found late, after a restart of the task (FAULT)."""
+    odd, sound = target(8, "odd"), target(9, "app")
+    for each in (odd, sound):
+        prober._table.set(each)
+    can_connect = client.can_connect
+
+    async def connect(address):
+        if address == odd.address:
+            raise ValueError("unexpected")
+        return await can_connect(address)
+
+    client.can_connect = connect
+    await prober.start()
+    for service in ("odd", "app"):
+        prober.suspect(service)
+    async with asyncio.timeout(5.0):
+        while client.probes < 5:
+            prober.suspect("odd")
+            prober.suspect("app")
+            await asyncio.sleep(0.01)
+    await prober.stop()
+    events = [line["event"] for line in logged]
+    assert "target not probed" in events
+    assert "background task failed" not in events
