Keep a host whose stored list of decisions cannot be decoded (FAULT)

Seen: with bytes that are no msgpack under quarantine/list, a host that saves a decision ends: its task failed with Undecodable (test_quarantine_list.py, failed before).

Cause: save_entries reads the list first, and the service expected a StoreError only.

Change: such a list counts as a failed save: the decisions are kept, sent to peers as before, and saved again after RETRY_S. The damaged list is left as it is, as a newer build may have written it.

After: the host goes on and saves its decision once the list is gone.

--- a/src/magnoliaroad/quarantine/service.py
+++ b/src/magnoliaroad/quarantine/service.py
@@ -193,7 +193,7 @@
             entries, self._unsaved = self._unsaved, []
             try:
                 await save_entries(self._store, entries, self._now())
-            except StoreError as exc:
+            except (StoreError, ValueError) as exc:
                 self._unsaved += entries
                 logger.bind(reason=str(exc)).warning("quarantine not saved")
                 await asyncio.sleep(RETRY_S)
