Do not repeat calls on the store at once when its answers change nothing (FAULT)

Cause: the mirror watches again after any watch; a lost lease is granted again without a pause, also if it was lost with the first write; a conflict is tried again without a limit.

--- a/src/magnoliaroad/quarantine/stored_list.py
+++ b/src/magnoliaroad/quarantine/stored_list.py
@@ -18,6 +18,8 @@
 LIST_KEY = PREFIX + "list"
 # Pause after a failed call on the store, in seconds.
 RETRY_S = 1.0
+# Most attempts to save entries while others change the list.
+MAX_SAVE_ATTEMPTS = 10
 
 
 class BlocklistWatcher(Service):
@@ -70,6 +72,7 @@
 
     Raises:
         StoreError: The store did not answer.
+        ValueError: The stored list cannot be decoded.
     """
     entry = await store.get(LIST_KEY)
     if entry is None:
@@ -85,8 +88,10 @@
     Raises:
         StoreError: The write failed or its outcome is unknown. Saving the same
             entries again is safe.
+        ValueError: The stored list cannot be decoded.
     """
     entries = list(entries)
+    attempts_left = MAX_SAVE_ATTEMPTS
     while True:
         blocklist, revision = await read_blocklist(store)
         blocklist.merge(entries)
@@ -96,4 +101,7 @@
             await store.put(LIST_KEY, value, expected=revision)
             return blocklist
         except StoreConflict:
+            attempts_left -= 1
+            if not attempts_left:
+                raise
             await asyncio.sleep(0)
--- a/src/magnoliaroad/relay/leased_entry.py
+++ b/src/magnoliaroad/relay/leased_entry.py
@@ -68,13 +68,19 @@
                     await self._register()
                 await self._wait_for_renewal()
                 await self._store.renew_lease(self._lease)
-            except LeaseLost:
+            except LeaseLost as exc:
+                if not self._lease:
+                    # The store does not know a lease that it has just granted.
+                    await self._retry_later(exc)
                 self._lease = 0
             except StoreError as exc:
-                logger.bind(key=self._key, reason=str(exc)).info(
-                    "cannot announce host, retrying"
-                )
-                await asyncio.sleep(RETRY_S)
+                await self._retry_later(exc)
+
+    async def _retry_later(self, exc: StoreError) -> None:
+        logger.bind(key=self._key, reason=str(exc)).info(
+            "cannot announce host, retrying"
+        )
+        await asyncio.sleep(RETRY_S)
 
     async def _wait_for_renewal(self) -> None:
         """Waits until the lease is due for renewal."""
--- a/src/magnoliaroad/relay/mirror.py
+++ b/src/magnoliaroad/relay/mirror.py
@@ -105,10 +105,16 @@
 
     async def _watch(self) -> None:
         limit_s = self.cfg.watch_s if self._short_watches() else self.cfg.long_watch_s
+        loop = asyncio.get_running_loop()
+        began = loop.time()
         batch = await self._store.watch(self._prefix, self.revision, limit_s)
-        if batch.changed or batch.deleted:
+        has_changes = batch.changed or batch.deleted
+        if has_changes:
             self._listener.on_batch(batch)
         self.revision = batch.revision
+        if not has_changes and loop.time() - began < self.cfg.retry_s:
+            # A store may end watches early, even all of them.
+            await asyncio.sleep(self.cfg.retry_s * random.uniform(0.5, 1.0))
 
     async def _back_off(self, exc: StoreError) -> None:
         logger.bind(
