Count the bodies of requests that are sent for peers (FAULT)

Seen: a peer that lets a relay host send 40 requests of 3.9 MB to a target that is silent took it to 390 MB; the platform ends it at 150 MB.

Cause: up to 128 requests of peers were bounded by their number alone, outside the bound for the bodies of callers, and each was held twice, as a message and as the bytes it came in.

Change: the bodies count as those of callers do. A host whose requests hold too much replies that it is unable: nothing was sent, another peer may do it.

--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -230,7 +230,9 @@
         else:
             conn.running += 1
             self._running += 1
-            self._spawn(self._call_handler(conn, frame, handler, message))
+            # Without the bytes of the fields, which may be large.
+            asked = Frame(frame.kind, frame.number, frame.tag)
+            self._spawn(self._call_handler(conn, asked, handler, message))
 
     def _call_plain(self, sender: str, frame: Frame) -> bool:
         """Calls the plain function for a one-way message; returns whether there is one.
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -204,6 +204,7 @@
             self.prober.paths,
             direct,
             self.server.in_flight,
+            requests,
             self.fleet.helps_peers,
             self.fleet.is_lost,
         )
--- a/src/magnoliaroad/relay/detour_service.py
+++ b/src/magnoliaroad/relay/detour_service.py
@@ -9,6 +9,7 @@
 
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.peers import Peers
+from magnoliaroad.refusal import Refused
 from magnoliaroad.relay.detour import Detour
 from magnoliaroad.relay.detour_failure import failure_of, peer_unable
 from magnoliaroad.relay.detour_messages import (
@@ -27,6 +28,7 @@
 from magnoliaroad.relay.direct_sender import DirectSender
 from magnoliaroad.relay.metrics import DETOURS
 from magnoliaroad.relay.open_answer import OpenAnswer
+from magnoliaroad.relay.request_memory import RequestMemory
 from magnoliaroad.relay.target import RelayTarget, TargetState
 from magnoliaroad.relay.target_paths import TargetPaths
 from magnoliaroad.relay.target_table import TargetTable
@@ -35,6 +37,8 @@
 # Most requests of peers that a host sends at the same time; its own callers share the
 # connections to targets.
 MAX_DETOURS = 128
+# Why a host whose requests hold too much sends none of a peer.
+NO_MEMORY = "requests hold too much memory"
 # Time without a read after which an answer is dropped, in seconds: well above the
 # longest pause that callers are allowed to make in reading.
 ABANDONED_S = 30.0
@@ -52,6 +56,7 @@
         paths: The services that this host cannot reach either.
         sender: Sends the requests.
         in_flight: Counts them with the requests of this host's callers.
+        memory: Bounds the bodies of requests, also those of callers.
         helps_peers: Returns whether this host sends requests for peers at all.
         is_lost: Returns whether a peer is out of contact for good.
     """
@@ -64,6 +69,7 @@
         paths: TargetPaths,
         sender: DirectSender,
         in_flight: InFlightRequests,
+        memory: RequestMemory,
         helps_peers: Callable[[], bool],
         is_lost: Callable[[str], bool],
     ) -> None:
@@ -73,6 +79,7 @@
         self._paths = paths
         self._sender = sender
         self._in_flight = in_flight
+        self._memory = memory
         self._helps_peers = helps_peers
         self._is_lost = is_lost
         self._detours: dict[tuple[str, str], Detour] = {}
@@ -108,6 +115,17 @@
         if target is None or refusal:
             self._log(host, message, refusal)
             return peer_unable(refusal)
+        with self._memory.hold() as held:
+            try:
+                held.grow(len(message.body))
+            except Refused:
+                self._log(host, message, NO_MEMORY)
+                return peer_unable(NO_MEMORY)
+            return await self._open(host, message, target)
+
+    async def _open(
+        self, host: str, message: DetourRequest, target: RelayTarget
+    ) -> DetourHead | DetourFailure:
         key = host, message.token
         detour = self._detours[key] = Detour(message.request_id, self._in_flight)
         try:
--- a/tests/platform/test_memory_of_peers.py
+++ b/tests/platform/test_memory_of_peers.py
@@ -6,16 +6,28 @@
 import asyncio
 import contextlib
 import itertools
+from collections import Counter
 
 import msgpack
 import pytest
 
+from magnoliaroad.peers import PeerAddress, PeerService
+from magnoliaroad.peers.settings import PeerSettings
+from magnoliaroad.relay.detour_messages import (
+    DetourFailure,
+    DetourHead,
+    DetourRequest,
+    pack_headers,
+    pack_text,
+)
 from tests.platform.host_process import (
+    HEADERS,
     RECORD_LISTENERS,
     RELAY_LISTENERS,
     host_process,
 )
 from tests.platform.raw_caller import raw_connection
+from tests.platform.target_standin import TargetStandin
 
 # A host holds 45 to 50 MB at rest; the platform ends the smallest at 150 MB.
 MOST_MB = 100.0
@@ -34,6 +46,8 @@
 LONG_ARRAY = HALF + b"\xdd" + (7_340_032).to_bytes(4, "big")
 PIECE = 65_536
 PIECES = 100
+LARGE_BODY = b"x" * 3_900_000
+REQUESTS = 40
 # What senders begin with, what they write then again and again, and how many there are.
 UNENDED = {
     "bytes": (LONG_BYTES, b"x" * PIECE, 100),
@@ -87,3 +101,45 @@
         await asyncio.gather(*senders)
         assert host.proc.returncode is None
         assert host.peak_mb() < MOST_MB
+
+
+async def test_requests_of_peers_do_not_take_a_host_over_its_memory(tmp_path):
+    target = TargetStandin("i-app", "app")
+    target.script = ["silent"]
+    async with (
+        host_process(tmp_path, target) as host,
+        PeerService(PeerSettings(), "cut-off", "127.0.0.1", 0) as peers,
+    ):
+        await host.until_ready()
+        address, _, port = host.listen["peers"].rpartition(":")
+        peers.set_addresses([PeerAddress("host-1", "", address, int(port))])
+        peers.register_replies(DetourHead, DetourFailure)
+        url = f"http://{target.address}/pay/x"
+        headers = pack_headers({**HEADERS, "Content-Length": str(len(LARGE_BODY))})
+
+        async def send(number):
+            message = DetourRequest(
+                token=str(number),
+                request_id="request-1",
+                target=target.name,
+                started_ms=target.born,
+                address=target.address,
+                method="POST",
+                url=pack_text(url),
+                headers=headers,
+                body=LARGE_BODY,
+                limit_s=2.0,
+            )
+            # One after another, as the buffer to a peer is bounded as well.
+            await asyncio.sleep(0.03 * number)
+            return await peers.call("host-1", message, 4.0)
+
+        replies = await asyncio.gather(
+            *map(send, range(REQUESTS)), return_exceptions=True
+        )
+        assert host.proc.returncode is None
+        assert host.peak_mb() < MOST_MB
+    kinds = Counter(reply.kind for reply in replies)
+    # Those that were not sent are said to be that, so that another peer may send them.
+    assert kinds.keys() == {"peer unable", "timed out"}
+    assert kinds["timed out"] == len(target.runs)
