--- a/src/magnoliaroad/memory/watch.py
+++ b/src/magnoliaroad/memory/watch.py
@@ -8,6 +8,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.background import background_task
 from magnoliaroad.memory.holder import MemoryHolder
 from magnoliaroad.memory.metrics import COLLECTIONS, HELD, RESIDENT, SHED
 from magnoliaroad.memory.policy import MemoryPolicy, MemoryStep
@@ -41,7 +42,7 @@
         self._policy = MemoryPolicy(cfg)
         self._next_log_at = 0.0
 
-    @Service.task
+    @background_task
     async def _watch(self) -> None:
         while not self.should_stop:
             try:
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -195,7 +195,7 @@
                 MemoryHolder("requests", lambda: requests.held_bytes),
                 MemoryHolder("callers", self.server.held_bytes, self.server.shed),
                 MemoryHolder("turns", lambda: parts.turns.cached_bytes),
-                MemoryHolder("peers", self.peers.unsent_bytes),
+                MemoryHolder("peers", self.peers.held_bytes),
             ],
         )
         self.detours = DetourService(
@@ -205,6 +205,7 @@
             self.prober.paths,
             direct,
             self.server.in_flight,
+            requests,
             self.fleet.helps_peers,
             self.fleet.is_lost,
         )
