--- a/src/magnoliaroad/records/journal.py
+++ b/src/magnoliaroad/records/journal.py
@@ -82,7 +82,7 @@
             return []
         for name in names:
             if name.endswith(SUFFIX) and SEGMENT_NAME.fullmatch(name) is None:
-                logger.bind(file=name).warning("file of no journal ignored")
+                logger.bind(file=name).info("file of no journal ignored")
         matches = map(SEGMENT_NAME.fullmatch, names)
         numbers = sorted(int(match[1]) for match in matches if match)
         return [(number, self._path(number)) for number in numbers]
