Use a listing of an older state only if it comes again (FAULT)

Cause: a mirror that lists again did not compare revisions; watches of the platform's store do so since.

Change: such a listing counts as a failed call and is asked for again after the back-off. The next one is used if it is no older than that: the store may have been restored, or the higher revision was the bad answer.

--- a/src/magnoliaroad/relay/mirror.py
+++ b/src/magnoliaroad/relay/mirror.py
@@ -14,6 +14,7 @@
     Store,
     StoreEntry,
     StoreError,
+    StoreUnavailable,
     WatchBatch,
 )
 
@@ -72,6 +73,7 @@
         self._following = following
         self._short_watches = short_watches
         self._listed = False
+        self._newest_revision = 0
         self._failed = False
         self._pause_s = cfg.retry_s
 
@@ -91,6 +93,11 @@
 
     async def _list(self) -> None:
         batch = await self._store.list(self._prefix)
+        newest, self._newest_revision = self._newest_revision, batch.revision
+        if batch.revision < newest:
+            # An answer of an older state, unless the next one is no newer: then the
+            # store was restored.
+            raise StoreUnavailable(f"revision {batch.revision} after {newest}")
         entries = {entry.key: entry for entry in batch.changed}
         logger.bind(
             prefix=self._prefix, revision=batch.revision, entries=len(entries)
@@ -111,7 +118,7 @@
         has_changes = batch.changed or batch.deleted
         if has_changes:
             self._listener.on_batch(batch)
-        self.revision = batch.revision
+        self.revision = self._newest_revision = batch.revision
         if not has_changes and loop.time() - began < self.cfg.retry_s:
             # A store may end watches early, even all of them.
             await asyncio.sleep(self.cfg.retry_s * random.uniform(0.5, 1.0))
--- a/tests/relay/test_repeated_answers.py
+++ b/tests/relay/test_repeated_answers.py
@@ -53,13 +53,34 @@
         return await super().put(key, value, expected, lease)
 
 
+class AgedStore(LocalStore):
+    """Answers ``aged`` listings with the state at the time of its creation."""
+
+    def __init__(self, loop):
+        self.state = KvState()
+        self.state.put("t/a", b"")
+        self.first = self.state.list("t/")
+        super().__init__(self.state, loop.time)
+        self.aged = 0
+        self.listed = []
+
+    async def list(self, prefix):
+        self.listed.append(prefix)
+        if self.aged:
+            self.aged -= 1
+            return self.first
+        return await super().list(prefix)
+
+
 class Recorder(MirrorListener):
     """Keeps what a mirror has read."""
 
     def __init__(self):
         self.entries = {}
+        self.snapshots = []
 
     def on_snapshot(self, entries, revision, after_loss):
+        self.snapshots.append(set(entries))
         self.entries = dict(entries)
 
     def on_batch(self, batch):
@@ -119,3 +140,31 @@
         await save_entries(store, entries, 2.0)
 
     loop.run_until_complete(run())
+
+
+@pytest.mark.parametrize(("aged", "seen"), [(1, {"t/a", "t/b"}), (1000, {"t/a"})])
+def test_a_listing_of_an_older_state_is_used_only_if_it_comes_again(loop, aged, seen):
+    """One alone is a bad answer; a store that was restored gives more of them."""
+
+    async def run():
+        store, recorder, following = AgedStore(loop), Recorder(), asyncio.Event()
+        store.state.put("t/b", b"")
+        following.set()
+        mirror = PrefixMirror(
+            store, "t/", FollowSettings(), recorder, following, lambda: True
+        )
+        await mirror.start()
+        await asyncio.sleep(1.0)
+        assert recorder.entries.keys() == {"t/a", "t/b"}
+        recorder.snapshots.clear()
+        store.aged = aged
+        store.listed.clear()
+        following.clear()
+        await asyncio.sleep(FollowSettings().watch_s + 0.1)
+        following.set()
+        await asyncio.sleep(1.0)
+        assert recorder.snapshots == [seen]
+        assert len(store.listed) == 2
+        await mirror.stop()
+
+    loop.run_until_complete(run())
