Read less of an answer ahead of a slow caller (FAULT)

Seen: 200 callers that do not read their large answers took a relay host to 190 and 304 MB in 2.5 s; the platform ends it at 150 MB.

Cause: 256 KB of one read beyond the 128 KB that a body may have unread, for each caller.

--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -1,5 +1,6 @@
 """Distinguishes answers that a close ends from answers that a lost connection cuts."""
 
+import asyncio
 from typing import Any
 
 import aiohttp
@@ -16,6 +17,10 @@
 # Most interim responses before the final one; targets have little to announce.
 MAX_INTERIM_RESPONSES = 8
 
+# Most bytes that are read from a connection at once; what exceeds the buffer of a body
+# is held for each caller that reads slowly.
+READ_BYTES = 65_536
+
 
 class CheckedEndHandler(ResponseHandler):
     """Fails a body without a length whose connection was not closed by the target.
@@ -35,6 +40,12 @@
     _target_closed = False
     _interim_count = 0
 
+    @override
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # asyncio has no public option for the size of a read.
+        transport.max_size = READ_BYTES
+        super().connection_made(transport)
+
     @override
     def feed_data(self, data: Any, size: int = 0) -> None:
         message, body = data
--- /dev/null
+++ b/tests/platform/test_memory_of_unread_answers.py
@@ -0,0 +1,40 @@
+"""Large answers that callers do not read (FAULT).
+
+Guards against hosts that the platform ends for their memory.
+"""
+
+import asyncio
+
+import pytest
+
+from tests.platform.host_process import HEADERS, host_process
+from tests.platform.raw_caller import SMALL_BUFFER, raw_connection, request_bytes
+from tests.platform.test_endless_answers import PASSED_ON, FloodingTarget
+
+# A host holds 45 to 50 MB at rest; the platform ends the smallest at 150 MB.
+MOST_MB = 100.0
+CALLERS = 200
+UNREAD_S = 2.5
+
+
+@pytest.mark.parametrize("kind", ["chunks", "close"])
+async def test_unread_answers_do_not_take_a_host_over_its_memory(tmp_path, kind):
+    targets = [FloodingTarget(f"i-{number}") for number in range(2)]
+    for target in targets:
+        target.opening, target.flood = PASSED_ON[kind]
+    data = request_bytes(HEADERS, "/plan/x", "POST", body=b"x")
+    async with host_process(tmp_path, *targets) as host:
+        await host.until_ready()
+
+        async def ask():
+            address = host.listen["callers"]
+            async with raw_connection(address, SMALL_BUFFER) as (_, writer):
+                writer.write(data)
+                await asyncio.sleep(UNREAD_S)
+
+        await asyncio.gather(*(ask() for _ in range(CALLERS)))
+        assert sum(len(target.runs) for target in targets) == CALLERS
+        assert host.proc.returncode is None
+        assert host.peak_mb() < MOST_MB
+        for target in targets:
+            await target.exit()
