Bound the memory of trailers (FAULT)

Seen: 200 callers that send trailer field after trailer field of 8 KB took a host to 377 to 379 MB, at callers, ready and metrics. The parser holds up to 128 fields of 64 KB for each connection, and as the body has begun they counted for no head.

Bytes that arrive without adding to a body now count as those of an incomplete head do; a connection with too many is cut off. Its request has not been passed on. While reading is paused nothing is counted, as the parser then keeps parts of the body.

Before: the three cases of the test failed. After: they pass, and a body with large chunk extensions and a trailer is still taken.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -54,7 +54,8 @@
         head_began_at: Monotonic time in seconds at which an incomplete head of a
             request began; ``None`` if there is none. Not known of a head that arrives
             in one piece with the end of the request before it.
-        head_bytes: What has arrived of that head, in bytes.
+        head_bytes: What has arrived of that head, or of a body without adding to it,
+            such as trailers; in bytes.
     """
 
     __slots__ = ("_last_body", "head_began_at", "head_bytes")
@@ -78,7 +79,9 @@
 
     @override
     def data_received(self, data: bytes) -> None:
-        between = self._last_body is None or self._last_body.is_eof()
+        body = self._last_body
+        between = body is None or body.is_eof()
+        body_bytes = 0 if body is None else body.total_bytes
         count = self._request_count
         super().data_received(data)
         if self._request_count > count:
@@ -89,6 +92,8 @@
             self._free_head()
         elif between:
             self._head_arrives(data)
+        elif not self._reading_paused:
+            self._body_arrives(data, body_bytes)
 
     def _head_arrives(self, data: bytes) -> None:
         """Counts a part of an incomplete head; refuses one that is too large."""
@@ -105,6 +110,22 @@
         elif not fits and awaits_request(self):
             self._give_up_head("heads too large", MEMORY_FULL)
 
+    def _body_arrives(self, data: bytes, body_bytes: int) -> None:
+        """Counts what the parser may hold of trailers; gives up if it is too much.
+
+        Args:
+            data: What has arrived.
+            body_bytes: Size of the body before.
+        """
+        body = self._last_body
+        if body is None or body.is_eof() or body.total_bytes > body_bytes:
+            self._free_head()
+        elif not self._close:
+            fits = HEADS.take(len(data), self.head_bytes)
+            self.head_bytes += len(data)
+            if self.head_bytes > MAX_HEAD_BYTES or not fits:
+                self._give_up_head("trailers too large", MEMORY_FULL)
+
     def _free_head(self) -> None:
         if self.head_bytes:
             HEADS.free(self.head_bytes)
@@ -119,7 +140,7 @@
             self.refuse_head(answer)
             self._loop.call_later(REFUSED_HEAD_S, self.force_close)
         else:
-            # It follows a request that is not answered yet.
+            # It follows or ends a request that is not answered yet.
             self._transport.abort()
         self._parser = None
         self._free_head()
--- a/tests/platform/test_memory_of_callers.py
+++ b/tests/platform/test_memory_of_callers.py
@@ -103,3 +103,41 @@
             task.cancel()
         reasons = {line["reason"] for line in host.logged("head refused")}
         assert reasons == {"heads too large"}
+
+
+@pytest.mark.parametrize("name", ["callers", "ready", "metrics"])
+async def test_trailers_without_an_end_do_not_take_a_host_over_its_memory(
+    tmp_path, name
+):
+    headers = HEADERS | {"Transfer-Encoding": "chunked"}
+    start = request_bytes(headers, "/pay/x", "POST") + b"1\r\nx\r\n0\r\n"
+    async with host_process(tmp_path) as host:
+        await host.until_ready()
+
+        async def send():
+            with contextlib.suppress(OSError):
+                async with raw_connection(host.listen[name]) as (_, writer):
+                    writer.write(start)
+                    for number in range(100):
+                        writer.write(FIELD % number)
+                        await writer.drain()
+                        await asyncio.sleep(0.02)
+
+        await asyncio.gather(*(send() for _ in range(200)))
+        assert host.proc.returncode is None
+        assert host.peak_mb() < MOST_MB
+
+
+async def test_trailers_and_a_slow_body_in_small_chunks_are_taken(tmp_path):
+    headers = HEADERS | {"Transfer-Encoding": "chunked"}
+    async with host_process(tmp_path, TargetStandin("i-app", "app")) as host:
+        await host.until_ready()
+        async with raw_connection(host.listen["callers"]) as (reader, writer):
+            writer.write(request_bytes(headers, "/pay/x", "POST"))
+            for part in (b"1;n=" + b"e" * 30_000 + b"\r\n", b"x\r\n") * 8:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+            writer.write(b"0\r\n" + FIELD % 1 + b"\r\n")
+            assert (await read_answer(reader, "POST")).status == 200
+        assert not host.logged("head refused")
