Go on watching memory when a holder fails to give it up (FAULT)

Giving up the connection of a caller may fail, e.g. shutdown() of a socket that was reset meanwhile. An OSError ended the watch for the rest of the process, with a line that blames the system; any other exception crashed the service and so ended the host, at the moment when its memory is short. The one task that was not restarted was this one.

A holder that fails is logged and the next one is asked; the watch is a background task. An OSError of reading the memory ends the watch as before.

--- a/src/magnoliaroad/memory/watch.py
+++ b/src/magnoliaroad/memory/watch.py
@@ -46,10 +46,11 @@
     async def _watch(self) -> None:
         while not self.should_stop:
             try:
-                self._check(self._read_resident())
+                resident = self._read_resident()
             except (OSError, ValueError) as exc:
                 logger.bind(reason=str(exc)).warning("memory is not watched")
                 return
+            self._check(resident)
             await asyncio.sleep(self.cfg.check_interval_s)
 
     def _check(self, resident: int) -> None:
@@ -70,7 +71,7 @@
         self._policy.shed(resident)
         excess = self._policy.excess(resident)
         for holder in sorted(self._holders, key=lambda h: -h.held_bytes()):
-            shed = holder.shed(excess)
+            shed = _shed_of(holder, excess)
             if shed:
                 SHED.add({"holder": holder.name}, shed)
                 logger.bind(
@@ -98,3 +99,12 @@
             held=held,
             rest=resident - sum(held.values()),
         ).info("memory high")
+
+
+def _shed_of(holder: MemoryHolder, size: int) -> int:
+    """Lets a holder give up memory; returns how much, 0 if it fails."""
+    try:
+        return holder.shed(size)
+    except Exception as exc:
+        logger.bind(holder=holder.name).opt(exception=exc).error("memory not given up")
+        return 0
