Count bodies without a length as they arrive (FAULT)

A body was counted by its length at the head, and a chunked one only after it had arrived whole; the report of the memory held showed 0 for requests, so that nothing was given up either.

The size read so far now counts as it grows; what is too much is refused with 503 as other requests are. One large body beside little else is still taken.

--- a/src/magnoliaroad/caller_body.py
+++ b/src/magnoliaroad/caller_body.py
@@ -1,6 +1,7 @@
 """Reads the bodies of callers' requests."""
 
 import asyncio
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -29,19 +30,29 @@
     """The body did not arrive in time."""
 
 
+def _ignore_size(size: int) -> None:
+    pass
+
+
 def check_length(req: web.BaseRequest, max_bytes: int) -> None:
     """Raises ``BodyTooLarge`` if a request announces more than ``max_bytes``."""
     if (req.content_length or 0) > max_bytes:
         raise BodyTooLarge
 
 
-async def read_body(req: web.BaseRequest, max_bytes: int, stall_s: float) -> bytes:
+async def read_body(
+    req: web.BaseRequest,
+    max_bytes: int,
+    stall_s: float,
+    on_size: Callable[[int], None] = _ignore_size,
+) -> bytes:
     """Returns the whole body of a request.
 
     Args:
         req: The request.
         max_bytes: Largest size of the body.
         stall_s: Longest wait for the next bytes, in seconds.
+        on_size: Called with what has been read so far, in bytes; may raise to give up.
 
     Raises:
         BodyError: The body is too large or malformed, or does not arrive.
@@ -56,6 +67,7 @@
             body += await _next_chunk(req, stall_s)
         if len(body) > max_bytes:
             raise BodyTooLarge
+        on_size(len(body))
     return bytes(body)
 
 
--- a/src/magnoliaroad/relay/body.py
+++ b/src/magnoliaroad/relay/body.py
@@ -12,6 +12,7 @@
 )
 from magnoliaroad.refusal import Refused
 from magnoliaroad.relay.refusals import BODY_STALLED, BODY_TOO_LARGE, bad_call
+from magnoliaroad.relay.request_memory import HeldMemory
 
 # Largest body of a request, in bytes; bodies are read before the configuration's own
 # limit is known.
@@ -31,13 +32,16 @@
         raise Refused(REFUSALS[type(exc)]) from exc
 
 
-async def read_body(req: web.BaseRequest) -> bytes:
-    """Returns the whole body of a request.
+async def read_body(req: web.BaseRequest, held: HeldMemory) -> bytes:
+    """Returns the whole body of a request, which is counted as it arrives.
 
     Raises:
-        Refused: The body is too large or malformed, or does not arrive.
+        Refused: The body is too large or malformed, or does not arrive, or the requests
+            of the host hold too much.
     """
     try:
-        return await caller_body.read_body(req, MAX_BODY_BYTES, BODY_STALL_S)
+        return await caller_body.read_body(
+            req, MAX_BODY_BYTES, BODY_STALL_S, held.grow_to
+        )
     except BodyError as exc:
         raise Refused(REFUSALS[type(exc)]) from exc
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -180,8 +180,7 @@
                 if expects_continue(req):
                     self._check_head(req)
                     await send_continue(req)
-                body = await read_body(req)
-                held.grow_to(len(body))
+                body = await read_body(req, held)
                 call = self.parts.dialect.read_call(
                     req.method, req.raw_path, req.headers, body
                 )
--- a/tests/platform/test_memory_of_callers.py
+++ b/tests/platform/test_memory_of_callers.py
@@ -141,3 +141,29 @@
             writer.write(b"0\r\n" + FIELD % 1 + b"\r\n")
             assert (await read_answer(reader, "POST")).status == 200
         assert not host.logged("head refused")
+
+
+async def test_bodies_without_a_length_do_not_take_a_host_over_its_memory(tmp_path):
+    headers = HEADERS | {"Transfer-Encoding": "chunked"}
+    start = request_bytes(headers, "/pay/x", "POST")
+    async with host_process(tmp_path, TargetStandin("i-app", "app")) as host:
+        await host.until_ready()
+
+        async def send():
+            with contextlib.suppress(OSError):
+                async with raw_connection(host.listen["callers"]) as (_, writer):
+                    writer.write(start)
+                    for _ in range(120):
+                        writer.write(b"10000\r\n" + b"x" * 65_536 + b"\r\n")
+                        await writer.drain()
+                    await asyncio.sleep(0.5)
+
+        await asyncio.gather(*(send() for _ in range(60)))
+        assert host.proc.returncode is None
+        assert host.peak_mb() < MOST_MB
+        codes = {line["code"] for line in host.logged("refused")}
+        assert "memory_full" in codes
+        async with raw_connection(host.listen["callers"]) as (reader, writer):
+            part = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
+            writer.write(start + part * 100 + b"0\r\n\r\n")
+            assert (await read_answer(reader, "POST")).status == 200
