Bound the memory of requests that wait on their connection (FAULT)

Seen: 100 callers that send requests with heads of 28 KB one after the other without waiting for answers took a host to 244 MB at callers, 212 and 213 MB at ready and metrics. Up to 32 requests wait on a connection, whatever their size; a head that arrives whole was counted nowhere.

Reading pauses once more than 32 KB have arrived for requests that wait. Small requests are still read up to 32 at a time, so that a caller that leaves is seen as before.

Before: the three cases of the test failed. After: they pass, under 100 MB, and 123 queued requests, three of them with bodies of 100 KB, are answered. Tried: pausing at two waiting requests of any size, 66 to 76 MB; not taken, as the end of a connection is not seen while reading is paused (GONE).

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -40,6 +40,9 @@
 # Most bytes that are read from a connection at once; what exceeds the buffer of a body
 # is held for each caller.
 READ_BYTES = 32_768
+# Most bytes of requests that wait for the answer of an earlier one. A caller that sends
+# more is not read until they have been taken, so that its leaving is seen later.
+MAX_QUEUED_BYTES = 32_768
 # Longest wait for a caller to receive an answer that ends its connection, in seconds;
 # the default of nginx's ``lingering_time``.
 MAX_LINGER_S = 30.0
@@ -58,10 +61,13 @@
             such as trailers; in bytes.
     """
 
-    __slots__ = ("_last_body", "head_began_at", "head_bytes")
+    __slots__ = ("_last_body", "_queued_bytes", "head_began_at", "head_bytes")
 
     def __init__(self, server: web.Server, **options) -> None:
         super().__init__(server, **options)
+        # Reading that was paused for the queue goes on once the queue is empty.
+        self._msg_queue_resume_size = 0
+        self._queued_bytes = 0
         self.head_began_at: float | None = None
         self.head_bytes = 0
         self._last_body: StreamReader | None = None
@@ -83,7 +89,14 @@
         between = body is None or body.is_eof()
         body_bytes = 0 if body is None else body.total_bytes
         count = self._request_count
+        self._queued_bytes = len(data) + (self._queued_bytes if self._messages else 0)
         super().data_received(data)
+        if (
+            self._queued_bytes > MAX_QUEUED_BYTES
+            and len(self._messages) > 1
+            and not self._buffer_paused
+        ):
+            self._pause_reading_for_buffer()
         if self._request_count > count:
             message, self._last_body = self._messages[-1]
             # Of a malformed request the parser gives an error in place of a message.
--- a/tests/platform/test_memory_of_callers.py
+++ b/tests/platform/test_memory_of_callers.py
@@ -167,3 +167,38 @@
             part = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
             writer.write(start + part * 100 + b"0\r\n\r\n")
             assert (await read_answer(reader, "POST")).status == 200
+
+
+@pytest.mark.parametrize("name", ["callers", "ready", "metrics"])
+async def test_queued_requests_do_not_take_a_host_over_its_memory(tmp_path, name):
+    fields = {f"X-Field-{number}": "a" * 7_000 for number in range(4)}
+    method, path = ("POST", "/pay/x") if name == "callers" else ("GET", "/metrics")
+    data = request_bytes(HEADERS | fields, path, method)
+    async with host_process(tmp_path, TargetStandin("i-app", "app")) as host:
+        await host.until_ready()
+
+        async def send():
+            with contextlib.suppress(OSError, TimeoutError):
+                async with raw_connection(host.listen[name]) as (_, writer):
+                    async with asyncio.timeout(4.0):
+                        for _ in range(64):
+                            writer.write(data)
+                            await writer.drain()
+                        await asyncio.sleep(2.0)
+
+        await asyncio.gather(*(send() for _ in range(100)))
+        assert host.proc.returncode is None
+        assert host.peak_mb() < MOST_MB
+
+
+async def test_all_of_many_queued_requests_are_answered(tmp_path):
+    fields = {f"X-Field-{number}": "a" * 7_000 for number in range(2)}
+    small = request_bytes(HEADERS, "/pay/x", "POST", body=b"x")
+    large = request_bytes(HEADERS | fields, "/pay/x", "POST", body=b"y" * 100_000)
+    async with host_process(tmp_path, TargetStandin("i-app", "app")) as host:
+        await host.until_ready()
+        async with raw_connection(host.listen["callers"]) as (reader, writer):
+            writer.write((small * 40 + large) * 3)
+            for _ in range(123):
+                assert (await read_answer(reader, "POST")).status == 200
+        assert not host.logged("head refused")
