Count a body as it arrives, not as it is announced (FAULT)

Seen by the review: two connections that announce bodies of 16 MB and send nothing got 6 of 6 requests of 20 KB of others refused (memory_full) for as long as a body may stall, 60 s.

Change: the head is only checked against what is held; the bytes count as they arrive, and what is too much is refused, truly not run.

tests/platform/test_memory_of_callers.py: 503 before, served now.

--- a/src/magnoliaroad/relay/request_memory.py
+++ b/src/magnoliaroad/relay/request_memory.py
@@ -31,8 +31,8 @@
         """Returns the memory of one request, to be used as a context manager."""
         return HeldMemory(self)
 
-    def take(self, size: int, own: int = 0) -> None:
-        """Counts ``size`` bytes more for a request that already holds ``own``.
+    def check(self, size: int, own: int = 0) -> None:
+        """Checks whether a request that holds ``own`` bytes may hold ``size`` more.
 
         A request may exceed the limit by itself while the others hold little, so that
         no request is refused each time. Small requests are never refused.
@@ -45,6 +45,14 @@
         full = large and self.held_bytes + size > self._limit_bytes
         if full and others > MAX_OTHERS_FRACTION * self._limit_bytes:
             raise Refused(MEMORY_FULL, held=self.held_bytes, needed=size)
+
+    def take(self, size: int, own: int = 0) -> None:
+        """Counts ``size`` bytes more for a request that already holds ``own``.
+
+        Raises:
+            Refused: The limit does not hold as much.
+        """
+        self.check(size, own)
         self.held_bytes += size
 
     def free(self, size: int) -> None:
@@ -70,6 +78,14 @@
     ) -> None:
         self._memory.free(self._size)
 
+    def check(self, size: int) -> None:
+        """Checks whether the request may take ``size`` bytes more.
+
+        Raises:
+            Refused: The requests of the host hold too much.
+        """
+        self._memory.check(size, self._size)
+
     def grow(self, size: int) -> None:
         """Takes ``size`` bytes more for the request.
 
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -176,7 +176,8 @@
         with self.in_flight, self.parts.memory.hold() as held:
             IN_FLIGHT.set({}, self.in_flight.count)
             try:
-                held.grow(req.content_length or 0)
+                # Counted as it arrives: a caller may send none of it for long.
+                held.check(req.content_length or 0)
                 if expects_continue(req):
                     self._check_head(req)
                     await send_continue(req)
--- a/tests/platform/test_memory_of_callers.py
+++ b/tests/platform/test_memory_of_callers.py
@@ -202,3 +202,22 @@
             for _ in range(123):
                 assert (await read_answer(reader, "POST")).status == 200
         assert not host.logged("head refused")
+
+
+async def test_bodies_that_do_not_arrive_take_no_memory_from_others(tmp_path):
+    """Guards against one caller that keeps a host from all larger requests."""
+    announced = {**HEADERS, "Content-Length": "16000000"}
+    async with host_process(tmp_path, TargetStandin("i-app", "app")) as host:
+        await host.until_ready()
+        address = host.listen["callers"]
+        async with (
+            raw_connection(address) as (_, first),
+            raw_connection(address) as (_, second),
+            raw_connection(address) as (reader, writer),
+        ):
+            for announcing in (first, second):
+                announcing.write(request_bytes(announced, "/pay/x", "POST"))
+            await asyncio.sleep(0.3)
+            data = request_bytes(HEADERS, "/pay/y", "POST", body=b"y" * 20_000)
+            writer.write(data)
+            assert (await read_answer(reader, "POST")).status == 200
