Go on watching memory after it could not be read (FAULT)

Seen: at the limit of descriptors the resident memory cannot be read, and the watch ended for the rest of the process ("memory is not watched" in each trial of descriptors).

The watch now tries again at its next check; one line is logged each time that reading begins to fail. tests/memory/test_watch.py, new test: failed before.

--- a/src/magnoliaroad/memory/watch.py
+++ b/src/magnoliaroad/memory/watch.py
@@ -41,18 +41,29 @@
         self._read_resident = read_resident
         self._policy = MemoryPolicy(cfg)
         self._next_log_at = 0.0
+        self._readable = True
 
     @background_task
     async def _watch(self) -> None:
         while not self.should_stop:
-            try:
-                resident = self._read_resident()
-            except (OSError, ValueError) as exc:
-                logger.bind(reason=str(exc)).warning("memory is not watched")
-                return
-            self._check(resident)
+            resident = self._read()
+            if resident is not None:
+                self._check(resident)
             await asyncio.sleep(self.cfg.check_interval_s)
 
+    def _read(self) -> int | None:
+        """Returns the resident memory; ``None`` while it cannot be read."""
+        try:
+            resident = self._read_resident()
+        except (OSError, ValueError) as exc:
+            # A host without descriptors cannot read it for a while.
+            if self._readable:
+                logger.bind(reason=str(exc)).warning("memory is not watched")
+            self._readable = False
+            return None
+        self._readable = True
+        return resident
+
     def _check(self, resident: int) -> None:
         step = self._policy.step(resident)
         if step is MemoryStep.COLLECT:
--- a/tests/memory/test_watch.py
+++ b/tests/memory/test_watch.py
@@ -104,3 +104,18 @@
         ("large", 2_000_000),
         ("middle", 3_000_000),
     ]
+
+
+async def test_memory_is_watched_again_once_it_can_be_read(lines):
+    told = iter([OSError("none left"), OSError("none left")])
+
+    def read():
+        resident = next(told, 60_000_000)
+        if isinstance(resident, OSError):
+            raise resident
+        return resident
+
+    await run_for(MemoryWatch(CFG, [], read))
+    events = [line["message"] for line in lines]
+    assert events.count("memory is not watched") == 1
+    assert "memory high" in events
