--- a/src/magnoliaroad/background.py
+++ b/src/magnoliaroad/background.py
@@ -15,6 +15,7 @@
 from typing_extensions import override
 
 from magnoliaroad.metrics import Counter
+from magnoliaroad.processor_time import measured
 
 FAILURES = Counter(
     "background_failures_total", "Background tasks that ended by an exception, by task."
@@ -111,7 +112,7 @@
     while True:
         began = time.monotonic()
         try:
-            await start()
+            await measured(name, start())
             return
         except (Exception, asyncio.CancelledError) as exc:
             task = asyncio.current_task()
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import inspect
+import time
 from collections import deque
 from collections.abc import Iterable
 from typing import Any
@@ -26,6 +27,7 @@
 from magnoliaroad.peers.interface import Handler, Peers
 from magnoliaroad.peers.metrics import LOST
 from magnoliaroad.peers.settings import PeerSettings
+from magnoliaroad.processor_time import PROCESSOR_SECONDS, measured
 from magnoliaroad.verdict import Verdict
 
 # Most bytes of replies, on all connections together, that peers have not read.
@@ -244,6 +246,7 @@
         handler = self._sync_handlers.get(frame.tag)
         if handler is None:
             return False
+        began = time.thread_time()
         try:
             handler(sender, self._catalogue.unpack(frame.tag, frame.fields))
         except UnknownMessage as exc:
@@ -254,13 +257,14 @@
             logger.bind(host=sender, message=frame.tag).opt(exception=exc).error(
                 "message handler failed"
             )
+        PROCESSOR_SECONDS.charge(_activity(frame.tag), began)
         return True
 
     async def _call_handler(
         self, conn: InboundConnection, frame: Frame, handler: Handler, message: Any
     ) -> None:
         try:
-            reply = await handler(conn.sender, message)
+            reply = await measured(_activity(frame.tag), handler(conn.sender, message))
             packed = ("", ()) if reply is None else self._catalogue.pack(reply)
             self._reply(conn, frame, Frame(FrameKind.REPLY, frame.number, *packed))
         except Exception as exc:
@@ -306,6 +310,11 @@
     )
 
 
+def _activity(tag: str) -> str:
+    """Returns the name under which the handling of a message is measured."""
+    return f"message {tag}"
+
+
 def _error(frame: Frame, text: str) -> Frame:
     """Returns the reply to a request that failed."""
     return Frame(FrameKind.ERROR, frame.number, text[:MAX_ERROR_CHARS])
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -17,6 +17,7 @@
 from magnoliaroad.expectation import expects_continue, send_continue
 from magnoliaroad.in_flight import InFlightRequests
 from magnoliaroad.listening import open_when_free
+from magnoliaroad.processor_time import measured
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import admit
 from magnoliaroad.relay.body import check_length, read_body
@@ -161,7 +162,7 @@
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         request_id = self.parts.dialect.request_id(req.headers)
         with StallWatch(self._stall_timer, req, request_id) as watch:
-            resp = await self._respond(req, request_id, watch)
+            resp = await measured("request", self._respond(req, request_id, watch))
             if not resp.prepared:
                 await _write(req, resp)
             return resp
