Process the state of another host only when it changes (SHORT, CONFIG)

Cause: a digest names the heartbeats that changed and, one in eight, all. Both forwarders of a data centre send one each interval, so a host got each state many times, and went through all that may follow from it each time. The class: work for each host of the fleet at each host, whether anything changed or not.

Change: a heartbeat that states what its host has stated before only renews its age. Whether a host has sent the counts of all its teams no longer makes its state a new one, so forwarders send fewer. The choice of counting hosts, forwarders and writers is made anew when what decides it changes, not with each revision of targets. Hosts that were out of contact are processed as before.

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -640,13 +640,20 @@
         self._quota.set_hosts(len(tracker.members) + 1, len(tracker.silent))
 
     def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
-        self._receive_heartbeat(time.monotonic(), heartbeat)
+        now = time.monotonic()
+        if self._tracker.is_repeated(heartbeat):
+            self._tracker.renew(now, heartbeat)
+        else:
+            self._receive_heartbeat(now, heartbeat)
         if self._router.forwards:
             self._targets.set_remote_in_flight(heartbeat.host, heartbeat.in_flight)
 
     def _on_digest(self, sender: str, digest: Digest) -> None:
         now = time.monotonic()
         for heartbeat in digest.heartbeats:
+            if self._tracker.is_repeated(heartbeat):
+                self._tracker.renew_forwarded(heartbeat)
+                continue
             if heartbeat.host != self.cfg.name and heartbeat.host in digest.ages:
                 age_s = digest.ages[heartbeat.host] / 1000
                 self._receive_heartbeat(
--- a/src/magnoliaroad/relay/heartbeat_tracker.py
+++ b/src/magnoliaroad/relay/heartbeat_tracker.py
@@ -1,5 +1,6 @@
 """The known relay hosts and the last heartbeat of each."""
 
+import operator
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -43,6 +44,29 @@
 # Time out of contact after which a host counts as lost, with what only it knows, in
 # seconds. Callers are owed an answer that soon after a disruption.
 HOST_LOST_S = 3.0
+# What decides the use of a host; the rest of its state may change with each request.
+_USE = operator.attrgetter(
+    "boot", "data_centre", "address", "port", "draining", "store_lost", "slow"
+)
+# What a heartbeat states besides its age, its in-flight requests and whether it has the
+# counts of all teams.
+_STATE = operator.attrgetter(
+    "boot",
+    "admitted",
+    "targets_revision",
+    "plan_version",
+    "plan_key",
+    "plan_bytes",
+    "cooldowns",
+    "leaving",
+    "quarantined",
+    "data_centre",
+    "address",
+    "port",
+    "draining",
+    "store_lost",
+    "slow",
+)
 
 
 class ReceivedHeartbeat(NamedTuple):
@@ -84,6 +108,7 @@
         self._began = began
         self._known_at: dict[str, float] = {}
         self._started: dict[str, float] = {}
+        self._newest_age_s: dict[str, float] = {}
         self._returned: set[str] = set()
         self._silent_since: dict[str, float] = {}
         self._contacts: tuple[int, dict[str, Heartbeat]] = (-1, {})
@@ -118,16 +143,44 @@
             self.silent.discard(heartbeat.host)
         regained = regained or heartbeat.host in self._returned
         self._returned.discard(heartbeat.host)
-        if (
-            regained
-            or before is None
-            or _without_counts(before.heartbeat) != _without_counts(heartbeat)
-        ):
+        if regained or before is None or _USE(before.heartbeat) != _USE(heartbeat):
             self.version += 1
         at = now if before is None else max(now, before.received_at)
         self.latest[heartbeat.host] = ReceivedHeartbeat(heartbeat, at)
+        self._newest_age_s[heartbeat.host] = heartbeat.age_s
         return regained
 
+    def is_repeated(self, heartbeat: Heartbeat) -> bool:
+        """Whether a heartbeat states nothing that its host has not stated before.
+
+        Forwarders send the heartbeats of all hosts again and again. One of a host that
+        was out of contact is not repeated: it shows what the host has done meanwhile.
+        """
+        host = heartbeat.host
+        received = self.latest.get(host)
+        if received is None or host in self.silent or host in self._returned:
+            return False
+        known = received.heartbeat
+        return (known.has_all_teams or not heartbeat.has_all_teams) and _STATE(
+            known
+        ) == _STATE(heartbeat)
+
+    def renew(self, now: float, heartbeat: Heartbeat) -> None:
+        """Records a repeated heartbeat that came from its sender."""
+        host = heartbeat.host
+        if heartbeat.age_s < self._newest_age_s[host]:
+            return
+        self._newest_age_s[host] = heartbeat.age_s
+        if self.latest[host].heartbeat.has_all_teams != heartbeat.has_all_teams:
+            # The counts are the same as when they were those of all teams.
+            heartbeat = heartbeat._replace(has_all_teams=True)
+        self.latest[host] = ReceivedHeartbeat(heartbeat, now)
+
+    def renew_forwarded(self, heartbeat: Heartbeat) -> None:
+        """Records a repeated heartbeat from a digest, which has ages of its own."""
+        newest_s = self._newest_age_s[heartbeat.host]
+        self._newest_age_s[heartbeat.host] = max(newest_s, heartbeat.age_s)
+
     def is_new_incarnation(self, heartbeat: Heartbeat) -> bool:
         """Whether a heartbeat is the first from its sender's current incarnation."""
         before = self.latest.get(heartbeat.host)
@@ -142,7 +195,7 @@
         if before is None:
             return False
         if before.heartbeat.boot == heartbeat.boot:
-            return heartbeat.age_s < before.heartbeat.age_s
+            return heartbeat.age_s < self._newest_age_s[heartbeat.host]
         return (
             sent_at - heartbeat.age_s
             < self._started[heartbeat.host] - MIN_RESTART_GAP_S
@@ -209,6 +262,7 @@
         """Removes the state of a host that no longer exists."""
         self.latest.pop(host, None)
         self._started.pop(host, None)
+        self._newest_age_s.pop(host, None)
         self._returned.discard(host)
         self.version += 1
 
@@ -260,7 +314,7 @@
     def in_contact(self) -> dict[str, Heartbeat]:
         """Returns a heartbeat of each peer that is in contact and not draining.
 
-        It has the newest state of its host, but not always the newest counts.
+        It has what decides the use of its host, but not always the newest of the rest.
         """
         version, contacts = self._contacts
         if version != self.version:
@@ -272,6 +326,14 @@
             self._contacts = (self.version, contacts)
         return contacts
 
+    def newest_in_contact(self) -> list[Heartbeat]:
+        """Returns the newest heartbeat of each peer in contact that is not draining."""
+        return [
+            received.heartbeat
+            for host, received in self.latest.items()
+            if host not in self.silent and not received.heartbeat.draining
+        ]
+
     def reaching_store(self) -> dict[str, Heartbeat]:
         """Returns the heartbeats of peers in contact that reach the store."""
         heartbeats = self.in_contact().items()
@@ -372,13 +434,6 @@
         return {**kept, **listed}
 
 
-def _without_counts(heartbeat: Heartbeat) -> Heartbeat:
-    """Returns a heartbeat reduced to what decides the use of its host."""
-    return heartbeat._replace(
-        age_s=0.0, admitted={}, in_flight={}, cooldowns={}, leaving=[], quarantined=0
-    )
-
-
 class ContactChanges(NamedTuple):
     """Peers that have become silent or are silent no longer.
 
--- a/src/magnoliaroad/relay/state_sync.py
+++ b/src/magnoliaroad/relay/state_sync.py
@@ -71,7 +71,7 @@
         """Fetches from any peer with newer state, after an earlier fetch has failed."""
         ahead = [
             heartbeat
-            for heartbeat in tracker.in_contact().values()
+            for heartbeat in tracker.newest_in_contact()
             if self._is_ahead(heartbeat)
         ]
         near = [heartbeat for heartbeat in ahead if tracker.is_near(heartbeat)]
@@ -89,7 +89,8 @@
         return newer_plan or newer_targets or self._quarantine_differs(heartbeat)
 
     def _quarantine_differs(self, heartbeat: Heartbeat) -> bool:
-        return heartbeat.quarantined not in (0, self._quarantine.digest)
+        stated = heartbeat.quarantined
+        return stated != 0 and stated != self._quarantine.digest
 
     async def _fetch(self, heartbeat: Heartbeat) -> None:
         """Fetches whatever is newer at a peer than at this host."""
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -8,6 +8,7 @@
 
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.relay.app import RelayApplication
+from magnoliaroad.relay.digest import Digest
 from magnoliaroad.relay.fleet import (
     DISCOVERY_S,
     HOSTS_PER_CLAIM_WRITER,
@@ -22,8 +23,11 @@
     MIN_DATA_CENTRE_SILENCE_S,
     ReceivedHeartbeat,
 )
+from magnoliaroad.relay.leaving import LeavingTarget
+from magnoliaroad.relay.quota import TeamCount
 from magnoliaroad.relay.settings import RelayListen, RelaySettings
 from magnoliaroad.relay.slowness_detector import SLOW_SAMPLES
+from magnoliaroad.relay.target_table import TargetCooldown
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
 from magnoliaroad.store.settings import StoreSettings
@@ -320,3 +324,103 @@
     receive(fleet, "host-c", "dc-3", age_s=60.0)
     fleet._update_silent()
     assert fleet.data_centres_in_contact() == {"dc-1", "dc-2"}
+
+
+def digest_of(heartbeats, age_ms=10):
+    return Digest(
+        data_centre="dc-1",
+        inter_data_centre=False,
+        heartbeats=heartbeats,
+        ages={heartbeat.host: age_ms for heartbeat in heartbeats},
+        in_flight={},
+        record_hosts=[],
+    )
+
+
+@pytest.fixture
+def processed(fleet):
+    """Returns the hosts whose state was processed."""
+    hosts = []
+    merge = fleet._quota.merge_peer_counts
+
+    def merge_peer_counts(now, host, *args):
+        hosts.append(host)
+        merge(now, host, *args)
+
+    fleet._quota.merge_peer_counts = merge_peer_counts
+    return hosts
+
+
+def many_heartbeats(**changes):
+    return [
+        heartbeat_of(f"host-{n}", f"dc-{n % 5}")._replace(**changes) for n in range(80)
+    ]
+
+
+async def test_a_state_that_is_sent_again_is_not_processed_again(fleet, processed):
+    """Grown Sokol: a host took a third of its time for the same state of others."""
+    fleet._on_digest("host-1", digest_of(many_heartbeats()))
+    assert len(processed) == 80
+    processed.clear()
+    for number in range(8):
+        repeated = many_heartbeats(age_s=101.0 + number, has_all_teams=number == 5)
+        fleet._on_digest("host-1", digest_of(repeated))
+        fleet._on_digest("host-2", digest_of(repeated))
+        fleet._on_heartbeat("host-3", repeated[3]._replace(in_flight={"target": 1}))
+    assert processed == []
+    assert fleet._tracker.latest["host-3"].heartbeat.in_flight == {"target": 1}
+
+
+async def test_each_change_of_state_is_processed(fleet, processed):
+    fleet._on_digest("host-1", digest_of(many_heartbeats(has_all_teams=False)))
+    changes = {
+        "admitted": {"team": TeamCount(1, 0)},
+        "has_all_teams": True,
+        "targets_revision": 1,
+        "plan_version": 1,
+        "cooldowns": {"target": TargetCooldown(1, 0.5)},
+        "leaving": [LeavingTarget("target", 1)],
+        "quarantined": 1,
+        "draining": True,
+        "store_lost": True,
+        "slow": True,
+        "port": 2,
+        "boot": "c",
+    }
+    state = heartbeat_of("host-1", "dc-1")._replace(has_all_teams=False)
+    for number, (field, value) in enumerate(changes.items()):
+        processed.clear()
+        age_s = 0.1 if field == "boot" else 101.0 + number
+        state = state._replace(**{field: value}, age_s=age_s)
+        fleet._on_digest("host-2", digest_of([state]))
+        assert processed == ["host-1"], field
+        fleet._on_digest("host-3", digest_of([state]))
+        assert processed == ["host-1"], field
+
+
+async def test_an_older_state_does_not_replace_a_repeated_one(fleet):
+    later = heartbeat_of("host-1", "dc-1")
+    fleet._on_digest("host-2", digest_of([later]))
+    fleet._on_digest("host-2", digest_of([later._replace(age_s=120.0)]))
+    fleet._on_digest("host-3", digest_of([later._replace(age_s=110.0, slow=True)]))
+    assert not fleet._tracker.in_contact()["host-1"].slow
+
+
+async def test_a_silent_host_is_in_contact_again_though_its_state_is_the_same(fleet):
+    heartbeat = heartbeat_of("host-1", "dc-1")
+    fleet._on_digest("host-2", digest_of([heartbeat], age_ms=60_000))
+    fleet._update_silent()
+    assert fleet.hosts_in_contact() == []
+    fleet._on_heartbeat("host-1", heartbeat._replace(age_s=101.0))
+    assert fleet.hosts_in_contact() == ["host-1"]
+
+
+async def test_hosts_are_chosen_anew_only_if_their_use_changes(fleet):
+    fleet._on_digest("host-1", digest_of(many_heartbeats()))
+    version = fleet._tracker.version
+    changed = many_heartbeats(age_s=101.0, targets_revision=7, plan_version=2)
+    fleet._on_digest("host-1", digest_of(changed))
+    assert fleet._tracker.version == version
+    assert {h.plan_version for h in fleet._tracker.newest_in_contact()} == {2}
+    fleet._on_digest("host-1", digest_of(many_heartbeats(age_s=102.0, slow=True)))
+    assert fleet._tracker.version > version
