--- a/src/magnoliaroad/relay/digest.py
+++ b/src/magnoliaroad/relay/digest.py
@@ -5,6 +5,7 @@
 
 from magnoliaroad.records.messages import RecordHostHeartbeat
 from magnoliaroad.relay.fleet_messages import Heartbeat
+from magnoliaroad.relay.heartbeat_state import state_of
 
 # One in this many digests has the heartbeats of all hosts; the others have only those
 # that changed.
@@ -37,7 +38,8 @@
     """Selects the heartbeats that have changed since they were last sent on."""
 
     def __init__(self) -> None:
-        self._sent: dict[str, Heartbeat] = {}
+        # State and whether it came with the counts of all teams, by host.
+        self._sent: dict[str, tuple[object, bool]] = {}
         self._digest_count = 0
 
     def reset(self) -> None:
@@ -51,11 +53,10 @@
         self._digest_count += 1
         picked = []
         for heartbeat in heartbeats:
-            row = heartbeat._replace(in_flight={})
-            content = row._replace(age_s=0.0)
+            content = state_of(heartbeat), heartbeat.has_all_teams
             if self._sent.get(heartbeat.host) != content:
                 self._sent[heartbeat.host] = content
-                picked.append(row)
+                picked.append(heartbeat._replace(in_flight={}))
         return picked
 
 
--- a/src/magnoliaroad/relay/heartbeat_tracker.py
+++ b/src/magnoliaroad/relay/heartbeat_tracker.py
@@ -1,11 +1,11 @@
 """The known relay hosts and the last heartbeat of each."""
 
-import operator
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.relay.fleet_messages import Heartbeat
+from magnoliaroad.relay.heartbeat_state import state_of, use_of
 from magnoliaroad.relay.settings import RelaySettings
 
 # Least time without a heartbeat from any host of a data centre before that data centre
@@ -44,29 +44,6 @@
 # Time out of contact after which a host counts as lost, with what only it knows, in
 # seconds. Callers are owed an answer that soon after a disruption.
 HOST_LOST_S = 3.0
-# What decides the use of a host; the rest of its state may change with each request.
-_USE = operator.attrgetter(
-    "boot", "data_centre", "address", "port", "draining", "store_lost", "slow"
-)
-# What a heartbeat states besides its age, its in-flight requests and whether it has the
-# counts of all teams.
-_STATE = operator.attrgetter(
-    "boot",
-    "admitted",
-    "targets_revision",
-    "plan_version",
-    "plan_key",
-    "plan_bytes",
-    "cooldowns",
-    "leaving",
-    "quarantined",
-    "data_centre",
-    "address",
-    "port",
-    "draining",
-    "store_lost",
-    "slow",
-)
 
 
 class ReceivedHeartbeat(NamedTuple):
@@ -112,13 +89,18 @@
         self._returned: set[str] = set()
         self._silent_since: dict[str, float] = {}
         self._contacts: tuple[int, dict[str, Heartbeat]] = (-1, {})
+        self._hosts_by_data_centre: dict[str, list[str]] = {}
 
     def set_members(self, now: float, members: dict[str, PeerAddress]) -> None:
         """Replaces the known hosts; heartbeat intervals grow with their number."""
         self.members = members
         self.version += 1
         self._known_at = {host: self._known_at.get(host, now) for host in members}
-        near = sum(map(self.is_near, members.values()))
+        self._hosts_by_data_centre = {}
+        for host, address in members.items():
+            hosts = self._hosts_by_data_centre.setdefault(address.data_centre, [])
+            hosts.append(host)
+        near = len(self._hosts_by_data_centre.get(self.cfg.data_centre, ()))
         far = len(members) - near
         self.uses_forwarders = len(members) + 1 > MAX_DIRECT_HOSTS
         if self.uses_forwarders:
@@ -143,7 +125,7 @@
             self.silent.discard(heartbeat.host)
         regained = regained or heartbeat.host in self._returned
         self._returned.discard(heartbeat.host)
-        if regained or before is None or _USE(before.heartbeat) != _USE(heartbeat):
+        if regained or before is None or use_of(before.heartbeat) != use_of(heartbeat):
             self.version += 1
         at = now if before is None else max(now, before.received_at)
         self.latest[heartbeat.host] = ReceivedHeartbeat(heartbeat, at)
@@ -161,9 +143,9 @@
         if received is None or host in self.silent or host in self._returned:
             return False
         known = received.heartbeat
-        return (known.has_all_teams or not heartbeat.has_all_teams) and _STATE(
+        return (known.has_all_teams or not heartbeat.has_all_teams) and state_of(
             known
-        ) == _STATE(heartbeat)
+        ) == state_of(heartbeat)
 
     def renew(self, now: float, heartbeat: Heartbeat) -> None:
         """Records a repeated heartbeat that came from its sender."""
@@ -367,18 +349,24 @@
         a network partition sooner than the silence of each. A false alarm with
         ``DATA_CENTRE_MISSED_HEARTBEATS`` missing occurs once in 100,000 checks.
         """
-        last: dict[str, list[float]] = {}
-        for host, address in self.members.items():
-            received = self.latest.get(host)
-            at = self._began if received is None else received.received_at
-            last.setdefault(address.data_centre, []).append(at)
-        last.pop(self.cfg.data_centre, None)
         return {
             data_centre
-            for data_centre, times in last.items()
-            if now - max(times) > self._data_centre_silent_s(len(times))
+            for data_centre, hosts in self._hosts_by_data_centre.items()
+            if data_centre != self.cfg.data_centre
+            and not self._is_any_recent(
+                hosts, now - self._data_centre_silent_s(len(hosts))
+            )
         }
 
+    def _is_any_recent(self, hosts: Iterable[str], since: float) -> bool:
+        """Whether one of ``hosts`` has given a sign of life at ``since`` or later."""
+        for host in hosts:
+            received = self.latest.get(host)
+            at = self._began if received is None else received.received_at
+            if at >= since:
+                return True
+        return False
+
     @property
     def _digests_silent_s(self) -> float:
         """Time without digests about a data centre after which it counts as silent."""
@@ -394,24 +382,23 @@
 
     def is_alone(self, now: float) -> bool:
         """Whether other data centres are known and all of them are silent."""
-        known = {address.data_centre for address in self.members.values()}
-        known.discard(self.cfg.data_centre)
+        known = self._hosts_by_data_centre.keys() - {self.cfg.data_centre}
         return bool(known) and self.find_silent_data_centres(now) == known
 
     def update_silent(self, now: float) -> "ContactChanges":
         """Recomputes which peers are out of contact; returns the changes."""
         data_centres = self.silent_data_centres = self.find_silent_data_centres(now)
-        limits = {True: self.near_silent_s, False: self.far_silent_s}
         silent = set()
-        for host, address in self.members.items():
-            received = self.latest.get(host)
-            late_s = limits[self.is_near(address)]
-            if (
-                received is None
-                or now - received.received_at > late_s
-                or address.data_centre in data_centres
-            ):
-                silent.add(host)
+        for data_centre, hosts in self._hosts_by_data_centre.items():
+            if data_centre in data_centres:
+                silent.update(hosts)
+                continue
+            near = data_centre == self.cfg.data_centre
+            since = now - (self.near_silent_s if near else self.far_silent_s)
+            for host in hosts:
+                received = self.latest.get(host)
+                if received is None or received.received_at < since:
+                    silent.add(host)
         changed = ContactChanges(silent - self.silent, self.silent - silent)
         if silent != self.silent:
             self.version += 1
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -5,6 +5,8 @@
 import pytest
 
 from magnoliaroad.peers import PeerAddress
+from magnoliaroad.relay.fleet_messages import Heartbeat
+from magnoliaroad.relay.heartbeat_state import STATE_FIELDS, USE_FIELDS
 from magnoliaroad.relay.heartbeat_tracker import MAX_DIRECT_HOSTS
 from tests.relay.fleet_sim import FleetSim
 
@@ -183,3 +185,9 @@
         host.tracker.set_members(sim.now, {**host.tracker.members, **dead})
     sim.run(6.0)
     assert len(forwarders(sim)) == 6
+
+
+def test_each_field_of_a_heartbeat_is_compared_or_known_not_to_be():
+    not_compared = {"host", "age_s", "in_flight", "has_all_teams"}
+    assert set(STATE_FIELDS) == set(Heartbeat._fields) - not_compared
+    assert set(USE_FIELDS) < set(STATE_FIELDS)
