--- a/src/magnoliaroad/peers/inbound.py
+++ b/src/magnoliaroad/peers/inbound.py
@@ -1,6 +1,7 @@
 """An incoming connection of a peer, and when reading from it pauses."""
 
 import asyncio
+import time
 
 from magnoliaroad.peers.frame import Frame, pack_frame
 
@@ -21,11 +22,13 @@
     Attributes:
         sender: Name of the peer; empty until it is known.
         running: Number of its messages that are being handled.
+        heard_at: Monotonic time at which bytes last arrived, in seconds.
     """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self.sender = ""
         self.running = 0
+        self.heard_at = time.monotonic()
         self._writer = writer
 
     def may_read(self, running_total: int) -> bool:
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -12,6 +12,7 @@
 from mode import Service
 from typing_extensions import override
 
+from magnoliaroad.background import background_task
 from magnoliaroad.listening import listening_socket, open_when_free
 from magnoliaroad.peers.address import PeerAddress
 from magnoliaroad.peers.catalogue import (
@@ -32,6 +33,8 @@
 
 # Most bytes of replies, on all connections together, that peers have not read.
 MAX_UNSENT_BYTES = 16_000_000
+# Time between checks for connections without messages, in seconds.
+SILENCE_CHECK_S = 1.0
 # Longest text of an error, in characters; it may quote the message.
 MAX_ERROR_CHARS = 200
 
@@ -190,23 +193,18 @@
     ) -> None:
         conn = InboundConnection(writer)
         frames = FrameReader(self._frame_memory, conn.close)
-        # The peer closes an idle connection after ``idle_timeout_s``.
-        limit_s = self.cfg.silence_timeout_s + self.cfg.idle_timeout_s
-        loop = asyncio.get_running_loop()
         self._inbound.add(conn)
         try:
-            # Rescheduling one timeout costs less than a new timeout for each message.
-            async with asyncio.timeout(limit_s) as limit:
-                while data := await reader.read(READ_BYTES):
-                    limit.reschedule(loop.time() + limit_s)
-                    received = deque(frames.feed(data))
-                    # No variable keeps the last frame until the next one.
-                    while received:
-                        while not conn.may_read(self._running):
-                            await asyncio.sleep(PAUSE_S)
-                        self._dispatch(conn, received.popleft())
-                    await conn.drain()
-        except (OSError, ValueError, TimeoutError) as exc:
+            while data := await reader.read(READ_BYTES):
+                conn.heard_at = time.monotonic()
+                received = deque(frames.feed(data))
+                # No variable keeps the last frame until the next one.
+                while received:
+                    while not conn.may_read(self._running):
+                        await asyncio.sleep(PAUSE_S)
+                    self._dispatch(conn, received.popleft())
+                await conn.drain()
+        except (OSError, ValueError) as exc:
             logger.bind(host=conn.sender, reason=repr(exc)).debug(
                 "peer connection ended"
             )
@@ -217,6 +215,25 @@
             self._inbound.discard(conn)
             conn.close()
 
+    @background_task
+    async def _close_silent(self) -> None:
+        """Closes connections whose peer is gone or does not read its replies.
+
+        One check of all costs less than a timeout that each message reschedules.
+        """
+        # The peer closes an idle connection after ``idle_timeout_s``.
+        limit_s = self.cfg.silence_timeout_s + self.cfg.idle_timeout_s
+        while not self.should_stop:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            since = time.monotonic() - limit_s
+            for conn in [conn for conn in self._inbound if conn.heard_at < since]:
+                logger.bind(host=conn.sender, silent_s=limit_s).debug(
+                    "peer connection ended"
+                )
+                if conn.unsent_bytes():
+                    _report_unread(conn)
+                conn.close()
+
     def _dispatch(self, conn: InboundConnection, frame: Frame) -> None:
         if frame.kind == FrameKind.HEARTBEAT:
             conn.sender = frame.tag
