--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -640,25 +640,16 @@
         self._quota.set_hosts(len(tracker.members) + 1, len(tracker.silent))
 
     def _on_heartbeat(self, sender: str, heartbeat: Heartbeat) -> None:
-        now = time.monotonic()
-        if self._tracker.is_repeated(heartbeat):
-            self._tracker.renew(now, heartbeat)
-        else:
-            self._receive_heartbeat(now, heartbeat)
+        self._receive_heartbeat(time.monotonic(), heartbeat)
         if self._router.forwards:
             self._targets.set_remote_in_flight(heartbeat.host, heartbeat.in_flight)
 
     def _on_digest(self, sender: str, digest: Digest) -> None:
         now = time.monotonic()
         for heartbeat in digest.heartbeats:
-            if self._tracker.is_repeated(heartbeat):
-                self._tracker.renew_forwarded(heartbeat)
-                continue
             if heartbeat.host != self.cfg.name and heartbeat.host in digest.ages:
                 age_s = digest.ages[heartbeat.host] / 1000
-                self._receive_heartbeat(
-                    now, self._tracker.with_known_in_flight(heartbeat), age_s
-                )
+                self._receive_heartbeat(now, heartbeat, age_s)
         for host in self._tracker.receive_ages(now, digest.ages):
             logger.bind(peer=host, forwarder=sender).info("peer regained")
         for heartbeat, age_ms in digest.record_hosts:
@@ -675,9 +666,27 @@
             self._targets.replace_remote_in_flight({OTHER_HOSTS: others})
 
     def _receive_heartbeat(
-        self, now: float, heartbeat: Heartbeat, age_s: float = 0.0
+        self, now: float, heartbeat: Heartbeat, age_s: float | None = None
     ) -> None:
-        """Processes a heartbeat that came from its sender or in a digest."""
+        """Processes a heartbeat that came from its sender or in a digest.
+
+        Args:
+            now: Time in seconds.
+            heartbeat: The heartbeat.
+            age_s: Its age by the digest, in seconds; ``None`` if its sender sent it.
+        """
+        tracker = self._tracker
+        if not tracker.is_repeated(heartbeat):
+            if age_s is not None:
+                heartbeat = tracker.with_known_in_flight(heartbeat)
+            self._process_state(now, heartbeat, age_s or 0.0)
+        elif age_s is None:
+            tracker.renew(now, heartbeat)
+        else:
+            tracker.renew_forwarded(heartbeat)
+
+    def _process_state(self, now: float, heartbeat: Heartbeat, age_s: float) -> None:
+        """Processes a heartbeat that may state something new."""
         if self._tracker.is_older(now - age_s, heartbeat):
             return
         self._check_lost_store(heartbeat)
