Keep the limits that targets state, over all hosts (LIMIT)

Cause: nothing read Server-Limit. The class: something that a target states in its answers about itself, for all hosts, was passed on without being used.

Change: one host counts the requests to each limited target (TargetLimiter), as one does for each team; the others ask it, and use a part of their own while it does not answer. Limited targets are left to programs whose prompts they hold while others have spare slots, and are not compared by pace: the only target without a limit otherwise looked slow and was left out, so that callers were refused. The choice of targets moved from RelayRun to a Placer.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -32,6 +32,7 @@
 from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.path_prober import PathProber
+from magnoliaroad.relay.placer import Placer
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.quarantine_mirror import QuarantineMirror
@@ -42,6 +43,7 @@
 from magnoliaroad.relay.stream_origins import StreamOrigins
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.target_follower import TargetFollower
+from magnoliaroad.relay.target_limiter import TargetLimiter
 from magnoliaroad.relay.target_paths import TargetPaths
 from magnoliaroad.relay.target_sender import TargetSender
 from magnoliaroad.relay.target_table import TargetTable
@@ -156,6 +158,15 @@
         self.prober = PathProber(self.table, TargetPaths(), self.client)
         direct = DirectSender(self.client, self.prober)
         requests = RequestMemory(cfg.memory.request_bytes)
+        program_targets = ProgramTargets(cfg.name, self.peers, self.fleet.budget_hosts)
+        self.target_limiter = TargetLimiter(
+            cfg.name,
+            self.peers,
+            self.table,
+            self.fleet.count_hosts,
+            self.fleet.host_count,
+            self.fleet.contact_fraction,
+        )
         parts = RelayParts(
             cfg=cfg,
             dialect=dialect,
@@ -177,14 +188,19 @@
             turns=TurnLedger(self.records, cfg.turns),
             budgets=self.budgets,
             quarantine=self.quarantine,
-            program_targets=ProgramTargets(
-                cfg.name, self.peers, self.fleet.budget_hosts
+            target_limiter=self.target_limiter,
+            placer=Placer(
+                cfg,
+                self.table,
+                self.target_limiter,
+                program_targets,
+                self.fleet.host_count,
             ),
+            program_targets=program_targets,
             stream_origins=StreamOrigins(
                 self.peers, lambda: self.records.hosts, self.records.live_hosts
             ),
             programs=LruCache(MAX_REMEMBERED_PROGRAMS, lambda _: 1),
-            host_count=self.fleet.host_count,
             targets_current=self.fleet.targets_current,
             notify_peers=self.fleet.send_heartbeat_soon,
         )
@@ -240,6 +256,7 @@
         while not self.should_stop:
             self.follower.sweep()
             self.table.leaving.sweep(time.monotonic(), self.table.targets)
+            self.target_limiter.sweep(time.monotonic())
             if self.follower.grace_pending.is_set():
                 await asyncio.sleep(SWEEP_INTERVAL_S)
             else:
--- a/src/magnoliaroad/relay/dialect.py
+++ b/src/magnoliaroad/relay/dialect.py
@@ -35,6 +35,8 @@
         load: The target's load; ``None`` if it is not stated.
         encoded: Whether the body has a content encoding.
         leaving: Whether the target that answered is about to stop.
+        limit: Requests a second that it takes from all hosts together; ``None`` if it
+            states no limit.
     """
 
     request_id: str
@@ -44,6 +46,7 @@
     load: TargetLoad | None
     encoded: bool
     leaving: bool = False
+    limit: float | None = None
 
 
 class BadCall(ValueError):
--- a/src/magnoliaroad/relay/metrics.py
+++ b/src/magnoliaroad/relay/metrics.py
@@ -34,3 +34,9 @@
 CUT_SERVICES = Gauge(
     "relay_cut_services", "Services whose targets this host cannot reach itself."
 )
+TARGET_ADMISSIONS = Counter(
+    "relay_target_admissions_total", "Decisions on requests to limited targets."
+)
+LIMITED_TARGETS = Gauge(
+    "relay_limited_targets", "Targets that state a limit, as far as this host knows."
+)
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -7,11 +7,13 @@
 from magnoliaroad.records.lru_cache import LruCache
 from magnoliaroad.relay.budget_router import BudgetRouter
 from magnoliaroad.relay.dialect import Dialect
+from magnoliaroad.relay.placer import Placer
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.request_memory import RequestMemory
 from magnoliaroad.relay.settings import RelaySettings
 from magnoliaroad.relay.stream_origins import StreamOrigins
+from magnoliaroad.relay.target_limiter import TargetLimiter
 from magnoliaroad.relay.target_sender import TargetSender
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.team_limiter import TeamLimiter
@@ -24,10 +26,11 @@
     Attributes:
         memory: Bounds the memory of the requests.
         quarantine: Refuses requests that crash targets.
+        target_limiter: Keeps the limits that targets state.
+        placer: Chooses the targets of requests.
         program_targets: The target that serves each program.
         stream_origins: The software that began each stream that may be resumed.
         programs: Programs of which this host has recently admitted requests.
-        host_count: Returns the number of relay hosts.
         targets_current: Returns whether the known targets are those that peers know.
         notify_peers: Sends this host's state to its peers without waiting for the next
             heartbeat.
@@ -39,6 +42,8 @@
     memory: RequestMemory
     limiter: TeamLimiter
     table: TargetTable
+    target_limiter: TargetLimiter
+    placer: Placer
     sender: TargetSender
     turns: TurnLedger
     budgets: BudgetRouter
@@ -46,6 +51,5 @@
     program_targets: ProgramTargets
     stream_origins: StreamOrigins
     programs: LruCache[bool]
-    host_count: Callable[[], int]
     targets_current: Callable[[], bool]
     notify_peers: Callable[[], None]
--- /dev/null
+++ b/src/magnoliaroad/relay/placer.py
@@ -0,0 +1,248 @@
+"""Chooses the targets of requests, within the limits that the targets state."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from magnoliaroad.refusal import Refusal
+from magnoliaroad.relay.metrics import PROGRAM_TURNS
+from magnoliaroad.relay.placement import (
+    SPARE_SLOTS_FRACTION,
+    choose_by_program,
+    choose_by_session,
+    choose_least_loaded,
+)
+from magnoliaroad.relay.program_targets import ProgramTargets
+from magnoliaroad.relay.refusals import (
+    NO_TARGET,
+    NO_TARGET_OF_VERSION,
+    TARGETS_FULL,
+    targets_limited,
+)
+from magnoliaroad.relay.settings import RelaySettings
+from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.relay.target_limit import FIRST_TRY, FURTHER_TRY, PROMPT_HELD
+from magnoliaroad.relay.target_limiter import TargetLimiter
+from magnoliaroad.relay.target_table import TargetTable
+
+# With more hosts than this for each target of a plain service, a host keeps to one
+# target: it has so few requests that connections to all would reach the idle timeout.
+HOSTS_PER_TARGET = 2
+# Most limited targets that are asked, one after the other, to take a request.
+MAX_ASKED = 4
+# Time after which a stated limit is asked for again by a request, in seconds.
+REFRESH_S = 1.0
+
+
+class NoTarget(Exception):
+    """No target takes the request now.
+
+    Attributes:
+        refusal: What to tell the caller if no target can have run the request.
+    """
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.code)
+        self.refusal = refusal
+
+
+class PlacementNeed(NamedTuple):
+    """What a request needs of its target.
+
+    Attributes:
+        service: Service to which the request goes.
+        version: Version of the target's software; ``None`` for any.
+        streams: Whether the answer is a stream of an engine.
+        request_id: Id of the request.
+        program: Its program; empty for none.
+        placed: Target that served the last turn of the program; empty if unknown.
+        session: Key by which streams without a program are placed.
+    """
+
+    service: str
+    version: str | None
+    streams: bool
+    request_id: str
+    program: str
+    placed: str
+    session: str
+
+
+class Placement(NamedTuple):
+    """A chosen target.
+
+    Attributes:
+        target: The target.
+        candidates: Number of targets that were usable.
+    """
+
+    target: RelayTarget
+    candidates: int
+
+
+class Placer:
+    """Chooses a target for each request.
+
+    Args:
+        cfg: Settings of the host.
+        table: The targets and their load.
+        limiter: Keeps the limits that targets state.
+        program_targets: The target that serves each program.
+        host_count: Returns the number of relay hosts.
+    """
+
+    def __init__(
+        self,
+        cfg: RelaySettings,
+        table: TargetTable,
+        limiter: TargetLimiter,
+        program_targets: ProgramTargets,
+        host_count: Callable[[], int],
+    ) -> None:
+        self.cfg = cfg
+        self._table = table
+        self._limiter = limiter
+        self._program_targets = program_targets
+        self._host_count = host_count
+
+    async def place(
+        self, need: PlacementNeed, excluded: set[str], deadline: float
+    ) -> Placement:
+        """Chooses a target to which the request may be sent now.
+
+        Waits for a short time if all targets have used up their limits.
+
+        Args:
+            need: What the request needs.
+            excluded: Names of targets that were already tried.
+            deadline: Monotonic time in seconds at which the request must end.
+
+        Raises:
+            NoTarget: No target takes the request soon enough.
+        """
+        usable = self._find_usable(need, excluded)
+        waits_s: dict[str, float] = {}
+        while left := self._not_refused(usable, waits_s):
+            target = self._choose(need, left)
+            reserved = self._reserved_part(need, target, excluded)
+            decision = await self._limiter.admit(target, reserved)
+            if decision.admitted:
+                return Placement(target, len(usable))
+            waits_s[target.name] = decision.wait_s
+        target = await self._wait_for_limit(need, excluded, waits_s, deadline)
+        return Placement(target, len(usable))
+
+    async def _wait_for_limit(
+        self,
+        need: PlacementNeed,
+        excluded: set[str],
+        waits_s: dict[str, float],
+        deadline: float,
+    ) -> RelayTarget:
+        """Waits for the target whose limit takes the request soonest."""
+        left_s = deadline - time.monotonic()
+        longest_s = max(0.0, min(self.cfg.quota.longest_wait_s, left_s))
+        soonest = min(waits_s, key=waits_s.__getitem__)
+        target = self._table.targets.get(soonest)
+        if target is None:
+            raise NoTarget(TARGETS_FULL)
+        reserved = self._reserved_part(need, target, excluded)
+        decision = await self._limiter.admit(target, reserved, longest_s)
+        if not decision.admitted:
+            raise NoTarget(targets_limited(decision.wait_s))
+        await asyncio.sleep(decision.wait_s)
+        if target not in self._find_usable(need, excluded):
+            raise NoTarget(TARGETS_FULL)
+        return target
+
+    def _find_usable(
+        self, need: PlacementNeed, excluded: set[str]
+    ) -> list[RelayTarget]:
+        usable = self._table.usable(
+            need.service, time.monotonic(), excluded, need.version
+        )
+        if not usable:
+            none_known = NO_TARGET if need.version is None else NO_TARGET_OF_VERSION
+            raise NoTarget(TARGETS_FULL if excluded else none_known)
+        return usable
+
+    def _reserved_part(
+        self, need: PlacementNeed, target: RelayTarget, excluded: set[str]
+    ) -> float:
+        if target.name == need.placed:
+            return PROMPT_HELD
+        return FURTHER_TRY if excluded else FIRST_TRY
+
+    def _not_refused(
+        self, usable: list[RelayTarget], waits_s: dict[str, float]
+    ) -> list[RelayTarget]:
+        """Returns the targets to choose from once some have refused the request."""
+        enough_asked = len(waits_s) >= MAX_ASKED
+        return [
+            target
+            for target in usable
+            if target.name not in waits_s
+            and not (enough_asked and self._table.limits.is_limited(target))
+        ]
+
+    def _choose(self, need: PlacementNeed, left: list[RelayTarget]) -> RelayTarget:
+        usable = self._without_limited(need, left)
+        data_centre = self.cfg.data_centre
+        if need.streams and need.program:
+            return choose_by_program(
+                self._table, usable, need.program, need.placed, data_centre
+            )
+        if need.streams:
+            return choose_by_session(self._table, usable, need.session, data_centre)
+        few_requests = self._host_count() > HOSTS_PER_TARGET * len(usable)
+        return choose_least_loaded(
+            self._table,
+            usable,
+            data_centre,
+            need.request_id,
+            self.cfg.name if few_requests else None,
+        )
+
+    def _without_limited(
+        self, need: PlacementNeed, usable: list[RelayTarget]
+    ) -> list[RelayTarget]:
+        """Leaves out limited targets while others have spare slots.
+
+        What limited targets take goes to the programs whose prompts they hold, and to
+        requests that show whether they still have a limit.
+        """
+        stated = {
+            target.name: limit
+            for target in usable
+            if (limit := self._table.limits.find(target)) and limit.rate is not None
+        }
+        holds_prompt = any(target.name == need.placed for target in usable)
+        outdated = time.monotonic() - REFRESH_S
+        to_ask = [
+            target
+            for target in usable
+            if target.name in stated and stated[target.name].stated_at < outdated
+        ]
+        if to_ask and not holds_prompt:
+            return to_ask
+        if not any(
+            self._table.load(target.name) < SPARE_SLOTS_FRACTION * target.slots
+            for target in usable
+            if target.name not in stated
+        ):
+            return usable
+        return [t for t in usable if t.name not in stated or t.name == need.placed]
+
+    def assign(self, need: PlacementNeed, target: RelayTarget) -> None:
+        """Remembers the target that serves a program from now on."""
+        if not need.streams or not need.program:
+            return
+        PROGRAM_TURNS.inc({"placement": _placement_of(need, target)})
+        self._program_targets.assign(need.program, target.name)
+
+
+def _placement_of(need: PlacementNeed, target: RelayTarget) -> str:
+    if not need.placed:
+        return "new"
+    return "kept" if target.name == need.placed else "moved"
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -181,6 +181,17 @@
     )
 
 
+def targets_limited(retry_after_s: float) -> Refusal:
+    """Returns the refusal for a request beyond what its targets take now."""
+    return Refusal(
+        code="targets_limited",
+        status=503,
+        message="The targets take no more requests now.",
+        action="Send the request again later.",
+        retry_after_s=retry_after_s,
+    )
+
+
 def as_unavailable(refusal: Refusal) -> Refusal:
     """Returns a refusal of the product's own API with the status that the relay uses.
 
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -24,22 +24,16 @@
 )
 from magnoliaroad.relay.metrics import (
     FIRST_BYTE,
-    PROGRAM_TURNS,
     RESUMED_STREAMS,
     SENDS,
 )
 from magnoliaroad.relay.offers import Offers
 from magnoliaroad.relay.open_answer import OpenAnswer
 from magnoliaroad.relay.parts import RelayParts
-from magnoliaroad.relay.placement import (
-    choose_by_program,
-    choose_by_session,
-    choose_least_loaded,
-)
+from magnoliaroad.relay.placer import NoTarget, PlacementNeed
 from magnoliaroad.relay.plan import RelayTeam, pick_service
 from magnoliaroad.relay.refusals import (
     NO_PATH,
-    NO_TARGET,
     NO_TARGET_OF_VERSION,
     NOT_RESUMABLE,
     NOT_SENT_IN_TIME,
@@ -82,9 +76,6 @@
 # Events of an engine's stream beyond one for each announced output token, such as those
 # that report usage or the end.
 SPARE_EVENTS = 16
-# With more hosts than this for each target of a plain service, a host keeps to one
-# target: it has so few requests that connections to all would reach the idle timeout.
-HOSTS_PER_TARGET = 2
 
 
 class RelayRun:
@@ -327,7 +318,7 @@
         offers, sender = Offers(), self.parts.sender
         for _ in range(MAX_OFFERS):
             self._refuse_quarantined()
-            target = self._choose_target(offers.excluded)
+            target = await self._place(offers.excluded)
             self._record_start(target)
             response, end = None, None
             was_cut = sender.is_cut(target.service)
@@ -386,53 +377,40 @@
     def _may_retry(self, verdict: Verdict) -> bool:
         return verdict.may_retry or self.route.repeatable
 
-    def _choose_target(self, excluded: set[str]) -> RelayTarget:
-        table, now = self.parts.table, time.monotonic()
-        version = None if self._origin is None else self._origin.version
-        usable = table.usable(self._service, now, excluded, version)
-        if not usable:
-            none_known = NO_TARGET if version is None else NO_TARGET_OF_VERSION
-            raise self._refusal_error(TARGETS_FULL if excluded else none_known)
-        data_centre = self.parts.cfg.data_centre
-        if self.streams:
-            target = self._choose_stream_target(usable)
-        else:
-            few_requests = self.parts.host_count() > HOSTS_PER_TARGET * len(usable)
-            affinity_host = self.parts.cfg.name if few_requests else None
-            target = choose_least_loaded(
-                table, usable, data_centre, self.call.request_id, affinity_host
-            )
+    async def _place(self, excluded: set[str]) -> RelayTarget:
+        call, placer = self.call, self.parts.placer
+        need = PlacementNeed(
+            service=self._service,
+            version=None if self._origin is None else self._origin.version,
+            streams=self.streams,
+            request_id=call.request_id,
+            program=call.program,
+            placed=self._placed,
+            session=self._affinity_key,
+        )
+        try:
+            target, candidates = await placer.place(need, excluded, self.deadline)
+        except NoTarget as exc:
+            raise self._refusal_error(exc.refusal) from None
+        # It may have been quarantined while it waited for the limit of a target.
+        self._refuse_quarantined()
+        placer.assign(need, target)
         logger.bind(
-            request=self.call.request_id,
+            request=call.request_id,
             target=target.name,
             service=self._service,
-            load=table.load(target.name),
-            candidates=len(usable),
+            load=self.parts.table.load(target.name),
+            candidates=candidates,
             excluded=len(excluded),
-            program=self.call.program,
+            program=call.program,
             placed=self._placed,
             version=target.version,
-            resumed=self.call.resumed_stream,
-            parts=self.call.prompt_parts,
+            resumed=call.resumed_stream,
+            parts=call.prompt_parts,
             fingerprint=self.fingerprint,
         ).info("placed")
         return target
 
-    def _choose_stream_target(self, usable: list[RelayTarget]) -> RelayTarget:
-        table, data_centre = self.parts.table, self.parts.cfg.data_centre
-        program = self.call.program
-        if not program:
-            return choose_by_session(table, usable, self._affinity_key, data_centre)
-        target = choose_by_program(table, usable, program, self._placed, data_centre)
-        PROGRAM_TURNS.inc({"placement": self._placement_of(target)})
-        self.parts.program_targets.assign(program, target.name)
-        return target
-
-    def _placement_of(self, target: RelayTarget) -> str:
-        if not self._placed:
-            return "new"
-        return "kept" if target.name == self._placed else "moved"
-
     async def _send(self, target: RelayTarget, attempts: int) -> OpenAnswer:
         remaining_s = self.deadline - time.monotonic() - self.parts.cfg.targets.margin_s
         if remaining_s < MIN_SEND_TIME_S:
@@ -446,7 +424,7 @@
             headers=dialect.target_headers(call, target, team, remaining_s),
             body=body,
         )
-        sent_before, response = self.sent, None
+        sent_before, sent_at, response = self.sent, time.monotonic(), None
         try:
             response = await self.parts.sender.open(
                 target,
@@ -455,7 +433,7 @@
                 self._first_byte_timeout_s(remaining_s, attempts),
                 self._mark_sent,
             )
-            return await self._check_answer(target, response)
+            return await self._check_answer(target, response, sent_at)
         except BaseException as exc:
             if isinstance(exc, TargetError) and exc.verdict is Verdict.NOT_RUN:
                 self.sent = sent_before
@@ -467,13 +445,13 @@
         self.sent = True
 
     async def _check_answer(
-        self, target: RelayTarget, response: TargetAnswer
+        self, target: RelayTarget, response: TargetAnswer, sent_at: float
     ) -> OpenAnswer:
         head = self.parts.dialect.read_answer(response.headers)
         opened = OpenAnswer(target, response, head)
         opened.check_owner(self.call.request_id)
-        if head.leaving and head.request_id:
-            self._mark_leaving(target, head)
+        if head.request_id:
+            self._record_statements(target, head, sent_at)
         opened.check_accepted()
         if self.streams and opened.succeeded:
             return opened
@@ -482,15 +460,21 @@
             self.parts.table.record_success(target.name)
         return opened
 
-    def _mark_leaving(self, target: RelayTarget, head: AnswerHead) -> None:
-        """Marks the target that answered as leaving; it may not be the one asked."""
-        table = self.parts.table
+    def _record_statements(
+        self, target: RelayTarget, head: AnswerHead, sent_at: float
+    ) -> None:
+        """Records what the target that answered states; it may not be the one asked."""
         if head.instance and head.instance != target.name:
-            known = table.targets.get(head.instance)
+            known = self.parts.table.targets.get(head.instance)
             if known is None:
                 return
             target = known
-        if table.leaving.mark(target, time.monotonic()):
+        self.parts.target_limiter.record_answer(target, head.limit, sent_at)
+        if head.leaving:
+            self._mark_leaving(target)
+
+    def _mark_leaving(self, target: RelayTarget) -> None:
+        if self.parts.table.leaving.mark(target, time.monotonic()):
             logger.bind(
                 request=self.call.request_id,
                 target=target.name,
--- /dev/null
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -0,0 +1,238 @@
+"""Keeps the rates that targets state, over all hosts."""
+
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from magnoliaroad.peers import PeerError, Peers
+from magnoliaroad.relay.metrics import LIMITED_TARGETS, TARGET_ADMISSIONS
+from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.relay.target_limit import (
+    MIN_RATE,
+    BucketDecision,
+    TargetBucket,
+    TargetStart,
+    start_of,
+)
+from magnoliaroad.relay.target_limit_messages import (
+    NO_LIMIT,
+    TargetAdmissionReply,
+    TargetAdmissionRequest,
+    TargetLimitNotice,
+)
+from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.rendezvous import highest_ranked
+
+# Timeout of a call to a target's home host, in seconds; as for teams.
+ASK_S = 0.15
+# Longest time for which a host remembers that a target takes no more requests without
+# asking again, in seconds.
+MAX_REMEMBERED_S = 0.25
+
+ADMITTED = BucketDecision(True, 0.0)
+
+
+class TargetLimiter:
+    """Admits requests to limited targets at one host for each target.
+
+    A target states its limit in its answers, for all hosts together. A host that has
+    passed such an answer on asks the target's home host, the first choice of rendezvous
+    hashing, before it sends a request there. While the home host does not answer, it
+    uses the part of the limit that one of all hosts has. The home host scales the limit
+    down to the fraction of hosts in contact, so that both together keep it.
+
+    A limit ends with the first answer without one to a request that was sent after it
+    was last stated.
+
+    Args:
+        name: Name of this host.
+        peers: Connections between hosts.
+        table: The known targets.
+        hosts: Returns the hosts in contact that may be home hosts, possibly this one.
+        host_count: Returns the number of known hosts, this one included.
+        contact_fraction: Returns the fraction of them that is in contact.
+        now: Clock in seconds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        peers: Peers,
+        table: TargetTable,
+        hosts: Callable[[], list[str]],
+        host_count: Callable[[], int],
+        contact_fraction: Callable[[], float],
+        now: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.limits = table.limits
+        self._name = name
+        self._peers = peers
+        self._table = table
+        self._hosts = hosts
+        self._host_count = host_count
+        self._contact_fraction = contact_fraction
+        self._now = now
+        self._buckets: dict[TargetStart, TargetBucket] = {}
+        self._own_parts: dict[TargetStart, TargetBucket] = {}
+        self._refused_until: dict[tuple[TargetStart, float], float] = {}
+        peers.on(TargetAdmissionRequest, self._on_request, TargetAdmissionReply)
+        peers.on(TargetLimitNotice, self._on_notice)
+
+    def record_answer(
+        self, target: RelayTarget, rate: float | None, sent_at: float
+    ) -> None:
+        """Records the limit in an answer of a target.
+
+        Args:
+            target: The target.
+            rate: Requests a second; ``None`` if the answer states no limit.
+            sent_at: Time in seconds at which the request was sent.
+        """
+        now = self._now()
+        stated_at = sent_at if rate is None else now
+        before = self.limits.find(target)
+        if not self._record(target, rate, stated_at, "target"):
+            return
+        home = self._home_of(target)
+        # The other hosts learn of a new limit by answers of their own, and of its end
+        # from the home host.
+        if home not in (None, self._name) and before is not None:
+            stated = NO_LIMIT if rate is None else rate
+            notice = TargetLimitNotice(*start_of(target), stated, now - stated_at)
+            self._peers.send(home, notice)
+
+    async def admit(
+        self, target: RelayTarget, reserved_part: float, longest_wait_s: float = 0.0
+    ) -> BucketDecision:
+        """Decides whether a request may be sent to a target, and counts it if so.
+
+        Args:
+            target: The target.
+            reserved_part: Part of the target's bucket that the request leaves to
+                others.
+            longest_wait_s: Longest time that the request may wait, in seconds.
+        """
+        if not self.limits.is_limited(target):
+            return ADMITTED
+        now = self._now()
+        remembered = (start_of(target), reserved_part)
+        refused_s = self._refused_until.get(remembered, 0.0) - now
+        if refused_s > longest_wait_s:
+            return BucketDecision(False, refused_s)
+        decision = await self._decide(target, reserved_part, longest_wait_s)
+        if decision.admitted:
+            self._refused_until.pop(remembered, None)
+        elif self.limits.is_limited(target):
+            remembered_s = min(decision.wait_s, MAX_REMEMBERED_S)
+            self._refused_until[remembered] = now + remembered_s
+        outcome = "admitted" if decision.admitted else "refused"
+        TARGET_ADMISSIONS.inc({"outcome": outcome})
+        return decision
+
+    def sweep(self, now: float) -> None:
+        """Drops what is known of targets that are gone."""
+        names = self._table.targets
+        self.limits.sweep(now, names)
+        for buckets in (self._buckets, self._own_parts):
+            for start in [start for start in buckets if start.name not in names]:
+                del buckets[start]
+        self._refused_until = {
+            key: until for key, until in self._refused_until.items() if until > now
+        }
+        LIMITED_TARGETS.set({}, sum(map(self.limits.is_limited, names.values())))
+
+    async def _decide(
+        self, target: RelayTarget, reserved_part: float, longest_wait_s: float
+    ) -> BucketDecision:
+        home = self._home_of(target)
+        if home in (None, self._name):
+            return self._admit_for_all(target, reserved_part, longest_wait_s)
+        stated = self.limits.find(target)
+        req = TargetAdmissionRequest(
+            *start_of(target),
+            rate=stated.rate,
+            age_s=self._now() - stated.stated_at,
+            reserved_part=reserved_part,
+            longest_wait_s=longest_wait_s,
+        )
+        try:
+            reply = await self._peers.call_with_deadline(home, req, ASK_S)
+        except PeerError as exc:
+            logger.bind(host=home, target=target.name, reason=repr(exc)).info(
+                "target's host not reached"
+            )
+            return self._admit_own_part(target, reserved_part, longest_wait_s)
+        if not reply.known:
+            return self._admit_own_part(target, reserved_part, longest_wait_s)
+        rate = None if reply.rate == NO_LIMIT else reply.rate
+        self._record(target, rate, self._now() - reply.age_s, home)
+        return BucketDecision(reply.admitted, reply.wait_s)
+
+    def _admit_for_all(
+        self, target: RelayTarget, reserved_part: float, longest_wait_s: float
+    ) -> BucketDecision:
+        """Decides as the home host of a target."""
+        stated = self.limits.find(target)
+        if stated is None or stated.rate is None:
+            return ADMITTED
+        now = self._now()
+        bucket = self._buckets.setdefault(start_of(target), TargetBucket(now))
+        rate = max(MIN_RATE, stated.rate) * self._contact_fraction()
+        return bucket.take(now, rate, reserved_part, longest_wait_s)
+
+    def _admit_own_part(
+        self, target: RelayTarget, reserved_part: float, longest_wait_s: float
+    ) -> BucketDecision:
+        """Decides while the home host of a target cannot be asked."""
+        stated = self.limits.find(target)
+        if stated is None or stated.rate is None:
+            return ADMITTED
+        now = self._now()
+        bucket = self._own_parts.setdefault(start_of(target), TargetBucket(now))
+        rate = max(MIN_RATE, stated.rate) / max(1, self._host_count())
+        return bucket.take(now, rate, reserved_part, longest_wait_s)
+
+    def _record(
+        self, target: RelayTarget, rate: float | None, at: float, source: str
+    ) -> bool:
+        changed = self.limits.record(target, rate, at)
+        if changed:
+            logger.bind(
+                target=target.name,
+                started_ms=target.started_ms,
+                rate=rate,
+                source=source,
+                age_s=round(self._now() - at, 3),
+            ).info("target's limit changed")
+        return changed
+
+    def _home_of(self, target: RelayTarget) -> str | None:
+        return highest_ranked(f"target {target.name}", self._hosts())
+
+    def _find_start(self, name: str, started_ms: int) -> RelayTarget | None:
+        target = self._table.targets.get(name)
+        if target is None or target.started_ms != started_ms:
+            return None
+        return target
+
+    async def _on_request(
+        self, sender: str, req: TargetAdmissionRequest
+    ) -> TargetAdmissionReply:
+        target = self._find_start(req.target, req.started_ms)
+        if target is None:
+            return TargetAdmissionReply(False, False, 0.0, NO_LIMIT, 0.0)
+        now = self._now()
+        self._record(target, req.rate, now - req.age_s, sender)
+        decision = self._admit_for_all(target, req.reserved_part, req.longest_wait_s)
+        stated = self.limits.find(target)
+        rate = NO_LIMIT if stated.rate is None else stated.rate
+        return TargetAdmissionReply(
+            True, decision.admitted, decision.wait_s, rate, now - stated.stated_at
+        )
+
+    async def _on_notice(self, sender: str, notice: TargetLimitNotice) -> None:
+        target = self._find_start(notice.target, notice.started_ms)
+        if target is not None:
+            rate = None if notice.rate == NO_LIMIT else notice.rate
+            self._record(target, rate, self._now() - notice.age_s, sender)
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -6,6 +6,7 @@
 
 from magnoliaroad.relay.leaving import LeavingTargets
 from magnoliaroad.relay.target import RelayTarget, TargetState
+from magnoliaroad.relay.target_limit import TargetLimits
 
 # A target is slow if its mean gap between events exceeds the median target's by this
 # factor. A full batch makes a step only about 1.5 times as long.
@@ -44,12 +45,14 @@
         targets: The targets that the store lists, by name.
         in_flight: Requests of this host in flight, by target.
         leaving: Targets that have announced that they leave.
+        limits: Limits that targets have stated.
         silent_data_centres: Data centres out of contact. The load of their targets is
             not known, and calls to them are likely to fail.
     """
 
     def __init__(self) -> None:
         self.leaving = LeavingTargets()
+        self.limits = TargetLimits()
         self.silent_data_centres: Collection[str] = frozenset()
         self.targets: dict[str, RelayTarget] = {}
         self.in_flight: dict[str, int] = {}
@@ -120,12 +123,15 @@
         """Returns ``targets`` without those that are much slower than the median.
 
         Guards against an engine that becomes slow while its status and its queue look
-        healthy: requests that stay there miss their time limits.
+        healthy: requests that stay there miss their time limits. Limited targets have
+        few requests, which makes those that take the others' look slow; they are not
+        compared.
         """
         gaps_s = {
             target.name: gap.mean_s
             for target in targets
-            if (gap := self._event_gaps.get(target.name)) is not None
+            if not self.limits.is_limited(target)
+            and (gap := self._event_gaps.get(target.name)) is not None
             and now - gap.at <= GAP_LIFETIME_S
         }
         if len(gaps_s) < 2:
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -66,6 +66,7 @@
         abandoned: Requests whose connection was closed before their answer.
         broke_off: Ids of the requests that it did not answer soundly.
         leaving: Value of the leaving header on all its answers; ``None`` for no header.
+        limit: Value of the limit header on all its answers; ``None`` for no header.
         poison: Body of requests that crash the target; ``None`` for none.
         down_s: Time from a crash to the restart, in seconds.
         crashed_at: Times of the crashes, by the event loop's clock.
@@ -87,7 +88,7 @@
         self.in_flight = 0
         self.abandoned = 0
         self.broke_off = set()
-        self.leaving = None
+        self.leaving = self.limit = None
         self.poison = None
         self.down_s = 0.5
         self.crashed_at = []
@@ -245,7 +246,7 @@
                 "HTTP/1.1 200 OK",
                 f"Magnoliaroad-Request-Id: {request_id}",
                 signature,
-                *self._leaving_header(),
+                *self._stated_headers(),
             ]
             return await write_answer(act, writer, "\r\n".join([*lines, ""]), body)
         if act == "cut":
@@ -253,7 +254,7 @@
                 "HTTP/1.1 200 OK",
                 "Content-Length: 50",
                 signature,
-                *self._leaving_header(),
+                *self._stated_headers(),
             ]
             head = "\r\n".join([*lines, ""])
             writer.write(
@@ -290,7 +291,7 @@
             *(["Transfer-Encoding: chunked"] if chunked else []),
             f"Magnoliaroad-Request-Id: {request_id}",
             f"Magnoliaroad-Response-Seal: {SIGNATURE}",
-            *self._leaving_header(),
+            *self._stated_headers(),
         ]
         if act == "refusal_first":
             writer.write(REFUSAL)
@@ -325,15 +326,18 @@
             writer.write(b"0\r\n\r\n")
         return chunked
 
-    def _leaving_header(self):
-        return [] if self.leaving is None else [f"server-leaving: {self.leaving}"]
+    def _stated_headers(self):
+        stated = {"server-leaving": self.leaving, "server-limit": self.limit}
+        return [
+            f"{name}: {value}" for name, value in stated.items() if value is not None
+        ]
 
     def _write_answer(self, writer, status, request_id, body, extra):
         lines = [
             f"HTTP/1.1 {status} X",
             f"Content-Length: {len(body)}",
             f"Magnoliaroad-Request-Id: {request_id}",
-            *self._leaving_header(),
+            *self._stated_headers(),
         ]
         if extra:
             lines.append(extra)
