Read configurations from the store in large data centres (CONFIG)

Cause: one host of each data centre watches the store, and the others all ask the first host they hear of that has the change. The time grows with the hosts of a data centre, and each change of a series takes it again. The class: a limit for one message (60 KB) where the sum over all hosts counts.

Change: the size times the hosts of the data centre decides; beyond 1 MB, half a second of the slowest link, hosts read the configuration from the store, as they already did for large ones, and from the peer if that fails.

test_state_sync.py on the code before: 1 of 4 failed (the peer was asked).

--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -141,7 +141,15 @@
         self._counters: list[str] = []
         self._counters_state: object = None
         self._listed = False
-        self._state_sync = StateSync(store, peers, plans, follower, contact, quarantine)
+        self._state_sync = StateSync(
+            store,
+            peers,
+            plans,
+            follower,
+            contact,
+            quarantine,
+            self._tracker.count_near_hosts,
+        )
         peers.on(Heartbeat, self._on_heartbeat)
         peers.on(Digest, self._on_digest)
         peers.on(RecordHostHeartbeat, self._on_record_host)
--- a/src/magnoliaroad/relay/heartbeat_tracker.py
+++ b/src/magnoliaroad/relay/heartbeat_tracker.py
@@ -100,7 +100,7 @@
         for host, address in members.items():
             hosts = self._hosts_by_data_centre.setdefault(address.data_centre, [])
             hosts.append(host)
-        near = len(self._hosts_by_data_centre.get(self.cfg.data_centre, ()))
+        near = self.count_near_hosts()
         far = len(members) - near
         self.uses_forwarders = len(members) + 1 > MAX_DIRECT_HOSTS
         if self.uses_forwarders:
@@ -289,6 +289,10 @@
             return False
         return now - self._silent_since.get(host, now) >= HOST_LOST_S
 
+    def count_near_hosts(self) -> int:
+        """Returns the number of other hosts in this data centre."""
+        return len(self._hosts_by_data_centre.get(self.cfg.data_centre, ()))
+
     def is_near(self, peer: Heartbeat | PeerAddress) -> bool:
         """Whether a peer is in this host's data centre."""
         return peer.data_centre == self.cfg.data_centre
--- a/src/magnoliaroad/relay/state_sync.py
+++ b/src/magnoliaroad/relay/state_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from loguru import logger
 
@@ -24,10 +25,10 @@
 STORE_PROPAGATION_S = 0.2
 # Longest wait for a peer's answer.
 ANSWER_TIMEOUT_S = 0.3
-# Largest configuration that is fetched from a peer while the store is reachable. Larger
-# ones are read from the store: all hosts would ask the same peer at the same time, and
-# its link carries 4 MB a second.
-MAX_PLAN_REPLY_BYTES = 60_000
+# Most bytes of a configuration that one host sends to its data centre while the store
+# is reachable: the hosts all ask the one that watches the store, and the slowest links
+# carry 2 MB a second. Hosts of larger data centres read it from the store.
+MAX_PLAN_SPREAD_BYTES = 1_000_000
 
 
 class StateSync:
@@ -40,6 +41,7 @@
         follower: Targets that are known.
         contact: Whether the store can be reached.
         quarantine: Requests that crash targets.
+        near_hosts: Returns the number of other hosts in this data centre.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         follower: TargetFollower,
         contact: StoreContact,
         quarantine: QuarantineService,
+        near_hosts: Callable[[], int],
     ) -> None:
         self._store = store
         self._peers = peers
@@ -57,6 +60,7 @@
         self._follower = follower
         self._contact = contact
         self._quarantine = quarantine
+        self._near_hosts = near_hosts
         self._fetching: asyncio.Task[None] | None = None
         peers.on(PlanRequest, self._on_plan_request, PlanReply)
         peers.on(TargetsRequest, self._on_targets_request, TargetsReply)
@@ -114,7 +118,8 @@
             logger.bind(host=heartbeat.host).opt(exception=exc).error("not caught up")
 
     async def _fetch_plan(self, heartbeat: Heartbeat) -> None:
-        if heartbeat.plan_bytes > MAX_PLAN_REPLY_BYTES and not self._contact.lost:
+        spread_bytes = heartbeat.plan_bytes * self._near_hosts()
+        if spread_bytes > MAX_PLAN_SPREAD_BYTES and not self._contact.lost:
             try:
                 entry = await self._store.get(heartbeat.plan_key)
             except StoreError as exc:
