Answer simple requests of peers without a task (SHORT)

A message that another host asks was handled by a task of its own, also where the answer is at hand: what a team may send, the target of a program, idle tokens. Plain functions now answer requests as they already took one-way messages, and a call waits for its reply without a second future.

--- a/src/magnoliaroad/peers/connection.py
+++ b/src/magnoliaroad/peers/connection.py
@@ -70,7 +70,8 @@
         self._pending[number] = fut
         try:
             self._write(Frame(FrameKind.REQUEST, number, tag, fields))
-            return await asyncio.wait_for(fut, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await fut
         except TimeoutError as exc:
             # Without heartbeats an idle connection may have broken unnoticed.
             if self._last_received_at < started_at - self.cfg.silence_timeout_s:
--- a/src/magnoliaroad/peers/interface.py
+++ b/src/magnoliaroad/peers/interface.py
@@ -22,8 +22,8 @@
         Args:
             kind: ``NamedTuple`` type of the message.
             handler: Coroutine function that returns the reply, or ``None`` for
-                one-way messages. Or a plain function for one-way messages, which is
-                called in the order of their arrival.
+                one-way messages. Or a plain function that does the same, which is
+                called at once, in the order of the messages' arrival.
             reply: ``NamedTuple`` type of the reply.
         """
 
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -239,7 +239,7 @@
             conn.sender = frame.tag
             conn.write(frame._replace(fields=()))
             return
-        if frame.kind == FrameKind.SEND and self._call_plain(conn.sender, frame):
+        if self._call_plain(conn, frame):
             return
         try:
             message = self._catalogue.unpack(frame.tag, frame.fields)
@@ -255,35 +255,40 @@
             asked = Frame(frame.kind, frame.number, frame.tag)
             self._spawn(self._call_handler(conn, asked, handler, message))
 
-    def _call_plain(self, sender: str, frame: Frame) -> bool:
-        """Calls the plain function for a one-way message; returns whether there is one.
+    def _call_plain(self, conn: InboundConnection, frame: Frame) -> bool:
+        """Calls the plain function for a message; returns whether there is one.
 
-        Plain functions are called at once, so that they see messages in order.
+        Plain functions are called at once, without a task, and see messages in order.
         """
         handler = self._sync_handlers.get(frame.tag)
         if handler is None:
             return False
         began = time.thread_time()
         try:
-            handler(sender, self._catalogue.unpack(frame.tag, frame.fields))
+            message = self._catalogue.unpack(frame.tag, frame.fields)
+            reply = handler(conn.sender, message)
+            if frame.kind == FrameKind.REQUEST:
+                self._reply(conn, frame, self._pack_reply(frame, reply))
         except UnknownMessage as exc:
-            logger.bind(host=sender, message=frame.tag, reason=str(exc)).warning(
+            logger.bind(host=conn.sender, message=frame.tag, reason=str(exc)).warning(
                 "message could not be decoded"
             )
+            self._reply(conn, frame, _error(frame, str(exc)))
         except Exception as exc:
-            logger.bind(host=sender, message=frame.tag).opt(exception=exc).error(
-                "message handler failed"
-            )
+            self._handler_failed(conn, frame, exc)
         PROCESSOR_SECONDS.charge(_activity(frame.tag), began)
         return True
 
+    def _pack_reply(self, frame: Frame, reply: Any) -> Frame:
+        packed = ("", ()) if reply is None else self._catalogue.pack(reply)
+        return Frame(FrameKind.REPLY, frame.number, *packed)
+
     async def _call_handler(
         self, conn: InboundConnection, frame: Frame, handler: Handler, message: Any
     ) -> None:
         try:
             reply = await measured(_activity(frame.tag), handler(conn.sender, message))
-            packed = ("", ()) if reply is None else self._catalogue.pack(reply)
-            self._reply(conn, frame, Frame(FrameKind.REPLY, frame.number, *packed))
+            self._reply(conn, frame, self._pack_reply(frame, reply))
         except Exception as exc:
             self._handler_failed(conn, frame, exc)
         finally:
--- a/src/magnoliaroad/relay/budget_router.py
+++ b/src/magnoliaroad/relay/budget_router.py
@@ -132,9 +132,7 @@
             return False
         return reply.known
 
-    async def _on_lookup(
-        self, sender: str, req: ProgramKnownRequest
-    ) -> ProgramKnownReply:
+    def _on_lookup(self, sender: str, req: ProgramKnownRequest) -> ProgramKnownReply:
         return ProgramKnownReply(self._ledger.has_program(req.program))
 
     async def _reserve_at(
@@ -163,10 +161,10 @@
         self._granted[sender, req.number] = _LocalReservation(share, req.tokens)
         return BudgetReservationReply(ReservationOutcome.GRANTED)
 
-    async def _on_settle(self, sender: str, req: BudgetReservationEnd) -> None:
+    def _on_settle(self, sender: str, req: BudgetReservationEnd) -> None:
         reservation = self._granted.pop((sender, req.number), None)
         if reservation is not None:
             reservation.settle(req.used)
 
-    async def _on_lend(self, sender: str, req: BudgetLoanRequest) -> BudgetLoanReply:
+    def _on_lend(self, sender: str, req: BudgetLoanRequest) -> BudgetLoanReply:
         return self._ledger.lend(req.program)
--- a/src/magnoliaroad/relay/program_targets.py
+++ b/src/magnoliaroad/relay/program_targets.py
@@ -66,10 +66,8 @@
         if home is not None and home != self._name:
             self._peers.send(home, ProgramTargetReport(program, target))
 
-    async def _on_request(
-        self, sender: str, req: ProgramTargetRequest
-    ) -> ProgramTargetReply:
+    def _on_request(self, sender: str, req: ProgramTargetRequest) -> ProgramTargetReply:
         return ProgramTargetReply(self._targets.get(req.program) or "")
 
-    async def _on_report(self, sender: str, report: ProgramTargetReport) -> None:
+    def _on_report(self, sender: str, report: ProgramTargetReport) -> None:
         self._targets.add(report.program, report.target)
--- a/src/magnoliaroad/relay/stream_origin_service.py
+++ b/src/magnoliaroad/relay/stream_origin_service.py
@@ -26,15 +26,13 @@
         peers.on(StreamsBegun, self._on_begun)
         peers.on(StreamOriginRequest, self._on_request, StreamOriginReply)
 
-    async def _on_begun(self, sender: str, begun: StreamsBegun) -> None:
+    def _on_begun(self, sender: str, begun: StreamsBegun) -> None:
         for stream, service, version in begun.streams:
             # Few names are shared by all streams.
             origin = StreamOrigin(sys.intern(service), sys.intern(version))
             self._origins.add(stream, origin)
 
-    async def _on_request(
-        self, sender: str, req: StreamOriginRequest
-    ) -> StreamOriginReply:
+    def _on_request(self, sender: str, req: StreamOriginRequest) -> StreamOriginReply:
         origin = self._origins.get(req.stream)
         logger.bind(stream=req.stream, host=sender, origin=origin).info(
             "stream looked up"
--- a/src/magnoliaroad/relay/target_limiter.py
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -216,7 +216,7 @@
             return None
         return target
 
-    async def _on_request(
+    def _on_request(
         self, sender: str, req: TargetAdmissionRequest
     ) -> TargetAdmissionReply:
         target = self._find_start(req.target, req.started_ms)
@@ -231,7 +231,7 @@
             True, decision.admitted, decision.wait_s, rate, now - stated.stated_at
         )
 
-    async def _on_notice(self, sender: str, notice: TargetLimitNotice) -> None:
+    def _on_notice(self, sender: str, notice: TargetLimitNotice) -> None:
         target = self._find_start(notice.target, notice.started_ms)
         if target is not None:
             rate = None if notice.rate == NO_LIMIT else notice.rate
--- a/src/magnoliaroad/relay/team_limiter.py
+++ b/src/magnoliaroad/relay/team_limiter.py
@@ -119,14 +119,14 @@
         bucket_state = self._quota.bucket_state(team.name) if wait_s else {}
         return AdmissionDecision(wait_s, self._name, bucket_state)
 
-    async def _on_admit(self, sender: str, req: AdmissionRequest) -> AdmissionReply:
+    def _on_admit(self, sender: str, req: AdmissionRequest) -> AdmissionReply:
         team = self._plans.find_team(req.team)
         if team is None:
             return AdmissionReply(False, 0.0, {})
         decision = self._admit_here(team, req.new_program)
         return AdmissionReply(True, decision.wait_s, decision.bucket_state)
 
-    async def _on_refund(self, sender: str, req: AdmissionRefund) -> None:
+    def _on_refund(self, sender: str, req: AdmissionRefund) -> None:
         team = self._plans.find_team(req.team)
         if team is not None:
             self._quota.refund(team)
