--- a/src/magnoliaroad/relay/state_sync.py
+++ b/src/magnoliaroad/relay/state_sync.py
@@ -25,9 +25,11 @@
 STORE_PROPAGATION_S = 0.2
 # Longest wait for a peer's answer.
 ANSWER_TIMEOUT_S = 0.3
-# Most bytes of a configuration that one host sends to its data centre while the store
-# is reachable: the hosts all ask the one that watches the store, and the slowest links
-# carry 2 MB a second. Hosts of larger data centres read it from the store.
+# Largest configuration that is fetched from a peer while the store is reachable, and
+# most bytes that one host sends of it to its data centre: the hosts all ask the one
+# that watches the store, and the slowest links carry 2 MB a second. What is larger is
+# read from the store.
+MAX_PLAN_REPLY_BYTES = 60_000
 MAX_PLAN_SPREAD_BYTES = 1_000_000
 
 
@@ -118,8 +120,7 @@
             logger.bind(host=heartbeat.host).opt(exception=exc).error("not caught up")
 
     async def _fetch_plan(self, heartbeat: Heartbeat) -> None:
-        spread_bytes = heartbeat.plan_bytes * self._near_hosts()
-        if spread_bytes > MAX_PLAN_SPREAD_BYTES and not self._contact.lost:
+        if self._is_too_large(heartbeat.plan_bytes) and not self._contact.lost:
             try:
                 entry = await self._store.get(heartbeat.plan_key)
             except StoreError as exc:
@@ -136,6 +137,11 @@
         if reply.key:
             self._plans.offer(reply.key, reply.value, heartbeat.host)
 
+    def _is_too_large(self, plan_bytes: int) -> bool:
+        """Whether a configuration is too large to be sent to all by one host."""
+        spread_bytes = plan_bytes * self._near_hosts()
+        return plan_bytes > MAX_PLAN_REPLY_BYTES or spread_bytes > MAX_PLAN_SPREAD_BYTES
+
     async def _on_targets_request(
         self, sender: str, req: TargetsRequest
     ) -> TargetsReply:
--- a/tests/relay/test_state_sync.py
+++ b/tests/relay/test_state_sync.py
@@ -84,6 +84,12 @@
     assert host.plans.origins == ["host-2"]
 
 
+async def test_a_large_configuration_is_read_from_the_store_in_any_fleet(store):
+    host = Host(1, store)
+    await host.hear(61_000)
+    assert (host.plans.version, host.asked) == (7, 0)
+
+
 async def test_without_the_store_a_large_data_centre_asks_its_hosts_too(store):
     host = Host(33, store, store_lost=True)
     await host.hear(46_000)
