--- a/src/magnoliaroad/peers/connection.py
+++ b/src/magnoliaroad/peers/connection.py
@@ -51,6 +51,7 @@
         except (OSError, TimeoutError) as exc:
             self.closed = True
             raise PeerError(f"{address}:{port}: {exc!r}", Verdict.NOT_RUN) from exc
+        self._writer.transport.max_size = READ_BYTES
         self._last_received_at = time.monotonic()
         self._write(Frame(FrameKind.HEARTBEAT, 0, self._sender))
         self._tasks = [
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -191,6 +191,7 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        writer.transport.max_size = READ_BYTES
         conn = InboundConnection(writer)
         frames = FrameReader(self._frame_memory, conn.close)
         self._inbound.add(conn)
