Read a configuration that a peer does not send in time (CONFIG)

Cause: hosts of a data centre ask one of those that have the change, mostly its two forwarders, and wait 0.3 s. 34 replies of 23 KB take 0.42 s on a link of 1.9 MB/s alone. What came later was dropped and asked for again, from the same host: front-bengal-a-34 eight times in 3 s, 104 times over all. The class: a retry that adds to the load that made it necessary.

Change: a host whose peer does not answer in time reads the configuration from the store, and one host sends at most as much as its link carries in that time: 500 KB over all hosts of its data centre.

test_state_sync.py on the code before: 3 of 8 failed (the bound, and the configuration that is not read, each of two ways).

--- a/src/magnoliaroad/relay/state_sync.py
+++ b/src/magnoliaroad/relay/state_sync.py
@@ -27,10 +27,11 @@
 ANSWER_TIMEOUT_S = 0.3
 # Largest configuration that is fetched from a peer while the store is reachable, and
 # most bytes that one host sends of it to its data centre: the hosts all ask the one
-# that watches the store, and the slowest links carry 2 MB a second. What is larger is
-# read from the store.
+# that watches the store, and the slowest links carry 2 MB a second. Replies that take
+# longer than ``ANSWER_TIMEOUT_S`` would be dropped and asked for again. What is larger
+# is read from the store.
 MAX_PLAN_REPLY_BYTES = 60_000
-MAX_PLAN_SPREAD_BYTES = 1_000_000
+MAX_PLAN_SPREAD_BYTES = 500_000
 
 
 class StateSync:
@@ -121,22 +122,33 @@
 
     async def _fetch_plan(self, heartbeat: Heartbeat) -> None:
         if self._is_too_large(heartbeat.plan_bytes) and not self._contact.lost:
-            try:
-                entry = await self._store.get(heartbeat.plan_key)
-            except StoreError as exc:
-                logger.bind(key=heartbeat.plan_key, reason=str(exc)).info(
-                    "cannot read configuration"
-                )
-                entry = None
-            if entry is not None:
-                self._plans.offer(entry.key, entry.value, f"store, by {heartbeat.host}")
+            await self._read_plan(heartbeat)
             if heartbeat.plan_version <= self._plans.version:
                 return
         req = PlanRequest(self._plans.version)
-        reply = await self._peers.call(heartbeat.host, req, ANSWER_TIMEOUT_S)
+        try:
+            reply = await self._peers.call(heartbeat.host, req, ANSWER_TIMEOUT_S)
+        except PeerError:
+            # A peer that is asked by many answers too late; more questions would make
+            # it later.
+            if not self._contact.lost:
+                await self._read_plan(heartbeat)
+            raise
         if reply.key:
             self._plans.offer(reply.key, reply.value, heartbeat.host)
 
+    async def _read_plan(self, heartbeat: Heartbeat) -> None:
+        """Reads the configuration that a peer has from the store."""
+        try:
+            entry = await self._store.get(heartbeat.plan_key)
+        except StoreError as exc:
+            logger.bind(key=heartbeat.plan_key, reason=str(exc)).info(
+                "cannot read configuration"
+            )
+            return
+        if entry is not None:
+            self._plans.offer(entry.key, entry.value, f"store, by {heartbeat.host}")
+
     def _is_too_large(self, plan_bytes: int) -> bool:
         """Whether a configuration is too large to be sent to all by one host."""
         spread_bytes = plan_bytes * self._near_hosts()
--- a/tests/relay/test_state_sync.py
+++ b/tests/relay/test_state_sync.py
@@ -1,22 +1,26 @@
 """Where hosts fetch a new configuration."""
 
+import asyncio
 import time
 from types import SimpleNamespace
 
 import pytest
 
+from magnoliaroad.peers import PeerError
 from magnoliaroad.relay.fleet_messages import PlanReply, PlanRequest
-from magnoliaroad.relay.state_sync import MAX_PLAN_SPREAD_BYTES, StateSync
+from magnoliaroad.relay.state_sync import (
+    ANSWER_TIMEOUT_S,
+    MAX_PLAN_SPREAD_BYTES,
+    StateSync,
+)
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
 from tests.fakes.peers import PeerNetwork
 from tests.relay.test_fleet import heartbeat_of
 
 KEY = "op/config"
-# Link of the smallest hosts in bytes a second, and the time in which a configuration
-# must be in force at all hosts of a data centre, in seconds: half of what is allowed.
-LINK_BYTES_PER_S = 2_000_000
-SPREAD_S = 1.0
+# Link of the smallest hosts in bytes a second.
+LINK_BYTES_PER_S = 1_875_000
 
 
 class Plans:
@@ -45,10 +49,13 @@
             lambda: near_hosts,
         )
         self.asked = 0
+        self.silent = False
         network.join("host-2").on(PlanRequest, self._reply)
 
     async def _reply(self, sender, req):
         self.asked += 1
+        if self.silent:
+            await asyncio.sleep(2 * ANSWER_TIMEOUT_S)
         return PlanReply(KEY, b"7")
 
     async def hear(self, plan_bytes):
@@ -65,21 +72,39 @@
     return store
 
 
-def test_one_host_serves_a_data_centre_in_time():
-    assert MAX_PLAN_SPREAD_BYTES <= LINK_BYTES_PER_S * SPREAD_S
+def test_one_host_serves_a_data_centre_before_the_others_ask_again():
+    """Large Tiltbox: late replies were dropped and asked for again for 3.6 s."""
+    assert MAX_PLAN_SPREAD_BYTES <= LINK_BYTES_PER_S * ANSWER_TIMEOUT_S
+
+
+async def test_a_configuration_that_a_peer_does_not_send_in_time_is_read(store):
+    """Large Tiltbox: 34 hosts asked the same one again, each time too late."""
+    host = Host(4, store)
+    host.silent = True
+    with pytest.raises(PeerError):
+        await host.hear(20_000)
+    assert (host.plans.version, host.asked) == (7, 1)
+
+
+async def test_without_the_store_a_silent_peer_is_all_there_is(store):
+    host = Host(4, store, store_lost=True)
+    host.silent = True
+    with pytest.raises(PeerError):
+        await host.hear(20_000)
+    assert host.plans.version == 0
 
 
 async def test_hosts_of_a_large_data_centre_read_a_configuration_from_the_store(store):
-    """Large Tiltbox: one host sent 46 KB to each of 70 others, one after the other."""
+    """Large Tiltbox: one host sent 23 KB to each of 70 others, one after the other."""
     host = Host(33, store)
-    await host.hear(46_000)
+    await host.hear(23_000)
     assert host.plans.version == 7
     assert host.asked == 0
 
 
 async def test_hosts_of_a_small_data_centre_ask_the_one_that_watches_the_store(store):
     host = Host(4, store)
-    await host.hear(46_000)
+    await host.hear(23_000)
     assert (host.plans.version, host.asked) == (7, 1)
     assert host.plans.origins == ["host-2"]
 
@@ -92,7 +117,7 @@
 
 async def test_without_the_store_a_large_data_centre_asks_its_hosts_too(store):
     host = Host(33, store, store_lost=True)
-    await host.hear(46_000)
+    await host.hear(23_000)
     assert (host.plans.version, host.asked) == (7, 1)
 
 
@@ -100,5 +125,5 @@
     store = LocalStore(KvState(), time.monotonic)
     await store.put(KEY, b"6", 0)
     host = Host(33, store)
-    await host.hear(46_000)
+    await host.hear(23_000)
     assert (host.plans.version, host.asked) == (7, 1)
