Select the hosts in contact at one place

newest_in_contact and in_contact had the same condition; the latter now keeps what the former returns. No change of behaviour; test_fleet.py, test_state_sync.py and test_contact.py pass (46).

--- a/src/magnoliaroad/relay/heartbeat_tracker.py
+++ b/src/magnoliaroad/relay/heartbeat_tracker.py
@@ -305,9 +305,7 @@
         version, contacts = self._contacts
         if version != self.version:
             contacts = {
-                host: received.heartbeat
-                for host, received in self.latest.items()
-                if host not in self.silent and not received.heartbeat.draining
+                heartbeat.host: heartbeat for heartbeat in self.newest_in_contact()
             }
             self._contacts = (self.version, contacts)
         return contacts
