--- a/src/magnoliaroad/relay/target_limiter.py
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -173,24 +173,31 @@
         self, target: RelayTarget, reserved_part: float, longest_wait_s: float
     ) -> BucketDecision:
         """Decides as the home host of a target."""
-        stated = self.limits.find(target)
-        if stated is None or stated.rate is None:
-            return ADMITTED
-        now = self._now()
-        bucket = self._buckets.setdefault(start_of(target), TargetBucket(now))
-        rate = max(MIN_RATE, stated.rate) * self._contact_fraction()
-        return bucket.take(now, rate, reserved_part, longest_wait_s)
+        part = self._contact_fraction()
+        return self._take(self._buckets, part, target, reserved_part, longest_wait_s)
 
     def _admit_own_part(
         self, target: RelayTarget, reserved_part: float, longest_wait_s: float
     ) -> BucketDecision:
         """Decides while the home host of a target cannot be asked."""
+        part = 1 / max(1, self._host_count())
+        return self._take(self._own_parts, part, target, reserved_part, longest_wait_s)
+
+    def _take(
+        self,
+        buckets: dict[TargetStart, TargetBucket],
+        part: float,
+        target: RelayTarget,
+        reserved_part: float,
+        longest_wait_s: float,
+    ) -> BucketDecision:
+        """Takes a token from a target's bucket, which has a part of its rate."""
         stated = self.limits.find(target)
         if stated is None or stated.rate is None:
             return ADMITTED
         now = self._now()
-        bucket = self._own_parts.setdefault(start_of(target), TargetBucket(now))
-        rate = max(MIN_RATE, stated.rate) / max(1, self._host_count())
+        bucket = buckets.setdefault(start_of(target), TargetBucket(now))
+        rate = max(MIN_RATE, stated.rate) * part
         return bucket.take(now, rate, reserved_part, longest_wait_s)
 
     def _record(
