Name one start of a target by one type

LeavingTarget and TargetStart had the same fields, and a function each that took them from an entry. TargetStart stands beside RelayTarget now; on the wire a start is the same array as before.

--- a/src/magnoliaroad/relay/fleet_messages.py
+++ b/src/magnoliaroad/relay/fleet_messages.py
@@ -3,8 +3,8 @@
 import enum
 from typing import NamedTuple
 
-from magnoliaroad.relay.leaving import LeavingTarget
 from magnoliaroad.relay.quota import TeamCount
+from magnoliaroad.relay.target import TargetStart
 from magnoliaroad.relay.target_table import TargetCooldown
 
 
@@ -55,7 +55,7 @@
     has_all_teams: bool
     in_flight: dict[str, int]
     cooldowns: dict[str, TargetCooldown]
-    leaving: list[LeavingTarget] = []
+    leaving: list[TargetStart] = []
     quarantined: int = 0
 
 
--- a/src/magnoliaroad/relay/leaving.py
+++ b/src/magnoliaroad/relay/leaving.py
@@ -1,9 +1,8 @@
 """Targets that have announced in an answer that they are about to stop."""
 
 from collections.abc import Container, Iterable
-from typing import NamedTuple
 
-from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.relay.target import RelayTarget, TargetStart, start_of
 
 # Time that a mark is kept after its target's entry is gone, in seconds. Well above the
 # time after which the platform removes a silent target's entry, so that an entry that
@@ -11,19 +10,6 @@
 MARK_RETENTION_S = 120.0
 
 
-class LeavingTarget(NamedTuple):
-    """One incarnation of a target that is about to stop.
-
-    Attributes:
-        name: Id of the target.
-        started_ms: Unix time of its start in milliseconds; a later start under the same
-            id is another incarnation. 0 if it is unknown.
-    """
-
-    name: str
-    started_ms: int
-
-
 class LeavingTargets:
     """The targets that get no further requests because they are about to stop.
 
@@ -31,23 +17,23 @@
     """
 
     def __init__(self) -> None:
-        self._marked_at: dict[LeavingTarget, float] = {}
+        self._marked_at: dict[TargetStart, float] = {}
 
     def __contains__(self, target: RelayTarget) -> bool:
-        return _incarnation_of(target) in self._marked_at
+        return start_of(target) in self._marked_at
 
     def mark(self, target: RelayTarget, now: float) -> bool:
         """Marks a target; returns whether it was not marked before."""
-        return self.mark_all([_incarnation_of(target)], now) > 0
+        return self.mark_all([start_of(target)], now) > 0
 
-    def mark_all(self, incarnations: Iterable[LeavingTarget], now: float) -> int:
+    def mark_all(self, incarnations: Iterable[TargetStart], now: float) -> int:
         """Adds the marks of a peer; returns how many are new."""
         before = len(self._marked_at)
         for incarnation in incarnations:
-            self._marked_at.setdefault(LeavingTarget(*incarnation), now)
+            self._marked_at.setdefault(TargetStart(*incarnation), now)
         return len(self._marked_at) - before
 
-    def marked(self) -> list[LeavingTarget]:
+    def marked(self) -> list[TargetStart]:
         """Returns all marked targets, to be sent to peers."""
         return list(self._marked_at)
 
@@ -58,7 +44,3 @@
                 self._marked_at[incarnation] = now
             elif now - at > MARK_RETENTION_S:
                 del self._marked_at[incarnation]
-
-
-def _incarnation_of(target: RelayTarget) -> LeavingTarget:
-    return LeavingTarget(target.name, target.started_ms)
--- a/src/magnoliaroad/relay/target.py
+++ b/src/magnoliaroad/relay/target.py
@@ -34,3 +34,21 @@
     state: TargetState
     started_ms: int = 0
     version: str = ""
+
+
+class TargetStart(NamedTuple):
+    """One start of a target, to which what the target states about itself applies.
+
+    Attributes:
+        name: Id of the target.
+        started_ms: Unix time of the start in milliseconds; a later start under the same
+            id is another one. 0 if it is unknown.
+    """
+
+    name: str
+    started_ms: int
+
+
+def start_of(target: RelayTarget) -> TargetStart:
+    """Returns the start of a target that its entry describes."""
+    return TargetStart(target.name, target.started_ms)
--- a/src/magnoliaroad/relay/target_limit.py
+++ b/src/magnoliaroad/relay/target_limit.py
@@ -3,7 +3,7 @@
 from collections.abc import Container
 from typing import NamedTuple
 
-from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.relay.target import RelayTarget, TargetStart, start_of
 
 # Requests a second that a limited target gets at least: without any request, the end of
 # its limit would not be noticed.
@@ -18,18 +18,6 @@
 RETENTION_S = 120.0
 
 
-class TargetStart(NamedTuple):
-    """One start of a target; a later start under the same id states its own limit.
-
-    Attributes:
-        name: Id of the target.
-        started_ms: Unix time of the start in milliseconds; 0 if it is unknown.
-    """
-
-    name: str
-    started_ms: int
-
-
 class StatedLimit(NamedTuple):
     """What a target has stated last.
 
@@ -133,8 +121,3 @@
 
     admitted: bool
     wait_s: float
-
-
-def start_of(target: RelayTarget) -> TargetStart:
-    """Returns the start of a target that its entry describes."""
-    return TargetStart(target.name, target.started_ms)
--- a/src/magnoliaroad/relay/target_limiter.py
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -7,13 +7,11 @@
 
 from magnoliaroad.peers import PeerError, Peers
 from magnoliaroad.relay.metrics import LIMITED_TARGETS, TARGET_ADMISSIONS
-from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.relay.target import RelayTarget, TargetStart, start_of
 from magnoliaroad.relay.target_limit import (
     MIN_RATE,
     BucketDecision,
     TargetBucket,
-    TargetStart,
-    start_of,
 )
 from magnoliaroad.relay.target_limit_messages import (
     NO_LIMIT,
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -23,10 +23,10 @@
     MIN_DATA_CENTRE_SILENCE_S,
     ReceivedHeartbeat,
 )
-from magnoliaroad.relay.leaving import LeavingTarget
 from magnoliaroad.relay.quota import TeamCount
 from magnoliaroad.relay.settings import RelayListen, RelaySettings
 from magnoliaroad.relay.slowness_detector import SLOW_SAMPLES
+from magnoliaroad.relay.target import TargetStart
 from magnoliaroad.relay.target_table import TargetCooldown
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
@@ -379,7 +379,7 @@
         "targets_revision": 1,
         "plan_version": 1,
         "cooldowns": {"target": TargetCooldown(1, 0.5)},
-        "leaving": [LeavingTarget("target", 1)],
+        "leaving": [TargetStart("target", 1)],
         "quarantined": 1,
         "draining": True,
         "store_lost": True,
--- a/tests/relay/test_leaving.py
+++ b/tests/relay/test_leaving.py
@@ -3,8 +3,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from magnoliaroad.relay.leaving import MARK_RETENTION_S, LeavingTarget, LeavingTargets
-from magnoliaroad.relay.target import RelayTarget, TargetState
+from magnoliaroad.relay.leaving import MARK_RETENTION_S, LeavingTargets
+from magnoliaroad.relay.target import RelayTarget, TargetStart, TargetState
 from magnoliaroad.relay.target_table import TargetTable
 
 
@@ -62,7 +62,7 @@
     assert there.mark_all([["a", 7]], 0.0) == 1
     assert there.mark_all(here.marked(), 0.0) == 0
     assert target("a", started_ms=7) in there
-    assert there.marked() == [LeavingTarget("a", 7)]
+    assert there.marked() == [TargetStart("a", 7)]
 
 
 STEPS = st.lists(
