Exempt objects of earlier tests from collections

Cause: two hosts in the process of the test watch its memory and collect garbage as it grows. A host freezes its objects after its start (gc_tuning); the process of the tests did not. Ruled out: smaller reads of answers and the allocator's settings.

Change: the objects that exist before a module's tests are frozen. No bound was changed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 import asyncio
 import functools
+import gc
 import inspect
 import re
 from pathlib import Path
@@ -41,6 +42,13 @@
             item.add_marker(mark)
 
 
+@pytest.fixture(scope="module", autouse=True)
+def _frozen_objects():
+    """Exempts objects of earlier tests from collections, as hosts do after a start."""
+    gc.collect()
+    gc.freeze()
+
+
 @pytest.fixture
 def loop():
     loop = asyncio.new_event_loop()
