Count events that do not end in the memory of requests

Cause: EventScanner keeps an event until its end, to see whether a stream is whole, and nothing bounds what the streams of a host hold together.

--- a/src/magnoliaroad/relay/event_scanner.py
+++ b/src/magnoliaroad/relay/event_scanner.py
@@ -108,6 +108,11 @@
         if size > self._limits.event_bytes:
             raise StreamTooLong(f"no event within {self._limits.event_bytes} B")
 
+    @property
+    def unfinished_bytes(self) -> int:
+        """Bytes of the event that has not ended."""
+        return len(self._partial)
+
     @property
     def complete(self) -> bool:
         """Whether the stream ends between events.
--- a/src/magnoliaroad/relay/request_memory.py
+++ b/src/magnoliaroad/relay/request_memory.py
@@ -78,6 +78,10 @@
     ) -> None:
         self._memory.free(self._size)
 
+    def beside(self) -> "HeldMemory":
+        """Returns memory of the request that is counted and freed by itself."""
+        return HeldMemory(self._memory)
+
     def check(self, size: int) -> None:
         """Checks whether the request may take ``size`` bytes more.
 
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -535,24 +535,29 @@
         if self._should_close():
             resp.force_close()
         await resp.prepare(self._req)
+        with self._held.beside() as unfinished:
+            await self._pass_on(opened, unfinished)
+        if self.streams:
+            opened.check_events(self._scanner)
+        self.parts.table.record_success(opened.target.name)
+        await self._save_turn(opened)
+        SENDS.inc({"outcome": "answered"})
+        await resp.write_eof()
+        return resp
+
+    async def _pass_on(self, opened: OpenAnswer, unfinished: HeldMemory) -> None:
+        """Passes the body on as it arrives, and notes the pace of its events."""
         if opened.body:
-            await self._write(opened.body)
+            await self._write(opened.body, unfinished)
         last_at, counted = time.monotonic(), 0
         async for chunk in opened.response.iter_chunks():
-            await self._write(chunk)
+            await self._write(chunk, unfinished)
             now, count = time.monotonic(), self._scanner.count
             if counted and count > counted:
                 gap_s = (now - last_at) / (count - counted)
                 self.parts.table.record_event_gap(opened.target.name, gap_s, now)
             if count > counted:
                 last_at, counted = now, count
-        if self.streams:
-            opened.check_events(self._scanner)
-        self.parts.table.record_success(opened.target.name)
-        await self._save_turn(opened)
-        SENDS.inc({"outcome": "answered"})
-        await resp.write_eof()
-        return resp
 
     def _check_origin(self, target: RelayTarget) -> None:
         """Remembers who begins a stream, or checks who continues it.
@@ -581,17 +586,25 @@
             return limits
         return limits._replace(events=tokens + SPARE_EVENTS)
 
-    async def _write(self, chunk: bytes) -> None:
+    async def _write(self, chunk: bytes, unfinished: HeldMemory) -> None:
         """Passes a part of the body on.
 
+        Args:
+            chunk: The part.
+            unfinished: Memory of the event that has not ended.
+
         Raises:
-            AnswerCut: The stream carries more than a sound target sends.
+            AnswerCut: The stream carries more than a sound target sends, or an event
+                for which the host has no memory.
         """
         if self._scans:
             try:
                 self._scanner.feed(chunk)
+                unfinished.grow_to(self._scanner.unfinished_bytes)
             except StreamTooLong as exc:
                 raise AnswerCut(f"stream without end: {exc}") from exc
+            except Refused as exc:
+                raise AnswerCut("no memory for an event without end") from exc
         await self.resp.write(chunk)
 
     async def _save_turn(self, opened: OpenAnswer) -> None:
