Buffer answers only within the memory of requests

Cause: answers of plain services are buffered up to 256 KB, so that one that breaks off can be tried again, and nothing bounded them over all requests; the joined body was kept beside its copy on the way to the caller.

Change: buffered answers count in RequestMemory, up to 0.3 of its limit, as they must not cause requests to be refused. Beyond that an answer of more than 16 KB is passed on as it arrives.

--- a/src/magnoliaroad/relay/open_answer.py
+++ b/src/magnoliaroad/relay/open_answer.py
@@ -1,9 +1,11 @@
 """Decides whether a target's answer belongs to a request, and whether it is whole."""
 
+from collections import deque
 from typing import NamedTuple, Self
 
 from magnoliaroad.relay.dialect import AnswerHead
 from magnoliaroad.relay.event_scanner import EventScanner
+from magnoliaroad.relay.request_memory import HeldMemory
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.targets import (
     AnswerCut,
@@ -32,14 +34,14 @@
         target: Target that answers.
         response: Its response.
         head: The fields of its headers.
-        body: Part of the body that was buffered; empty for a stream.
-        complete: Whether ``body`` is the whole body.
+        parts: Parts of the body that were buffered; empty for a stream.
+        complete: Whether they are the whole body.
     """
 
     target: RelayTarget
     response: TargetAnswer
     head: AnswerHead
-    body: bytes = b""
+    parts: deque[bytes] = deque(maxlen=0)
     complete: bool = False
 
     @property
@@ -79,19 +81,22 @@
         if self.succeeded and (not self.head.signed or self.head.encoded):
             raise TargetError("answer not signed by the target", Verdict.MAY_HAVE_RUN)
 
-    async def buffer(self) -> Self:
+    async def buffer(self, held: HeldMemory) -> Self:
         """Returns the answer with its body, or the start of a large one.
 
+        Args:
+            held: Memory of the body; without enough of it less is buffered.
+
         Raises:
             AnswerCut: The body broke off.
         """
-        chunks, size = [], 0
-        async for chunk in self.response.iter_chunks():
-            chunks.append(chunk)
-            size += len(chunk)
-            if size > MAX_BUFFERED_BYTES:
-                return self._replace(body=b"".join(chunks))
-        return self._replace(body=b"".join(chunks), complete=True)
+        parts, size = deque(), 0
+        async for part in self.response.iter_chunks():
+            parts.append(part)
+            size += len(part)
+            if size > MAX_BUFFERED_BYTES or not held.take_spare(size):
+                return self._replace(parts=parts)
+        return self._replace(parts=parts, complete=True)
 
     @property
     def has_events(self) -> bool:
--- a/src/magnoliaroad/relay/request_memory.py
+++ b/src/magnoliaroad/relay/request_memory.py
@@ -8,6 +8,9 @@
 
 # Part of the limit that other requests may hold beside one that exceeds the limit.
 MAX_OTHERS_FRACTION = 0.25
+# Part of the limit up to which answers are buffered. They can be passed on as they
+# arrive in its place, and must not cause requests to be refused.
+ANSWERS_FRACTION = 0.3
 # Largest request that is never refused, in bytes. Requests of this size are bounded by
 # the number of connections, and must not wait for a few large ones.
 SMALL_BYTES = 16_384
@@ -55,6 +58,10 @@
         self.check(size, own)
         self.held_bytes += size
 
+    def has_spare(self, size: int) -> bool:
+        """Whether ``size`` bytes more leave enough for the bodies of requests."""
+        return self.held_bytes + size <= ANSWERS_FRACTION * self._limit_bytes
+
     def free(self, size: int) -> None:
         """Counts ``size`` bytes less."""
         self.held_bytes -= size
@@ -107,3 +114,15 @@
             Refused: The requests of the host hold too much.
         """
         self.grow(size - self._size)
+
+    def take_spare(self, size: int) -> bool:
+        """Takes as much as it lacks of ``size`` bytes if requests can spare it.
+
+        Returns:
+            Whether it holds as much.
+        """
+        lacking = size - self._size
+        if size > SMALL_BYTES and not self._memory.has_spare(lacking):
+            return False
+        self.grow(lacking)
+        return True
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -121,6 +121,7 @@
         self.resp: web.StreamResponse | None = None
         self._req = req
         self._held = held
+        self._answer_held = held.beside()
         self._should_close = should_close
         self._limit: asyncio.Timeout | None = None
         self._previous: LoadedTurn | None = None
@@ -155,7 +156,8 @@
             limit_s = self.deadline - time.monotonic()
             async with asyncio.timeout(limit_s) as self._limit:
                 await self._prepare()
-                return await self._send_and_relay()
+                with self._answer_held:
+                    return await self._send_and_relay()
         except TimeoutError as exc:
             begun, expired = self.resp is not None, self._limit.expired()
             reason = "turn not kept in time" if begun and not expired else "time limit"
@@ -455,7 +457,7 @@
         opened.check_accepted()
         if self.streams and opened.succeeded:
             return opened
-        opened = await opened.buffer()
+        opened = await opened.buffer(self._answer_held)
         if opened.complete:
             self.parts.table.record_success(target.name)
         return opened
@@ -511,7 +513,7 @@
     async def _relay_buffered(self, opened: OpenAnswer) -> web.StreamResponse:
         headers = self.parts.dialect.answer_headers(opened.response.headers)
         resp = web.Response(
-            status=opened.response.status, headers=headers, body=opened.body
+            status=opened.response.status, headers=headers, body=b"".join(opened.parts)
         )
         SENDS.inc({"outcome": "answered"})
         self._lift_limit()
@@ -535,29 +537,24 @@
         if self._should_close():
             resp.force_close()
         await resp.prepare(self._req)
-        with self._held.beside() as unfinished:
-            await self._pass_on(opened, unfinished)
-        if self.streams:
-            opened.check_events(self._scanner)
-        self.parts.table.record_success(opened.target.name)
-        await self._save_turn(opened)
-        SENDS.inc({"outcome": "answered"})
-        await resp.write_eof()
-        return resp
-
-    async def _pass_on(self, opened: OpenAnswer, unfinished: HeldMemory) -> None:
-        """Passes the body on as it arrives, and notes the pace of its events."""
-        if opened.body:
-            await self._write(opened.body, unfinished)
+        while opened.parts:
+            await self._write(opened.parts.popleft())
         last_at, counted = time.monotonic(), 0
         async for chunk in opened.response.iter_chunks():
-            await self._write(chunk, unfinished)
+            await self._write(chunk)
             now, count = time.monotonic(), self._scanner.count
             if counted and count > counted:
                 gap_s = (now - last_at) / (count - counted)
                 self.parts.table.record_event_gap(opened.target.name, gap_s, now)
             if count > counted:
                 last_at, counted = now, count
+        if self.streams:
+            opened.check_events(self._scanner)
+        self.parts.table.record_success(opened.target.name)
+        await self._save_turn(opened)
+        SENDS.inc({"outcome": "answered"})
+        await resp.write_eof()
+        return resp
 
     def _check_origin(self, target: RelayTarget) -> None:
         """Remembers who begins a stream, or checks who continues it.
@@ -586,13 +583,9 @@
             return limits
         return limits._replace(events=tokens + SPARE_EVENTS)
 
-    async def _write(self, chunk: bytes, unfinished: HeldMemory) -> None:
+    async def _write(self, chunk: bytes) -> None:
         """Passes a part of the body on.
 
-        Args:
-            chunk: The part.
-            unfinished: Memory of the event that has not ended.
-
         Raises:
             AnswerCut: The stream carries more than a sound target sends, or an event
                 for which the host has no memory.
@@ -600,7 +593,7 @@
         if self._scans:
             try:
                 self._scanner.feed(chunk)
-                unfinished.grow_to(self._scanner.unfinished_bytes)
+                self._answer_held.grow_to(self._scanner.unfinished_bytes)
             except StreamTooLong as exc:
                 raise AnswerCut(f"stream without end: {exc}") from exc
             except Refused as exc:
--- a/tests/platform/test_memory_of_unread_answers.py
+++ b/tests/platform/test_memory_of_unread_answers.py
@@ -17,12 +17,17 @@
 UNREAD_S = 2.5
 
 
+# Paths of a route whose answers are passed on at once and of one that buffers them.
+SERVICES = {"/plan/x": "lm", "/safe/x": "app"}
+
+
+@pytest.mark.parametrize("path", SERVICES)
 @pytest.mark.parametrize("kind", ["chunks", "close"])
-async def test_unread_answers_do_not_take_a_host_over_its_memory(tmp_path, kind):
-    targets = [FloodingTarget(f"i-{number}") for number in range(2)]
+async def test_unread_answers_do_not_take_a_host_over_its_memory(tmp_path, kind, path):
+    targets = [FloodingTarget(f"i-{number}", SERVICES[path]) for number in range(2)]
     for target in targets:
         target.opening, target.flood = PASSED_ON[kind]
-    data = request_bytes(HEADERS, "/plan/x", "POST", body=b"x")
+    data = request_bytes(HEADERS, path, "POST", body=b"x")
     async with host_process(tmp_path, *targets) as host:
         await host.until_ready()
 
--- a/tests/relay/test_request_memory.py
+++ b/tests/relay/test_request_memory.py
@@ -1,5 +1,7 @@
 """The memory of requests, which guards against hosts over their memory (FAULT)."""
 
+import contextlib
+
 import pytest
 
 from magnoliaroad.refusal import Refused
@@ -66,3 +68,21 @@
         with pytest.raises(Refused):
             small.grow(1)
     assert memory.held_bytes == 0
+
+
+def test_buffered_answers_leave_memory_for_requests():
+    memory = RequestMemory(LIMIT)
+    with contextlib.ExitStack() as stack:
+        answers = [stack.enter_context(memory.hold()) for _ in range(50)]
+        kept = sum(answer.take_spare(20 * UNIT) for answer in answers)
+        assert 0 < kept < len(answers)
+        assert memory.held_bytes <= LIMIT / 2
+        stack.enter_context(memory.hold()).grow(LIMIT // 2)
+
+
+def test_small_answers_are_buffered_beside_large_requests():
+    memory = RequestMemory(LIMIT)
+    with memory.hold() as large, memory.hold() as answer:
+        large.grow(LIMIT)
+        assert answer.take_spare(SMALL_BYTES)
+        assert not answer.take_spare(SMALL_BYTES + 1)
