--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -25,7 +25,7 @@
 # Headers that aiohttp would add to the caller's own.
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Buffer of a body, in bytes; reading pauses when twice as much is unread.
-BODY_BUFFER_BYTES = 8_192
+BODY_BUFFER_BYTES = 16_384
 # Statuses of final answers. aiohttp takes 101 and numbers without a meaning for such.
 FINAL_STATUSES = range(200, 600)
 # Errors that aiohttp raises before it has sent any byte of the request.
