Deliver the answers before one that breaks off

Cause: as the second answer broke off, the host aborted the connection, which drops what it still holds of the first. The product's own door did the same.

Change: if more is unsent than was written of the broken answer, the connection ends as after an answer that closes it: no more is written, and what the caller has not received of earlier answers is delivered, for 30 s at most. The broken answer still has no end. test_a_stream_that_breaks_off_leaves_the_answer_before_ it_whole failed before; test_slow_callers.py, tests/entry, tests/relay, test_endless_answers.py and the tests of memory for answers pass.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -207,6 +207,19 @@
                 return
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    async def cut_off(self, written: int) -> None:
+        """Ends the connection within an answer, after those before it.
+
+        Args:
+            written: Bytes of the answer that were written.
+        """
+        if self.transport is None:
+            return
+        if self._transport.get_write_buffer_size() > written:
+            await self._linger()
+        if self.transport is not None:
+            self._transport.abort()
+
     def held_bytes(self) -> int:
         """Returns what the process holds of requests and answers that are under way."""
         if self.transport is None:
@@ -256,6 +269,19 @@
         return self.transport
 
 
+async def cut_off_answer(req: web.BaseRequest) -> None:
+    """Ends the connection of a request whose answer cannot be completed.
+
+    Its end does not look like that of a whole answer. Answers before it that the caller
+    has not received are delivered first.
+    """
+    conn = req.protocol
+    if isinstance(conn, CallerConnection):
+        await conn.cut_off(req.writer.output_size)
+    elif req.transport is not None:
+        req.transport.abort()
+
+
 def make_connection(server: web.Server) -> CallerConnection:
     """Returns the protocol of a new connection; aiohttp has no option for its class."""
     return CallerConnection(server, loop=server._loop, **server._kwargs)
--- a/src/magnoliaroad/entry/middleware.py
+++ b/src/magnoliaroad/entry/middleware.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from loguru import logger
 
+from magnoliaroad.caller_connection import cut_off_answer
 from magnoliaroad.caller_left import caller_left
 from magnoliaroad.entry.metrics import IN_FLIGHT, LATENCY, REFUSALS, REQUESTS
 from magnoliaroad.entry.refused import Refused, refusal_response
@@ -55,7 +56,7 @@
         lost = isinstance(exc, ConnectionError | asyncio.CancelledError)
         if lost and caller_left(req):
             logger.bind(path=req.path).info("caller left")
-            _abort_if_begun(req)
+            await _cut_off_if_begun(req)
             if isinstance(exc, asyncio.CancelledError):
                 raise
             # The response is never sent; 499 is for the metrics.
@@ -63,7 +64,7 @@
         refusal = _refusal_for(req, exc)
     if BEGUN not in req:
         return _refuse(req, refusal)
-    if _abort_if_begun(req):
+    if await _cut_off_if_begun(req):
         logger.bind(path=req.path, code=refusal.code).warning("answer cut off")
     return req[BEGUN]
 
@@ -77,16 +78,15 @@
     return INTERNAL_ERROR
 
 
-def _abort_if_begun(req: web.Request) -> bool:
-    """Aborts the connection if an answer has begun that is not complete.
+async def _cut_off_if_begun(req: web.Request) -> bool:
+    """Ends the connection if an answer has begun that is not complete.
 
     No other answer may follow it, and its end must not look like that of a whole one.
     """
     resp = req.get(BEGUN)
     if resp is None or resp.body_length:
         return False
-    if req.transport is not None:
-        req.transport.abort()
+    await cut_off_answer(req)
     return True
 
 
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -9,7 +9,7 @@
 from loguru import logger
 from mode import Service
 
-from magnoliaroad.caller_connection import CallerConnection
+from magnoliaroad.caller_connection import CallerConnection, cut_off_answer
 from magnoliaroad.caller_left import caller_left
 from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.connection_drain import ConnectionDrain
@@ -207,7 +207,7 @@
                 resp = self._refuse(request_id, bad_call(str(exc)), began, log_fields)
             except Refused as exc:
                 if run is not None and run.resp is not None:
-                    return self._end_begun(req, request_id, run.resp, exc)
+                    return await self._end_begun(req, request_id, run.resp, exc)
                 log_fields |= exc.inputs
                 resp = self._refuse(request_id, exc.refusal, began, log_fields)
             except (Exception, asyncio.CancelledError) as exc:
@@ -221,7 +221,7 @@
                     "request failed"
                 )
                 if run is not None and run.resp is not None:
-                    return self._end_begun(req, request_id, run.resp, exc)
+                    return await self._end_begun(req, request_id, run.resp, exc)
                 resp = self._refuse(request_id, host_failed(sent), began, log_fields)
             finally:
                 self._runs.discard(run)
@@ -279,14 +279,14 @@
         else:
             log.info("caller left")
 
-    def _end_begun(
+    async def _end_begun(
         self,
         req: web.BaseRequest,
         request_id: str,
         resp: web.StreamResponse,
         exc: BaseException,
     ) -> web.StreamResponse:
-        """Ends an answer that had begun; aborts the connection if it is incomplete."""
+        """Ends an answer that had begun, with its connection if it is incomplete."""
         if resp.body_length:
             return resp
         logger.bind(
@@ -294,8 +294,7 @@
             reason=cut_reason(exc),
             cause=repr(exc.__cause__ or exc),
         ).warning("answer cut off")
-        if req.transport is not None:
-            req.transport.abort()
+        await cut_off_answer(req)
         return resp
 
 
--- a/tests/platform/test_slow_callers.py
+++ b/tests/platform/test_slow_callers.py
@@ -14,7 +14,17 @@
     read_rest,
     request_bytes,
 )
-from tests.platform.raw_target import FRAMINGS, CaseTarget, End, by_close
+from tests.platform.raw_target import (
+    CHUNKED,
+    EVENTS,
+    FRAMINGS,
+    OWN_ID,
+    SEAL,
+    CaseTarget,
+    End,
+    by_close,
+    head,
+)
 
 SERVICES = {"/safe/x": "app", "/plan/x": "lm"}
 STREAM_HEAD = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream"
@@ -90,6 +100,27 @@
     ]
 
 
+async def test_a_stream_that_breaks_off_leaves_the_answer_before_it_whole(
+    tmp_path, logged
+):
+    """Soak 8015: a caller had sent its next request before it read the answer."""
+    broken = (head(SEAL, OWN_ID, EVENTS, CHUNKED) + b"20\r\nid: 1", End.CLOSE)
+    app = RawTarget(body=b"z" * 60_000)
+    engine = CaseTarget("i-lm", "lm", {"/plan/x": [broken]})
+    async with (
+        Deployment(tmp_path, app, engine) as deployment,
+        raw_caller(deployment, buffer_bytes=SMALL_BUFFER) as (reader, writer),
+    ):
+        for path in ("/safe/x", "/plan/x"):
+            writer.write(request_bytes(deployment.headers(), path))
+        await deployment.until(
+            lambda: "answer cut off" in [line["event"] for line in logged]
+        )
+        first = await read_answer(reader)
+        assert (first.whole, first.body) == (True, app.body)
+        assert not (await read_answer(reader)).whole
+
+
 async def test_a_caller_that_stops_reading_is_disconnected(
     tmp_path, logged, monkeypatch
 ):
