Limit unsent bytes of answers by the requests in flight

Smaller buffers for targets mend that, but then a slow caller gets no stream whose 150 KB its target has ended.

Cause: each caller may hold up to some 175 KB at the host, however many there are. aiohttp waits for a caller only after each 64 KB, so that asyncio's limit does not hold.

Change: the host waits after each part. It holds 128 KB unsent for each of the first 50 requests in flight and 16 KB for each further one.

--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -599,6 +599,8 @@
             except Refused as exc:
                 raise AnswerCut("no memory for an event without end") from exc
         await self.resp.write(chunk)
+        # aiohttp waits for the caller only after each 64 KB.
+        await self._req.writer.drain()
 
     async def _save_turn(self, opened: OpenAnswer) -> None:
         if not self.route.keeps_turns or not opened.succeeded:
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -30,6 +30,7 @@
 from magnoliaroad.relay.route_durations import RouteDurations
 from magnoliaroad.relay.run import RelayRun
 from magnoliaroad.stall_watch import StallTimer, StallWatch
+from magnoliaroad.unsent_bytes import limit_unsent
 
 # Idle time after which a caller's connection is closed, in seconds; longer than
 # the time for which operators let callers keep connections.
@@ -161,6 +162,8 @@
 
     async def _handle(self, req: web.BaseRequest) -> web.StreamResponse:
         request_id = self.parts.dialect.request_id(req.headers)
+        if req.transport is not None:
+            limit_unsent(req.transport, self.in_flight.count)
         with StallWatch(self._stall_timer, req, request_id) as watch:
             resp = await measured("request", self._respond(req, request_id, watch))
             if not resp.prepared:
