--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -20,7 +20,7 @@
 
 # Most bytes that are read from a connection at once; what exceeds the buffer of a body
 # is held for each caller that reads slowly.
-READ_BYTES = 16_384
+READ_BYTES = 32_768
 
 
 class CheckedEndHandler(ResponseHandler):
