Count the kept output of turns in the memory of requests

A target that sends large events without end on a route that keeps turns took a host to 392 MB with 200 streams, where the platform ends the smallest at 150 MB (FAULT). Found by asking where else the cause of acts: the output of a turn is kept up to 4 MB for one stream, with no bound over all.

Change: that output counts in RequestMemory; a stream is cut if its output is over 16 KB and the limit of the host is reached. An event without end may take what a buffered answer may, 0.3 of the limit: with reads of 32 KB such events had come to 93 to 100 MB of 100.

test_memory_of_events.py: kept output 392 MB before, 78 and 79 after; events without end 78 to 80. Beside load. tests/relay, test_slow_callers.py, test_endless_answers.py and test_memory_of_unread_answers.py pass.

--- a/src/magnoliaroad/relay/request_memory.py
+++ b/src/magnoliaroad/relay/request_memory.py
@@ -8,8 +8,8 @@
 
 # Part of the limit that other requests may hold beside one that exceeds the limit.
 MAX_OTHERS_FRACTION = 0.25
-# Part of the limit up to which answers are buffered. They can be passed on as they
-# arrive in its place, and must not cause requests to be refused.
+# Part of the limit up to which parts of answers are held. They must not cause requests
+# to be refused.
 ANSWERS_FRACTION = 0.3
 # Largest request that is never refused, in bytes. Requests of this size are bounded by
 # the number of connections, and must not wait for a few large ones.
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -122,6 +122,7 @@
         self._req = req
         self._held = held
         self._answer_held = held.beside()
+        self._output_held = held.beside()
         self._should_close = should_close
         self._limit: asyncio.Timeout | None = None
         self._previous: LoadedTurn | None = None
@@ -156,7 +157,7 @@
             limit_s = self.deadline - time.monotonic()
             async with asyncio.timeout(limit_s) as self._limit:
                 await self._prepare()
-                with self._answer_held:
+                with self._answer_held, self._output_held:
                     return await self._send_and_relay()
         except TimeoutError as exc:
             begun, expired = self.resp is not None, self._limit.expired()
@@ -587,21 +588,31 @@
         """Passes a part of the body on.
 
         Raises:
-            AnswerCut: The stream carries more than a sound target sends, or an event
-                for which the host has no memory.
+            AnswerCut: The stream exceeds a limit, or there is no memory for it.
         """
         if self._scans:
-            try:
-                self._scanner.feed(chunk)
-                self._answer_held.grow_to(self._scanner.unfinished_bytes)
-            except StreamTooLong as exc:
-                raise AnswerCut(f"stream without end: {exc}") from exc
-            except Refused as exc:
-                raise AnswerCut("no memory for an event without end") from exc
+            self._scan(chunk)
         await self.resp.write(chunk)
         # aiohttp waits for the caller only after each 64 KB.
         await self._req.writer.drain()
 
+    def _scan(self, chunk: bytes) -> None:
+        """Parses a part of a stream; takes memory for what is kept of it.
+
+        Raises:
+            AnswerCut: The stream exceeds a limit, or there is no memory for it.
+        """
+        scanner = self._scanner
+        try:
+            scanner.feed(chunk)
+            self._output_held.grow_to(len(scanner.data))
+        except StreamTooLong as exc:
+            raise AnswerCut(f"stream without end: {exc}") from exc
+        except Refused as exc:
+            raise AnswerCut("no memory for the output of a turn") from exc
+        if not self._answer_held.take_spare(scanner.unfinished_bytes):
+            raise AnswerCut("no memory for an event without end")
+
     async def _save_turn(self, opened: OpenAnswer) -> None:
         if not self.route.keeps_turns or not opened.succeeded:
             return
--- a/tests/platform/test_memory_of_events.py
+++ b/tests/platform/test_memory_of_events.py
@@ -24,14 +24,24 @@
 READ_S = 5.0
 LONG_LINES = (EVENT_HEAD, in_chunk(b"data: " + b"x" * 60_000 + b"\n"), "")
 EVENTS = {"one event": ENDED["one event"], "long lines": LONG_LINES}
+LARGE_EVENTS = ENDED["same event"]
 
 
 @pytest.mark.parametrize("kind", EVENTS)
 async def test_events_without_end_do_not_take_a_host_over_its_memory(tmp_path, kind):
+    await flood(tmp_path, EVENTS[kind], "/stream/x")
+
+
+async def test_output_that_is_kept_does_not_take_a_host_over_its_memory(tmp_path):
+    await flood(tmp_path, LARGE_EVENTS, "/stream/x")
+
+
+async def flood(tmp_path, answer, path):
+    """Has a host pass 200 answers without end on, and checks its memory."""
     targets = [FloodingTarget(f"i-{number}") for number in range(2)]
     for target in targets:
-        target.opening, target.flood, _ = EVENTS[kind]
-    data = request_bytes(HEADERS, "/stream/x", "POST", body=b"x")
+        target.opening, target.flood, _ = answer
+    data = request_bytes(HEADERS, path, "POST", body=b"x")
     async with host_process(tmp_path, *targets) as host:
         await host.until_ready()
 
