Send all heartbeats only to hosts that have just started

Cause: a forwarder sent all heartbeats to all hosts of its data centre, and to the forwarders of the others, whenever any host had started. Each digest then had 195 heartbeats, some 39 KB, for 38 hosts, 2.5 times a second, on links of 3.75 MB a second. Ruled out: restarts of the hosts that were asked (14 of 564 unanswered loans within 2.5 s of one), processor time (0.07 of 0.5 cores).

Change: the next digest to the host that has started has all heartbeats; the others get what changed, and all with each eighth digest, as before.

--- a/src/magnoliaroad/relay/digest.py
+++ b/src/magnoliaroad/relay/digest.py
@@ -1,6 +1,6 @@
 """Digests, in which a forwarder sends on the heartbeats of other hosts."""
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Sequence
 from typing import NamedTuple
 
 from magnoliaroad.records.messages import RecordHostHeartbeat
@@ -46,18 +46,45 @@
         """Makes the next selection have all heartbeats; a receiver may have none."""
         self._sent.clear()
 
-    def select_changed(self, heartbeats: Iterable[Heartbeat]) -> list[Heartbeat]:
-        """Returns the heartbeats to send on; all of them every ``FULL_EVERY`` calls."""
+    def select(
+        self,
+        heartbeats: Sequence[Heartbeat],
+        hosts: Collection[str],
+        started: Collection[str],
+    ) -> list[tuple[list[str], list[Heartbeat]]]:
+        """Returns which heartbeats to send on to which hosts.
+
+        Hosts that have started get all of them, the others those that changed, and all
+        every ``FULL_EVERY`` calls.
+
+        Args:
+            heartbeats: All heartbeats.
+            hosts: Hosts that receive heartbeats.
+            started: Hosts that have just started.
+        """
+        changed = list(map(_without_in_flight, self._take_changed(heartbeats)))
+        new = [host for host in hosts if host in started]
+        others = [host for host in hosts if host not in started]
+        selected = [(others, changed)] if others else []
+        if new:
+            selected.append((new, list(map(_without_in_flight, heartbeats))))
+        return selected
+
+    def _take_changed(self, heartbeats: Iterable[Heartbeat]) -> list[Heartbeat]:
         if self._digest_count % FULL_EVERY == 0:
             self._sent.clear()
         self._digest_count += 1
-        picked = []
+        changed = []
         for heartbeat in heartbeats:
             content = state_of(heartbeat), heartbeat.has_all_teams
             if self._sent.get(heartbeat.host) != content:
                 self._sent[heartbeat.host] = content
-                picked.append(heartbeat._replace(in_flight={}))
-        return picked
+                changed.append(heartbeat)
+        return changed
+
+
+def _without_in_flight(heartbeat: Heartbeat) -> Heartbeat:
+    return heartbeat._replace(in_flight={})
 
 
 def sum_counts(counts: Iterable[dict[str, int]]) -> dict[str, int]:
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -597,14 +597,9 @@
             self._targets.replace_remote_in_flight({})
         self._sent_in_flight = dict(heartbeat.in_flight)
         self._peers.send_all(recipients.heartbeat, heartbeat)
-        if recipients.far:
-            self._peers.send_all(
-                recipients.far, self._router.far_digest(now, heartbeat)
-            )
-        if recipients.near:
-            records = self._records.recent_heartbeats()
-            digest = self._router.near_digest(now, heartbeat, records)
-            self._peers.send_all(recipients.near, digest)
+        records = self._records.recent_heartbeats() if recipients.near else []
+        for hosts, digest in self._router.digests(now, heartbeat, records, recipients):
+            self._peers.send_all(hosts, digest)
 
     def _own_heartbeat(self, has_all_teams: bool) -> Heartbeat:
         recent = time.monotonic() - 3 * self._tracker.far_interval_s
@@ -704,7 +699,7 @@
             return
         self._check_lost_store(heartbeat)
         if self._tracker.is_new_incarnation(heartbeat):
-            self._router.resend_all()
+            self._router.add_started(heartbeat.host)
         regained = self._tracker.receive(now - age_s, heartbeat)
         if regained:
             logger.bind(peer=heartbeat.host).info("peer regained")
--- a/src/magnoliaroad/relay/heartbeat_router.py
+++ b/src/magnoliaroad/relay/heartbeat_router.py
@@ -1,6 +1,6 @@
 """Which hosts receive heartbeats and digests, and the content of digests."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 from typing import NamedTuple
 
 from magnoliaroad.records.messages import RecordHostHeartbeat
@@ -59,6 +59,7 @@
         self._near_filter = HeartbeatFilter()
         self._far_filter = HeartbeatFilter()
         self._far_hosts: list[str] = []
+        self._started: set[str] = set()
         self._probe_rank = 0
         self._chosen: dict[str, list[str]] = {}
         self._chosen_version = -1
@@ -76,6 +77,7 @@
         tracker = self._tracker
         if not tracker.uses_forwarders:
             self.forwards = True
+            self._started.clear()
             hosts = tracker.members.items()
             hosts_due = [
                 h for h, address in hosts if everybody or tracker.is_near(address)
@@ -90,6 +92,7 @@
         self.forwards = name in own
         heartbeat = [host for host in own if host != name]
         if not self.forwards:
+            self._started.clear()
             return Recipients(heartbeat, [], [])
         far = [host for hosts in chosen.values() for host in hosts]
         if far != self._far_hosts:
@@ -129,10 +132,9 @@
             for data_centre, hosts in silent.items()
         }
 
-    def resend_all(self) -> None:
-        """Makes the next digests have all heartbeats, for a host that has started."""
-        self._near_filter.reset()
-        self._far_filter.reset()
+    def add_started(self, host: str) -> None:
+        """Makes the next digest to a host that has started have all heartbeats."""
+        self._started.add(host)
 
     def receive_far(self, digest: Digest) -> None:
         """Records the in-flight requests of the hosts of another data centre."""
@@ -142,10 +144,37 @@
         """Drops the in-flight requests of a data centre that has become silent."""
         self._far_in_flight.pop(data_centre, None)
 
-    def near_digest(
-        self, now: float, own: Heartbeat, records: list[tuple[RecordHostHeartbeat, int]]
-    ) -> Digest:
-        """Returns the digest for the hosts of this data centre."""
+    def digests(
+        self,
+        now: float,
+        own: Heartbeat,
+        records: list[tuple[RecordHostHeartbeat, int]],
+        recipients: Recipients,
+    ) -> Iterator[tuple[list[str], Digest]]:
+        """Yields the digests to send, each with the hosts that get it.
+
+        Args:
+            now: Time in seconds.
+            own: This host's heartbeat.
+            records: Record hosts in contact, with the time since their last message in
+                milliseconds.
+            recipients: The result of ``recipients``.
+        """
+        started, self._started = self._started, set()
+        if recipients.far:
+            yield from self._far_digests(now, own, recipients.far, started)
+        if recipients.near:
+            yield from self._near_digests(now, own, records, recipients.near, started)
+
+    def _near_digests(
+        self,
+        now: float,
+        own: Heartbeat,
+        records: list[tuple[RecordHostHeartbeat, int]],
+        hosts: list[str],
+        started: set[str],
+    ) -> Iterator[tuple[list[str], Digest]]:
+        """Yields the digests for the hosts of this data centre."""
         ages = self._tracker.ages_ms(now)
         heartbeats = [own, *(self._tracker.latest[host].heartbeat for host in ages)]
         near = [
@@ -153,17 +182,21 @@
             for heartbeat in heartbeats
             if self._tracker.is_near(heartbeat)
         ]
-        return Digest(
+        digest = Digest(
             data_centre=self.cfg.data_centre,
             inter_data_centre=False,
-            heartbeats=self._near_filter.select_changed(heartbeats),
+            heartbeats=[],
             ages={own.host: 0, **ages},
             in_flight=sum_counts([*near, *self._far_in_flight.values()]),
             record_hosts=records,
         )
+        for group, selected in self._near_filter.select(heartbeats, hosts, started):
+            yield group, digest._replace(heartbeats=selected)
 
-    def far_digest(self, now: float, own: Heartbeat) -> Digest:
-        """Returns the digest for the forwarders of other data centres."""
+    def _far_digests(
+        self, now: float, own: Heartbeat, hosts: list[str], started: set[str]
+    ) -> Iterator[tuple[list[str], Digest]]:
+        """Yields the digests for the forwarders of other data centres."""
         tracker = self._tracker
         ages = {
             host: age_ms
@@ -171,11 +204,13 @@
             if tracker.is_near(tracker.latest[host].heartbeat)
         }
         heartbeats = [own, *(tracker.latest[host].heartbeat for host in ages)]
-        return Digest(
+        digest = Digest(
             data_centre=self.cfg.data_centre,
             inter_data_centre=True,
-            heartbeats=self._far_filter.select_changed(heartbeats),
+            heartbeats=[],
             ages={own.host: 0, **ages},
             in_flight=sum_counts(heartbeat.in_flight for heartbeat in heartbeats),
             record_hosts=[],
         )
+        for group, selected in self._far_filter.select(heartbeats, hosts, started):
+            yield group, digest._replace(heartbeats=selected)
--- a/tests/relay/fleet_sim.py
+++ b/tests/relay/fleet_sim.py
@@ -59,10 +59,7 @@
     def send(self, now):
         recipients, heartbeat = self.router.recipients(now, True), self.heartbeat(now)
         yield recipients.heartbeat, heartbeat
-        if recipients.far:
-            yield recipients.far, self.router.far_digest(now, heartbeat)
-        if recipients.near:
-            yield recipients.near, self.router.near_digest(now, heartbeat, [])
+        yield from self.router.digests(now, heartbeat, [], recipients)
         self.tracker.update_silent(now)
         for data_centre in self.tracker.silent_data_centres:
             self.router.forget_data_centre(data_centre)
@@ -86,7 +83,7 @@
     def receive_heartbeat(self, now, heartbeat, age_s):
         if not self.tracker.is_older(now - age_s, heartbeat):
             if self.tracker.is_new_incarnation(heartbeat):
-                self.router.resend_all()
+                self.router.add_started(heartbeat.host)
             self.tracker.receive(now - age_s, heartbeat)
 
 
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -5,6 +5,7 @@
 import pytest
 
 from magnoliaroad.peers import PeerAddress
+from magnoliaroad.relay.digest import Digest
 from magnoliaroad.relay.fleet_messages import Heartbeat
 from magnoliaroad.relay.heartbeat_state import STATE_FIELDS, USE_FIELDS
 from magnoliaroad.relay.heartbeat_tracker import MAX_DIRECT_HOSTS
@@ -191,3 +192,39 @@
     not_compared = {"host", "age_s", "in_flight", "has_all_teams"}
     assert set(STATE_FIELDS) == set(Heartbeat._fields) - not_compared
     assert set(USE_FIELDS) < set(STATE_FIELDS)
+
+
+def test_a_host_that_starts_makes_forwarders_send_all_heartbeats_to_it_alone():
+    """Large Tiltbox: restarts one after the other filled the forwarders' links."""
+    sim = FleetSim(100, 5)
+    sim.run(4.0)
+    forwarder = next(host for host in sim.hosts.values() if host.router.forwards)
+    started = next(
+        name
+        for name, host in sim.hosts.items()
+        if not host.router.forwards and forwarder.tracker.is_near(host.cfg)
+    )
+    # A digest with all heartbeats would otherwise hide what the start causes.
+    while not all(
+        not digest.heartbeats[1:] for _, digest in sent_by(forwarder, sim.now)
+    ):
+        sim.run(forwarder.tracker.near_interval_s)
+    sim.kill(started)
+    sim.start(started, boot="2")
+    forwarder.receive(sim.now, sim.hosts[started].heartbeat(sim.now))
+    sizes = {
+        name: len(digest.heartbeats)
+        for names, digest in sent_by(forwarder, sim.now)
+        if not digest.inter_data_centre
+        for name in names
+    }
+    assert sizes.pop(started) == 100
+    assert set(sizes.values()) == {1}
+
+
+def sent_by(forwarder, now):
+    return [
+        (names, message)
+        for names, message in forwarder.send(now)
+        if isinstance(message, Digest)
+    ]
