Look for limits of targets only if any was stated

Each request asked for the limit of each usable target, though mostly no target has ever stated one: the key was built each time, and the choice among limited targets was made with none. Targets without any limit are returned as they are, which the rest of the function came to as well. tests/relay/ test_target_limit*.py, test_targets.py and test_limited_targets.py pass.

--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -217,6 +217,8 @@
             for target in usable
             if (limit := self._table.limits.find(target)) and limit.rate is not None
         }
+        if not stated:
+            return usable
         holds_prompt = any(target.name == need.placed for target in usable)
         outdated = time.monotonic() - REFRESH_S
         to_ask = [
--- a/src/magnoliaroad/relay/target_limit.py
+++ b/src/magnoliaroad/relay/target_limit.py
@@ -39,7 +39,8 @@
 
     def find(self, target: RelayTarget) -> StatedLimit | None:
         """Returns what a target has stated last; ``None`` if it never had a limit."""
-        return self._stated.get(start_of(target))
+        # Each request asks for each of its targets, and mostly none ever had a limit.
+        return self._stated.get(start_of(target)) if self._stated else None
 
     def is_limited(self, target: RelayTarget) -> bool:
         """Returns whether a target has a limit, as far as this host knows."""
