Select the heartbeats of digests at one place

No change of behaviour: the near and the far digest are made with all heartbeats, and HeartbeatFilter.divide yields what is sent of them to whom. The hosts that have started are dropped by digests(), which runs after each choice of recipients, with and without any.

--- a/src/magnoliaroad/relay/digest.py
+++ b/src/magnoliaroad/relay/digest.py
@@ -1,6 +1,6 @@
 """Digests, in which a forwarder sends on the heartbeats of other hosts."""
 
-from collections.abc import Collection, Iterable, Sequence
+from collections.abc import Collection, Iterable, Iterator
 from typing import NamedTuple
 
 from magnoliaroad.records.messages import RecordHostHeartbeat
@@ -46,29 +46,26 @@
         """Makes the next selection have all heartbeats; a receiver may have none."""
         self._sent.clear()
 
-    def select(
-        self,
-        heartbeats: Sequence[Heartbeat],
-        hosts: Collection[str],
-        started: Collection[str],
-    ) -> list[tuple[list[str], list[Heartbeat]]]:
-        """Returns which heartbeats to send on to which hosts.
+    def divide(
+        self, digest: Digest, hosts: Collection[str], started: Collection[str]
+    ) -> Iterator[tuple[list[str], Digest]]:
+        """Yields the digests to send, each with the hosts that get it.
 
-        Hosts that have started get all of them, the others those that changed, and all
-        every ``FULL_EVERY`` calls.
+        Hosts that have started get all heartbeats, the others those that changed, and
+        all every ``FULL_EVERY`` calls.
 
         Args:
-            heartbeats: All heartbeats.
-            hosts: Hosts that receive heartbeats.
+            digest: The digest with all heartbeats.
+            hosts: Hosts that receive one.
             started: Hosts that have just started.
         """
-        changed = list(map(_without_in_flight, self._take_changed(heartbeats)))
+        changed = self._take_changed(digest.heartbeats)
         new = [host for host in hosts if host in started]
         others = [host for host in hosts if host not in started]
-        selected = [(others, changed)] if others else []
-        if new:
-            selected.append((new, list(map(_without_in_flight, heartbeats))))
-        return selected
+        for group, heartbeats in ((others, changed), (new, digest.heartbeats)):
+            if group:
+                sent = [heartbeat._replace(in_flight={}) for heartbeat in heartbeats]
+                yield group, digest._replace(heartbeats=sent)
 
     def _take_changed(self, heartbeats: Iterable[Heartbeat]) -> list[Heartbeat]:
         if self._digest_count % FULL_EVERY == 0:
@@ -83,10 +80,6 @@
         return changed
 
 
-def _without_in_flight(heartbeat: Heartbeat) -> Heartbeat:
-    return heartbeat._replace(in_flight={})
-
-
 def sum_counts(counts: Iterable[dict[str, int]]) -> dict[str, int]:
     """Returns the sums of ``counts`` by key."""
     sums: dict[str, int] = {}
--- a/src/magnoliaroad/relay/heartbeat_router.py
+++ b/src/magnoliaroad/relay/heartbeat_router.py
@@ -77,7 +77,6 @@
         tracker = self._tracker
         if not tracker.uses_forwarders:
             self.forwards = True
-            self._started.clear()
             hosts = tracker.members.items()
             hosts_due = [
                 h for h, address in hosts if everybody or tracker.is_near(address)
@@ -92,7 +91,6 @@
         self.forwards = name in own
         heartbeat = [host for host in own if host != name]
         if not self.forwards:
-            self._started.clear()
             return Recipients(heartbeat, [], [])
         far = [host for hosts in chosen.values() for host in hosts]
         if far != self._far_hosts:
@@ -162,19 +160,16 @@
         """
         started, self._started = self._started, set()
         if recipients.far:
-            yield from self._far_digests(now, own, recipients.far, started)
+            digest = self._far_digest(now, own)
+            yield from self._far_filter.divide(digest, recipients.far, started)
         if recipients.near:
-            yield from self._near_digests(now, own, records, recipients.near, started)
+            digest = self._near_digest(now, own, records)
+            yield from self._near_filter.divide(digest, recipients.near, started)
 
-    def _near_digests(
-        self,
-        now: float,
-        own: Heartbeat,
-        records: list[tuple[RecordHostHeartbeat, int]],
-        hosts: list[str],
-        started: set[str],
-    ) -> Iterator[tuple[list[str], Digest]]:
-        """Yields the digests for the hosts of this data centre."""
+    def _near_digest(
+        self, now: float, own: Heartbeat, records: list[tuple[RecordHostHeartbeat, int]]
+    ) -> Digest:
+        """Returns the digest for the hosts of this data centre, with all heartbeats."""
         ages = self._tracker.ages_ms(now)
         heartbeats = [own, *(self._tracker.latest[host].heartbeat for host in ages)]
         near = [
@@ -182,21 +177,17 @@
             for heartbeat in heartbeats
             if self._tracker.is_near(heartbeat)
         ]
-        digest = Digest(
+        return Digest(
             data_centre=self.cfg.data_centre,
             inter_data_centre=False,
-            heartbeats=[],
+            heartbeats=heartbeats,
             ages={own.host: 0, **ages},
             in_flight=sum_counts([*near, *self._far_in_flight.values()]),
             record_hosts=records,
         )
-        for group, selected in self._near_filter.select(heartbeats, hosts, started):
-            yield group, digest._replace(heartbeats=selected)
 
-    def _far_digests(
-        self, now: float, own: Heartbeat, hosts: list[str], started: set[str]
-    ) -> Iterator[tuple[list[str], Digest]]:
-        """Yields the digests for the forwarders of other data centres."""
+    def _far_digest(self, now: float, own: Heartbeat) -> Digest:
+        """Returns the digest for other data centres, with all heartbeats from here."""
         tracker = self._tracker
         ages = {
             host: age_ms
@@ -204,13 +195,11 @@
             if tracker.is_near(tracker.latest[host].heartbeat)
         }
         heartbeats = [own, *(tracker.latest[host].heartbeat for host in ages)]
-        digest = Digest(
+        return Digest(
             data_centre=self.cfg.data_centre,
             inter_data_centre=True,
-            heartbeats=[],
+            heartbeats=heartbeats,
             ages={own.host: 0, **ages},
             in_flight=sum_counts(heartbeat.in_flight for heartbeat in heartbeats),
             record_hosts=[],
         )
-        for group, selected in self._far_filter.select(heartbeats, hosts, started):
-            yield group, digest._replace(heartbeats=selected)
