Share the home hosts of teams and of limited targets

TargetLimiter ranked all counting hosts anew for each request to a limited target, and had a timeout of its own "as for teams"; TeamLimiter keeps its homes as long as the list of hosts is the same. HomeHosts does so for both, with one ASK_S.

--- a/src/magnoliaroad/relay/target_limiter.py
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from magnoliaroad.peers import PeerError, Peers
+from magnoliaroad.relay.home_hosts import ASK_S, HomeHosts
 from magnoliaroad.relay.metrics import LIMITED_TARGETS, TARGET_ADMISSIONS
 from magnoliaroad.relay.target import RelayTarget, TargetStart, start_of
 from magnoliaroad.relay.target_limit import (
@@ -20,10 +21,7 @@
     TargetLimitNotice,
 )
 from magnoliaroad.relay.target_table import TargetTable
-from magnoliaroad.rendezvous import highest_ranked
 
-# Timeout of a call to a target's home host, in seconds; as for teams.
-ASK_S = 0.15
 # Longest time for which a host remembers that a target takes no more requests without
 # asking again, in seconds.
 MAX_REMEMBERED_S = 0.25
@@ -67,7 +65,7 @@
         self._name = name
         self._peers = peers
         self._table = table
-        self._hosts = hosts
+        self._homes = HomeHosts(hosts)
         self._host_count = host_count
         self._contact_fraction = contact_fraction
         self._now = now
@@ -213,7 +211,7 @@
         return changed
 
     def _home_of(self, target: RelayTarget) -> str | None:
-        return highest_ranked(f"target {target.name}", self._hosts())
+        return self._homes.find(f"target {target.name}")
 
     def _find_start(self, name: str, started_ms: int) -> RelayTarget | None:
         target = self._table.targets.get(name)
--- a/src/magnoliaroad/relay/team_limiter.py
+++ b/src/magnoliaroad/relay/team_limiter.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from magnoliaroad.peers import PeerError, Peers
+from magnoliaroad.relay.home_hosts import ASK_S, HomeHosts
 from magnoliaroad.relay.plan import RelayTeam
 from magnoliaroad.relay.plan_holder import PlanHolder
 from magnoliaroad.relay.quota import TeamTokenBuckets
@@ -15,11 +16,6 @@
     AdmissionReply,
     AdmissionRequest,
 )
-from magnoliaroad.rendezvous import highest_ranked
-
-# Timeout of a call to a team's home host, in seconds; several times what a loaded host
-# takes to answer. After it this host decides from its own replica of the bucket.
-ASK_S = 0.15
 
 
 class AdmissionDecision(NamedTuple):
@@ -69,9 +65,7 @@
         self._peers = peers
         self._plans = plans
         self._quota = quota
-        self._hosts = hosts
-        self._known_hosts: list[str] = []
-        self._homes: dict[str, str | None] = {}
+        self._homes = HomeHosts(hosts)
         peers.on(AdmissionRequest, self._on_admit, AdmissionReply)
         peers.on(AdmissionRefund, self._on_refund)
 
@@ -84,7 +78,7 @@
         """
         if team.rate <= 0:
             return AdmissionDecision(0.0, self._name, {})
-        home = self._home_of(team.name)
+        home = self._homes.find(team.name)
         if home is not None and home != self._name:
             try:
                 req = AdmissionRequest(team.name, new_program)
@@ -105,15 +99,6 @@
         else:
             self._peers.send(decision.host, AdmissionRefund(team.name))
 
-    def _home_of(self, team: str) -> str | None:
-        hosts = self._hosts()
-        if hosts is not self._known_hosts:
-            self._known_hosts = hosts
-            self._homes.clear()
-        if team not in self._homes:
-            self._homes[team] = highest_ranked(team, hosts)
-        return self._homes[team]
-
     def _admit_here(self, team: RelayTeam, new_program: bool) -> AdmissionDecision:
         wait_s = self._quota.admit(time.monotonic(), team, new_program)
         bucket_state = self._quota.bucket_state(team.name) if wait_s else {}
