Take every caller's connection for what it is

cut_off_answer had a second way for connections of another class. The relay hosts and the product's own door both listen through CallerListener, which makes CallerConnection only. No change of behaviour there.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -4,6 +4,7 @@
 import contextlib
 import select
 import time
+import typing
 from collections.abc import Awaitable
 from socket import SO_ERROR, SOL_SOCKET
 
@@ -275,11 +276,8 @@
     Its end does not look like that of a whole answer. Answers before it that the caller
     has not received are delivered first.
     """
-    conn = req.protocol
-    if isinstance(conn, CallerConnection):
-        await conn.cut_off(req.writer.output_size)
-    elif req.transport is not None:
-        req.transport.abort()
+    conn = typing.cast(CallerConnection, req.protocol)
+    await conn.cut_off(req.writer.output_size)
 
 
 def make_connection(server: web.Server) -> CallerConnection:
