Share the fraction of hosts in contact

FleetService computed for the limits of targets what TeamTokenBuckets computes for those of teams, from the numbers that FleetService gives it with each heartbeat. TargetLimiter takes it from there. A peer that is back in contact counts with the next heartbeat of this host, at most 0.4 s later with 200 hosts, as it does for teams. The test names the method, which is public now; its expectation is the same.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -165,7 +165,7 @@
             self.table,
             self.fleet.count_hosts,
             self.fleet.host_count,
-            self.fleet.contact_fraction,
+            self.quota.contact_fraction,
         )
         parts = RelayParts(
             cfg=cfg,
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -233,11 +233,6 @@
         """Returns the number of known relay hosts, this one included."""
         return len(self._tracker.members) + 1
 
-    def contact_fraction(self) -> float:
-        """Returns the fraction of the known relay hosts that is in contact."""
-        hosts = self.host_count()
-        return (hosts - len(self._tracker.silent)) / hosts
-
     def count_hosts(self) -> list[str]:
         """Returns the hosts that count teams' requests, the same on all hosts.
 
--- a/src/magnoliaroad/relay/quota.py
+++ b/src/magnoliaroad/relay/quota.py
@@ -125,6 +125,10 @@
         self._hosts = max(1, hosts)
         self._silent = min(silent, self._hosts - 1)
 
+    def contact_fraction(self) -> float:
+        """Returns the fraction of the known hosts that is in contact."""
+        return (self._hosts - self._silent) / self._hosts
+
     def admit(self, now: float, team: RelayTeam, new_program: bool = False) -> float:
         """Takes a token of ``team`` for one request.
 
@@ -144,7 +148,7 @@
         if team.rate <= 0:
             return 0.0
         state = self._refilled(now, team)
-        rate = team.rate * self._contact_fraction()
+        rate = team.rate * self.contact_fraction()
         if new_program:
             wait_s = self._new_program_wait_s(state, rate)
             if wait_s:
@@ -290,7 +294,7 @@
 
     def _refilled(self, now: float, team: RelayTeam) -> _TeamState:
         state = self._teams.get(team.name)
-        burst = team.burst * self._contact_fraction()
+        burst = team.burst * self.contact_fraction()
         if state is None:
             state = self._teams[team.name] = _TeamState(
                 now, self._initial_tokens(now, team)
@@ -300,7 +304,7 @@
         elapsed_s = max(0.0, now - state.at)
         state.at = max(state.at, now)
         state.tokens = min(
-            burst, state.tokens + elapsed_s * team.rate * self._contact_fraction()
+            burst, state.tokens + elapsed_s * team.rate * self.contact_fraction()
         )
         decay = max(0.0, 1.0 - elapsed_s / DEMAND_WINDOW_S)
         state.own *= decay
@@ -317,6 +321,3 @@
         demand = state.own + state.others
         part = state.own / demand if demand else 1.0
         return max(part, self.cfg.least_share)
-
-    def _contact_fraction(self) -> float:
-        return (self._hosts - self._silent) / self._hosts
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -193,7 +193,7 @@
     assert fleet._tracker.far_silent_s > 0.6
     fleet._update_silent()
     assert len(fleet._tracker.silent) == 30
-    assert fleet._quota._contact_fraction() == 32 / 62
+    assert fleet._quota.contact_fraction() == 32 / 62
 
 
 async def test_listed_hosts_count_teams_before_their_first_heartbeat(fleet):
