Send nothing to the targets of evacuated data centres

Nothing read the operator's orders, so requests went on to an evacuated data centre; the rule was kept only where none of its targets had been chosen. Orders are now followed with the configuration, told to hosts that do not watch the store, and applied to the choice of targets.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from magnoliaroad.background import background_task
+from magnoliaroad.evacuation.service import EvacuationService
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerService
@@ -29,7 +30,11 @@
 from magnoliaroad.relay.helper_choice import HelperChoice
 from magnoliaroad.relay.host_entry import PREFIX, HostEntry
 from magnoliaroad.relay.metrics_server import MetricsServer
-from magnoliaroad.relay.mirror import MirrorListener, PrefixMirror
+from magnoliaroad.relay.mirror import (
+    MirrorListener,
+    MirrorListeners,
+    PrefixMirror,
+)
 from magnoliaroad.relay.parts import RelayParts
 from magnoliaroad.relay.path_prober import PathProber
 from magnoliaroad.relay.placer import Placer
@@ -225,8 +230,17 @@
             self.fleet.helps_peers,
             self.fleet.is_lost,
         )
+        self.evacuation = EvacuationService(
+            decoder,
+            self.table,
+            self.peers,
+            self.fleet.hosts_in_contact,
+            self.fleet.near_hosts_in_contact,
+            cfg.data_centres,
+        )
+        operator_entries = MirrorListeners(self.plans, self.evacuation)
         self._mirrors = (
-            self._mirror(decoder.operator_prefix, self.plans),
+            self._mirror(decoder.operator_prefix, operator_entries),
             self._mirror(decoder.target_prefix, self.follower),
             self._mirror(QUARANTINE_PREFIX, QuarantineMirror(self.quarantine)),
         )
@@ -241,6 +255,7 @@
             self.prober,
             self.detours,
             *self._mirrors,
+            self.evacuation,
             self.announcer,
             self.fleet,
             self.quarantine,
--- a/src/magnoliaroad/relay/call.py
+++ b/src/magnoliaroad/relay/call.py
@@ -23,6 +23,8 @@
         budget: Tokens that all turns of the program together may generate.
         prompt_parts: Ids of the parts of the prompt, in order; the last part belongs to
             this request only.
+        part_tokens: Number of tokens of each of these parts.
+        prompt_tokens: Tokens of the whole prompt; 0 if unknown.
         output_tokens: Most tokens that this request may generate.
         previous_turn: Turn that this one continues; empty for none.
         resume_after: Id of the last event that the caller has received; ``None`` if the
@@ -44,6 +46,8 @@
     program_left_s: float | None = None
     budget: int | None = None
     prompt_parts: tuple[str, ...] = ()
+    part_tokens: tuple[int, ...] = ()
+    prompt_tokens: int = 0
     output_tokens: int = 0
     previous_turn: str = ""
     resume_after: int | None = None
--- a/src/magnoliaroad/relay/detour_service.py
+++ b/src/magnoliaroad/relay/detour_service.py
@@ -155,6 +155,8 @@
             return "target unknown"
         if target.state is not TargetState.READY or target in self._table.leaving:
             return "target leaves"
+        if target.data_centre in self._table.evacuations:
+            return "data centre of the target is evacuated"
         if self._paths.is_cut(target.service):
             return "cut off from the targets"
         if not unpack_text(message.url).startswith(f"http://{target.address}/"):
--- a/src/magnoliaroad/relay/dialect.py
+++ b/src/magnoliaroad/relay/dialect.py
@@ -17,11 +17,14 @@
         running: Requests that it runs.
         waiting: Requests in its queue.
         slots: Requests that it can run at the same time.
+        slowdown: Time that work takes on its machine now, as a factor of the usual;
+            ``None`` if the target does not state it.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 class AnswerHead(NamedTuple):
@@ -37,6 +40,8 @@
         leaving: Whether the target that answered is about to stop.
         limit: Requests a second that it takes from all hosts together; ``None`` if it
             states no limit.
+        cold_s: Time for which the target remains cold, in seconds; ``None`` if it is
+            not stated.
     """
 
     request_id: str
@@ -47,6 +52,7 @@
     encoded: bool
     leaving: bool = False
     limit: float | None = None
+    cold_s: float | None = None
 
 
 class BadCall(ValueError):
--- a/src/magnoliaroad/relay/entry_decoder.py
+++ b/src/magnoliaroad/relay/entry_decoder.py
@@ -52,6 +52,17 @@
     def read_target(self, key: str, value: bytes) -> RelayTarget:
         """Returns the target in an entry; raises ``BadEntry``."""
 
+    def read_evacuated_name(self, key: str) -> str | None:
+        """Returns the data centre that ``key`` orders to evacuate.
+
+        ``None`` for other keys, and on platforms without such orders.
+        """
+        return None
+
+    def find_evacuation_fault(self, key: str, value: bytes) -> str:
+        """Returns what is malformed in an order to evacuate; empty if it is sound."""
+        return ""
+
     @abc.abstractmethod
     def read_retirement(self, key: str) -> Retirement | None:
         """Returns the retirement that ``key`` asks for; ``None`` for other keys."""
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -290,6 +290,14 @@
             if not heartbeat.slow
         ]
 
+    def near_hosts_in_contact(self) -> list[str]:
+        """Returns the other relay hosts of this data centre in contact."""
+        return [
+            host
+            for host, heartbeat in self._tracker.in_contact().items()
+            if self._tracker.is_near(heartbeat)
+        ]
+
     def is_lost(self, host: str) -> bool:
         """Whether a peer has been out of contact for too long to wait for it."""
         return self._tracker.is_lost(time.monotonic(), host)
--- a/src/magnoliaroad/relay/mirror.py
+++ b/src/magnoliaroad/relay/mirror.py
@@ -45,6 +45,39 @@
         """Handles changes since the last snapshot or batch."""
 
 
+class MirrorListeners(MirrorListener):
+    """Passes what one mirror reads on to several listeners.
+
+    One that fails does not keep the others from getting it.
+
+    Args:
+        listeners: The listeners, in the order in which they are called.
+    """
+
+    def __init__(self, *listeners: MirrorListener) -> None:
+        self._listeners = listeners
+
+    def on_snapshot(
+        self, entries: dict[str, StoreEntry], revision: int, after_loss: bool
+    ) -> None:
+        """Passes a listing on; raises what the listeners have raised."""
+        self._call_all(lambda one: one.on_snapshot(entries, revision, after_loss))
+
+    def on_batch(self, batch: WatchBatch) -> None:
+        """Passes changes on; raises what the listeners have raised."""
+        self._call_all(lambda one: one.on_batch(batch))
+
+    def _call_all(self, call: Callable[[MirrorListener], None]) -> None:
+        errors = []
+        for listener in self._listeners:
+            try:
+                call(listener)
+            except Exception as exc:
+                errors.append(exc)
+        if errors:
+            raise ExceptionGroup("entries not applied by all listeners", errors)
+
+
 class PrefixMirror(Service):
     """Lists a prefix, and watches it while ``following`` is set.
 
--- a/src/magnoliaroad/relay/plan.py
+++ b/src/magnoliaroad/relay/plan.py
@@ -18,6 +18,10 @@
         max_connections: Most connections that a target accepts from all hosts together.
         slots: Requests that an engine processes in one batch; 0 for plain services.
         tokens_per_event: Tokens in each event of a stream; 0 for plain services.
+        memory_tokens: Tokens that the memory of an engine holds; 0 if unknown.
+        cold_s: Time that a target is cold after its start, in seconds.
+        cold_rate: Requests a second that a cold target takes from all hosts together; 0
+            for no limit.
     """
 
     name: str
@@ -25,6 +29,9 @@
     max_connections: int
     slots: int = 0
     tokens_per_event: int = 0
+    memory_tokens: int = 0
+    cold_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 class RelayTeam(NamedTuple):
@@ -35,12 +42,14 @@
         rate: Requests a second over all hosts; 0 for no limit.
         burst: Requests above the rate that are admitted at once.
         priority: Overrides the priority of a route; ``None`` keeps the route's.
+        allowed_regions: Regions to which its requests may go; all if it is empty.
     """
 
     name: str
     rate: float
     burst: float
     priority: int | None = None
+    allowed_regions: tuple[str, ...] = ()
 
 
 class CallerLimits(NamedTuple):
--- a/src/magnoliaroad/relay/route.py
+++ b/src/magnoliaroad/relay/route.py
@@ -29,6 +29,7 @@
         retention_s: Time for which a turn is stored.
         open_to_all: Whether requests need no key.
         resumable: Whether a stream may continue on another target.
+        allowed_regions: Regions to which the requests may go; all if it is empty.
     """
 
     name: str
@@ -44,6 +45,7 @@
     retention_s: float = 0.0
     open_to_all: bool = False
     resumable: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
     @property
     def repeatable(self) -> bool:
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Iterable
 from typing import NamedTuple
 
+from magnoliaroad.evacuation.orders import EvacuationOrders
 from magnoliaroad.relay.leaving import LeavingTargets
 from magnoliaroad.relay.target import RelayTarget, TargetState
 from magnoliaroad.relay.target_limit import TargetLimits
@@ -46,6 +47,7 @@
         in_flight: Requests of this host in flight, by target.
         leaving: Targets that have announced that they leave.
         limits: Limits that targets have stated.
+        evacuations: Data centres whose targets get no further requests.
         silent_data_centres: Data centres out of contact. The load of their targets is
             not known, and calls to them are likely to fail.
     """
@@ -53,6 +55,7 @@
     def __init__(self) -> None:
         self.leaving = LeavingTargets()
         self.limits = TargetLimits()
+        self.evacuations = EvacuationOrders()
         self.silent_data_centres: Collection[str] = frozenset()
         self.targets: dict[str, RelayTarget] = {}
         self.in_flight: dict[str, int] = {}
@@ -87,7 +90,8 @@
         """Returns the targets of ``service`` that may get new requests.
 
         Targets in cooldown, slow targets and those of data centres out of contact are
-        left out unless there are no others; leaving targets are always left out.
+        left out unless there are no others. Leaving targets and those of evacuated data
+        centres are always left out.
 
         Args:
             service: Name of the service.
@@ -101,6 +105,7 @@
             if target.service == service
             and target.state is TargetState.READY
             and target not in self.leaving
+            and target.data_centre not in self.evacuations
             and version in (None, target.version)
         ]
         available = [t for t in ready if self._cooldown_until.get(t.name, 0.0) <= now]
