Keep the rate of cold targets over all hosts

Targets that have just started end when they get well over a stated rate; nothing read the rate, nor the time for which they are cold. Both now bind the limiter that keeps the limits which targets state: the lower of the two rates holds, with a bucket that keeps the bound of any one second. Fleet in virtual time: nine hosts that send 180 requests a second get 21 through, also with the home host down and on both sides of a cut.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -54,6 +54,7 @@
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.team_limiter import TeamLimiter
 from magnoliaroad.relay.turn_ledger import TurnLedger
+from magnoliaroad.slow_start import ColdRates
 from magnoliaroad.store import Store
 from magnoliaroad.store.contact import StoreContact
 from magnoliaroad.store.leases import LeasePool
@@ -171,6 +172,7 @@
             self.fleet.count_hosts,
             self.fleet.host_count,
             self.quota.contact_fraction,
+            ColdRates(cfg.slow_start, self.table.cold, self.plans.find_service),
         )
         parts = RelayParts(
             cfg=cfg,
--- a/src/magnoliaroad/relay/metrics.py
+++ b/src/magnoliaroad/relay/metrics.py
@@ -37,6 +37,9 @@
 TARGET_ADMISSIONS = Counter(
     "relay_target_admissions_total", "Decisions on requests to limited targets."
 )
+COLD_TARGETS = Gauge(
+    "relay_cold_targets", "Targets that are cold, as far as this host knows."
+)
 LIMITED_TARGETS = Gauge(
     "relay_limited_targets", "Targets that state a limit, as far as this host knows."
 )
--- a/src/magnoliaroad/relay/plan_holder.py
+++ b/src/magnoliaroad/relay/plan_holder.py
@@ -6,7 +6,7 @@
 
 from magnoliaroad.relay.entry_decoder import BadEntry, EntryDecoder
 from magnoliaroad.relay.mirror import MirrorListener
-from magnoliaroad.relay.plan import RelayPlan, RelayTeam
+from magnoliaroad.relay.plan import RelayPlan, RelayService, RelayTeam
 from magnoliaroad.store import StoreEntry, WatchBatch
 
 # Origin of a configuration that this host has read from its mirror of the store.
@@ -37,6 +37,10 @@
         """Returns a team of the configuration in force; ``None`` if it is unknown."""
         return None if self.plan is None else self.plan.teams.get(name)
 
+    def find_service(self, name: str) -> RelayService | None:
+        """Returns a service of the configuration in force; ``None`` if it is unknown."""
+        return None if self.plan is None else self.plan.services.get(name)
+
     def on_snapshot(
         self, entries: dict[str, StoreEntry], revision: int, after_loss: bool
     ) -> None:
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -7,6 +7,7 @@
 from magnoliaroad.peers.settings import PeerSettings
 from magnoliaroad.quarantine.settings import QuarantineSettings
 from magnoliaroad.records.settings import RecordSettings
+from magnoliaroad.slow_start.settings import SlowStartSettings
 from magnoliaroad.store.settings import StoreSettings
 
 
@@ -196,6 +197,7 @@
     turns: TurnSettings = TurnSettings()
     records: RecordSettings = RecordSettings()
     quota: QuotaSettings = QuotaSettings()
+    slow_start: SlowStartSettings = SlowStartSettings()
     fleet: FleetSettings = FleetSettings()
     follow: FollowSettings = FollowSettings()
     drain: DrainSettings = DrainSettings()
--- a/src/magnoliaroad/relay/target.py
+++ b/src/magnoliaroad/relay/target.py
@@ -24,6 +24,7 @@
         started_ms: Unix time of its start in milliseconds; 0 if unknown.
         version: Version of its software; empty if unknown. Streams that one version has
             begun cannot be continued by another.
+        cold_s: Time for which it is cold after its entry, in seconds; 0 if it is warm.
     """
 
     name: str
@@ -34,6 +35,7 @@
     state: TargetState
     started_ms: int = 0
     version: str = ""
+    cold_s: float = 0.0
 
 
 class TargetStart(NamedTuple):
--- a/src/magnoliaroad/relay/target_follower.py
+++ b/src/magnoliaroad/relay/target_follower.py
@@ -160,6 +160,13 @@
             self._drop(name, "entry cannot be decoded")
             return
         before = self._table.targets.get(name)
+        if self._table.cold.record_entry(target, self._now()):
+            logger.bind(
+                target=name,
+                started_ms=target.started_ms,
+                cold_s=target.cold_s,
+                revision=entry.revision,
+            ).info("target cold" if target.cold_s else "target warm")
         if before is not None and before.started_ms != target.started_ms:
             self._report_lost(before)
         if before != target:
--- a/src/magnoliaroad/relay/target_limit.py
+++ b/src/magnoliaroad/relay/target_limit.py
@@ -90,7 +90,12 @@
         self._tokens = 0.0
 
     def take(
-        self, now: float, rate: float, reserved_part: float, longest_wait_s: float = 0.0
+        self,
+        now: float,
+        rate: float,
+        reserved_part: float,
+        longest_wait_s: float = 0.0,
+        burst: float | None = None,
     ) -> "BucketDecision":
         """Takes a token for one request, if it may be sent soon enough.
 
@@ -99,8 +104,10 @@
             rate: Requests a second.
             reserved_part: Part of the bucket that the request leaves to others.
             longest_wait_s: Longest time that the request may wait.
+            burst: Most tokens of the bucket; those of ``BURST_S`` by default.
         """
-        burst = max(1.0, rate * BURST_S)
+        if burst is None:
+            burst = max(1.0, rate * BURST_S)
         earned = rate * max(0.0, now - self._at)
         self._at = max(self._at, now)
         self._tokens = min(burst, self._tokens + earned)
--- a/src/magnoliaroad/relay/target_limiter.py
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -1,5 +1,6 @@
 """Keeps the rates that targets state, over all hosts."""
 
+import math
 import time
 from collections.abc import Callable
 
@@ -7,7 +8,7 @@
 
 from magnoliaroad.peers import PeerError, Peers
 from magnoliaroad.relay.home_hosts import ASK_S, HomeHosts
-from magnoliaroad.relay.metrics import LIMITED_TARGETS, TARGET_ADMISSIONS
+from magnoliaroad.relay.metrics import COLD_TARGETS, LIMITED_TARGETS, TARGET_ADMISSIONS
 from magnoliaroad.relay.target import RelayTarget, TargetStart, start_of
 from magnoliaroad.relay.target_limit import (
     MIN_RATE,
@@ -21,6 +22,7 @@
     TargetLimitNotice,
 )
 from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.slow_start import ColdAdmissionRequest, ColdRates
 
 # Longest time for which a host remembers that a target takes no more requests without
 # asking again, in seconds.
@@ -38,8 +40,11 @@
     uses the part of the limit that one of all hosts has. The home host scales the limit
     down to the fraction of hosts in contact, so that both together keep it.
 
-    A limit ends with the first answer without one to a request that was sent after it
-    was last stated.
+    Cold targets have a rate, too, which their service's configuration states. Of both
+    the lower holds.
+
+    A stated limit ends with the first answer without one to a request that was sent
+    after it was last stated.
 
     Args:
         name: Name of this host.
@@ -48,6 +53,7 @@
         hosts: Returns the hosts in contact that may be home hosts, possibly this one.
         host_count: Returns the number of known hosts, this one included.
         contact_fraction: Returns the fraction of them that is in contact.
+        cold_rates: The rates of cold targets.
         now: Clock in seconds.
     """
 
@@ -59,6 +65,7 @@
         hosts: Callable[[], list[str]],
         host_count: Callable[[], int],
         contact_fraction: Callable[[], float],
+        cold_rates: ColdRates,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.limits = table.limits
@@ -68,11 +75,13 @@
         self._homes = HomeHosts(hosts)
         self._host_count = host_count
         self._contact_fraction = contact_fraction
+        self._cold_rates = cold_rates
         self._now = now
         self._buckets: dict[TargetStart, TargetBucket] = {}
         self._own_parts: dict[TargetStart, TargetBucket] = {}
         self._refused_until: dict[tuple[TargetStart, float], float] = {}
         peers.on(TargetAdmissionRequest, self._on_request, TargetAdmissionReply)
+        peers.on(ColdAdmissionRequest, self._on_cold_request, TargetAdmissionReply)
         peers.on(TargetLimitNotice, self._on_notice)
 
     def record_answer(
@@ -109,9 +118,9 @@
                 others.
             longest_wait_s: Longest time that the request may wait, in seconds.
         """
-        if not self.limits.is_limited(target):
-            return ADMITTED
         now = self._now()
+        if self._find_rate(target, now) is None:
+            return ADMITTED
         remembered = (start_of(target), reserved_part)
         refused_s = self._refused_until.get(remembered, 0.0) - now
         if refused_s > longest_wait_s:
@@ -119,7 +128,7 @@
         decision = await self._decide(target, reserved_part, longest_wait_s)
         if decision.admitted:
             self._refused_until.pop(remembered, None)
-        elif self.limits.is_limited(target):
+        elif self._find_rate(target, now) is not None:
             remembered_s = min(decision.wait_s, MAX_REMEMBERED_S)
             self._refused_until[remembered] = now + remembered_s
         outcome = "admitted" if decision.admitted else "refused"
@@ -137,6 +146,20 @@
             key: until for key, until in self._refused_until.items() if until > now
         }
         LIMITED_TARGETS.set({}, sum(map(self.limits.is_limited, names.values())))
+        for start in self._table.cold.sweep(now, names):
+            logger.bind(target=start.name, started_ms=start.started_ms).info(
+                "target warm"
+            )
+        COLD_TARGETS.set({}, len(self._table.cold))
+
+    def _find_rate(self, target: RelayTarget, now: float) -> float | None:
+        """Returns the requests a second that a target takes; ``None`` for no limit."""
+        stated = self.limits.find(target)
+        rate = None if stated is None else stated.rate
+        cold_rate = self._cold_rates.find(target, now)
+        if rate is None or cold_rate is None:
+            return cold_rate if rate is None else rate
+        return min(rate, cold_rate)
 
     async def _decide(
         self, target: RelayTarget, reserved_part: float, longest_wait_s: float
@@ -144,14 +167,7 @@
         home = self._home_of(target)
         if home in (None, self._name):
             return self._admit_for_all(target, reserved_part, longest_wait_s)
-        stated = self.limits.find(target)
-        req = TargetAdmissionRequest(
-            *start_of(target),
-            rate=stated.rate,
-            age_s=self._now() - stated.stated_at,
-            reserved_part=reserved_part,
-            longest_wait_s=longest_wait_s,
-        )
+        req = self._admission_request(target, reserved_part, longest_wait_s)
         try:
             reply = await self._peers.call_with_deadline(home, req, ASK_S)
         except PeerError as exc:
@@ -165,6 +181,25 @@
         self._record(target, rate, self._now() - reply.age_s, home)
         return BucketDecision(reply.admitted, reply.wait_s)
 
+    def _admission_request(
+        self, target: RelayTarget, reserved_part: float, longest_wait_s: float
+    ) -> TargetAdmissionRequest | ColdAdmissionRequest:
+        now, stated = self._now(), self.limits.find(target)
+        if stated is not None and stated.rate is not None:
+            return TargetAdmissionRequest(
+                *start_of(target),
+                rate=stated.rate,
+                age_s=now - stated.stated_at,
+                reserved_part=reserved_part,
+                longest_wait_s=longest_wait_s,
+            )
+        return ColdAdmissionRequest(
+            *start_of(target),
+            cold_s=self._cold_rates.remaining_s(target, now),
+            reserved_part=reserved_part,
+            longest_wait_s=longest_wait_s,
+        )
+
     def _admit_for_all(
         self, target: RelayTarget, reserved_part: float, longest_wait_s: float
     ) -> BucketDecision:
@@ -188,13 +223,15 @@
         longest_wait_s: float,
     ) -> BucketDecision:
         """Takes a token from a target's bucket, which has a part of its rate."""
-        stated = self.limits.find(target)
-        if stated is None or stated.rate is None:
-            return ADMITTED
         now = self._now()
+        whole_rate = self._find_rate(target, now)
+        if whole_rate is None:
+            return ADMITTED
         bucket = buckets.setdefault(start_of(target), TargetBucket(now))
-        rate = max(MIN_RATE, stated.rate) * part
-        return bucket.take(now, rate, reserved_part, longest_wait_s)
+        rate = max(MIN_RATE, whole_rate) * part
+        is_cold = self._cold_rates.find(target, now) is not None
+        burst = self._cold_rates.burst(rate) if is_cold else None
+        return bucket.take(now, rate, reserved_part, longest_wait_s, burst)
 
     def _record(
         self, target: RelayTarget, rate: float | None, at: float, source: str
@@ -225,13 +262,29 @@
         target = self._find_start(req.target, req.started_ms)
         if target is None:
             return TargetAdmissionReply(False, False, 0.0, NO_LIMIT, 0.0)
-        now = self._now()
-        self._record(target, req.rate, now - req.age_s, sender)
+        self._record(target, req.rate, self._now() - req.age_s, sender)
+        return self._answer(target, req)
+
+    def _on_cold_request(
+        self, sender: str, req: ColdAdmissionRequest
+    ) -> TargetAdmissionReply:
+        target = self._find_start(req.target, req.started_ms)
+        if target is None:
+            return TargetAdmissionReply(False, False, 0.0, NO_LIMIT, 0.0)
+        self._table.cold.record_remaining(target, req.cold_s, self._now())
+        return self._answer(target, req)
+
+    def _answer(
+        self, target: RelayTarget, req: TargetAdmissionRequest | ColdAdmissionRequest
+    ) -> TargetAdmissionReply:
         decision = self._admit_for_all(target, req.reserved_part, req.longest_wait_s)
         stated = self.limits.find(target)
-        rate = NO_LIMIT if stated.rate is None else stated.rate
+        rate, age_s = NO_LIMIT, math.inf
+        if stated is not None:
+            rate = NO_LIMIT if stated.rate is None else stated.rate
+            age_s = self._now() - stated.stated_at
         return TargetAdmissionReply(
-            True, decision.admitted, decision.wait_s, rate, now - stated.stated_at
+            True, decision.admitted, decision.wait_s, rate, age_s
         )
 
     def _on_notice(self, sender: str, notice: TargetLimitNotice) -> None:
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -8,6 +8,7 @@
 from magnoliaroad.relay.leaving import LeavingTargets
 from magnoliaroad.relay.target import RelayTarget, TargetState
 from magnoliaroad.relay.target_limit import TargetLimits
+from magnoliaroad.slow_start.cold_targets import ColdTargets
 
 # A target is slow if its mean gap between events exceeds the median target's by this
 # factor. A full batch makes a step only about 1.5 times as long.
@@ -47,6 +48,7 @@
         in_flight: Requests of this host in flight, by target.
         leaving: Targets that have announced that they leave.
         limits: Limits that targets have stated.
+        cold: Targets that take few requests because they have just started.
         evacuations: Data centres whose targets get no further requests.
         silent_data_centres: Data centres out of contact. The load of their targets is
             not known, and calls to them are likely to fail.
@@ -55,6 +57,7 @@
     def __init__(self) -> None:
         self.leaving = LeavingTargets()
         self.limits = TargetLimits()
+        self.cold = ColdTargets()
         self.evacuations = EvacuationOrders()
         self.silent_data_centres: Collection[str] = frozenset()
         self.targets: dict[str, RelayTarget] = {}
--- /dev/null
+++ b/src/magnoliaroad/slow_start/__init__.py
@@ -0,0 +1,8 @@
+"""The rate at which targets take requests shortly after their start."""
+
+from magnoliaroad.slow_start.cold_targets import ColdTargets
+from magnoliaroad.slow_start.messages import ColdAdmissionRequest
+from magnoliaroad.slow_start.rates import ColdRates
+from magnoliaroad.slow_start.settings import SlowStartSettings
+
+__all__ = ["ColdAdmissionRequest", "ColdRates", "ColdTargets", "SlowStartSettings"]
--- /dev/null
+++ b/src/magnoliaroad/slow_start/rates.py
@@ -0,0 +1,64 @@
+"""Decides how many requests a second a cold target gets."""
+
+from collections.abc import Callable
+
+from magnoliaroad.relay.plan import RelayService
+from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.slow_start.cold_targets import ColdTargets
+from magnoliaroad.slow_start.settings import SlowStartSettings
+
+# Longest time for which a target may be cold, as a factor of its service's: an entry
+# that states more is not believed.
+MAX_COLD_FACTOR = 10.0
+# Part of the requests beyond the rate that a bucket may hold. The rest covers requests
+# that arrive closer together than they were sent, and hosts with parts of their own.
+BURST_PART = 0.5
+
+
+class ColdRates:
+    """The rate of each cold target, over all hosts.
+
+    For the load pattern of a data centre whose targets come back together: all of them
+    are empty, so that every host would send its next requests there, and more than a
+    cold target can take would end it again.
+
+    Args:
+        cfg: Most requests that a cold target may get.
+        cold: The targets that are cold.
+        find_service: Returns a service of the configuration in force, if it is there.
+    """
+
+    def __init__(
+        self,
+        cfg: SlowStartSettings,
+        cold: ColdTargets,
+        find_service: Callable[[str], RelayService | None],
+    ) -> None:
+        self.cfg = cfg
+        self.cold = cold
+        self._find_service = find_service
+
+    def remaining_s(self, target: RelayTarget, now: float) -> float:
+        """Returns the time for which a target remains cold; 0 without a limit."""
+        remaining_s = self.cold.remaining_s(target, now)
+        if not remaining_s:
+            return 0.0
+        service = self._find_service(target.service)
+        if service is None or service.cold_rate <= 0:
+            return 0.0
+        return min(remaining_s, MAX_COLD_FACTOR * service.cold_s)
+
+    def find(self, target: RelayTarget, now: float) -> float | None:
+        """Returns the rate of a target; ``None`` if it is warm or has no limit."""
+        if not self.remaining_s(target, now):
+            return None
+        return self._find_service(target.service).cold_rate
+
+    def burst(self, rate: float) -> float:
+        """Returns the most requests at once of a bucket with ``rate``.
+
+        What the bucket holds and what it earns in a second stay within the bound on any
+        one second.
+        """
+        spare = rate * (self.cfg.overage - 1.0) + self.cfg.slack
+        return max(1.0, BURST_PART * spare)
--- a/tests/platform/test_decoded_fields.py
+++ b/tests/platform/test_decoded_fields.py
@@ -87,3 +87,14 @@
     assert DECODER.read_evacuated_name("op/evacuate/dc-1") == "dc-1"
     assert DECODER.read_evacuated_name("op/evacuate/") is None
     assert DECODER.read_evacuated_name("op/config") is None
+
+
+@pytest.mark.parametrize(
+    ("value", "cold_s"),
+    [(1500, 1.5), (0, 0.0), (-1, 0.0), ("3000", 0.0), (True, 0.0), (1e12, 600.0)],
+)
+def test_an_entry_is_sound_whatever_it_says_of_being_cold(value, cold_s):
+    """Guards against a malformed field that hides a target."""
+    entry = {"service": "a", "address": "10.0.0.1:80", "state": "ready"}
+    document = json.dumps({**entry, "cold_remaining_ms": value}).encode()
+    assert DECODER.read_target("servers/i-1", document).cold_s == cold_s
--- a/tests/relay/test_target_limiter.py
+++ b/tests/relay/test_target_limiter.py
@@ -11,6 +11,7 @@
 from magnoliaroad.relay.target_limiter import TargetLimiter
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.rendezvous import highest_ranked
+from magnoliaroad.slow_start import ColdRates, SlowStartSettings
 from tests.fakes.loop import VirtualTimeLoop
 from tests.fakes.peers import PeerNetwork
 
@@ -47,6 +48,7 @@
             lambda: self.in_contact(name),
             lambda: len(NAMES),
             lambda: len(self.in_contact(name)) / len(NAMES),
+            ColdRates(SlowStartSettings(), table.cold, lambda name: None),
             self.loop.time,
         )
 
--- /dev/null
+++ b/tests/slow_start/test_fleet.py
@@ -0,0 +1,89 @@
+"""The rate of a cold target over all hosts, in virtual time."""
+
+import pytest
+
+from magnoliaroad.relay.plan import RelayService
+from magnoliaroad.relay.target_limiter import TargetLimiter
+from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.slow_start import ColdRates, SlowStartSettings
+from tests.fakes.loop import VirtualTimeLoop
+from tests.relay.test_target_limiter import HOME, NAMES, TARGET, Fleet
+
+RATE = 21.0
+# The rule: most requests that a cold target may get in any one second.
+MOST_IN_SECOND = RATE * 1.5 + 5
+SERVICE = RelayService("lm", "/health", 100, cold_s=30.0, cold_rate=RATE)
+
+
+class ColdFleet(Fleet):
+    """Hosts that all send their requests to a target that has just come back."""
+
+    def limiter(self, name):
+        table = TargetTable()
+        table.set(TARGET)
+        table.cold.record_entry(TARGET._replace(cold_s=20.0), 0.0)
+        return TargetLimiter(
+            name,
+            self.network.join(name),
+            table,
+            lambda: self.in_contact(name),
+            lambda: len(NAMES),
+            lambda: len(self.in_contact(name)) / len(NAMES),
+            ColdRates(SlowStartSettings(), table.cold, lambda service: SERVICE),
+            self.loop.time,
+        )
+
+    def most_in_second(self):
+        sent = sorted(self.sent_at)
+        return max(sum(0 <= at - first < 1.0 for at in sent) for first in sent)
+
+
+@pytest.fixture
+def loop():
+    loop = VirtualTimeLoop()
+    yield loop
+    loop.close()
+
+
+@pytest.fixture
+def fleet(loop):
+    fleet = ColdFleet(loop)
+    fleet.rate = None
+    return fleet
+
+
+def test_all_hosts_together_keep_the_rate_of_a_cold_target(loop, fleet):
+    """Guards against a data centre that comes back and is ended by its first load."""
+    loop.run_until_complete(fleet.run(4.0))
+    assert fleet.most_in_second() <= MOST_IN_SECOND
+    assert len(fleet.sent_at) >= 0.8 * 4.0 * RATE
+
+
+def test_the_rate_holds_while_the_home_host_is_down(loop, fleet):
+    fleet.down = {HOME}
+    loop.run_until_complete(fleet.run(4.0))
+    assert fleet.most_in_second() <= MOST_IN_SECOND
+    assert fleet.sent_at
+
+
+def test_the_rate_holds_on_both_sides_of_a_cut(loop, fleet):
+    """Guards against each side taking the whole rate."""
+    fleet.cut = set(NAMES[:4])
+    fleet.network.wire.cut(NAMES[:4], NAMES[4:])
+    loop.run_until_complete(fleet.run(4.0))
+    assert fleet.most_in_second() <= MOST_IN_SECOND
+
+
+def test_a_stated_limit_that_is_lower_holds_for_a_cold_target(loop, fleet):
+    fleet.rate = 4.0
+    loop.run_until_complete(fleet.run(6.0))
+    late = [at for at in fleet.sent_at if at >= 3.0]
+    assert len(late) <= 1.5 * 3.0 * 4.0 + 5
+
+
+def test_a_warm_target_gets_all_requests_without_a_message(loop, fleet):
+    for limiter in fleet.limiters.values():
+        limiter._table.cold.record_entry(TARGET, 0.0)
+    loop.run_until_complete(fleet.run(1.0))
+    assert not any(peers.sent for peers in fleet.network.hosts.values())
+    assert len(fleet.sent_at) > 9 * 15
--- /dev/null
+++ b/tests/slow_start/test_rates.py
@@ -0,0 +1,67 @@
+"""How long targets are cold, and what they then get."""
+
+import pytest
+
+from magnoliaroad.relay.plan import RelayService
+from magnoliaroad.relay.target import RelayTarget, TargetState
+from magnoliaroad.slow_start import ColdRates, ColdTargets, SlowStartSettings
+
+SERVICE = RelayService("lm", "/health", 100, cold_s=3.0, cold_rate=21.0)
+
+
+def target(cold_s, started_ms=1):
+    return RelayTarget(
+        "i-1",
+        "lm",
+        "10.0.0.1:80",
+        "dc-1",
+        8,
+        TargetState.READY,
+        started_ms,
+        "v",
+        cold_s,
+    )
+
+
+@pytest.fixture
+def cold():
+    return ColdTargets()
+
+
+def rates(cold, service=SERVICE):
+    return ColdRates(SlowStartSettings(), cold, lambda name: service)
+
+
+def test_a_target_is_cold_for_the_time_in_its_entry(cold):
+    assert cold.record_entry(target(2.0), 10.0)
+    assert rates(cold).find(target(2.0), 11.9) == 21.0
+    assert rates(cold).find(target(2.0), 12.0) is None
+    assert [start.name for start in cold.sweep(12.0, {"i-1"})] == ["i-1"]
+    assert cold.record_entry(target(1.0), 20.0)
+    assert rates(cold).find(target(1.0), 20.5) == 21.0
+    assert cold.record_entry(target(0.0), 20.6)
+    assert rates(cold).find(target(0.0), 20.7) is None
+
+
+def test_another_start_under_the_same_id_is_not_cold_by_the_first(cold):
+    cold.record_entry(target(2.0, started_ms=1), 0.0)
+    assert rates(cold).find(target(0.0, started_ms=2), 0.5) is None
+
+
+@pytest.mark.parametrize(
+    "service", [None, SERVICE._replace(cold_rate=0.0), SERVICE._replace(cold_s=0.0)]
+)
+def test_services_without_a_rate_for_cold_targets_have_no_limit(cold, service):
+    """Guards against limits in deployments that state none."""
+    cold.record_entry(target(2.0), 0.0)
+    assert rates(cold, service).find(target(2.0), 0.1) is None
+
+
+def test_an_entry_that_states_too_long_a_time_is_not_believed(cold):
+    cold.record_entry(target(600.0), 0.0)
+    assert rates(cold).remaining_s(target(600.0), 0.0) == 30.0
+
+
+@pytest.mark.parametrize("rate", [0.5, 5.0, 21.0, 100.0])
+def test_a_bucket_and_what_it_earns_stay_within_the_bound_of_a_second(cold, rate):
+    assert rates(cold).burst(rate) + rate <= rate * 1.5 + 5
