Keep requests inside the regions of their route and team

Nothing read the regions of routes and teams. They now bind the choice of targets and of peers that send a request in the place of this host; turns that may not be seen everywhere are kept in the store by the host itself. Where neither states a region, nothing changes.

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -186,7 +186,9 @@
         """Returns hosts that may hold records and can't be asked for them."""
         return sorted(self._marked - self._hosts.keys())
 
-    async def keep(self, key: str, value: bytes, ttl_s: float) -> None:
+    async def keep(
+        self, key: str, value: bytes, ttl_s: float, in_store_only: bool = False
+    ) -> None:
         """Returns once enough hosts have synced a record, or the store holds it.
 
         When hosts are late to reply, others and the store are asked as well; whichever
@@ -194,10 +196,22 @@
 
         If neither succeeds, any synced copy is enough: a data centre that is cut off
         keeps working, and its record host writes the record to the store later.
+
+        Args:
+            key: Key of the record.
+            value: Its value.
+            ttl_s: Time for which it is kept, in seconds.
+            in_store_only: Whether no other host may see it; it is then written to the
+                store by this host.
         """
         calls = KeepCalls(self.cfg.copies)
+        record = KeepRecord(key, value, ttl_s, [], True)
         try:
-            await self._keep(KeepRecord(key, value, ttl_s, [], True), calls)
+            if in_store_only:
+                while not await self._keep_in_store(record, calls, self.cfg.call_s):
+                    await asyncio.sleep(MIN_RETRY_S)
+            else:
+                await self._keep(record, calls)
         except asyncio.CancelledError:
             logger.bind(
                 key=key, asked=calls.outcomes, silent=self.silent_hosts()
@@ -227,17 +241,25 @@
                 return
             await asyncio.sleep(MIN_RETRY_S)
 
-    async def fetch(self, key: str) -> bytes | None:
+    async def fetch(self, key: str, in_store_only: bool = False) -> bytes | None:
         """Returns a record, or ``None`` if it certainly does not exist.
 
         Retries without limit while neither is certain; callers set a timeout.
+
+        Args:
+            key: Key of the record.
+            in_store_only: Whether no other host may see it; it is then read from the
+                store by this host.
         """
         pause_s = MIN_RETRY_S
         while True:
-            certain, value = await self._fetch_once(key)
+            if in_store_only:
+                certain, value = await self._read_store(key)
+            else:
+                certain, value = await self._fetch_once(key)
             if value is not None or certain:
                 return value
-            for host in self._helpers():
+            for host in [] if in_store_only else self._helpers():
                 reply = await self._call(host, ProxyFetchRequest(key))
                 if reply is not None and reply.certain:
                     return reply.value if reply.found else None
--- a/src/magnoliaroad/relay/detour_client.py
+++ b/src/magnoliaroad/relay/detour_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from loguru import logger
 
@@ -61,6 +61,7 @@
         req: TargetRequest,
         limit_s: float,
         on_sent: Callable[[], None],
+        data_centres: Collection[str] | None = None,
     ) -> DetourResponse:
         """Sends ``req`` and returns the answer once its head has arrived.
 
@@ -70,6 +71,8 @@
             req: The request.
             limit_s: Longest wait for the head.
             on_sent: Callback that runs when a peer may have received the request.
+            data_centres: Data centres whose hosts may see the request; ``None`` for
+                any.
 
         Raises:
             NoPath: No peer sends the request.
@@ -81,7 +84,7 @@
         tried: set[str] = set()
         reason = "no peer in contact is able"
         while len(tried) < MAX_HELPERS:
-            host = self._choice.choose(time.monotonic(), tried)
+            host = self._choice.choose(time.monotonic(), tried, data_centres)
             if host is None:
                 break
             tried.add(host)
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -285,6 +285,7 @@
                 host,
                 self._tracker.is_near(heartbeat),
                 sum(heartbeat.in_flight.values()),
+                heartbeat.data_centre,
             )
             for host, heartbeat in self._tracker.in_contact().items()
             if not heartbeat.slow
--- a/src/magnoliaroad/relay/helper_choice.py
+++ b/src/magnoliaroad/relay/helper_choice.py
@@ -17,11 +17,13 @@
         host: Its name.
         near: Whether it is in this host's data centre.
         in_flight: Its own requests in flight at targets, by its last heartbeat.
+        data_centre: Its data centre.
     """
 
     host: str
     near: bool
     in_flight: int
+    data_centre: str = ""
 
 
 class HelperChoice:
@@ -40,13 +42,25 @@
         self._sent: Counter[str] = Counter()
         self._unable_until: dict[str, float] = {}
 
-    def choose(self, now: float, tried: Collection[str]) -> str | None:
-        """Returns a peer that is not in ``tried``; ``None`` if no other may help."""
+    def choose(
+        self,
+        now: float,
+        tried: Collection[str],
+        data_centres: Collection[str] | None = None,
+    ) -> str | None:
+        """Returns a peer that is not in ``tried``; ``None`` if no other may help.
+
+        Args:
+            now: Time in seconds.
+            tried: Names of peers that have been asked.
+            data_centres: Data centres that may see the request; ``None`` for any.
+        """
         able = [
             helper
             for helper in self._helpers()
             if helper.host not in tried
             and self._unable_until.get(helper.host, 0.0) <= now
+            and (data_centres is None or helper.data_centre in data_centres)
         ]
         if not able:
             return None
--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -16,6 +16,7 @@
 from magnoliaroad.relay.program_targets import ProgramTargets
 from magnoliaroad.relay.refusals import (
     NO_TARGET,
+    NO_TARGET_IN_REGION,
     NO_TARGET_OF_VERSION,
     TARGETS_FULL,
     targets_limited,
@@ -58,6 +59,7 @@
         program: Its program; empty for none.
         placed: Target that served the last turn of the program; empty if unknown.
         session: Key by which streams without a program are placed.
+        data_centres: Data centres to which it may go; ``None`` for any.
     """
 
     service: str
@@ -67,6 +69,7 @@
     program: str
     placed: str
     session: str
+    data_centres: frozenset[str] | None = None
 
 
 class Placement(NamedTuple):
@@ -160,9 +163,11 @@
         self, need: PlacementNeed, excluded: set[str]
     ) -> list[RelayTarget]:
         usable = self._table.usable(
-            need.service, time.monotonic(), excluded, need.version
+            need.service, time.monotonic(), excluded, need.version, need.data_centres
         )
         if not usable:
+            if need.data_centres is not None and not excluded:
+                raise NoTarget(NO_TARGET_IN_REGION)
             none_known = NO_TARGET if need.version is None else NO_TARGET_OF_VERSION
             raise NoTarget(TARGETS_FULL if excluded else none_known)
         return usable
--- a/src/magnoliaroad/relay/plan_holder.py
+++ b/src/magnoliaroad/relay/plan_holder.py
@@ -38,7 +38,7 @@
         return None if self.plan is None else self.plan.teams.get(name)
 
     def find_service(self, name: str) -> RelayService | None:
-        """Returns a service of the configuration in force; ``None`` if it is unknown."""
+        """Returns a service of the configuration; ``None`` if it is unknown."""
         return None if self.plan is None else self.plan.services.get(name)
 
     def on_snapshot(
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -83,6 +83,13 @@
     action="Send the request again.",
     retry_after_s=HOST_START_RETRY_S,
 )
+NO_TARGET_IN_REGION = Refusal(
+    code="no_target_in_region",
+    status=503,
+    message="No target takes requests now in the regions that this one is bound to.",
+    action="Send the request again.",
+    retry_after_s=HOST_START_RETRY_S,
+)
 TARGETS_FULL = Refusal(
     code="targets_full",
     status=503,
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -12,6 +12,7 @@
 
 from magnoliaroad.decoding import can_be_sent
 from magnoliaroad.drain_limit import DrainLimit
+from magnoliaroad.homes import allowed_data_centres
 from magnoliaroad.quarantine import exact_fingerprint
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import AdmittedCall
@@ -130,6 +131,9 @@
         self._origin: StreamOrigin | None = None
         self._reservation: Reservation | None = None
         self._admission: AdmissionDecision | None = None
+        self._data_centres = allowed_data_centres(
+            self.route, admitted.team, parts.cfg.regions
+        )
         self._affinity_key = (
             self.call.program or self.call.session or self.call.request_id
         )
@@ -146,6 +150,12 @@
         """Whether the answer is passed on as it arrives."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def _stays_here(self) -> bool:
+        """Whether some hosts must not see the body, so that none is given a copy."""
+        allowed = self._data_centres
+        return allowed is not None and not allowed.issuperset(self.parts.cfg.regions)
+
     async def run(self) -> web.StreamResponse:
         """Returns the answer after it was sent to the caller.
 
@@ -209,7 +219,10 @@
             await self._acquire_token(team)
         if self.route.keeps_turns and call.previous_turn:
             self._previous = await self.parts.turns.load(
-                call.previous_turn, self.admitted.team_name, self._held.grow
+                call.previous_turn,
+                self.admitted.team_name,
+                self._held.grow,
+                self._stays_here,
             )
             # The joined text of the chain, and the body that joins it with the new one.
             self._held.grow(len(self._previous.text) + len(call.body))
@@ -390,6 +403,7 @@
             program=call.program,
             placed=self._placed,
             session=self._affinity_key,
+            data_centres=self._data_centres,
         )
         try:
             target, candidates = await placer.place(need, excluded, self.deadline)
@@ -435,6 +449,7 @@
                 request,
                 self._first_byte_timeout_s(remaining_s, attempts),
                 self._mark_sent,
+                self._data_centres,
             )
             return await self._check_answer(target, response, sent_at)
         except BaseException as exc:
@@ -622,4 +637,5 @@
             self.call.body + bytes(self._scanner.data),
             self._previous,
             self.route.retention_s,
+            self._stays_here,
         )
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -182,6 +182,8 @@
         data_folder: Folder for data on disk; ``None`` stores nothing on disk.
         data_centres: All data centres of the installation. Each has a part of every
             budget for times without the store; none if it is empty.
+        regions: Region of each data centre; needed only where a route or a team states
+            regions.
         first_start: Whether the whole installation starts for the first time.
     """
 
@@ -191,6 +193,7 @@
     store: StoreSettings
     data_folder: str | None = None
     data_centres: tuple[str, ...] = ()
+    regions: dict[str, str] = {}
     first_start: bool = False
     peers: PeerSettings = PeerSettings()
     targets: TargetTiming = TargetTiming()
--- a/src/magnoliaroad/relay/target_sender.py
+++ b/src/magnoliaroad/relay/target_sender.py
@@ -1,6 +1,6 @@
 """Sends requests to targets, through peers while this host cannot reach them."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from magnoliaroad.relay.detour_client import DetourClient
 from magnoliaroad.relay.direct_sender import DirectSender
@@ -36,6 +36,7 @@
         req: TargetRequest,
         limit_s: float,
         on_sent: Callable[[], None],
+        data_centres: Collection[str] | None = None,
     ) -> TargetAnswer:
         """Sends ``req`` and returns the answer once its head has arrived.
 
@@ -45,11 +46,15 @@
             req: The request.
             limit_s: Longest wait for the head of the answer.
             on_sent: Callback that runs when the target may have received the request.
+            data_centres: Data centres whose hosts may see the request; ``None`` for
+                any.
 
         Raises:
             NoPath: Neither this host nor a peer reaches the target.
             TargetError: The request failed at the target or on the way.
         """
         if self._paths.is_cut(target.service):
-            return await self._detours.open(target, request_id, req, limit_s, on_sent)
+            return await self._detours.open(
+                target, request_id, req, limit_s, on_sent, data_centres
+            )
         return await self._direct.open(target, req, limit_s, on_sent)
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -89,6 +89,7 @@
         now: float,
         excluded: Collection[str] = (),
         version: str | None = None,
+        data_centres: Collection[str] | None = None,
     ) -> list[RelayTarget]:
         """Returns the targets of ``service`` that may get new requests.
 
@@ -101,6 +102,7 @@
             now: Time in seconds.
             excluded: Names of targets that were already tried.
             version: Version of their software; ``None`` for any.
+            data_centres: Data centres to which the request may go; ``None`` for any.
         """
         ready = [
             target
@@ -110,6 +112,7 @@
             and target not in self.leaving
             and target.data_centre not in self.evacuations
             and version in (None, target.version)
+            and (data_centres is None or target.data_centre in data_centres)
         ]
         available = [t for t in ready if self._cooldown_until.get(t.name, 0.0) <= now]
         left = [t for t in available or ready if t.name not in excluded]
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -62,7 +62,11 @@
         return self._cache.size
 
     async def load(
-        self, turn_id: str, team: str, hold: Callable[[int], None] = lambda size: None
+        self,
+        turn_id: str,
+        team: str,
+        hold: Callable[[int], None] = lambda size: None,
+        in_store_only: bool = False,
     ) -> LoadedTurn:
         """Returns a turn with its chain.
 
@@ -70,13 +74,14 @@
             turn_id: Request id of the attempt that answered it.
             team: Team that asks for it.
             hold: Counts bytes of the chain as they arrive; may refuse.
+            in_store_only: Whether no other host may see it.
 
         Raises:
             Refused: There is no such turn of ``team``, or it could not be looked up.
         """
         try:
             async with asyncio.timeout(self.cfg.store_patience_s):
-                turn = await self._read(turn_id)
+                turn = await self._read(turn_id, in_store_only)
                 if turn.team != team:
                     logger.bind(turn=turn_id, team=team, holder=turn.team).warning(
                         "turn of another team"
@@ -85,7 +90,9 @@
                 hold(len(turn.text))
                 before: list[Turn] = []
                 for ids in batched(turn.chain, self.cfg.chain_reads):
-                    read = await asyncio.gather(*map(self._read, ids))
+                    read = await asyncio.gather(
+                        *(self._read(name, in_store_only) for name in ids)
+                    )
                     hold(sum(len(part.text) for part in read))
                     before += read
         except TimeoutError as exc:
@@ -100,6 +107,7 @@
         text: bytes,
         previous: LoadedTurn | None,
         retention_s: float,
+        in_store_only: bool = False,
     ) -> None:
         """Writes a turn; returns once it is durable against the loss of hosts.
 
@@ -109,6 +117,7 @@
             text: Its own input and output.
             previous: The turn that it continues.
             retention_s: Time for which it can be loaded, in seconds.
+            in_store_only: Whether no other host may see it.
 
         Raises:
             TimeoutError: It was not written within the time limit.
@@ -122,41 +131,52 @@
                 usable_s = _lifetime_s(retention_s) - retention_s
                 if now - chain_started_at > usable_s - 2 * RETENTION_MARGIN_S:
                     parts = list(batched(previous.text, self.cfg.part_bytes))
-                    chain = await self._write_parts(turn_id, team, parts, retention_s)
+                    chain = await self._write_parts(
+                        turn_id, team, parts, retention_s, in_store_only
+                    )
                     chain_started_at = now
             *parts, rest = list(batched(text, self.cfg.part_bytes)) or [b""]
             own_id = turn_id + OWN_SUFFIX
-            chain += await self._write_parts(own_id, team, parts, retention_s)
+            chain += await self._write_parts(
+                own_id, team, parts, retention_s, in_store_only
+            )
             turn = Turn(team, chain, chain_started_at, rest)
-            await self._write(turn_id, turn, retention_s)
+            await self._write(turn_id, turn, retention_s, in_store_only)
 
     async def _write_parts(
-        self, base_id: str, team: str, parts: Sequence[bytes], retention_s: float
+        self,
+        base_id: str,
+        team: str,
+        parts: Sequence[bytes],
+        retention_s: float,
+        in_store_only: bool,
     ) -> tuple[str, ...]:
         """Writes parts of a text as records of their own; returns their ids."""
         now = self._now()
         names = tuple(f"{base_id}/{number}" for number in range(len(parts)))
         await asyncio.gather(
             *(
-                self._write(name, Turn(team, (), now, part), retention_s)
+                self._write(name, Turn(team, (), now, part), retention_s, in_store_only)
                 for name, part in zip(names, parts, strict=True)
             )
         )
         return names
 
-    async def _write(self, name: str, turn: Turn, retention_s: float) -> None:
+    async def _write(
+        self, name: str, turn: Turn, retention_s: float, in_store_only: bool
+    ) -> None:
         self._cache.add(name, turn)
         key, lifetime_s = key_of(PREFIX, name), _lifetime_s(retention_s)
         if len(turn.text) <= self.cfg.small_bytes:
-            await self._records.keep(key, pack_turn(turn), lifetime_s)
+            await self._records.keep(key, pack_turn(turn), lifetime_s, in_store_only)
             return
         async with self._writing.hold(len(turn.text)):
-            await self._records.keep(key, pack_turn(turn), lifetime_s)
+            await self._records.keep(key, pack_turn(turn), lifetime_s, in_store_only)
 
-    async def _read(self, turn_id: str) -> Turn:
+    async def _read(self, turn_id: str, in_store_only: bool) -> Turn:
         turn = self._cache.get(turn_id)
         if turn is None:
-            value = await self._records.fetch(key_of(PREFIX, turn_id))
+            value = await self._records.fetch(key_of(PREFIX, turn_id), in_store_only)
             if value is None:
                 raise Refused(NO_TURN)
             try:
--- a/tests/relay/test_stall_timeout.py
+++ b/tests/relay/test_stall_timeout.py
@@ -22,7 +22,7 @@
     def __init__(self, reply_s):
         self.reply_s = reply_s
 
-    async def keep(self, key, value, keep_s):
+    async def keep(self, key, value, keep_s, in_store_only=False):
         await asyncio.sleep(self.reply_s)
 
 
--- a/tests/relay/test_turns.py
+++ b/tests/relay/test_turns.py
@@ -24,10 +24,10 @@
     def __call__(self):
         return self.now
 
-    async def keep(self, key, value, keep_s):
+    async def keep(self, key, value, keep_s, in_store_only=False):
         self.held[key] = (value, self.now + keep_s)
 
-    async def fetch(self, key):
+    async def fetch(self, key, in_store_only=False):
         value, until = self.held.get(key, (None, 0.0))
         return value if until > self.now else None
 
@@ -44,7 +44,7 @@
         super().__init__()
         self.writing = self.most_writing = 0
 
-    async def keep(self, key, value, keep_s):
+    async def keep(self, key, value, keep_s, in_store_only=False):
         size = len(value) if len(value) > TurnSettings().small_bytes else 0
         self.writing += size
         self.most_writing = max(self.most_writing, self.writing)
@@ -174,7 +174,7 @@
     reads = []
     fetch = records.fetch
 
-    async def count(key):
+    async def count(key, in_store_only=False):
         reads.append(key)
         return await fetch(key)
 
