Place streams by their expected end where targets state a slowdown

Engines differ in speed by two, and a program stayed where the fewest requests were, however slow the target. Hosts now learn the time for an event of each target, tell each other, and choose the target at which the turn ends first. It is in use only for services whose targets state how slow their machines are, or by a setting.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -59,6 +59,8 @@
 from magnoliaroad.store.contact import StoreContact
 from magnoliaroad.store.leases import LeasePool
 from magnoliaroad.store.observed import ObservedStore
+from magnoliaroad.target_model.exchange import PaceExchange
+from magnoliaroad.target_model.model import TargetModel
 from magnoliaroad.targets import TargetClient
 from magnoliaroad.targets.settings import TargetSettings
 
@@ -174,6 +176,9 @@
             self.quota.contact_fraction,
             ColdRates(cfg.slow_start, self.table.cold, self.plans.find_service),
         )
+        self.target_model = TargetModel(
+            cfg.placement, self.table, self.plans.find_service
+        )
         parts = RelayParts(
             cfg=cfg,
             dialect=dialect,
@@ -196,10 +201,12 @@
             budgets=self.budgets,
             quarantine=self.quarantine,
             target_limiter=self.target_limiter,
+            target_model=self.target_model,
             placer=Placer(
                 cfg,
                 self.table,
                 self.target_limiter,
+                self.target_model,
                 program_targets,
                 self.fleet.host_count,
             ),
@@ -260,6 +267,9 @@
             self.evacuation,
             self.announcer,
             self.fleet,
+            PaceExchange(
+                self.target_model, self.peers, self.fleet.near_hosts_in_contact
+            ),
             self.quarantine,
             self.claims,
             MetricsServer(self.cfg.listen.metrics),
@@ -274,6 +284,7 @@
             self.follower.sweep()
             self.table.leaving.sweep(time.monotonic(), self.table.targets)
             self.target_limiter.sweep(time.monotonic())
+            self.target_model.sweep(time.monotonic(), self.table.targets)
             if self.follower.grace_pending.is_set():
                 await asyncio.sleep(SWEEP_INTERVAL_S)
             else:
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -18,6 +18,7 @@
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.relay.team_limiter import TeamLimiter
 from magnoliaroad.relay.turn_ledger import TurnLedger
+from magnoliaroad.target_model.model import TargetModel
 
 
 class RelayParts(NamedTuple):
@@ -27,6 +28,7 @@
         memory: Bounds the memory of the requests.
         quarantine: Refuses requests that crash targets.
         target_limiter: Keeps the limits that targets state.
+        target_model: What is known of the speed and load of targets.
         placer: Chooses the targets of requests.
         program_targets: The target that serves each program.
         stream_origins: The software that began each stream that may be resumed.
@@ -43,6 +45,7 @@
     limiter: TeamLimiter
     table: TargetTable
     target_limiter: TargetLimiter
+    target_model: TargetModel
     placer: Placer
     sender: TargetSender
     turns: TurnLedger
--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -26,6 +26,9 @@
 from magnoliaroad.relay.target_limit import FIRST_TRY, FURTHER_TRY, PROMPT_HELD
 from magnoliaroad.relay.target_limiter import TargetLimiter
 from magnoliaroad.relay.target_table import TargetTable
+from magnoliaroad.target_model.expected_end import Choice, choose_by_expected_end
+from magnoliaroad.target_model.metrics import CHOICES
+from magnoliaroad.target_model.model import TargetModel
 
 # With more hosts than this for each target of a plain service, a host keeps to one
 # target: it has so few requests that connections to all would reach the idle timeout.
@@ -60,6 +63,7 @@
         placed: Target that served the last turn of the program; empty if unknown.
         session: Key by which streams without a program are placed.
         data_centres: Data centres to which it may go; ``None`` for any.
+        tokens: Tokens of its prompt and most of its output; 0 if unknown.
     """
 
     service: str
@@ -70,6 +74,7 @@
     placed: str
     session: str
     data_centres: frozenset[str] | None = None
+    tokens: int = 0
 
 
 class Placement(NamedTuple):
@@ -78,10 +83,12 @@
     Attributes:
         target: The target.
         candidates: Number of targets that were usable.
+        end_s: Time until the request is expected to end, in seconds; 0 if unknown.
     """
 
     target: RelayTarget
     candidates: int
+    end_s: float = 0.0
 
 
 class Placer:
@@ -91,6 +98,7 @@
         cfg: Settings of the host.
         table: The targets and their load.
         limiter: Keeps the limits that targets state.
+        model: What is known of the speed and load of targets.
         program_targets: The target that serves each program.
         host_count: Returns the number of relay hosts.
     """
@@ -100,12 +108,14 @@
         cfg: RelaySettings,
         table: TargetTable,
         limiter: TargetLimiter,
+        model: TargetModel,
         program_targets: ProgramTargets,
         host_count: Callable[[], int],
     ) -> None:
         self.cfg = cfg
         self._table = table
         self._limiter = limiter
+        self._model = model
         self._program_targets = program_targets
         self._host_count = host_count
 
@@ -127,11 +137,11 @@
         usable = self._find_usable(need, excluded)
         waits_s: dict[str, float] = {}
         while left := self._not_refused(usable, waits_s):
-            target = self._choose(need, left)
+            target, end_s = self._choose(need, left)
             reserved = self._reserved_part(need, target, excluded)
             decision = await self._limiter.admit(target, reserved)
             if decision.admitted:
-                return Placement(target, len(usable))
+                return Placement(target, len(usable), end_s)
             waits_s[target.name] = decision.wait_s
         target = await self._wait_for_limit(need, excluded, waits_s, deadline)
         return Placement(target, len(usable))
@@ -191,8 +201,20 @@
             and not (enough_asked and self._table.limits.is_limited(target))
         ]
 
-    def _choose(self, need: PlacementNeed, left: list[RelayTarget]) -> RelayTarget:
+    def _choose(
+        self, need: PlacementNeed, left: list[RelayTarget]
+    ) -> tuple[RelayTarget, float]:
+        """Returns a target and the time until the request is expected to end there."""
         usable = self._without_limited(need, left)
+        choice = self._choose_by_expected_end(need, usable)
+        if choice is None:
+            return self._choose_by_load(need, usable), 0.0
+        CHOICES.inc({"reason": choice.reason})
+        return self._table.targets[choice.name], choice.end_s
+
+    def _choose_by_load(
+        self, need: PlacementNeed, usable: list[RelayTarget]
+    ) -> RelayTarget:
         data_centre = self.cfg.data_centre
         if need.streams and need.program:
             return choose_by_program(
@@ -209,6 +231,20 @@
             self.cfg.name if few_requests else None,
         )
 
+    def _choose_by_expected_end(
+        self, need: PlacementNeed, usable: list[RelayTarget]
+    ) -> Choice | None:
+        """Returns where a turn ends first; ``None`` if that is not known."""
+        now = time.monotonic()
+        if not need.streams or not self._model.is_active(need.service, now):
+            return None
+        candidates = self._model.candidates(usable, self.cfg.data_centre, now)
+        if not candidates:
+            return None
+        return choose_by_expected_end(
+            candidates, need.placed, need.request_id, need.tokens
+        )
+
     def _without_limited(
         self, need: PlacementNeed, usable: list[RelayTarget]
     ) -> list[RelayTarget]:
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -128,6 +128,8 @@
         self._limit: asyncio.Timeout | None = None
         self._previous: LoadedTurn | None = None
         self._placed = ""
+        self._expected_s = 0.0
+        self._sent_at = 0.0
         self._origin: StreamOrigin | None = None
         self._reservation: Reservation | None = None
         self._admission: AdmissionDecision | None = None
@@ -404,19 +406,24 @@
             placed=self._placed,
             session=self._affinity_key,
             data_centres=self._data_centres,
+            tokens=call.prompt_tokens + call.output_tokens,
         )
         try:
-            target, candidates = await placer.place(need, excluded, self.deadline)
+            target, candidates, end_s = await placer.place(
+                need, excluded, self.deadline
+            )
         except NoTarget as exc:
             raise self._refusal_error(exc.refusal) from None
         # It may have been quarantined while it waited for the limit of a target.
         self._refuse_quarantined()
         placer.assign(need, target)
+        self._expected_s = end_s
         logger.bind(
             request=call.request_id,
             target=target.name,
             service=self._service,
             load=self.parts.table.load(target.name),
+            expected_s=round(end_s, 4),
             candidates=candidates,
             excluded=len(excluded),
             program=call.program,
@@ -442,6 +449,7 @@
             body=body,
         )
         sent_before, sent_at, response = self.sent, time.monotonic(), None
+        self._sent_at = sent_at
         try:
             response = await self.parts.sender.open(
                 target,
@@ -488,6 +496,8 @@
                 return
             target = known
         self.parts.target_limiter.record_answer(target, head.limit, sent_at)
+        if head.load is not None:
+            self.parts.target_model.record_load(target, head.load, time.monotonic())
         if head.leaving:
             self._mark_leaving(target)
 
@@ -561,17 +571,32 @@
             now, count = time.monotonic(), self._scanner.count
             if counted and count > counted:
                 gap_s = (now - last_at) / (count - counted)
-                self.parts.table.record_event_gap(opened.target.name, gap_s, now)
+                self._record_gap(opened.target, gap_s, now)
             if count > counted:
                 last_at, counted = now, count
         if self.streams:
             opened.check_events(self._scanner)
         self.parts.table.record_success(opened.target.name)
+        self._record_turn(opened.target)
         await self._save_turn(opened)
         SENDS.inc({"outcome": "answered"})
         await resp.write_eof()
         return resp
 
+    def _record_gap(self, target: RelayTarget, gap_s: float, now: float) -> None:
+        self.parts.table.record_event_gap(target.name, gap_s, now)
+        self.parts.target_model.record_gap(target, gap_s, now)
+
+    def _record_turn(self, target: RelayTarget) -> None:
+        call = self.call
+        self.parts.target_model.record_turn(
+            target.service,
+            self._scanner.count,
+            call.prompt_tokens + call.output_tokens,
+            self._expected_s,
+            time.monotonic() - self._sent_at,
+        )
+
     def _check_origin(self, target: RelayTarget) -> None:
         """Remembers who begins a stream, or checks who continues it.
 
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -9,6 +9,7 @@
 from magnoliaroad.records.settings import RecordSettings
 from magnoliaroad.slow_start.settings import SlowStartSettings
 from magnoliaroad.store.settings import StoreSettings
+from magnoliaroad.target_model.settings import PlacementSettings
 
 
 class RelayListen(NamedTuple):
@@ -201,6 +202,7 @@
     records: RecordSettings = RecordSettings()
     quota: QuotaSettings = QuotaSettings()
     slow_start: SlowStartSettings = SlowStartSettings()
+    placement: PlacementSettings = PlacementSettings()
     fleet: FleetSettings = FleetSettings()
     follow: FollowSettings = FollowSettings()
     drain: DrainSettings = DrainSettings()
--- /dev/null
+++ b/src/magnoliaroad/target_model/pace.py
@@ -0,0 +1,113 @@
+"""How long targets take for one event of a stream, learnt from their answers."""
+
+import statistics
+from collections.abc import Container, Iterable
+from typing import NamedTuple
+
+from magnoliaroad.relay.target import TargetStart
+
+# Largest factor by which one sample may differ from the estimate; what lies beyond
+# counts as that much. Neighbours on a machine make work take up to 2.5 times as long
+# for a fraction of a second, which must not look like a slow machine.
+MAX_SAMPLE_FACTOR = 1.5
+# Number of samples that an estimate stands for at most, so that it follows a machine
+# that stays slow.
+MAX_SAMPLES = 16
+# Samples before which an estimate is not used: the first may have met a slowdown.
+MIN_SAMPLES = 2
+# Time without news after which an estimate is dropped, in seconds: programs of the
+# target's next customers would else avoid or crowd it for a reason of the past.
+LIFETIME_S = 60.0
+
+
+class Pace(NamedTuple):
+    """The estimate for one target.
+
+    Attributes:
+        mean_s: Time for an event while its machine is as fast as usual, in seconds.
+        samples: Number of samples that it stands for.
+        at: Time of the last sample, in seconds.
+    """
+
+    mean_s: float
+    samples: int
+    at: float
+
+
+class PaceTable:
+    """The pace of each target.
+
+    For the load pattern of machines of different speed: a request takes twice as long
+    on a slow one, at each turn of its program.
+    """
+
+    def __init__(self) -> None:
+        self._paces: dict[TargetStart, Pace] = {}
+
+    def record(
+        self, start: TargetStart, gap_s: float, slowdown: float, now: float
+    ) -> None:
+        """Adds a sample.
+
+        Args:
+            start: The target.
+            gap_s: Time for one event, in seconds.
+            slowdown: What the target has stated; 1 if it states nothing.
+            now: Time in seconds.
+        """
+        sample_s = gap_s / max(1.0, slowdown)
+        known = self._paces.get(start)
+        if known is None or now - known.at > LIFETIME_S:
+            self._paces[start] = Pace(sample_s, 1, now)
+            return
+        low_s, high_s = (
+            known.mean_s / MAX_SAMPLE_FACTOR,
+            known.mean_s * MAX_SAMPLE_FACTOR,
+        )
+        samples = min(MAX_SAMPLES, known.samples + 1)
+        step_s = min(high_s, max(low_s, sample_s)) - known.mean_s
+        self._paces[start] = Pace(known.mean_s + step_s / samples, samples, now)
+
+    def merge(
+        self, start: TargetStart, mean_s: float, samples: int, now: float
+    ) -> None:
+        """Combines the estimate of a peer with that of this host."""
+        samples = min(MAX_SAMPLES, samples)
+        known = self._paces.get(start)
+        if known is None or now - known.at > LIFETIME_S:
+            self._paces[start] = Pace(mean_s, samples, now)
+            return
+        both = known.samples + samples
+        mean_s = (known.mean_s * known.samples + mean_s * samples) / both
+        self._paces[start] = Pace(mean_s, max(known.samples, samples), now)
+
+    def find(self, start: TargetStart, now: float) -> float | None:
+        """Returns the time for an event of a target; ``None`` if it is not known."""
+        pace = self._paces.get(start)
+        if pace is None or pace.samples < MIN_SAMPLES or now - pace.at > LIFETIME_S:
+            return None
+        return pace.mean_s
+
+    def median(self, starts: Iterable[TargetStart], now: float) -> float | None:
+        """Returns the median pace of the targets that have one."""
+        known = [
+            pace for start in starts if (pace := self.find(start, now)) is not None
+        ]
+        return statistics.median(known) if known else None
+
+    def recent(self, now: float, within_s: float) -> list[tuple[TargetStart, Pace]]:
+        """Returns the estimates with a sample of the last ``within_s`` seconds."""
+        return [
+            (s, pace) for s, pace in self._paces.items() if now - pace.at <= within_s
+        ]
+
+    def __len__(self) -> int:
+        return len(self._paces)
+
+    def sweep(self, now: float, names: Container[str]) -> None:
+        """Drops the estimates of targets that are gone or have no news."""
+        self._paces = {
+            start: pace
+            for start, pace in self._paces.items()
+            if start.name in names and now - pace.at <= LIFETIME_S
+        }
