Let requests wait for room in order of rank, and state ranks to engines

A request that found all targets full was refused, and the priorities of routes and teams decided nothing. Where the deployment asks for it, such requests now wait in the order of rank and of what callers lose, streams carry their rank to engines, and new programs are refused first under lasting shortage.

--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -63,6 +63,8 @@
 from magnoliaroad.target_model.model import TargetModel
 from magnoliaroad.targets import TargetClient
 from magnoliaroad.targets.settings import TargetSettings
+from magnoliaroad.waiting.admission import ProgramAdmission
+from magnoliaroad.waiting.room import WaitingRoom
 
 # Time between checks for targets whose entries did not return in time, in seconds.
 SWEEP_INTERVAL_S = 0.1
@@ -202,6 +204,7 @@
             quarantine=self.quarantine,
             target_limiter=self.target_limiter,
             target_model=self.target_model,
+            waiting=WaitingRoom(cfg.waiting, self.target_model.loads.states_slowdown),
             placer=Placer(
                 cfg,
                 self.table,
@@ -210,6 +213,7 @@
                 program_targets,
                 self.fleet.host_count,
             ),
+            program_admission=ProgramAdmission(),
             program_targets=program_targets,
             stream_origins=StreamOrigins(
                 self.peers, lambda: self.records.hosts, self.records.live_hosts
--- a/src/magnoliaroad/relay/dialect.py
+++ b/src/magnoliaroad/relay/dialect.py
@@ -74,9 +74,23 @@
 
     @abc.abstractmethod
     def target_headers(
-        self, call: RelayCall, target: RelayTarget, team: str, time_left_s: float
+        self,
+        call: RelayCall,
+        target: RelayTarget,
+        team: str,
+        time_left_s: float,
+        urgency: int | None = None,
     ) -> CIMultiDict[str]:
-        """Returns the headers of the request that sends ``call`` to ``target``."""
+        """Returns the headers of the request that sends ``call`` to ``target``.
+
+        Args:
+            call: The call.
+            target: The target.
+            team: Team that makes the call; empty for none.
+            time_left_s: Time that the target has, in seconds.
+            urgency: Urgency at an engine from 0, which goes first, to 9; ``None`` to
+                state none.
+        """
 
     @abc.abstractmethod
     def read_answer(self, headers: CIMultiDictProxy[str]) -> AnswerHead:
--- a/src/magnoliaroad/relay/offers.py
+++ b/src/magnoliaroad/relay/offers.py
@@ -11,11 +11,14 @@
     Attributes:
         excluded: Names of those targets.
         attempts: Number of targets that may have run the request.
+        count: Number of offers since the request last waited for room.
     """
 
     def __init__(self) -> None:
         self.excluded: set[str] = set()
         self.attempts = 0
+        self.count = 0
+        self._full: set[str] = set()
         self._unreachable: set[str] = set()
 
     def record_failure(self, target: str, exc: TargetError, path_lost: bool) -> bool:
@@ -31,12 +34,26 @@
         Returns:
             Whether the target is to blame.
         """
+        self.count += 1
         self.attempts += exc.verdict is not Verdict.NOT_RUN
         is_unreachable = isinstance(exc, TargetUnreachable)
         if path_lost and is_unreachable:
             self.excluded -= self._unreachable
             return False
         self.excluded.add(target)
+        if isinstance(exc, TargetFull):
+            self._full.add(target)
         if is_unreachable:
             self._unreachable.add(target)
         return not isinstance(exc, TargetFull | PeerLost)
+
+    @property
+    def found_full_only(self) -> bool:
+        """Whether a target was full, and none has failed in another way."""
+        return bool(self._full) and self.excluded == self._full
+
+    def readmit_full(self) -> None:
+        """Allows the targets that were full to be offered the request again."""
+        self.excluded -= self._full
+        self._full.clear()
+        self.count = 0
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -19,6 +19,8 @@
 from magnoliaroad.relay.team_limiter import TeamLimiter
 from magnoliaroad.relay.turn_ledger import TurnLedger
 from magnoliaroad.target_model.model import TargetModel
+from magnoliaroad.waiting.admission import ProgramAdmission
+from magnoliaroad.waiting.room import WaitingRoom
 
 
 class RelayParts(NamedTuple):
@@ -28,6 +30,8 @@
         memory: Bounds the memory of the requests.
         quarantine: Refuses requests that crash targets.
         target_limiter: Keeps the limits that targets state.
+        waiting: Requests that wait for a target with room.
+        program_admission: Refuses new programs while room is short.
         target_model: What is known of the speed and load of targets.
         placer: Chooses the targets of requests.
         program_targets: The target that serves each program.
@@ -46,6 +50,8 @@
     table: TargetTable
     target_limiter: TargetLimiter
     target_model: TargetModel
+    waiting: WaitingRoom
+    program_admission: ProgramAdmission
     placer: Placer
     sender: TargetSender
     turns: TurnLedger
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -199,6 +199,17 @@
     )
 
 
+def no_room_for_programs(retry_after_s: float) -> Refusal:
+    """Returns the refusal for a new program while its service lacks room."""
+    return Refusal(
+        code="no_room_for_programs",
+        status=503,
+        message="The targets have no room for new programs now.",
+        action="Begin the program again later.",
+        retry_after_s=retry_after_s,
+    )
+
+
 def as_unavailable(refusal: Refusal) -> Refusal:
     """Returns a refusal of the product's own API with the status that the relay uses.
 
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -45,6 +45,7 @@
     TIMED_OUT,
     as_unavailable,
     bad_call,
+    no_room_for_programs,
     over_limit,
 )
 from magnoliaroad.relay.request_memory import HeldMemory
@@ -64,6 +65,10 @@
     classify_failure,
 )
 from magnoliaroad.verdict import Verdict
+from magnoliaroad.waiting.admission import return_after_s
+from magnoliaroad.waiting.metrics import PROGRAMS_REFUSED
+from magnoliaroad.waiting.room import WaitingRequest
+from magnoliaroad.waiting.standing import Standing, rank_of
 
 # Most targets that one request is offered to. Targets that refuse it or cannot be
 # reached do not count as attempts, so the route's limit alone does not bound these.
@@ -129,6 +134,8 @@
         self._previous: LoadedTurn | None = None
         self._placed = ""
         self._expected_s = 0.0
+        self._waits_since = 0.0
+        self._starts_program = False
         self._sent_at = 0.0
         self._origin: StreamOrigin | None = None
         self._reservation: Reservation | None = None
@@ -215,6 +222,8 @@
 
     async def _prepare(self) -> None:
         call, team = self.call, self.admitted.team
+        self._starts_program = self._may_start_program()
+        self._refuse_new_program()
         if self.streams and not can_be_sent(call.program + call.request_id):
             raise Refused(bad_call("The ids of a stream must be UTF-8."))
         if team is not None:
@@ -237,6 +246,25 @@
                 call.program, call.budget, call.output_tokens
             )
 
+    def _refuse_new_program(self) -> None:
+        """Raises ``Refused`` if the service lacks room for new programs."""
+        parts, service = self.parts, self._service
+        if not self._starts_program or not parts.waiting.is_active(service):
+            return
+        now = time.monotonic()
+        usable = parts.table.usable(service, now, data_centres=self._data_centres)
+        loads = parts.target_model.loads_of(usable, now)
+        waiting = parts.program_admission.record_waiting(service, loads, now)
+        rank = rank_of(self.route, self.admitted.team)
+        used_part = 0.0
+        if self.call.time_left_s is not None:
+            used_part = 1.0 - self.call.time_left_s / self.route.timeout_s
+        if parts.program_admission.admits(service, rank, waiting, used_part, now):
+            return
+        PROGRAMS_REFUSED.inc({"rank": str(rank)})
+        refusal = no_room_for_programs(return_after_s(random))
+        raise Refused(refusal, waiting=round(waiting, 2), rank=rank)
+
     async def _restrict_to_origin(self) -> None:
         """Restricts the targets to those that may continue the stream.
 
@@ -334,9 +362,9 @@
     @asynccontextmanager
     async def _open_answer(self) -> AsyncIterator[OpenAnswer]:
         offers, sender = Offers(), self.parts.sender
-        for _ in range(MAX_OFFERS):
+        while True:
             self._refuse_quarantined()
-            target = await self._place(offers.excluded)
+            target = await self._next_target(offers)
             self._record_start(target)
             response, end = None, None
             was_cut = sender.is_cut(target.service)
@@ -367,7 +395,54 @@
                 if response is not None:
                     response.close()
                 self._record_end(target, end)
-        raise self._refusal_error(TARGETS_FULL)
+
+    async def _next_target(self, offers: Offers) -> RelayTarget:
+        """Returns the next target to offer the request to.
+
+        Raises:
+            Refused: There is none, and the request does not wait for room, or has
+                waited too long.
+        """
+        while True:
+            refused = self._refusal_error(TARGETS_FULL)
+            if offers.count < MAX_OFFERS:
+                try:
+                    return await self._place(offers.excluded)
+                except Refused as exc:
+                    if exc.refusal is not TARGETS_FULL:
+                        raise
+                    refused = exc
+            if not offers.found_full_only or not await self._wait_for_room():
+                raise refused
+            offers.readmit_full()
+
+    async def _wait_for_room(self) -> bool:
+        """Waits for a target with room; returns whether to look for one again."""
+        waiting = self.parts.waiting
+        if not waiting.is_active(self._service):
+            return False
+        self._waits_since = self._waits_since or time.monotonic()
+        request = WaitingRequest(
+            request_id=self.call.request_id,
+            service=self._service,
+            team=self.admitted.team_name,
+            standing=self._standing(),
+            size=len(self.call.body),
+            since=self._waits_since,
+            deadline=self.deadline,
+        )
+        return await waiting.wait(request)
+
+    def _standing(self) -> Standing:
+        call, now = self.call, time.monotonic()
+        left_s = call.program_left_s
+        passed_s = now - self.began
+        slack_s = self.deadline - now if left_s is None else left_s - passed_s
+        return Standing(
+            rank=rank_of(self.route, self.admitted.team),
+            slack_s=slack_s,
+            has_begun=not self._starts_program,
+        )
 
     def _record_start(self, target: RelayTarget) -> None:
         self.parts.table.record_start(target.name)
@@ -384,6 +459,8 @@
         if end is None:
             end = RequestEnd.UNANSWERED if self.sent else RequestEnd.UNKNOWN
         self.parts.table.record_end(target.name)
+        if end is RequestEnd.COMPLETED:
+            self.parts.waiting.record_end(target.service)
         self.parts.quarantine.request_ended(
             target.name,
             self.fingerprint,
@@ -445,7 +522,9 @@
         request = TargetRequest(
             method=call.method,
             url=f"http://{target.address}{call.path}",
-            headers=dialect.target_headers(call, target, team, remaining_s),
+            headers=dialect.target_headers(
+                call, target, team, remaining_s, self._urgency()
+            ),
             body=body,
         )
         sent_before, sent_at, response = self.sent, time.monotonic(), None
@@ -467,6 +546,12 @@
                 response.close()
             raise
 
+    def _urgency(self) -> int | None:
+        """Returns the urgency to state to an engine; ``None`` to state none."""
+        if not self.streams or not self.parts.waiting.is_active(self._service):
+            return None
+        return self._standing().urgency
+
     def _mark_sent(self) -> None:
         self.sent = True
 
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -10,6 +10,7 @@
 from magnoliaroad.slow_start.settings import SlowStartSettings
 from magnoliaroad.store.settings import StoreSettings
 from magnoliaroad.target_model.settings import PlacementSettings
+from magnoliaroad.waiting.settings import WaitingSettings
 
 
 class RelayListen(NamedTuple):
@@ -185,6 +186,8 @@
             budget for times without the store; none if it is empty.
         regions: Region of each data centre; needed only where a route or a team states
             regions.
+        requirements: What the deployment demands, by the names of its platform, whose
+            adapter reads them.
         first_start: Whether the whole installation starts for the first time.
     """
 
@@ -195,6 +198,7 @@
     data_folder: str | None = None
     data_centres: tuple[str, ...] = ()
     regions: dict[str, str] = {}
+    requirements: tuple[str, ...] = ()
     first_start: bool = False
     peers: PeerSettings = PeerSettings()
     targets: TargetTiming = TargetTiming()
@@ -203,6 +207,7 @@
     quota: QuotaSettings = QuotaSettings()
     slow_start: SlowStartSettings = SlowStartSettings()
     placement: PlacementSettings = PlacementSettings()
+    waiting: WaitingSettings = WaitingSettings()
     fleet: FleetSettings = FleetSettings()
     follow: FollowSettings = FollowSettings()
     drain: DrainSettings = DrainSettings()
--- a/src/magnoliaroad/target_model/model.py
+++ b/src/magnoliaroad/target_model/model.py
@@ -121,6 +121,15 @@
             free_tokens=memory - held if memory else float("inf"),
         )
 
+    def loads_of(
+        self, targets: Iterable[RelayTarget], now: float
+    ) -> list[tuple[float, int]]:
+        """Returns the requests and the slots of each target."""
+        return [
+            (self.loads.load(t, self._table.load(t.name), now), t.slots)
+            for t in targets
+        ]
+
     def report(self, now: float, within_s: float = TOLD_WITHIN_S) -> PaceReport:
         """Returns the estimates that were renewed lately, to be told to a peer."""
         known = self.paces.recent(now, within_s)[:MAX_TOLD]
--- /dev/null
+++ b/src/magnoliaroad/waiting/admission.py
@@ -0,0 +1,79 @@
+"""Decides whether a new program is taken while its service lacks room."""
+
+import random
+from collections.abc import Iterable
+
+# Requests that wait at the least loaded target, as part of its slots, from which room
+# counts as short. The turns of a program then take half as long again.
+SHORT_PART = 0.5
+# Time for which room must have been short, in seconds: programs bear a shorter burst.
+SUSTAINED_S = 1.0
+# Part of the slots by which each higher rank is still taken.
+RANK_PART = 0.5
+# Ranks that are told apart.
+RANKS = 3
+# Part of its caller's time limit that a request must have used up to count as one that
+# has come back after a refusal.
+RETURNED_PART = 0.1
+# Earliest and latest time to come back, in seconds; spread, so that refused programs do
+# not return together. Callers wait for a third of their time at most.
+MIN_RETURN_S = 0.3
+MAX_RETURN_S = 0.9
+
+
+class ProgramAdmission:
+    """Refuses first turns of new programs under sustained shortage, lowest rank first.
+
+    For the load pattern of a burst that lasts: taking all programs makes every one of
+    them late, and the turns of those that have begun wait behind first turns. A refused
+    program that comes back is taken before new ones, as its caller has less time left.
+    """
+
+    def __init__(self) -> None:
+        self._short_since: dict[str, float] = {}
+
+    def record_waiting(
+        self, service: str, loads: Iterable[tuple[float, int]], now: float
+    ) -> float:
+        """Records how full the targets of a service are.
+
+        Args:
+            service: Name of the service.
+            loads: Requests and slots of each of its usable targets.
+            now: Time in seconds.
+
+        Returns:
+            Requests that wait at the least loaded target, as part of its slots.
+        """
+        waiting = min(
+            (max(0.0, load + 1 - slots) / max(1, slots) for load, slots in loads),
+            default=0.0,
+        )
+        if waiting < SHORT_PART:
+            self._short_since.pop(service, None)
+        else:
+            self._short_since.setdefault(service, now)
+        return waiting
+
+    def admits(
+        self, service: str, rank: int, waiting: float, used_part: float, now: float
+    ) -> bool:
+        """Returns whether the first turn of a new program is taken.
+
+        Args:
+            service: Name of the service.
+            rank: Rank of the program; 0 is the highest.
+            waiting: What ``record_waiting`` has returned.
+            used_part: Part of the caller's time limit that is used up.
+            now: Time in seconds.
+        """
+        since = self._short_since.get(service, now)
+        if now - since < SUSTAINED_S or used_part >= RETURNED_PART:
+            return True
+        higher = RANKS - 1 - min(rank, RANKS - 1)
+        return waiting < SHORT_PART + RANK_PART * higher
+
+
+def return_after_s(rng: random.Random) -> float:
+    """Returns when a refused program is to come back, in seconds."""
+    return rng.uniform(MIN_RETURN_S, MAX_RETURN_S)
