--- a/src/magnoliaroad/store/observed.py
+++ b/src/magnoliaroad/store/observed.py
@@ -20,6 +20,12 @@
 from magnoliaroad.store.watch import WatchBatch
 
 CALLS = Counter("store_calls_total", "Calls on the store, by call and outcome.")
+CALLS_BY_CAUSE = Counter(
+    "store_calls_by_cause_total",
+    "Calls on the store, by call and the first part of the keys.",
+)
+# Cause of calls on leases, which concern no key.
+LEASES = "leases"
 # Number of kinds of unusable answers that are remembered as logged.
 MAX_REMEMBERED_KINDS = 64
 
@@ -43,15 +49,15 @@
 
     @override
     async def get(self, key: str) -> StoreEntry | None:
-        return await self._observe("get", self._store.get(key))
+        return await self._observe("get", key, self._store.get(key))
 
     @override
     async def ping(self, key: str) -> None:
-        await self._observe("ping", self._store.ping(key))
+        await self._observe("ping", key, self._store.ping(key))
 
     @override
     async def list(self, prefix: str) -> WatchBatch:
-        return await self._observe("list", self._store.list(prefix))
+        return await self._observe("list", prefix, self._store.list(prefix))
 
     @override
     async def put(
@@ -61,40 +67,44 @@
         expected: int | None = None,
         lease: int | None = None,
     ) -> int:
-        return await self._observe("put", self._store.put(key, value, expected, lease))
+        return await self._observe(
+            "put", key, self._store.put(key, value, expected, lease)
+        )
 
     @override
     async def put_many(self, puts: Sequence[StorePut]) -> Sequence[int]:
-        return await self._observe("put_many", self._store.put_many(puts))
+        return await self._observe("put_many", puts[0].key, self._store.put_many(puts))
 
     @override
     async def delete(self, key: str, expected: int | None = None) -> None:
-        await self._observe("delete", self._store.delete(key, expected))
+        await self._observe("delete", key, self._store.delete(key, expected))
 
     @override
     async def grant_lease(self, ttl_s: float) -> int:
-        return await self._observe("grant_lease", self._store.grant_lease(ttl_s))
+        return await self._observe(
+            "grant_lease", LEASES, self._store.grant_lease(ttl_s)
+        )
 
     @override
     async def renew_lease(self, lease: int) -> None:
-        await self._observe("renew_lease", self._store.renew_lease(lease))
+        await self._observe("renew_lease", LEASES, self._store.renew_lease(lease))
 
     @override
     async def revoke_lease(self, lease: int) -> None:
-        await self._observe("revoke_lease", self._store.revoke_lease(lease))
+        await self._observe("revoke_lease", LEASES, self._store.revoke_lease(lease))
 
     @override
     async def watch(
         self, prefix: str, after: int, limit_s: float | None = None
     ) -> WatchBatch:
         call = self._store.watch(prefix, after, limit_s)
-        return await self._observe("watch", call)
+        return await self._observe("watch", prefix, call)
 
     @override
     async def close(self) -> None:
         await self._store.close()
 
-    async def _observe(self, name: str, call: Awaitable[T]) -> T:
+    async def _observe(self, name: str, key: str, call: Awaitable[T]) -> T:
         outcome = "answered"
         try:
             return await call
@@ -112,6 +122,8 @@
             raise
         finally:
             CALLS.inc({"call": name, "outcome": outcome})
+            cause = key.partition("/")[0]
+            CALLS_BY_CAUSE.inc({"call": name, "cause": cause})
 
 
 @functools.lru_cache(maxsize=MAX_REMEMBERED_KINDS)
