Send a second attempt for requests that take longer than usual

Off unless the settings give a budget. Only what may be repeated, within the most attempts of the route, at targets with room; the first answer is kept and the other attempt is cancelled at once.

--- /dev/null
+++ b/src/magnoliaroad/hedging/__init__.py
@@ -0,0 +1,1 @@
+"""Second attempts for requests that take longer than usual."""
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -9,6 +9,7 @@
 from magnoliaroad.background import background_task
 from magnoliaroad.evacuation.service import EvacuationService
 from magnoliaroad.event_wait import wait_for_event
+from magnoliaroad.hedging.policy import HedgePolicy
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerService
 from magnoliaroad.quarantine import QuarantineService
@@ -214,6 +215,7 @@
                 self.fleet.host_count,
             ),
             program_admission=ProgramAdmission(),
+            hedging=HedgePolicy(cfg.hedging, self.fleet.host_count),
             program_targets=program_targets,
             stream_origins=StreamOrigins(
                 self.peers, lambda: self.records.hosts, self.records.live_hosts
--- a/src/magnoliaroad/relay/offers.py
+++ b/src/magnoliaroad/relay/offers.py
@@ -47,6 +47,11 @@
             self._unreachable.add(target)
         return not isinstance(exc, TargetFull | PeerLost)
 
+    def record_second(self, target: str) -> None:
+        """Records a second attempt beside the one that is under way."""
+        self.attempts += 1
+        self.excluded.add(target)
+
     @property
     def found_full_only(self) -> bool:
         """Whether a target was full, and none has failed in another way."""
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from magnoliaroad.hedging.policy import HedgePolicy
 from magnoliaroad.quarantine import QuarantineService
 from magnoliaroad.records.lru_cache import LruCache
 from magnoliaroad.relay.budget_router import BudgetRouter
@@ -31,6 +32,7 @@
         quarantine: Refuses requests that crash targets.
         target_limiter: Keeps the limits that targets state.
         waiting: Requests that wait for a target with room.
+        hedging: Second attempts for requests that take longer than usual.
         program_admission: Refuses new programs while room is short.
         target_model: What is known of the speed and load of targets.
         placer: Chooses the targets of requests.
@@ -52,6 +54,7 @@
     target_model: TargetModel
     waiting: WaitingRoom
     program_admission: ProgramAdmission
+    hedging: HedgePolicy
     placer: Placer
     sender: TargetSender
     turns: TurnLedger
--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -146,6 +146,22 @@
         target = await self._wait_for_limit(need, excluded, waits_s, deadline)
         return Placement(target, len(usable))
 
+    def choose_unlimited(self, need: PlacementNeed, excluded: set[str]) -> RelayTarget:
+        """Chooses a target without any limit of requests a second.
+
+        Raises:
+            NoTarget: There is none.
+        """
+        now = time.monotonic()
+        unlimited = [
+            target
+            for target in self._find_usable(need, excluded)
+            if not self._limiter.is_limited(target, now)
+        ]
+        if not unlimited:
+            raise NoTarget(TARGETS_FULL)
+        return self._choose(need, unlimited)[0]
+
     async def _wait_for_limit(
         self,
         need: PlacementNeed,
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
+from typing import Any
 
 from aiohttp import HttpVersion11, web
 from loguru import logger
@@ -12,6 +13,9 @@
 
 from magnoliaroad.decoding import can_be_sent
 from magnoliaroad.drain_limit import DrainLimit
+from magnoliaroad.hedging.metrics import HEDGES, WASTED
+from magnoliaroad.hedging.policy import HedgeTarget
+from magnoliaroad.hedging.race import race
 from magnoliaroad.homes import allowed_data_centres
 from magnoliaroad.quarantine import exact_fingerprint
 from magnoliaroad.refusal import Refusal, Refused
@@ -369,7 +373,11 @@
             response, end = None, None
             was_cut = sender.is_cut(target.service)
             try:
-                opened = await self._send(target, offers.attempts)
+                if self._may_hedge(offers):
+                    opened = await self._send_hedged(target, offers)
+                    target = opened.target
+                else:
+                    opened = await self._send(target, offers.attempts)
                 response = opened.response
                 FIRST_BYTE.observe(
                     {"kind": self.route.kind.value}, time.monotonic() - self.began
@@ -396,6 +404,98 @@
                     response.close()
                 self._record_end(target, end)
 
+    def _may_hedge(self, offers: Offers) -> bool:
+        return self.parts.hedging.may_hedge(self.route, offers.attempts)
+
+    async def _send_hedged(self, target: RelayTarget, offers: Offers) -> OpenAnswer:
+        """Sends the request, and once more elsewhere if the answer is late.
+
+        Returns:
+            The first answer. The other attempt has ended, and its end is recorded.
+
+        Raises:
+            TargetError: Both attempts failed; the error is that of the first.
+        """
+        policy, sent_at = self.parts.hedging, time.monotonic()
+        policy.record_request(self._service, sent_at)
+        age_s = policy.age_s(self.route)
+        if age_s is None:
+            age_s = self.deadline - sent_at
+        others: list[RelayTarget] = []
+
+        async def start_second() -> Coroutine[Any, Any, OpenAnswer] | None:
+            other = await self._choose_second(target, offers)
+            if other is None:
+                return None
+            others.append(other)
+            offers.record_second(other.name)
+            return self._send_second(other, offers.attempts)
+
+        result = await race(
+            self._send(target, offers.attempts), age_s, start_second, self._discard
+        )
+        opened = result.winner
+        took_s = time.monotonic() - sent_at
+        policy.times.record(self.route.name, took_s)
+        if result.has_second:
+            self.sent = True
+            self._record_hedge(target, others[0], result.is_second, took_s, age_s)
+        if result.is_second:
+            self._record_end(target, RequestEnd.UNANSWERED)
+            self.parts.placer.assign(self._need(), opened.target)
+        return opened
+
+    async def _choose_second(
+        self, first: RelayTarget, offers: Offers
+    ) -> RelayTarget | None:
+        """Returns the target of a second attempt; ``None`` if there is to be none."""
+        parts, excluded = self.parts, {first.name, *offers.excluded}
+        now = time.monotonic()
+        if parts.waiting.count(self._service):
+            return None
+        need = self._need()._replace(placed="")
+        try:
+            target = parts.placer.choose_unlimited(need, excluded)
+        except NoTarget:
+            return None
+        load = HedgeTarget(parts.table.load(target.name), target.slots)
+        return target if parts.hedging.take(self._service, load, now) else None
+
+    async def _send_second(self, target: RelayTarget, attempts: int) -> OpenAnswer:
+        self._record_start(target)
+        answered = False
+        try:
+            opened = await self._send(target, attempts)
+            answered = True
+            return opened
+        finally:
+            if not answered:
+                self._record_end(target, RequestEnd.UNANSWERED)
+
+    def _discard(self, opened: OpenAnswer) -> None:
+        """Drops an answer that came at the same moment as the other one."""
+        opened.response.close()
+
+    def _record_hedge(
+        self,
+        first: RelayTarget,
+        second: RelayTarget,
+        second_won: bool,
+        took_s: float,
+        age_s: float,
+    ) -> None:
+        HEDGES.inc({"outcome": "won" if second_won else "lost"})
+        WASTED.add({}, took_s if second_won else max(0.0, took_s - age_s))
+        logger.bind(
+            request=self.call.request_id,
+            route=self.route.name,
+            first=first.name,
+            second=second.name,
+            second_won=second_won,
+            after_s=round(age_s, 4),
+            took_s=round(took_s, 4),
+        ).info("second attempt")
+
     async def _next_target(self, offers: Offers) -> RelayTarget:
         """Returns the next target to offer the request to.
 
@@ -472,9 +572,9 @@
     def _may_retry(self, verdict: Verdict) -> bool:
         return verdict.may_retry or self.route.repeatable
 
-    async def _place(self, excluded: set[str]) -> RelayTarget:
-        call, placer = self.call, self.parts.placer
-        need = PlacementNeed(
+    def _need(self) -> PlacementNeed:
+        call = self.call
+        return PlacementNeed(
             service=self._service,
             version=None if self._origin is None else self._origin.version,
             streams=self.streams,
@@ -485,6 +585,9 @@
             data_centres=self._data_centres,
             tokens=call.prompt_tokens + call.output_tokens,
         )
+
+    async def _place(self, excluded: set[str]) -> RelayTarget:
+        call, placer, need = self.call, self.parts.placer, self._need()
         try:
             target, candidates, end_s = await placer.place(
                 need, excluded, self.deadline
--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from magnoliaroad.hedging.settings import HedgingSettings
 from magnoliaroad.logs.settings import LogSettings
 from magnoliaroad.memory.settings import MemorySettings
 from magnoliaroad.peers.settings import PeerSettings
@@ -208,6 +209,7 @@
     slow_start: SlowStartSettings = SlowStartSettings()
     placement: PlacementSettings = PlacementSettings()
     waiting: WaitingSettings = WaitingSettings()
+    hedging: HedgingSettings = HedgingSettings()
     fleet: FleetSettings = FleetSettings()
     follow: FollowSettings = FollowSettings()
     drain: DrainSettings = DrainSettings()
--- a/src/magnoliaroad/relay/target_limiter.py
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -135,6 +135,10 @@
         TARGET_ADMISSIONS.inc({"outcome": outcome})
         return decision
 
+    def is_limited(self, target: RelayTarget, now: float) -> bool:
+        """Whether a target has a limit, or is cold and has a rate for that."""
+        return self._find_rate(target, now) is not None
+
     def sweep(self, now: float) -> None:
         """Drops what is known of targets that are gone."""
         names = self._table.targets
--- a/src/magnoliaroad/waiting/room.py
+++ b/src/magnoliaroad/waiting/room.py
@@ -67,6 +67,11 @@
             return self._states_slowdown(service, time.monotonic())
         return self.cfg.enabled == "on"
 
+    def count(self, service: str) -> int:
+        """Returns the requests to a service that wait."""
+        queue = self._queues.get(service)
+        return 0 if queue is None else len(queue)
+
     async def wait(self, request: WaitingRequest) -> bool:
         """Waits until the request is to be tried again; returns whether it is."""
         now = time.monotonic()
