Read bodies in small chunks in turns

Each byte of a body in chunks of one byte is a parse step, and reading 32 KB of them from each of many callers took the event loop seconds.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -14,6 +14,11 @@
 from loguru import logger
 from typing_extensions import override
 
+from magnoliaroad.caller_load.parse_turns import (
+    SMALL_READ_BYTES,
+    ParseTurns,
+    has_small_chunks,
+)
 from magnoliaroad.error_traces import forget_traces
 from magnoliaroad.head_memory import HeadMemory
 from magnoliaroad.idle import awaits_request
@@ -36,6 +41,7 @@
 # How often the parser holds the fields of a head: as they came and decoded.
 HEAD_COPIES = 2
 HEADS = HeadMemory()
+PARSE_TURNS = ParseTurns()
 # Time for which the rest of a head that is too large is discarded, in seconds.
 REFUSED_HEAD_S = 0.5
 # Most bytes that are read from a connection at once; what exceeds the buffer of a body
@@ -62,13 +68,20 @@
             such as trailers; in bytes.
     """
 
-    __slots__ = ("_last_body", "_queued_bytes", "head_began_at", "head_bytes")
+    __slots__ = (
+        "_last_body",
+        "_queued_bytes",
+        "_waits_for_turn",
+        "head_began_at",
+        "head_bytes",
+    )
 
     def __init__(self, server: web.Server, **options) -> None:
         super().__init__(server, **options)
         # Reading that was paused for the queue goes on once the queue is empty.
         self._msg_queue_resume_size = 0
         self._queued_bytes = 0
+        self._waits_for_turn = False
         self.head_began_at: float | None = None
         self.head_bytes = 0
         self._last_body: StreamReader | None = None
@@ -108,6 +121,24 @@
             self._head_arrives(data)
         elif not self._reading_paused:
             self._body_arrives(data, body_bytes)
+        if body is not None and not between:
+            self._limit_parsing(len(data), body.total_bytes - body_bytes)
+
+    def _limit_parsing(self, read_bytes: int, body_bytes: int) -> None:
+        """Lets a connection whose body comes in small chunks wait for its turn."""
+        if self.transport is None or not has_small_chunks(read_bytes, body_bytes):
+            return
+        self._transport.max_size = SMALL_READ_BYTES
+        if not self._waits_for_turn:
+            self._waits_for_turn = True
+            self._pause_reading_for_buffer()
+            PARSE_TURNS.add(self)
+
+    def take_turn(self) -> None:
+        """Reads the connection again, which has waited for its turn."""
+        self._waits_for_turn = False
+        if self.transport is not None and self._queued_bytes <= MAX_QUEUED_BYTES:
+            self._resume_reading_for_buffer()
 
     def _head_arrives(self, data: bytes) -> None:
         """Counts a part of an incomplete head; refuses one that is too large."""
--- /dev/null
+++ b/src/magnoliaroad/caller_load/__init__.py
@@ -0,0 +1,1 @@
+"""Bounds the work that callers with badly divided bodies cause."""
