Keep the home hosts of programs while hosts lose the store in turn

Home hosts now stay if most hosts of the data centre have lost the store, and former ones are asked for tokens first. The part of a budget that one claim takes is a setting.

--- a/src/magnoliaroad/relay/budget.py
+++ b/src/magnoliaroad/relay/budget.py
@@ -45,10 +45,15 @@
     return unpack(data, BudgetRecord)
 
 
-def claim_size(record: BudgetRecord, needed: int) -> int:
+def claim_size(record: BudgetRecord, needed: int, part: float = 0.5) -> int:
     """Returns how many tokens to claim when at least ``needed`` are required.
 
     Claiming half of the free tokens spares most programs a second claim and leaves
     enough for another host to continue if this one is lost.
+
+    Args:
+        record: The record as stored.
+        needed: Least number of tokens to claim.
+        part: Part of the free tokens to claim.
     """
-    return min(record.free, max(needed, record.free // 2))
+    return min(record.free, max(needed, int(record.free * part)))
--- a/src/magnoliaroad/relay/budget_ledger.py
+++ b/src/magnoliaroad/relay/budget_ledger.py
@@ -112,8 +112,8 @@
         holder: Incarnation of this host, under which it claims.
         borrow_from: Asks another holder to lend its unused tokens of a program;
             returns ``None`` if the holder cannot be reached.
-        holders: Returns the incarnations of the hosts in contact. They may have
-            borrowed tokens without a claim of their own.
+        holders: Returns the incarnations of hosts in contact that may have tokens of a
+            program, also borrowed ones without a claim of their own.
         store_unavailable: Returns whether calls on the store are known to fail.
         now: Clock in seconds.
     """
@@ -125,7 +125,7 @@
         cfg: TurnSettings,
         holder: str,
         borrow_from: BorrowFunc,
-        holders: Callable[[], list[str]] = list,
+        holders: Callable[[str], list[str]] = lambda program: [],
         store_unavailable: Callable[[], bool] = bool,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
@@ -234,7 +234,7 @@
             return _StorePart.EXHAUSTED
         if self._store_unavailable():
             return _StorePart.UNKNOWN
-        size = claim_size(record, need.missing)
+        size = claim_size(record, need.missing, self.cfg.claim_part)
         return await self._write(name, program, record.with_claim(self._holder, size))
 
     async def _draw(self, name: str, program: _ProgramState, need: _Need) -> TokenDraw:
@@ -253,7 +253,7 @@
         record = program.stored.record
         others = [holder for holder in record.claims if holder != self._holder]
         listed = {self._holder, *others}
-        others += [holder for holder in self._holders() if holder not in listed]
+        others += [holder for holder in self._holders(name) if holder not in listed]
         replies = await asyncio.gather(*(self._borrow_from(o, name) for o in others))
         lent = sum(reply.lent for reply in replies if reply is not None)
         program.share.borrowed += lent
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -12,6 +12,7 @@
 from magnoliaroad.background import background_task
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.peers import PeerAddress, PeerError, PeerService
+from magnoliaroad.program_homes import HomeHistory
 from magnoliaroad.quarantine import QuarantineService
 from magnoliaroad.records.client import RecordClient
 from magnoliaroad.records.messages import RecordHostHeartbeat, RelayHostAnnouncement
@@ -56,6 +57,9 @@
 # for the others, and the least number of them.
 COUNTER_FRACTION = 1 / 8
 MIN_COUNTERS = 3
+# Part of the hosts of a data centre that must reach the store for them to count for
+# those that don't. The store may turn a third of the hosts away and serve the others.
+MIN_REACHING_PART = 0.5
 # Hosts to which crashes of targets are reported; more than one, so that the loss of a
 # host loses no evidence.
 CRASH_DETECTORS = 2
@@ -139,6 +143,7 @@
         self._record_hosts_contacted_at = 0.0
         self._fit_hosts: tuple[object, dict[str, str]] = (None, {})
         self._counters: list[str] = []
+        self._home_history = HomeHistory()
         self._counters_state: object = None
         self._listed = False
         self._state_sync = StateSync(
@@ -188,8 +193,23 @@
         """
         able = self._find_fit_hosts()
         near = [host for host in able if able[host] == self.cfg.data_centre]
+        if self._most_lost_store(len(near)):
+            near = self._find_near_hosts()
         near = near or list(able) or self._find_near_hosts() or [self.cfg.name]
-        return self._pick_counters(near) if self._tracker.uses_forwarders else near
+        hosts = self._pick_counters(near) if self._tracker.uses_forwarders else near
+        self._home_history.record(hosts, time.monotonic())
+        return hosts
+
+    def _most_lost_store(self, reaching: int) -> bool:
+        """Whether most hosts of this data centre have lost the store, but not all.
+
+        Hosts notice the loss one after the other. If those that have not noticed it yet
+        counted for all, nearly every program would change its home host twice.
+
+        Args:
+            reaching: Hosts of the data centre that reach the store and are not slow.
+        """
+        return 0 < reaching < MIN_REACHING_PART * len(self._find_near_hosts())
 
     def _find_near_hosts(self) -> list[str]:
         """Returns the hosts of this data centre in contact that are not slow."""
@@ -326,12 +346,15 @@
         heartbeats = self._tracker.in_contact().values()
         return {self.cfg.data_centre, *(h.data_centre for h in heartbeats)}
 
-    def holders(self) -> list[str]:
-        """Returns the names under which hosts in contact claim budgets."""
-        heartbeats = self._tracker.in_contact().values()
-        return [f"{heartbeat.host}#{heartbeat.boot}" for heartbeat in heartbeats][
-            :MAX_LENDERS
-        ]
+    def holders(self, program: str) -> list[str]:
+        """Returns the names under which hosts in contact claim budgets.
+
+        Former home hosts of the program come first.
+        """
+        contacts = self._tracker.in_contact()
+        former = self._home_history.former_homes(program, time.monotonic())
+        hosts = dict.fromkeys([*(h for h in former if h in contacts), *contacts])
+        return [f"{host}#{contacts[host].boot}" for host in hosts][:MAX_LENDERS]
 
     def follows_store(self) -> bool:
         """Whether this host is the one that watches the store for its data centre.
--- a/tests/relay/test_budgets.py
+++ b/tests/relay/test_budgets.py
@@ -93,7 +93,7 @@
     def writers(self):
         return self.alive[:1]
 
-    def holders(self):
+    def holders(self, program=""):
         return [host.holder for host in self.hosts.values()]
 
     def record(self, program="p"):
--- a/tests/relay/test_escrow.py
+++ b/tests/relay/test_escrow.py
@@ -83,7 +83,7 @@
             cfg.turns,
             self.holder,
             self.lend,
-            lambda: [r.holder for r in fleet.reached_by(self)],
+            lambda program: [r.holder for r in fleet.reached_by(self)],
             store_unavailable=lambda: self.store.faults.down,
             now=now,
         )
--- a/tests/relay/test_fleet.py
+++ b/tests/relay/test_fleet.py
@@ -28,6 +28,7 @@
 from magnoliaroad.relay.slowness_detector import SLOW_SAMPLES
 from magnoliaroad.relay.target import TargetStart
 from magnoliaroad.relay.target_table import TargetCooldown
+from magnoliaroad.rendezvous import highest_ranked
 from magnoliaroad.standins.kv_state import KvState
 from magnoliaroad.standins.local_store import LocalStore
 from magnoliaroad.store.settings import StoreSettings
@@ -424,3 +425,33 @@
     assert {h.plan_version for h in fleet._tracker.newest_in_contact()} == {2}
     fleet._on_digest("host-1", digest_of(many_heartbeats(age_s=102.0, slow=True)))
     assert fleet._tracker.version > version
+
+
+async def test_home_hosts_of_programs_stay_while_hosts_lose_the_store_in_turn(fleet):
+    """Guards against programs that lose tokens to two changes of their home host."""
+    names = [f"host-{number}" for number in range(10)]
+    for name in names:
+        receive(fleet, name, "dc-1")
+    before = sorted(fleet.budget_hosts())
+    for count in range(6, 11):
+        for name in names[:count]:
+            receive(fleet, name, "dc-1", store_lost=True)
+        assert sorted(fleet.budget_hosts()) == before
+    fleet._contact.lost = True
+    assert sorted(fleet.budget_hosts()) == before
+
+
+async def test_a_former_home_host_is_asked_for_tokens_first(fleet):
+    for number in range(40):
+        receive(fleet, f"host-{number}", f"dc-{1 + number % 2}")
+    programs = [f"p-{number}" for number in range(30)]
+    homes = {p: highest_ranked(p, fleet.budget_hosts()) for p in programs}
+    for host in fleet.budget_hosts():
+        if host != "host-m":
+            receive(fleet, host, "dc-1", store_lost=True)
+    now = {p: highest_ranked(p, fleet.budget_hosts()) for p in programs}
+    moved = [p for p in programs if now[p] != homes[p] and homes[p] != "host-m"]
+    assert moved
+    for program in moved:
+        asked = [holder.partition("#")[0] for holder in fleet.holders(program)[:2]]
+        assert homes[program] in asked
