--- a/src/magnoliaroad/relay/settings.py
+++ b/src/magnoliaroad/relay/settings.py
@@ -68,9 +68,9 @@
         budget_return_s: Shortest time that it is stored after a turn. Longer than
             programs may pause.
         store_patience_s: Longest wait for a turn to be stored or loaded.
-        claim_part: Part of a program's unclaimed tokens that a host claims at once. With
-            more, programs bear longer outages of the store, and lose more when their
-            home host is lost.
+        claim_part: Part of a program's unclaimed tokens that a host claims at once.
+            With more, programs bear longer outages of the store, and lose more when
+            their home host is lost.
         claim_s: Longest wait for a claim on a budget; covers several slow answers of
             the store, and is well within the time that callers wait for a first byte.
         claim_call_s: Longest wait for one answer of the store to a claim; longer than
