Add magnoliaroad explain, which shows where a request would go and why

A relay host answers at /explain of its metrics address from its memory. The placement and its preview share one decision; limits and buckets get read-only views, so nothing is counted, assigned or sent.

--- a/src/magnoliaroad/cli/main.py
+++ b/src/magnoliaroad/cli/main.py
@@ -5,6 +5,7 @@
 from cleo.application import Application
 
 from magnoliaroad.cli.demo import DemoCommand
+from magnoliaroad.cli.explain import ExplainCommand
 from magnoliaroad.cli.host import HostCommand
 from magnoliaroad.cli.key_grant import KeyGrantCommand
 from magnoliaroad.cli.key_new import KeyNewCommand
@@ -35,6 +36,7 @@
     QuarantineListCommand,
     QuarantineClearCommand,
     StatusCommand,
+    ExplainCommand,
     SettingsExampleCommand,
     SettingsCheckCommand,
     StandinCommand,
--- /dev/null
+++ b/src/magnoliaroad/explain/__init__.py
@@ -0,0 +1,1 @@
+"""Explains where a request would be sent now and why, without sending it."""
--- a/src/magnoliaroad/records/lru_cache.py
+++ b/src/magnoliaroad/records/lru_cache.py
@@ -36,6 +36,10 @@
             self._values.move_to_end(key)
         return value
 
+    def peek(self, key: str) -> T | None:
+        """Returns the cached value of ``key`` without counting this as a use."""
+        return self._values.get(key)
+
     def add(self, key: str, value: T) -> None:
         """Caches ``value`` and evicts others while the total exceeds the limit."""
         previous = self._values.pop(key, None)
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -9,6 +9,9 @@
 from magnoliaroad.background import background_task
 from magnoliaroad.evacuation.service import EvacuationService
 from magnoliaroad.event_wait import wait_for_event
+from magnoliaroad.explain.endpoint import PATH as EXPLAIN_PATH
+from magnoliaroad.explain.endpoint import ExplainEndpoint
+from magnoliaroad.explain.explain import HostStatus
 from magnoliaroad.hedging.policy import HedgePolicy
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerService
@@ -225,6 +228,7 @@
             notify_peers=self.fleet.send_heartbeat_soon,
         )
         self.server = RelayServer(parts, self._ready)
+        self._explain = ExplainEndpoint(parts, self._status)
         self.memory = MemoryWatch(
             cfg.memory,
             [
@@ -278,7 +282,7 @@
             ),
             self.quarantine,
             self.claims,
-            MetricsServer(self.cfg.listen.metrics),
+            MetricsServer(self.cfg.listen.metrics, {EXPLAIN_PATH: self._explain}),
             self.server,
         ):
             await self.add_runtime_dependency(part)
@@ -323,6 +327,14 @@
             fleet.uses_short_watches,
         )
 
+    def _status(self) -> HostStatus:
+        return HostStatus(
+            ready=not self.server.draining and self._ready(),
+            draining=self.server.draining,
+            store_lost=self.contact.lost,
+            targets_listed_at=self.follower.listed_at,
+        )
+
     def _ready(self) -> bool:
         known = self.plans.plan is not None and self.follower.listed
         known = known and self.records.hosts_listed
--- a/src/magnoliaroad/relay/metrics_server.py
+++ b/src/magnoliaroad/relay/metrics_server.py
@@ -1,5 +1,8 @@
 """Serves metrics over HTTP."""
 
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+
 import aioprometheus
 from aiohttp import web
 from aioprometheus.renderer import render
@@ -12,16 +15,24 @@
 
 
 class MetricsServer(Service):
-    """Answers every request with all metrics of the process.
+    """Answers requests with all metrics of the process, unless a page is asked for.
 
     The host does without metrics while their address cannot be had.
 
     Args:
         address: Address ``ip:port`` to listen on.
+        pages: What answers requests for other pages, by path.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self,
+        address: str,
+        pages: Mapping[
+            str, Callable[[web.BaseRequest], web.Response]
+        ] = MappingProxyType({}),
+    ) -> None:
         super().__init__()
+        self._pages = pages
         self._address = address
         self._runner: web.ServerRunner | None = None
 
@@ -50,6 +61,9 @@
         await CallerListener(self._runner, host, int(port)).start()
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
+        page = self._pages.get(req.path)
+        if page is not None:
+            return page(req)
         accepts = req.headers.getall("Accept", [])
         content, headers = render(aioprometheus.REGISTRY, accepts)
         return web.Response(body=content, headers=headers)
--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
+from types import MappingProxyType
 from typing import NamedTuple
 
 from magnoliaroad.refusal import Refusal
@@ -37,6 +38,8 @@
 MAX_ASKED = 4
 # Time after which a stated limit is asked for again by a request, in seconds.
 REFRESH_S = 1.0
+# Reason of a choice that the load decides.
+BY_LOAD = "load"
 
 
 class NoTarget(Exception):
@@ -91,6 +94,39 @@
     end_s: float = 0.0
 
 
+class Decision(NamedTuple):
+    """A target that is the best of those to choose from, before its limit is asked.
+
+    Attributes:
+        target: The target.
+        end_s: Time until the request is expected to end, in seconds; 0 if unknown.
+        reason: ``kept``, ``moved`` or ``new`` by the expected end, else ``BY_LOAD``.
+    """
+
+    target: RelayTarget
+    end_s: float
+    reason: str
+
+
+class Preview(NamedTuple):
+    """What would become of a request that is placed now.
+
+    Attributes:
+        decision: The choice; ``None`` if no target takes the request.
+        usable: The usable targets.
+        waits_s: Time until each target that would not take it now takes another one,
+            in seconds, by name.
+        wait_s: Time for which the request would wait for its target, in seconds.
+        refusal: What its caller would be told; ``None`` if a target takes it.
+    """
+
+    decision: Decision | None
+    usable: Sequence[RelayTarget] = ()
+    waits_s: Mapping[str, float] = MappingProxyType({})
+    wait_s: float = 0.0
+    refusal: Refusal | None = None
+
+
 class Placer:
     """Chooses a target for each request.
 
@@ -146,6 +182,34 @@
         target = await self._wait_for_limit(need, excluded, waits_s, deadline)
         return Placement(target, len(usable))
 
+    def preview(self, need: PlacementNeed) -> Preview:
+        """Returns what ``place`` would do now, by what this host knows.
+
+        Nothing is counted, and no other host is asked: a limit that another host keeps
+        counts as free unless that host has refused a request just now.
+        """
+        now, none_tried = time.monotonic(), set[str]()
+        try:
+            usable = self._find_usable(need, none_tried)
+        except NoTarget as exc:
+            return Preview(None, refusal=exc.refusal)
+        waits_s: dict[str, float] = {}
+        decisions: dict[str, Decision] = {}
+        while left := self._not_refused(usable, waits_s):
+            decision = self._decide(need, left)
+            target = decision.target
+            reserved = self._reserved_part(need, target, none_tried)
+            limit = self._limiter.view(target, reserved, now)
+            if limit is None or not limit.wait_s:
+                return Preview(decision, usable, waits_s)
+            waits_s[target.name], decisions[target.name] = limit.wait_s, decision
+        soonest = min(waits_s, key=waits_s.__getitem__)
+        wait_s = waits_s[soonest]
+        if wait_s > self.cfg.quota.longest_wait_s:
+            refusal = targets_limited(wait_s)
+            return Preview(None, usable, waits_s, refusal=refusal)
+        return Preview(decisions[soonest], usable, waits_s, wait_s)
+
     def choose_unlimited(self, need: PlacementNeed, excluded: set[str]) -> RelayTarget:
         """Chooses a target without any limit of requests a second.
 
@@ -221,12 +285,18 @@
         self, need: PlacementNeed, left: list[RelayTarget]
     ) -> tuple[RelayTarget, float]:
         """Returns a target and the time until the request is expected to end there."""
+        decision = self._decide(need, left)
+        if decision.reason != BY_LOAD:
+            CHOICES.inc({"reason": decision.reason})
+        return decision.target, decision.end_s
+
+    def _decide(self, need: PlacementNeed, left: list[RelayTarget]) -> Decision:
         usable = self._without_limited(need, left)
         choice = self._choose_by_expected_end(need, usable)
         if choice is None:
-            return self._choose_by_load(need, usable), 0.0
-        CHOICES.inc({"reason": choice.reason})
-        return self._table.targets[choice.name], choice.end_s
+            return Decision(self._choose_by_load(need, usable), 0.0, BY_LOAD)
+        target = self._table.targets[choice.name]
+        return Decision(target, choice.end_s, choice.reason)
 
     def _choose_by_load(
         self, need: PlacementNeed, usable: list[RelayTarget]
--- a/src/magnoliaroad/relay/plan_holder.py
+++ b/src/magnoliaroad/relay/plan_holder.py
@@ -1,5 +1,6 @@
 """The configuration that is in force on this host."""
 
+import time
 from collections.abc import Callable
 
 from loguru import logger
@@ -19,12 +20,16 @@
     Attributes:
         plan: The configuration in force; ``None`` before the first.
         source: Key and value of its store entry, to send to peers.
+        origin: Whence this host has it: ``STORE_ORIGIN`` or a peer.
+        taken_at: Monotonic time at which this host has taken it, in seconds.
         on_newer_plan: Called after a newer one was read from the store.
     """
 
     def __init__(self, decoder: EntryDecoder) -> None:
         self.plan: RelayPlan | None = None
         self.source: tuple[str, bytes] | None = None
+        self.origin = ""
+        self.taken_at = 0.0
         self.on_newer_plan: Callable[[], None] = lambda: None
         self._decoder = decoder
 
@@ -73,6 +78,7 @@
         ).info("configuration in force")
         self.plan = plan
         self.source = (key, value)
+        self.origin, self.taken_at = origin, time.monotonic()
         if origin == STORE_ORIGIN:
             self.on_newer_plan()
         return True
--- a/src/magnoliaroad/relay/program_targets.py
+++ b/src/magnoliaroad/relay/program_targets.py
@@ -57,6 +57,14 @@
             return ""
         return reply.target
 
+    def known(self, program: str) -> str:
+        """Returns the target of a program if this host knows it; else empty."""
+        return self._targets.peek(program) or ""
+
+    def home(self, program: str) -> str:
+        """Returns the host that ``find`` asks for a program it does not know."""
+        return highest_ranked(program, self._hosts()) or self._name
+
     def assign(self, program: str, target: str) -> None:
         """Remembers that ``target`` serves a program from now on."""
         if self._targets.get(program) == target:
--- a/src/magnoliaroad/relay/quota.py
+++ b/src/magnoliaroad/relay/quota.py
@@ -251,6 +251,11 @@
         if added or started:
             self._add_remote(now, name, added, started)
 
+    def tokens_left(self, now: float, team: RelayTeam) -> float:
+        """Returns the tokens of a team's bucket, which stays as it is."""
+        state = self._teams.get(team.name) or _TeamState(now, UNKNOWN_TOKENS)
+        return self._tokens_at(state, now, team)
+
     def bucket_state(self, name: str) -> dict[str, float]:
         """Returns the state of a team's bucket for the log.
 
@@ -294,18 +299,13 @@
 
     def _refilled(self, now: float, team: RelayTeam) -> _TeamState:
         state = self._teams.get(team.name)
-        burst = team.burst * self.contact_fraction()
         if state is None:
             state = self._teams[team.name] = _TeamState(
                 now, self._initial_tokens(now, team)
             )
-        if state.tokens == UNKNOWN_TOKENS:
-            state.tokens = self._initial_tokens(now, team)
+        state.tokens = self._tokens_at(state, now, team)
         elapsed_s = max(0.0, now - state.at)
         state.at = max(state.at, now)
-        state.tokens = min(
-            burst, state.tokens + elapsed_s * team.rate * self.contact_fraction()
-        )
         decay = max(0.0, 1.0 - elapsed_s / DEMAND_WINDOW_S)
         state.own *= decay
         state.others *= decay
@@ -313,6 +313,13 @@
         state.starting *= max(0.0, 1.0 - elapsed_s / PROGRAM_START_WINDOW_S)
         return state
 
+    def _tokens_at(self, state: _TeamState, now: float, team: RelayTeam) -> float:
+        tokens, fraction = state.tokens, self.contact_fraction()
+        if tokens == UNKNOWN_TOKENS:
+            tokens = self._initial_tokens(now, team)
+        earned = max(0.0, now - state.at) * team.rate * fraction
+        return min(team.burst * fraction, tokens + earned)
+
     def _initial_tokens(self, now: float, team: RelayTeam) -> float:
         earned = team.rate * (now - self._created_at)
         return min(team.burst, self.cfg.start_burst * team.burst + earned)
--- a/src/magnoliaroad/relay/target_limit.py
+++ b/src/magnoliaroad/relay/target_limit.py
@@ -106,18 +106,30 @@
             longest_wait_s: Longest time that the request may wait.
             burst: Most tokens of the bucket; those of ``BURST_S`` by default.
         """
-        if burst is None:
-            burst = max(1.0, rate * BURST_S)
-        earned = rate * max(0.0, now - self._at)
+        self._tokens = self._tokens_at(now, rate, burst)
         self._at = max(self._at, now)
-        self._tokens = min(burst, self._tokens + earned)
-        reserved = min(reserved_part * burst, burst - 1.0)
-        wait_s = max(0.0, (1.0 + reserved - self._tokens) / rate)
+        wait_s = self.wait_s(now, rate, reserved_part, burst)
         if wait_s > longest_wait_s:
             return BucketDecision(False, wait_s)
         self._tokens -= 1.0
         return BucketDecision(True, wait_s)
 
+    def wait_s(
+        self, now: float, rate: float, reserved_part: float, burst: float | None = None
+    ) -> float:
+        """Returns the time until ``take`` admits a request, and takes nothing."""
+        tokens, most = self._tokens_at(now, rate, burst), _burst_of(rate, burst)
+        reserved = min(reserved_part * most, most - 1.0)
+        return max(0.0, (1.0 + reserved - tokens) / rate)
+
+    def _tokens_at(self, now: float, rate: float, burst: float | None) -> float:
+        earned = rate * max(0.0, now - self._at)
+        return min(_burst_of(rate, burst), self._tokens + earned)
+
+
+def _burst_of(rate: float, burst: float | None) -> float:
+    return max(1.0, rate * BURST_S) if burst is None else burst
+
 
 class BucketDecision(NamedTuple):
     """Whether a request may be sent to a limited target.
--- a/src/magnoliaroad/relay/target_limiter.py
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -3,6 +3,7 @@
 import math
 import time
 from collections.abc import Callable
+from typing import NamedTuple
 
 from loguru import logger
 
@@ -31,6 +32,21 @@
 ADMITTED = BucketDecision(True, 0.0)
 
 
+class LimitView(NamedTuple):
+    """What this host knows of the limit of a target.
+
+    Attributes:
+        rate: Requests a second that the target takes.
+        home: Host that counts them; ``None`` if that is this host.
+        wait_s: Time until a request may be sent there, in seconds; ``None`` if only
+            the home host knows.
+    """
+
+    rate: float
+    home: str | None
+    wait_s: float | None
+
+
 class TargetLimiter:
     """Admits requests to limited targets at one host for each target.
 
@@ -135,6 +151,30 @@
         TARGET_ADMISSIONS.inc({"outcome": outcome})
         return decision
 
+    def view(
+        self, target: RelayTarget, reserved_part: float, now: float
+    ) -> LimitView | None:
+        """Returns the limit of a target, which it does not use; ``None`` without one.
+
+        Args:
+            target: The target.
+            reserved_part: Part of the bucket that a request would leave to others.
+            now: Time in seconds.
+        """
+        rate = self._find_rate(target, now)
+        if rate is None:
+            return None
+        start, home = start_of(target), self._home_of(target)
+        refused_s = self._refused_until.get((start, reserved_part), 0.0) - now
+        if home not in (None, self._name):
+            return LimitView(rate, home, refused_s if refused_s > 0 else None)
+        bucket = self._buckets.get(start) or TargetBucket(now)
+        part_rate, burst = self._bucket_limits(
+            target, rate, self._contact_fraction(), now
+        )
+        wait_s = bucket.wait_s(now, part_rate, reserved_part, burst)
+        return LimitView(rate, None, max(wait_s, refused_s, 0.0))
+
     def is_limited(self, target: RelayTarget, now: float) -> bool:
         """Whether a target has a limit, or is cold and has a rate for that."""
         return self._find_rate(target, now) is not None
@@ -232,10 +272,16 @@
         if whole_rate is None:
             return ADMITTED
         bucket = buckets.setdefault(start_of(target), TargetBucket(now))
+        rate, burst = self._bucket_limits(target, whole_rate, part, now)
+        return bucket.take(now, rate, reserved_part, longest_wait_s, burst)
+
+    def _bucket_limits(
+        self, target: RelayTarget, whole_rate: float, part: float, now: float
+    ) -> tuple[float, float | None]:
+        """Returns the rate and the burst of a bucket with a part of a target's rate."""
         rate = max(MIN_RATE, whole_rate) * part
         is_cold = self._cold_rates.find(target, now) is not None
-        burst = self._cold_rates.burst(rate) if is_cold else None
-        return bucket.take(now, rate, reserved_part, longest_wait_s, burst)
+        return rate, self._cold_rates.burst(rate) if is_cold else None
 
     def _record(
         self, target: RelayTarget, rate: float | None, at: float, source: str
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -194,6 +194,10 @@
         self._cooldown_until[name] = self._own_cooldowns[name] = now + pause_s
         return pause_s
 
+    def cooldown_s(self, name: str, now: float) -> float:
+        """Returns the time for which a target is in cooldown, in seconds."""
+        return max(0.0, self._cooldown_until.get(name, 0.0) - now)
+
     def end_cooldowns(self, names: Iterable[str]) -> None:
         """Ends the cooldowns of targets that have not failed after all."""
         for name in names:
--- a/src/magnoliaroad/relay/team_limiter.py
+++ b/src/magnoliaroad/relay/team_limiter.py
@@ -33,6 +33,18 @@
     bucket_state: dict[str, float]
 
 
+class TeamLimitView(NamedTuple):
+    """What this host knows of a team's limit.
+
+    Attributes:
+        home: Host that counts the team's requests.
+        tokens: Tokens that are left in the bucket by this host's replica.
+    """
+
+    home: str
+    tokens: float
+
+
 class TeamLimiter:
     """Has the requests of each team admitted by the team's home host.
 
@@ -92,6 +104,11 @@
                     return AdmissionDecision(reply.wait_s, home, reply.bucket_state)
         return self._admit_here(team, new_program)
 
+    def view(self, team: RelayTeam) -> TeamLimitView:
+        """Returns what this host knows of a team's limit, which it does not use."""
+        home = self._homes.find(team.name) or self._name
+        return TeamLimitView(home, self._quota.tokens_left(time.monotonic(), team))
+
     def refund(self, team: RelayTeam, decision: AdmissionDecision) -> None:
         """Puts back the token of a request that was not sent."""
         if decision.host == self._name:
--- a/src/magnoliaroad/target_model/stated_loads.py
+++ b/src/magnoliaroad/target_model/stated_loads.py
@@ -54,6 +54,10 @@
         stated = statement.load.slowdown
         return 1.0 if stated is None else min(MAX_SLOWDOWN, max(1.0, stated))
 
+    def statement(self, target: RelayTarget) -> _Statement | None:
+        """Returns the last load that a target has stated, with its time, if any."""
+        return self._statements.get(start_of(target))
+
     def load(self, target: RelayTarget, counted: int, now: float) -> float:
         """Returns the requests at a target.
 
--- a/src/magnoliaroad/waiting/admission.py
+++ b/src/magnoliaroad/waiting/admission.py
@@ -45,10 +45,7 @@
         Returns:
             Requests that wait at the least loaded target, as part of its slots.
         """
-        waiting = min(
-            (max(0.0, load + 1 - slots) / max(1, slots) for load, slots in loads),
-            default=0.0,
-        )
+        waiting = waiting_part(loads)
         if waiting < SHORT_PART:
             self._short_since.pop(service, None)
         else:
@@ -74,6 +71,18 @@
         return waiting < SHORT_PART + RANK_PART * higher
 
 
+def waiting_part(loads: Iterable[tuple[float, int]]) -> float:
+    """Returns the requests that wait at the least loaded target, as part of its slots.
+
+    Args:
+        loads: Requests and slots of each target.
+    """
+    return min(
+        (max(0.0, load + 1 - slots) / max(1, slots) for load, slots in loads),
+        default=0.0,
+    )
+
+
 def return_after_s(rng: random.Random) -> float:
     """Returns when a refused program is to come back, in seconds."""
     return rng.uniform(MIN_RETURN_S, MAX_RETURN_S)
