--- a/src/magnoliaroad/explain/explain.py
+++ b/src/magnoliaroad/explain/explain.py
@@ -117,7 +117,7 @@
     reports = {
         "route": RouteReport(
             name=route.name,
-            path_prefix=route.path_prefix,
+            prefix=route.path_prefix,
             kind=route.kind.value,
             attempts=route.attempts,
             service=service,
--- a/src/magnoliaroad/explain/explanation.py
+++ b/src/magnoliaroad/explain/explanation.py
@@ -57,7 +57,7 @@
 
     Attributes:
         name: Name of the route.
-        path_prefix: Prefix that matches.
+        prefix: Prefix that matches.
         kind: Whether a request may be sent again.
         attempts: Most targets that one request may be sent to.
         service: Service that the request goes to.
@@ -71,7 +71,7 @@
     """
 
     name: str
-    path_prefix: str
+    prefix: str
     kind: str
     attempts: int
     service: str
--- a/src/magnoliaroad/explain/text.py
+++ b/src/magnoliaroad/explain/text.py
@@ -40,7 +40,7 @@
     if route is None:
         return "route: none"
     text = (
-        f"route: {route['name']} ({route['path_prefix']}, {route['kind']},"
+        f"route: {route['name']} ({route['prefix']}, {route['kind']},"
         f" at most {route['attempts']} targets), service {route['service']}"
     )
     if route["service_depends_on_request"]:
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -193,7 +193,8 @@
     quota.admit(now - 0.1, TEAM)
     for one in parts.table.targets.values():
         limiter._admit_for_all(one, 0.0, 1.0)
-    for number in range(3):
+    parts.program_admission.record_waiting("lm", [(30, 8)], now)
+    for number in reversed(range(3)):
         parts.programs.add(f"p-{number}", True)
         parts.program_targets._targets.add(f"p-{number}", "i-1")
 
