--- a/src/magnoliaroad/explain/explain.py
+++ b/src/magnoliaroad/explain/explain.py
@@ -1,6 +1,7 @@
 """Builds the explanation from the state of a host, without changing any of it."""
 
 import math
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from magnoliaroad.explain.candidates import CandidateReports
@@ -17,7 +18,7 @@
 from magnoliaroad.homes import allowed_data_centres
 from magnoliaroad.refusal import Refusal
 from magnoliaroad.relay.parts import RelayParts
-from magnoliaroad.relay.placer import BY_LOAD, PlacementNeed, Preview
+from magnoliaroad.relay.placer import BY_LOAD, Decision, PlacementNeed, Preview
 from magnoliaroad.relay.plan import RelayPlan, RelayTeam, pick_service
 from magnoliaroad.relay.refusals import (
     NO_ROUTE,
@@ -37,8 +38,14 @@
     "kept": "it served the program's last turn, and none ends the turn much earlier",
     "moved": "the target of the program's last turn is not usable or ends it later",
     "new": "the turn ends there about as early as at any target",
-    BY_LOAD: "it is the best by load, program and data centre",
 }
+# The same for choices by load, which depend on the kind of the request.
+BY_LOAD_KEPT = "it served the program's last turn and is not overloaded"
+BY_LOAD_PROGRAM = (
+    "it has the fewest requests; those in other data centres count as more"
+)
+BY_LOAD_SESSION = "it ranks first for the request's id among those not overloaded"
+BY_LOAD_PLAIN = "it has spare slots, near targets first, or is the least full"
 
 
 class HostStatus(NamedTuple):
@@ -50,12 +57,14 @@
         store_lost: Whether it is without the store.
         targets_listed_at: Monotonic time at which the targets were last listed, in
             seconds; ``-inf`` if never.
+        peers_heard_at: Monotonic times of the last heartbeats of peers, in seconds.
     """
 
     ready: bool
     draining: bool
     store_lost: bool
     targets_listed_at: float
+    peers_heard_at: Sequence[float] = ()
 
 
 def explain(
@@ -137,7 +146,7 @@
     refusal = preview.refusal
     if needs_key and team is None:
         refusal = UNKNOWN_KEY._replace(message=NO_TEAM)
-    elif program is not None and program.would_start and room.refused:
+    elif room is not None and room.refused and program and program.would_start:
         refusal = no_room_for_programs(MIN_RETURN_S)
     if refusal is not None or preview.decision is None:
         not_chosen = tuple(c._replace(chosen=False) for c in candidates)
@@ -148,7 +157,7 @@
         wait_s=preview.wait_s,
         code="",
         status=0,
-        why=_why(preview),
+        why=_why(need, preview.decision, preview),
         notes=_notes(host, reports["team"], program, candidates[0].limit),
         host=host,
         candidates=candidates,
@@ -156,8 +165,16 @@
     )
 
 
-def _why(preview: Preview) -> str:
-    text = REASONS[preview.decision.reason]
+def _why(need: PlacementNeed, decision: Decision, preview: Preview) -> str:
+    if decision.reason != BY_LOAD:
+        text = REASONS[decision.reason]
+    elif not need.streams:
+        text = BY_LOAD_PLAIN
+    elif not need.program:
+        text = BY_LOAD_SESSION
+    else:
+        kept = decision.target.name == need.placed
+        text = BY_LOAD_KEPT if kept else BY_LOAD_PROGRAM
     if len(preview.usable) == 1:
         text = "it is the only usable target"
     if preview.wait_s:
@@ -218,7 +235,7 @@
 
 def _report_host(parts: RelayParts, status: HostStatus, now: float) -> HostReport:
     plans, orders = parts.plans, parts.table.evacuations
-    listed_at = status.targets_listed_at
+    listed_at, heard_at = status.targets_listed_at, status.peers_heard_at
     return HostReport(
         name=parts.cfg.name,
         data_centre=parts.cfg.data_centre,
@@ -229,6 +246,8 @@
         plan_origin=plans.origin,
         plan_age_s=None if plans.plan is None else now - plans.taken_at,
         targets_age_s=now - listed_at if math.isfinite(listed_at) else None,
+        newest_heartbeat_s=now - max(heard_at) if heard_at else None,
+        oldest_heartbeat_s=now - min(heard_at) if heard_at else None,
         targets_current=parts.targets_current(),
         evacuated={name: orders.age_s(name, now) for name in orders.data_centres},
     )
@@ -259,10 +278,12 @@
     route: RelayRoute,
     team: RelayTeam | None,
     now: float,
-) -> RoomReport:
+) -> RoomReport | None:
+    if not need.streams:
+        return None
     rank, service = rank_of(route, team), need.service
     usable = parts.table.usable(service, now, data_centres=need.data_centres)
     waiting = waiting_part(parts.target_model.loads_of(usable, now))
     admits = parts.program_admission.admits(service, rank, waiting, 0.0, now)
-    is_active = need.streams and parts.waiting.is_active(service)
+    is_active = parts.waiting.is_active(service)
     return RoomReport(rank, waiting, refused=is_active and not admits)
--- a/src/magnoliaroad/explain/explanation.py
+++ b/src/magnoliaroad/explain/explanation.py
@@ -20,6 +20,9 @@
         plan_age_s: Time since the host has taken it, in seconds; ``None`` for none.
         targets_age_s: Time since the targets were last listed in the store, in seconds;
             changes since then came by watches or from peers. ``None`` if never.
+        newest_heartbeat_s: Time since a peer last stated its configuration and counts,
+            in seconds; ``None`` without peers in contact.
+        oldest_heartbeat_s: The same for the peer whose news is oldest.
         targets_current: Whether no peer is known to have newer targets.
         evacuated: Evacuated data centres, with the time for which the host has known
             of the order, in seconds.
@@ -34,6 +37,8 @@
     plan_origin: str
     plan_age_s: float | None
     targets_age_s: float | None
+    newest_heartbeat_s: float | None
+    oldest_heartbeat_s: float | None
     targets_current: bool
     evacuated: dict[str, float]
 
@@ -67,7 +72,7 @@
         waits_for_room: Whether requests wait while all targets are full.
         waiting: Requests to the service that wait at this host.
         through_peer: Whether this host reaches the service through peers only.
-        room: Whether there is room for new programs.
+        room: Whether there is room for new programs; ``None`` on a route without them.
     """
 
     name: str
@@ -81,7 +86,7 @@
     waits_for_room: bool
     waiting: int
     through_peer: bool
-    room: RoomReport
+    room: RoomReport | None
 
 
 class TeamReport(NamedTuple):
--- a/src/magnoliaroad/explain/text.py
+++ b/src/magnoliaroad/explain/text.py
@@ -15,7 +15,7 @@
     for note in found["notes"]:
         yield f"  note: {note}"
     yield _route(found["route"])
-    if found["route"] is not None:
+    if found["route"] is not None and found["route"]["room"] is not None:
         yield _room(found["route"]["room"])
     if found["team"] is not None:
         yield _team(found["team"])
@@ -93,6 +93,11 @@
         listed = f"{host['targets_age_s']:.1f} s ago"
     current = "" if host["targets_current"] else ", a peer has newer ones"
     yield f"configuration: {plan}; targets listed {listed}{current}"
+    if host["newest_heartbeat_s"] is not None:
+        yield (
+            f"news of peers: {host['newest_heartbeat_s']:.2f} to"
+            f" {host['oldest_heartbeat_s']:.2f} s old"
+        )
     for name, age_s in host["evacuated"].items():
         yield f"evacuated: {name}, known for {age_s:.1f} s"
 
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -333,6 +333,7 @@
             draining=self.server.draining,
             store_lost=self.contact.lost,
             targets_listed_at=self.follower.listed_at,
+            peers_heard_at=self.fleet.heard_at(),
         )
 
     def _ready(self) -> bool:
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -317,6 +317,10 @@
             return now - self._follower.listed_at < tracker.near_silent_s
         return newest <= self._follower.revision
 
+    def heard_at(self) -> list[float]:
+        """Returns when the last heartbeat of each peer in contact came, in seconds."""
+        return self._tracker.heard_at()
+
     def helps_peers(self) -> bool:
         """Whether this host sends requests to targets for peers."""
         return not (self.draining or self._slowness.slow)
--- a/src/magnoliaroad/relay/heartbeat_tracker.py
+++ b/src/magnoliaroad/relay/heartbeat_tracker.py
@@ -265,6 +265,14 @@
         ]
         return max(revisions, default=None)
 
+    def heard_at(self) -> list[float]:
+        """Returns when the last heartbeat of each peer in contact came, in seconds."""
+        return [
+            received.received_at
+            for host, received in self.latest.items()
+            if host not in self.silent
+        ]
+
     def is_superseded(self, now: float, host: str, boot: str) -> bool:
         """Whether a later incarnation of a host than ``boot`` is running.
 
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -239,5 +239,9 @@
     assert lines[0] == "sent to i-1"
     assert any("version 3, taken 7.0 s ago" in line for line in lines)
     assert any(line.startswith("-> i-1 (dc-1, ready)") for line in lines)
+    now = time.monotonic()
+    status = READY._replace(peers_heard_at=[now - 0.5, now - 0.25])
+    heard = to_lines(to_document(explain(parts, status, QUERY, now)))
+    assert "news of peers: 0.25 to 0.50 s old" in heard
     refused = list(to_lines(to_document(ask(parts, path="/other"))))
     assert refused[0] == "refused: no_route (status 404)"
