--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -138,7 +138,7 @@
         self._previous: LoadedTurn | None = None
         self._placed = ""
         self._expected_s = 0.0
-        self._waits_since = 0.0
+        self._waits_since: float | None = None
         self._starts_program = False
         self._sent_at = 0.0
         self._origin: StreamOrigin | None = None
@@ -503,6 +503,8 @@
             Refused: There is none, and the request does not wait for room, or has
                 waited too long.
         """
+        if self._waits_since is None and not offers.excluded:
+            await self._queue_behind_waiting()
         while True:
             refused = self._refusal_error(TARGETS_FULL)
             if offers.count < MAX_OFFERS:
@@ -516,12 +518,26 @@
                 raise refused
             offers.readmit_full()
 
+    async def _queue_behind_waiting(self) -> None:
+        """Waits for room if requests that go first wait for it already.
+
+        Raises:
+            Refused: The request does not wait, or has waited too long.
+        """
+        waiting, service = self.parts.waiting, self._service
+        if not waiting.count(service) or waiting.goes_first(service, self._standing()):
+            return
+        if waiting.is_active(service) and not await self._wait_for_room():
+            raise self._refusal_error(TARGETS_FULL)
+
     async def _wait_for_room(self) -> bool:
         """Waits for a target with room; returns whether to look for one again."""
         waiting = self.parts.waiting
         if not waiting.is_active(self._service):
             return False
-        self._waits_since = self._waits_since or time.monotonic()
+        has_tried = self._waits_since is not None
+        if self._waits_since is None:
+            self._waits_since = time.monotonic()
         request = WaitingRequest(
             request_id=self.call.request_id,
             service=self._service,
@@ -530,6 +546,7 @@
             size=len(self.call.body),
             since=self._waits_since,
             deadline=self.deadline,
+            has_tried=has_tried,
         )
         return await waiting.wait(request)
 
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -142,6 +142,7 @@
         self._drain_limit.begin(began, cfg.notice_s, cfg.limit_s)
         for run in self._runs:
             run.end_by(self._drain_limit.ends_at)
+        self.parts.waiting.stop()
         await asyncio.sleep(cfg.notice_s)
         if self._caller_listener is not None:
             await self._caller_listener.stop()
--- a/src/magnoliaroad/waiting/room.py
+++ b/src/magnoliaroad/waiting/room.py
@@ -1,6 +1,7 @@
 """Holds requests until a target of their service is likely to have room."""
 
 import asyncio
+import itertools
 import random
 import time
 from collections.abc import Callable
@@ -29,6 +30,7 @@
         size: Bytes of its body.
         since: Monotonic time at which it first began to wait, in seconds.
         deadline: Monotonic time at which its answer is due, in seconds.
+        has_tried: Whether it has waited before and found no room.
     """
 
     request_id: str
@@ -38,6 +40,7 @@
     size: int
     since: float
     deadline: float
+    has_tried: bool = False
 
 
 class WaitingRoom:
@@ -58,8 +61,11 @@
         self._states_slowdown = states_slowdown
         self._queues: dict[str, RoomQueue] = {}
         self._timers: dict[str, asyncio.TimerHandle] = {}
-        self._woken: dict[str, asyncio.Future[None]] = {}
+        self._woken: dict[str, asyncio.Future[bool]] = {}
         self._held_bytes = 0
+        # Callers choose the ids of requests, and may send two with the same one.
+        self._numbers = itertools.count()
+        self._has_stopped = False
 
     def is_active(self, service: str) -> bool:
         """Whether requests to a service wait for room."""
@@ -72,16 +78,42 @@
         queue = self._queues.get(service)
         return 0 if queue is None else len(queue)
 
+    def goes_first(self, service: str, standing: Standing) -> bool:
+        """Whether a request that arrives now goes before all that wait.
+
+        Guards against new requests that take each place that becomes free, whatever
+        their rank, while others wait for their next try.
+        """
+        queue = self._queues.get(service)
+        return not queue or queue.goes_first(standing, time.monotonic())
+
+    def stop(self) -> None:
+        """Refuses the waiting requests in their order, and all that come later.
+
+        Their callers try another host, which this one would only keep them from while
+        it stops.
+        """
+        self._has_stopped = True
+        for queue in self._queues.values():
+            while (key := queue.take_next()) is not None:
+                self._resolve(key, False)
+
     async def wait(self, request: WaitingRequest) -> bool:
         """Waits until the request is to be tried again; returns whether it is."""
         now = time.monotonic()
         limit_s = self._longest_wait_s(request, now)
-        if limit_s <= 0 or not self._has_space(request):
+        if self._has_stopped or limit_s <= 0 or not self._has_space(request):
             OUTCOMES.inc({"outcome": "refused at once"})
             return False
         queue = self._queues.setdefault(request.service, RoomQueue())
-        if now > request.since:
+        if request.has_tried:
             queue.record_outcome(found_room=False)
+        key = str(next(self._numbers))
+        queue.add(key, request.team, request.standing, request.since)
+        if queue.expected_wait_s(key) > limit_s:
+            queue.remove(key)
+            OUTCOMES.inc({"outcome": "refused at once"})
+            return False
         logger.bind(
             request=request.request_id,
             service=request.service,
@@ -89,7 +121,7 @@
             slack_s=round(request.standing.slack_s, 3),
             waiting=len(self._woken),
         ).info("waits for room")
-        woken = await self._wait_in(queue, request, limit_s)
+        woken = await self._wait_in(queue, key, request, limit_s)
         waited_s = time.monotonic() - request.since
         WAITS.observe({"rank": str(request.standing.rank)}, waited_s)
         OUTCOMES.inc({"outcome": "tried again" if woken else "given up"})
@@ -104,24 +136,21 @@
         return fits and len(self._woken) < self.cfg.max_requests
 
     async def _wait_in(
-        self, queue: RoomQueue, request: WaitingRequest, limit_s: float
+        self, queue: RoomQueue, key: str, request: WaitingRequest, limit_s: float
     ) -> bool:
         fut = asyncio.get_running_loop().create_future()
-        name = request.request_id
-        self._woken[name] = fut
+        self._woken[key] = fut
         self._held_bytes += request.size
-        queue.add(name, request.team, request.standing, request.since)
         WAITING.set({}, len(self._woken))
         self._set_timer(request.service)
         try:
             async with asyncio.timeout(limit_s):
-                await fut
-            return True
+                return await fut
         except TimeoutError:
             return False
         finally:
-            queue.remove(name)
-            del self._woken[name]
+            queue.remove(key)
+            del self._woken[key]
             self._held_bytes -= request.size
             WAITING.set({}, len(self._woken))
 
@@ -129,6 +158,7 @@
         """Wakes the next request, as one of this host to the service has ended."""
         queue = self._queues.get(service)
         if queue:
+            queue.record_end(time.monotonic())
             queue.record_outcome(found_room=True)
             self._wake_next(service)
 
@@ -147,7 +177,11 @@
             self._set_timer(service)
 
     def _wake_next(self, service: str) -> None:
-        name = self._queues[service].take_next()
-        fut = self._woken.get(name) if name is not None else None
+        key = self._queues[service].take_next()
+        if key is not None:
+            self._resolve(key, True)
+
+    def _resolve(self, key: str, tries_again: bool) -> None:
+        fut = self._woken.get(key)
         if fut is not None and not fut.done():
-            fut.set_result(None)
+            fut.set_result(tries_again)
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -109,3 +109,34 @@
     assert apply_requirements(asked).waiting.enabled == "on"
     off = asked._replace(waiting=WaitingSettings(enabled="off"))
     assert apply_requirements(off).waiting.enabled == "off"
+
+
+async def test_a_new_request_does_not_take_the_place_of_one_that_waits(tmp_path):
+    """Guards against waiting requests whose places go to those that arrive later."""
+    target = full_for_a_while(count=1)
+    async with ShortOfRoom(tmp_path, target) as deployment:
+        room = deployment.relays[0].server.parts.waiting
+        first = asyncio.create_task(call(deployment, "POST", "/pay/x", b"first"))
+        await deployment.until(lambda: room.count("app") == 1)
+        second = asyncio.create_task(call(deployment, "POST", "/pay/x", b"second"))
+        answers = await asyncio.gather(first, second)
+        assert [status for status, _, _ in answers] == [200, 200]
+        assert [body for _, _, _, body in target.runs] == [b"first", b"second"]
+
+
+async def test_a_host_that_stops_refuses_waiting_requests(tmp_path):
+    """Guards against callers that are held until the host has stopped."""
+    target = full_for_a_while(count=1000)
+    async with ShortOfRoom(tmp_path, target) as deployment:
+        server = deployment.relays[0].server
+        room = server.parts.waiting
+        task = asyncio.create_task(call(deployment, "POST", "/pay/x", b"x"))
+        await deployment.until(lambda: room.count("app") == 1)
+        drain = asyncio.create_task(server.drain())
+        await deployment.until(lambda: server.draining)
+        assert room.count("app") == 0
+        status, headers, _ = await task
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert not target.runs
+        await drain
--- a/tests/waiting/test_order.py
+++ b/tests/waiting/test_order.py
@@ -75,6 +75,19 @@
     assert taken.count("calm") == 10
 
 
+def test_a_rank_holds_between_teams():
+    """Guards against a team of a higher rank that goes behind a lower one.
+
+    The share of a team was weighed before the rank once it was some requests ahead.
+    """
+    queue = RoomQueue()
+    for number in range(40):
+        queue.add(f"low-{number}", "low", standing(rank=1), 0.0)
+        queue.add(f"high-{number}", "high", standing(rank=0), 0.1)
+    taken = [queue.take_next().partition("-")[0] for _ in range(80)]
+    assert taken == ["high"] * 40 + ["low"] * 40
+
+
 def test_tries_back_off_while_there_is_no_room():
     queue = RoomQueue()
     for _ in range(5):
