Refuse no program that has begun at another host, and fewer wrongly

A host knew only the programs that it had served itself, so that later turns at other hosts were refused under shortage. Callers that always state less than the limit of their route passed for returned ones. A shortage seen once counted as a lasting one at the next first turn, however much later.

--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -227,7 +227,7 @@
     async def _prepare(self) -> None:
         call, team = self.call, self.admitted.team
         self._starts_program = self._may_start_program()
-        self._refuse_new_program()
+        await self._refuse_new_program()
         if self.streams and not can_be_sent(call.program + call.request_id):
             raise Refused(bad_call("The ids of a stream must be UTF-8."))
         if team is not None:
@@ -245,30 +245,44 @@
             await self._restrict_to_origin()
         if self.streams and call.program:
             self._placed = await self.parts.program_targets.find(call.program)
+            if self._placed:
+                self._starts_program = False
         if self.streams and call.budget is not None and call.program:
             self._reservation = await self.parts.budgets.reserve(
                 call.program, call.budget, call.output_tokens
             )
 
-    def _refuse_new_program(self) -> None:
+    async def _refuse_new_program(self) -> None:
         """Raises ``Refused`` if the service lacks room for new programs."""
-        parts, service = self.parts, self._service
+        parts, service, admission = (
+            self.parts,
+            self._service,
+            self.parts.program_admission,
+        )
         if not self._starts_program or not parts.waiting.is_active(service):
             return
         now = time.monotonic()
         usable = parts.table.usable(service, now, data_centres=self._data_centres)
         loads = parts.target_model.loads_of(usable, now)
-        waiting = parts.program_admission.record_waiting(service, loads, now)
+        waiting = admission.record_waiting(service, loads, now)
         rank = rank_of(self.route, self.admitted.team)
-        used_part = 0.0
-        if self.call.time_left_s is not None:
-            used_part = 1.0 - self.call.time_left_s / self.route.timeout_s
-        if parts.program_admission.admits(service, rank, waiting, used_part, now):
+        used_part = admission.record_limit(self.route.name, self.call.time_left_s)
+        if admission.admits(service, rank, waiting, used_part, now):
+            return
+        if await self._has_begun_elsewhere():
+            self._starts_program = False
             return
         PROGRAMS_REFUSED.inc({"rank": str(rank)})
         refusal = no_room_for_programs(return_after_s(random))
         raise Refused(refusal, waiting=round(waiting, 2), rank=rank)
 
+    async def _has_begun_elsewhere(self) -> bool:
+        """Returns whether the program had a turn that another host has placed."""
+        program = self.call.program
+        if await self.parts.program_targets.find(program):
+            return True
+        return await self.parts.budgets.has_program(program)
+
     async def _restrict_to_origin(self) -> None:
         """Restricts the targets to those that may continue the stream.
 
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -1,10 +1,12 @@
 """Requests that find all targets full wait for room where the settings ask for it."""
 
 import asyncio
+import time
 
 import pytest
 from magnoliaroad_platform.requirements import apply_requirements
 
+from magnoliaroad.waiting.admission import SUSTAINED_S
 from magnoliaroad.waiting.settings import WaitingSettings
 from tests.platform.deployment import UNLIMITED, Deployment
 from tests.platform.target_standin import TargetStandin
@@ -15,8 +17,8 @@
 class ShortOfRoom(Deployment):
     """Hosts whose settings turn waiting on or off."""
 
-    def __init__(self, *args, enabled="on", **changes):
-        super().__init__(*args)
+    def __init__(self, *args, enabled="on", hosts=1, **changes):
+        super().__init__(*args, hosts=hosts)
         self.waiting = WaitingSettings(enabled=enabled, **changes)
 
     def settings(self, name, **listen):
@@ -140,3 +142,18 @@
         assert float(headers["Retry-After"]) > 0
         assert not target.runs
         await drain
+
+
+async def test_a_program_that_has_begun_at_another_host_is_not_refused(tmp_path):
+    """Guards against turns that are taken for the first of a new program."""
+    target = TargetStandin("i-1")
+    async with ShortOfRoom(tmp_path, target, hosts=2) as deployment:
+        fleets = [relay.fleet for relay in deployment.relays]
+        await deployment.until(lambda: all(f.hosts_in_contact() for f in fleets))
+        assert (await deployment.turn(program="p-begun", relay=0))[0] == 200
+        parts = deployment.relays[1].server.parts
+        parts.table.in_flight["i-1"] = 30
+        since = time.monotonic() - 2 * SUSTAINED_S
+        parts.program_admission.record_waiting("lm", [(30.0, 8)], since)
+        assert (await deployment.turn(program="p-new", relay=1))[0] == 503
+        assert (await deployment.turn(program="p-begun", relay=1))[0] == 200
--- a/tests/waiting/test_order.py
+++ b/tests/waiting/test_order.py
@@ -10,6 +10,7 @@
 from magnoliaroad.waiting.admission import (
     MAX_RETURN_S,
     MIN_RETURN_S,
+    RETURNED_PART,
     SUSTAINED_S,
     ProgramAdmission,
     return_after_s,
@@ -157,6 +158,23 @@
     assert burst.admits(2.0, 2, FULL, used_part=0.2)
 
 
+def test_a_shortage_of_long_ago_refuses_no_program():
+    """Guards against refusals in a short burst, as the burst before it had no end."""
+    burst = Burst()
+    burst.admits(0.0, 2, FULL)
+    assert burst.admits(60.0, 2, FULL)
+
+
+def test_a_caller_that_states_a_short_limit_has_not_come_back():
+    """Guards against new programs that pass for returned ones, and are all taken."""
+    admission = ProgramAdmission()
+    assert [admission.record_limit("r", 1.0) for _ in range(3)] == [0.0] * 3
+    assert admission.record_limit("r", 0.6) > RETURNED_PART
+    for _ in range(200):
+        admission.record_limit("r", 0.5)
+    assert admission.record_limit("r", 0.5) < RETURNED_PART
+
+
 def test_refused_programs_return_at_different_times():
     rng = random.Random(3)
     times = sorted(return_after_s(rng) for _ in range(200))
