Learn one sample of a target's pace from each stream, and tell it on once

Sixteen events of one stream replaced an estimate: a slowdown that began within it made a target look 1.8 times as slow. Estimates that peers had told went round between hosts and were never dropped. What this host sent since a target stated its load did not count. Half of the requests went to idle targets of another data centre while near ones were better. Turns are told apart by route; a target without memory for a request gets it only if all lack it. Nothing is learnt where the model is not in use.

--- a/src/magnoliaroad/metrics/gauge.py
+++ b/src/magnoliaroad/metrics/gauge.py
@@ -22,6 +22,10 @@
         key = label_key(labels)
         self._current_values[key] = self._current_values.get(key, 0) + value
 
+    def clear(self) -> None:
+        """Removes the values of all sets of labels."""
+        self._current_values.clear()
+
     @override
     def get(self, labels: dict[str, str]) -> float:
         return self._current_values[label_key(labels)]
--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -56,6 +56,7 @@
 
     Attributes:
         service: Service to which the request goes.
+        route: Name of its route.
         version: Version of the target's software; ``None`` for any.
         streams: Whether the answer is a stream of an engine.
         request_id: Id of the request.
@@ -67,6 +68,7 @@
     """
 
     service: str
+    route: str
     version: str | None
     streams: bool
     request_id: str
@@ -254,7 +256,9 @@
         now = time.monotonic()
         if not need.streams or not self._model.is_active(need.service, now):
             return None
-        candidates = self._model.candidates(usable, self.cfg.data_centre, now)
+        candidates = self._model.candidates(
+            usable, need.route, self.cfg.data_centre, now
+        )
         if not candidates:
             return None
         return choose_by_expected_end(
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -60,6 +60,7 @@
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.team_limiter import AdmissionDecision
 from magnoliaroad.relay.turn import LoadedTurn
+from magnoliaroad.target_model.stream_pace import StreamPace
 from magnoliaroad.targets import (
     AnswerCut,
     RequestEnd,
@@ -607,6 +608,7 @@
         call = self.call
         return PlacementNeed(
             service=self._service,
+            route=self.route.name,
             version=None if self._origin is None else self._origin.version,
             streams=self.streams,
             request_id=call.request_id,
@@ -784,32 +786,48 @@
         await resp.prepare(self._req)
         while opened.parts:
             await self._write(opened.parts.popleft())
+        pace = self._pace_of(opened.target)
+        try:
+            await self._relay_events(opened, pace)
+        finally:
+            if pace is not None:
+                pace.end(time.monotonic())
+        if self.streams:
+            opened.check_events(self._scanner)
+        self.parts.table.record_success(opened.target.name)
+        if pace is not None:
+            self._record_turn(opened.target)
+        await self._save_turn(opened)
+        SENDS.inc({"outcome": "answered"})
+        await resp.write_eof()
+        return resp
+
+    async def _relay_events(self, opened: OpenAnswer, pace: StreamPace | None) -> None:
         last_at, counted = time.monotonic(), 0
         async for chunk in opened.response.iter_chunks():
+            arrived = time.monotonic()
             await self._write(chunk)
             now, count = time.monotonic(), self._scanner.count
             if counted and count > counted:
                 gap_s = (now - last_at) / (count - counted)
-                self._record_gap(opened.target, gap_s, now)
+                self.parts.table.record_event_gap(opened.target.name, gap_s, now)
             if count > counted:
                 last_at, counted = now, count
-        if self.streams:
-            opened.check_events(self._scanner)
-        self.parts.table.record_success(opened.target.name)
-        self._record_turn(opened.target)
-        await self._save_turn(opened)
-        SENDS.inc({"outcome": "answered"})
-        await resp.write_eof()
-        return resp
+            if pace is not None:
+                pace.record(count, arrived, now)
 
-    def _record_gap(self, target: RelayTarget, gap_s: float, now: float) -> None:
-        self.parts.table.record_event_gap(target.name, gap_s, now)
-        self.parts.target_model.record_gap(target, gap_s, now)
+    def _pace_of(self, target: RelayTarget) -> StreamPace | None:
+        """Returns what learns from a stream; ``None`` where nothing is learnt."""
+        model = self.parts.target_model
+        if not self.streams or not model.is_active(target.service, time.monotonic()):
+            return None
+        return StreamPace(model, target)
 
     def _record_turn(self, target: RelayTarget) -> None:
         call = self.call
         self.parts.target_model.record_turn(
             target.service,
+            self.route.name,
             self._scanner.count,
             call.prompt_tokens + call.output_tokens,
             self._expected_s,
--- a/src/magnoliaroad/target_model/exchange.py
+++ b/src/magnoliaroad/target_model/exchange.py
@@ -12,7 +12,6 @@
 from magnoliaroad.peers import PeerError, Peers
 from magnoliaroad.target_model.messages import PaceReport, PaceRequest
 from magnoliaroad.target_model.model import TargetModel
-from magnoliaroad.target_model.pace import LIFETIME_S
 
 # Time between two reports of a host, in seconds. A host of a large fleet serves few
 # streams, so that by itself it would learn the pace of its data centre's targets in
@@ -20,6 +19,9 @@
 REPORT_INTERVAL_S = 1.0
 # Longest wait for the estimates of a peer at the start, in seconds.
 ANSWER_TIMEOUT_S = 0.3
+# Most peers that are asked for their estimates; those of the build before cannot
+# answer, and meanwhile this host has learnt most by itself.
+MAX_ASKED = 5
 
 
 class PaceExchange(Service):
@@ -44,7 +46,7 @@
         self._model = model
         self._peers = peers
         self._near_contacts = near_contacts
-        self._has_asked = False
+        self._questions_left = MAX_ASKED
         peers.on(PaceReport, self._on_report)
         peers.on(PaceRequest, self._on_request, PaceReport)
 
@@ -60,13 +62,14 @@
             if not contacts:
                 continue
             peer = random.choice(contacts)
-            if not self._has_asked:
+            if self._questions_left:
                 await self._ask(peer)
             report = self._model.report(now)
             if report.paces:
                 self._peers.send(peer, report)
 
     async def _ask(self, peer: str) -> None:
+        self._questions_left -= 1
         try:
             reply = await self._peers.call_with_deadline(
                 peer, PaceRequest(), ANSWER_TIMEOUT_S
@@ -74,7 +77,7 @@
         except PeerError as exc:
             logger.bind(peer=peer, reason=repr(exc)).info("pace of targets not told")
             return
-        self._has_asked = True
+        self._questions_left = 0
         self._on_report(peer, reply)
         logger.bind(peer=peer, targets=len(reply.paces)).info("pace of targets told")
 
@@ -82,4 +85,4 @@
         self._model.merge(report, time.monotonic())
 
     def _on_request(self, sender: str, req: PaceRequest) -> PaceReport:
-        return self._model.report(time.monotonic(), LIFETIME_S)
+        return self._model.report_all(time.monotonic())
--- a/src/magnoliaroad/target_model/expected_end.py
+++ b/src/magnoliaroad/target_model/expected_end.py
@@ -68,11 +68,10 @@
     """
     slots = max(1, candidate.slots)
     turn_s = candidate.turn_s
+    waiting = max(0.0, candidate.load + 1.0 - slots)
     if candidate.free_tokens < tokens:
         # It runs once another request has ended.
-        waiting = slots
-    else:
-        waiting = max(0.0, candidate.load + 1.0 - slots)
+        waiting = max(waiting, slots)
     wait_s = waiting / slots * turn_s
     batch_s = FULL_BATCH_PART * min(1.0, candidate.load / slots) * turn_s
     prompt_s = 0.0 if holds_prompt else PROMPT_PART * turn_s
@@ -89,7 +88,9 @@
     programs stay with the target that has computed their prompt, unless waiting or its
     pace costs more than the prompt. Hosts that have the same news, up to half a second
     old, must not all send to the target that was the best: each request draws one of
-    those that are about as good.
+    those that are about as good. Among these, targets of other data centres are drawn
+    only if one of them is the best. A target whose memory the request would exceed
+    might end, and gets it only if there is no other.
 
     Args:
         candidates: The targets to choose from.
@@ -97,16 +98,23 @@
         request: Id of the request.
         tokens: Tokens of the request.
     """
+    with_memory = [c for c in candidates if c.free_tokens >= tokens]
+    candidates = with_memory or candidates
     ends = {
         candidate.name: expected_end_s(candidate, candidate.name == placed, tokens)
         for candidate in candidates
     }
-    best_s = min(ends.values())
+    best = min(candidates, key=lambda candidate: ends[candidate.name])
+    best_s = ends[best.name]
     fastest_s = min(candidate.turn_s for candidate in candidates)
     margin_s = max(MOVE_MARGIN_S, MOVE_MARGIN_PART * fastest_s)
     if placed in ends and ends[placed] <= best_s + margin_s:
         return Choice(placed, ends[placed], "kept")
     tie_s = best_s + TIE_PART * fastest_s
-    equal = [name for name, end_s in ends.items() if end_s <= tie_s]
+    equal = [
+        candidate.name
+        for candidate in candidates
+        if ends[candidate.name] <= tie_s and candidate.is_far <= best.is_far
+    ]
     name = highest_ranked(request, equal)
     return Choice(name, ends[name], "moved" if placed else "new")
--- a/src/magnoliaroad/target_model/model.py
+++ b/src/magnoliaroad/target_model/model.py
@@ -1,6 +1,7 @@
 """The model of the targets of a host."""
 
 from collections.abc import Callable, Container, Iterable, Sequence
+from typing import TypeVar
 
 from magnoliaroad.relay.dialect import TargetLoad
 from magnoliaroad.relay.plan import RelayService
@@ -8,8 +9,8 @@
 from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.target_model.expected_end import Candidate
 from magnoliaroad.target_model.messages import PaceReport
-from magnoliaroad.target_model.metrics import KNOWN_PACES, MODEL_ERROR
-from magnoliaroad.target_model.pace import PaceTable
+from magnoliaroad.target_model.metrics import KNOWN_PACES, MODEL_ERROR, PACE
+from magnoliaroad.target_model.pace import EventTimes, Pace, PaceTable
 from magnoliaroad.target_model.settings import PlacementSettings
 from magnoliaroad.target_model.stated_loads import StatedLoads
 
@@ -21,6 +22,8 @@
 MAX_TOLD = 64
 MICROSECONDS = 1e6
 
+Key = TypeVar("Key")
+
 
 class TargetModel:
     """What is known of each target: its pace, its load, and what its turns are like.
@@ -42,7 +45,7 @@
         self.loads = StatedLoads()
         self._table = table
         self._find_service = find_service
-        self._mean_events: dict[str, float] = {}
+        self._mean_events: dict[tuple[str, str], float] = {}
         self._mean_tokens: dict[str, float] = {}
 
     def is_active(self, service: str, now: float) -> bool:
@@ -53,44 +56,65 @@
 
     def record_load(self, target: RelayTarget, load: TargetLoad, now: float) -> None:
         """Records the load that a target has stated."""
-        self.loads.record(target, load, now)
+        if load.slowdown is None and self.cfg.by_expected_end != "on":
+            return
+        own = self._table.in_flight.get(target.name, 0)
+        self.loads.record(target, load, own, now)
 
-    def record_gap(self, target: RelayTarget, gap_s: float, now: float) -> None:
-        """Records the time that a target took for an event."""
-        slowdown = self.loads.slowdown(target, now)
-        self.paces.record(start_of(target), gap_s, slowdown, now)
+    def record_pace(self, target: RelayTarget, times: EventTimes, now: float) -> None:
+        """Records how long a target took for the events of a stream, whole or not."""
+        if times.events:
+            self.paces.record(start_of(target), times.mean_s, now)
 
     def record_turn(
-        self, service: str, events: int, tokens: int, expected_s: float, took_s: float
+        self,
+        service: str,
+        route: str,
+        events: int,
+        tokens: int,
+        expected_s: float,
+        took_s: float,
     ) -> None:
-        """Records a turn that has ended.
+        """Records a turn that has ended; without effect if it had no events.
 
         Args:
             service: Its service.
+            route: Its route.
             events: Number of its events.
             tokens: Tokens of its prompt and of its output.
             expected_s: Time that it was expected to take, in seconds; 0 if unknown.
             took_s: Time that it took, in seconds.
         """
-        for means, value in ((self._mean_events, events), (self._mean_tokens, tokens)):
-            before = means.get(service, float(value))
-            means[service] = before + TURN_WEIGHT * (value - before)
+        if not events:
+            return
+        # Routes of one service differ in the length of their turns; the mean of the
+        # service holds for a route that has had none yet.
+        _update_mean(self._mean_events, (service, route), events)
+        _update_mean(self._mean_events, (service, ""), events)
+        _update_mean(self._mean_tokens, service, tokens)
         if expected_s > 0 and took_s > 0:
             MODEL_ERROR.observe({}, abs(expected_s - took_s) / took_s)
 
     def candidates(
-        self, targets: Sequence[RelayTarget], data_centre: str, now: float
+        self,
+        targets: Sequence[RelayTarget],
+        route: str,
+        data_centre: str,
+        now: float,
     ) -> list[Candidate]:
         """Returns what is known of targets; empty if too little is.
 
         Args:
             targets: Targets of one service.
+            route: Route of the request.
             data_centre: Data centre of this host.
             now: Time in seconds.
         """
         service = targets[0].service
         usual_s = self.paces.median(map(start_of, targets), now)
-        events = self._mean_events.get(service)
+        events = self._mean_events.get((service, route))
+        if events is None:
+            events = self._mean_events.get((service, ""))
         if usual_s is None or events is None:
             return []
         plan = self._find_service(service)
@@ -110,7 +134,7 @@
         now: float,
     ) -> Candidate:
         pace_s = self.paces.find(start_of(target), now) or usual_s
-        load = self.loads.load(target, self._table.load(target.name), now)
+        load = self._load(target, now)
         held = load * self._mean_tokens.get(target.service, 0.0)
         return Candidate(
             name=target.name,
@@ -125,20 +149,20 @@
         self, targets: Iterable[RelayTarget], now: float
     ) -> list[tuple[float, int]]:
         """Returns the requests and the slots of each target."""
-        return [
-            (self.loads.load(t, self._table.load(t.name), now), t.slots)
-            for t in targets
-        ]
+        return [(self._load(target, now), target.slots) for target in targets]
 
-    def report(self, now: float, within_s: float = TOLD_WITHIN_S) -> PaceReport:
-        """Returns the estimates that were renewed lately, to be told to a peer."""
-        known = self.paces.recent(now, within_s)[:MAX_TOLD]
-        return PaceReport(
-            [
-                (*start, round(pace.mean_s * MICROSECONDS), pace.samples)
-                for start, pace in known
-            ]
-        )
+    def _load(self, target: RelayTarget, now: float) -> float:
+        name = target.name
+        own = self._table.in_flight.get(name, 0)
+        return self.loads.load(target, self._table.load(name), own, now)
+
+    def report(self, now: float) -> PaceReport:
+        """Returns what this host has learnt lately, to be told to a peer."""
+        return _report_of(self.paces.recent(now, TOLD_WITHIN_S))
+
+    def report_all(self, now: float) -> PaceReport:
+        """Returns all estimates, for a peer that starts."""
+        return _report_of(self.paces.known(now))
 
     def merge(self, report: PaceReport, now: float) -> None:
         """Combines the estimates of a peer with those of this host."""
@@ -154,7 +178,26 @@
         self.paces.sweep(now, names)
         self.loads.sweep(now, names)
         KNOWN_PACES.set({}, len(self.paces))
+        PACE.clear()
+        for start, pace in self.paces.known(now):
+            PACE.set({"target": start.name}, pace.mean_s)
 
     def services(self) -> Iterable[str]:
         """Returns the services of the known targets."""
         return {target.service for target in self._table.targets.values()}
+
+
+def _update_mean(means: dict[Key, float], key: Key, value: float) -> None:
+    before = means.get(key, float(value))
+    means[key] = before + TURN_WEIGHT * (value - before)
+
+
+def _report_of(known: list[tuple[TargetStart, Pace]]) -> PaceReport:
+    """Returns the newest estimates, as many as one report may have."""
+    known.sort(key=lambda item: item[1].at, reverse=True)
+    return PaceReport(
+        [
+            (*start, round(pace.mean_s * MICROSECONDS), pace.samples)
+            for start, pace in known[:MAX_TOLD]
+        ]
+    )
--- a/src/magnoliaroad/target_model/pace.py
+++ b/src/magnoliaroad/target_model/pace.py
@@ -1,5 +1,6 @@
 """How long targets take for one event of a stream, learnt from their answers."""
 
+import math
 import statistics
 from collections.abc import Container, Iterable
 from typing import NamedTuple
@@ -11,7 +12,7 @@
 # for a fraction of a second, which must not look like a slow machine.
 MAX_SAMPLE_FACTOR = 1.5
 # Number of samples that an estimate stands for at most, so that it follows a machine
-# that stays slow.
+# that stays slow. Each stream gives one: its events all meet the same slowdowns.
 MAX_SAMPLES = 16
 # Samples before which an estimate is not used: the first may have met a slowdown.
 MIN_SAMPLES = 2
@@ -26,12 +27,43 @@
     Attributes:
         mean_s: Time for an event while its machine is as fast as usual, in seconds.
         samples: Number of samples that it stands for.
-        at: Time of the last sample, in seconds.
+        at: Time of the last sample or news of a peer, in seconds.
+        sampled_at: Time of the last sample of this host, in seconds; negative infinity
+            if there is none.
     """
 
     mean_s: float
     samples: int
     at: float
+    sampled_at: float
+
+
+class EventTimes:
+    """The time that a target takes for the events of one stream.
+
+    Attributes:
+        events: Number of events whose time is known.
+    """
+
+    def __init__(self) -> None:
+        self.events = 0
+        self._work_s = 0.0
+
+    def add(self, time_s: float, events: int, slowdown: float) -> None:
+        """Adds the time of some events.
+
+        Args:
+            time_s: Time from the event before them to the last of them, in seconds.
+            events: Number of events.
+            slowdown: What the target states meanwhile; 1 if it states nothing.
+        """
+        self.events += events
+        self._work_s += time_s / max(1.0, slowdown)
+
+    @property
+    def mean_s(self) -> float:
+        """Time for one event without the slowdown, in seconds."""
+        return self._work_s / max(1, self.events)
 
 
 class PaceTable:
@@ -44,21 +76,17 @@
     def __init__(self) -> None:
         self._paces: dict[TargetStart, Pace] = {}
 
-    def record(
-        self, start: TargetStart, gap_s: float, slowdown: float, now: float
-    ) -> None:
-        """Adds a sample.
+    def record(self, start: TargetStart, sample_s: float, now: float) -> None:
+        """Adds the mean time for an event of one stream.
 
         Args:
             start: The target.
-            gap_s: Time for one event, in seconds.
-            slowdown: What the target has stated; 1 if it states nothing.
+            sample_s: Time for one event without the slowdown, in seconds.
             now: Time in seconds.
         """
-        sample_s = gap_s / max(1.0, slowdown)
         known = self._paces.get(start)
         if known is None or now - known.at > LIFETIME_S:
-            self._paces[start] = Pace(sample_s, 1, now)
+            self._paces[start] = Pace(sample_s, 1, now, now)
             return
         low_s, high_s = (
             known.mean_s / MAX_SAMPLE_FACTOR,
@@ -66,7 +94,7 @@
         )
         samples = min(MAX_SAMPLES, known.samples + 1)
         step_s = min(high_s, max(low_s, sample_s)) - known.mean_s
-        self._paces[start] = Pace(known.mean_s + step_s / samples, samples, now)
+        self._paces[start] = Pace(known.mean_s + step_s / samples, samples, now, now)
 
     def merge(
         self, start: TargetStart, mean_s: float, samples: int, now: float
@@ -75,11 +103,12 @@
         samples = min(MAX_SAMPLES, samples)
         known = self._paces.get(start)
         if known is None or now - known.at > LIFETIME_S:
-            self._paces[start] = Pace(mean_s, samples, now)
+            self._paces[start] = Pace(mean_s, samples, now, -math.inf)
             return
         both = known.samples + samples
         mean_s = (known.mean_s * known.samples + mean_s * samples) / both
-        self._paces[start] = Pace(mean_s, max(known.samples, samples), now)
+        most = max(known.samples, samples)
+        self._paces[start] = Pace(mean_s, most, now, known.sampled_at)
 
     def find(self, start: TargetStart, now: float) -> float | None:
         """Returns the time for an event of a target; ``None`` if it is not known."""
@@ -96,9 +125,23 @@
         return statistics.median(known) if known else None
 
     def recent(self, now: float, within_s: float) -> list[tuple[TargetStart, Pace]]:
-        """Returns the estimates with a sample of the last ``within_s`` seconds."""
+        """Returns the estimates with an own sample of the last ``within_s`` seconds.
+
+        What peers have told is not told on: it would go round without end, and no
+        estimate without news would ever be dropped.
+        """
         return [
-            (s, pace) for s, pace in self._paces.items() if now - pace.at <= within_s
+            (start, pace)
+            for start, pace in self._paces.items()
+            if now - pace.sampled_at <= within_s
+        ]
+
+    def known(self, now: float) -> list[tuple[TargetStart, Pace]]:
+        """Returns all estimates that are not outdated."""
+        return [
+            (start, pace)
+            for start, pace in self._paces.items()
+            if now - pace.at <= LIFETIME_S
         ]
 
     def __len__(self) -> int:
--- a/src/magnoliaroad/target_model/stated_loads.py
+++ b/src/magnoliaroad/target_model/stated_loads.py
@@ -23,7 +23,10 @@
 
 
 class _Statement(NamedTuple):
+    """A stated load, with this host's requests there at that time."""
+
     load: TargetLoad
+    own: int
     at: float
 
 
@@ -35,9 +38,18 @@
         # Time of the last slowdown that a target of a service has stated.
         self._slowdown_at: dict[str, float] = {}
 
-    def record(self, target: RelayTarget, load: TargetLoad, now: float) -> None:
-        """Records the load in an answer of a target."""
-        self._statements[start_of(target)] = _Statement(load, now)
+    def record(
+        self, target: RelayTarget, load: TargetLoad, own: int, now: float
+    ) -> None:
+        """Records the load in an answer of a target.
+
+        Args:
+            target: The target.
+            load: What it states.
+            own: Requests of this host in flight there.
+            now: Time in seconds.
+        """
+        self._statements[start_of(target)] = _Statement(load, own, now)
         if load.slowdown is not None:
             self._slowdown_at[target.service] = now
 
@@ -54,21 +66,23 @@
         stated = statement.load.slowdown
         return 1.0 if stated is None else min(MAX_SLOWDOWN, max(1.0, stated))
 
-    def load(self, target: RelayTarget, counted: int, now: float) -> float:
+    def load(self, target: RelayTarget, counted: int, own: int, now: float) -> float:
         """Returns the requests at a target.
 
         The counts of the hosts lack those of hosts that were not heard yet; what the
-        target states lacks what was sent since. A fresh statement bounds the counts.
+        target states lacks what was sent since, of which this host knows its own.
 
         Args:
             target: The target.
             counted: Requests in flight there by the counts of all hosts.
+            own: Those of them that are of this host.
             now: Time in seconds.
         """
         statement = self._statements.get(start_of(target))
         if statement is None or now - statement.at > LOAD_LIFETIME_S:
             return float(counted)
         stated = statement.load.running + statement.load.waiting
+        stated += own - statement.own
         most = MAX_DIFFERENCE * max(1, target.slots)
         weight = 1.0 - (now - statement.at) / LOAD_LIFETIME_S
         difference = min(most, max(-most, stated - counted))
--- /dev/null
+++ b/src/magnoliaroad/target_model/stream_pace.py
@@ -0,0 +1,48 @@
+"""Learns the pace of a target from one stream."""
+
+from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.target_model.model import TargetModel
+from magnoliaroad.target_model.pace import EventTimes
+
+# Time for passing a part of a stream on from which its caller counts as slow, in
+# seconds. What comes next has waited for the caller, and shows no pace of the target.
+SLOW_CALLER_S = 0.005
+
+
+class StreamPace:
+    """Measures the time between the events of a stream, as they arrive.
+
+    Args:
+        model: Gets the result.
+        target: The target that sends the stream.
+    """
+
+    def __init__(self, model: TargetModel, target: RelayTarget) -> None:
+        self._model = model
+        self._target = target
+        self._times = EventTimes()
+        self._counted = 0
+        # Arrival of the last event; ``None`` if the caller has held up the stream.
+        self._last_arrived: float | None = None
+
+    def record(self, count: int, arrived: float, passed_on: float) -> None:
+        """Records that a part of the stream was passed on.
+
+        Args:
+            count: Events of the stream so far.
+            arrived: Time at which the part arrived, in seconds.
+            passed_on: Time at which the caller had taken it, in seconds.
+        """
+        if count > self._counted:
+            events = count - self._counted
+            if self._counted and self._last_arrived is not None:
+                slowdown = self._model.loads.slowdown(self._target, arrived)
+                self._times.add(arrived - self._last_arrived, events, slowdown)
+            self._counted = count
+            self._last_arrived = arrived
+        if passed_on - arrived > SLOW_CALLER_S:
+            self._last_arrived = None
+
+    def end(self, now: float) -> None:
+        """Tells the model what the stream has shown, whether it is whole or not."""
+        self._model.record_pace(self._target, self._times, now)
--- a/tests/target_model/test_expected_end.py
+++ b/tests/target_model/test_expected_end.py
@@ -41,10 +41,39 @@
     assert choose([candidate("near", load=14.0), far]).name == "far"
 
 
+def test_no_request_goes_far_while_a_near_target_is_the_best():
+    """Guards against dear traffic between data centres.
+
+    Idle targets elsewhere counted as about as good as half full ones here.
+    """
+    candidates = [candidate("near", load=4.0), candidate("far", is_far=True)]
+    names = {choose(candidates, request=f"r-{n}").name for n in range(50)}
+    assert names == {"near"}
+
+
+def test_programs_return_from_another_data_centre_without_swinging():
+    """Guards against programs that change the data centre at each turn."""
+
+    def placed_after(placed, near_load):
+        pair = [candidate("near", load=near_load), candidate("far", is_far=True)]
+        return choose(pair, placed).name
+
+    loads = [0.0, 4.0, 8.0, 12.0, 16.0, 12.0, 8.0, 4.0, 0.0]
+    placed, places = "near", []
+    for load in loads:
+        placed = placed_after(placed, load)
+        places.append(placed)
+    assert places[0] == places[-1] == "near"
+    assert "far" in places
+    assert sum(a != b for a, b in zip(places, places[1:], strict=False)) == 2
+
+
 def test_a_target_gets_no_more_than_its_memory_holds():
     """Guards against a target that ends as its requests exceed its memory."""
     full = candidate("full", free_tokens=10_000)
     assert choose([full, candidate("b", load=5.0)]).name == "b"
+    assert choose([full, candidate("b", load=30.0)], placed="full").name == "b"
+    assert choose([full]).name == "full"
 
 
 def test_a_program_does_not_swing_between_equal_targets():
