--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -29,6 +29,7 @@
 from magnoliaroad.target_model.expected_end import Choice, choose_by_expected_end
 from magnoliaroad.target_model.metrics import CHOICES
 from magnoliaroad.target_model.model import TargetModel
+from magnoliaroad.target_model.plain_choice import choose_by_free_slots
 
 # With more hosts than this for each target of a plain service, a host keeps to one
 # target: it has so few requests that connections to all would reach the idle timeout.
@@ -241,12 +242,15 @@
         if need.streams:
             return choose_by_session(self._table, usable, need.session, data_centre)
         few_requests = self._host_count() > HOSTS_PER_TARGET * len(usable)
+        affinity_host = self.cfg.name if few_requests else None
+        now = time.monotonic()
+        if self._model.is_active(need.service, now):
+            candidates = self._model.plain_candidates(usable, data_centre, now)
+            name = choose_by_free_slots(candidates, need.request_id, affinity_host)
+            CHOICES.inc({"reason": "free slots"})
+            return self._table.targets[name]
         return choose_least_loaded(
-            self._table,
-            usable,
-            data_centre,
-            need.request_id,
-            self.cfg.name if few_requests else None,
+            self._table, usable, data_centre, need.request_id, affinity_host
         )
 
     def _choose_by_expected_end(
--- a/src/magnoliaroad/target_model/metrics.py
+++ b/src/magnoliaroad/target_model/metrics.py
@@ -6,7 +6,7 @@
     "target_model_error_ratio",
     "Error of the expected time of turns, as part of the actual time.",
 )
-CHOICES = Counter("target_model_choices_total", "Choices by expected end, by reason.")
+CHOICES = Counter("target_model_choices_total", "Choices by the model, by reason.")
 PACE = Gauge(
     "target_model_event_seconds",
     "Learnt time for an event without slowdown, by target.",
--- a/src/magnoliaroad/target_model/model.py
+++ b/src/magnoliaroad/target_model/model.py
@@ -11,6 +11,7 @@
 from magnoliaroad.target_model.messages import PaceReport
 from magnoliaroad.target_model.metrics import KNOWN_PACES, MODEL_ERROR, PACE
 from magnoliaroad.target_model.pace import EventTimes, Pace, PaceTable
+from magnoliaroad.target_model.plain_choice import PlainCandidate
 from magnoliaroad.target_model.settings import PlacementSettings
 from magnoliaroad.target_model.stated_loads import StatedLoads
 
@@ -49,7 +50,7 @@
         self._mean_tokens: dict[str, float] = {}
 
     def is_active(self, service: str, now: float) -> bool:
-        """Whether streams of a service are placed by their expected end."""
+        """Whether the model decides where requests of a service go."""
         if self.cfg.by_expected_end == "auto":
             return self.loads.states_slowdown(service, now)
         return self.cfg.by_expected_end == "on"
@@ -145,6 +146,27 @@
             free_tokens=memory - held if memory else float("inf"),
         )
 
+    def plain_candidates(
+        self, targets: Iterable[RelayTarget], data_centre: str, now: float
+    ) -> list[PlainCandidate]:
+        """Returns what is known of targets of a plain service.
+
+        Args:
+            targets: The targets.
+            data_centre: Data centre of this host.
+            now: Time in seconds.
+        """
+        return [
+            PlainCandidate(
+                name=target.name,
+                load=self._load(target, now),
+                slots=target.slots,
+                is_far=target.data_centre != data_centre,
+                slowdown=self.loads.slowdown(target, now),
+            )
+            for target in targets
+        ]
+
     def loads_of(
         self, targets: Iterable[RelayTarget], now: float
     ) -> list[tuple[float, int]]:
--- a/src/magnoliaroad/waiting/room_queue.py
+++ b/src/magnoliaroad/waiting/room_queue.py
@@ -7,8 +7,9 @@
 from magnoliaroad.waiting.standing import Standing
 
 # Requests by which a team may be ahead of the team that got least before its requests
-# go behind those of others: about the slots of one target.
-TEAM_SLACK = 8.0
+# go behind those of others. Few wait at one host: with 8, the slots of a target, the
+# teams beside a burst lost nearly as much as the one that sent it.
+TEAM_SLACK = 0.0
 # First and longest pause between two tries of requests that wait, in seconds. Requests
 # to plain services take some 20 ms; with eighty hosts, the longest keeps the tries
 # below the rate at which places of four targets become free.
