Learn the time for prompts from their tokens, and state what choices rest on

Moving a program cost a third of a turn, whatever the size of its prompt. The line placed has the inputs of the expected end; refusals of waiting requests are counted by reason, and first turns that are taken by whether they came back.

--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -65,7 +65,8 @@
         placed: Target that served the last turn of the program; empty if unknown.
         session: Key by which streams without a program are placed.
         data_centres: Data centres to which it may go; ``None`` for any.
-        tokens: Tokens of its prompt and most of its output; 0 if unknown.
+        prompt_tokens: Tokens of its prompt; 0 if unknown.
+        output_tokens: Most tokens of its output; 0 if unknown.
     """
 
     service: str
@@ -77,7 +78,8 @@
     placed: str
     session: str
     data_centres: frozenset[str] | None = None
-    tokens: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 class Placement(NamedTuple):
@@ -86,12 +88,12 @@
     Attributes:
         target: The target.
         candidates: Number of targets that were usable.
-        end_s: Time until the request is expected to end, in seconds; 0 if unknown.
+        choice: How it was chosen by its expected end; ``None`` if it was not.
     """
 
     target: RelayTarget
     candidates: int
-    end_s: float = 0.0
+    choice: Choice | None = None
 
 
 class Placer:
@@ -140,11 +142,11 @@
         usable = self._find_usable(need, excluded)
         waits_s: dict[str, float] = {}
         while left := self._not_refused(usable, waits_s):
-            target, end_s = self._choose(need, left)
+            target, choice = self._choose(need, left)
             reserved = self._reserved_part(need, target, excluded)
             decision = await self._limiter.admit(target, reserved)
             if decision.admitted:
-                return Placement(target, len(usable), end_s)
+                return Placement(target, len(usable), choice)
             waits_s[target.name] = decision.wait_s
         target = await self._wait_for_limit(need, excluded, waits_s, deadline)
         return Placement(target, len(usable))
@@ -222,14 +224,14 @@
 
     def _choose(
         self, need: PlacementNeed, left: list[RelayTarget]
-    ) -> tuple[RelayTarget, float]:
-        """Returns a target and the time until the request is expected to end there."""
+    ) -> tuple[RelayTarget, Choice | None]:
+        """Returns a target, and how it was chosen if by its expected end."""
         usable = self._without_limited(need, left)
         choice = self._choose_by_expected_end(need, usable)
         if choice is None:
-            return self._choose_by_load(need, usable), 0.0
+            return self._choose_by_load(need, usable), None
         CHOICES.inc({"reason": choice.reason})
-        return self._table.targets[choice.name], choice.end_s
+        return self._table.targets[choice.name], choice
 
     def _choose_by_load(
         self, need: PlacementNeed, usable: list[RelayTarget]
@@ -261,13 +263,12 @@
         if not need.streams or not self._model.is_active(need.service, now):
             return None
         candidates = self._model.candidates(
-            usable, need.route, self.cfg.data_centre, now
+            usable, need.route, self.cfg.data_centre, need.prompt_tokens, now
         )
         if not candidates:
             return None
-        return choose_by_expected_end(
-            candidates, need.placed, need.request_id, need.tokens
-        )
+        tokens = need.prompt_tokens + need.output_tokens
+        return choose_by_expected_end(candidates, need.placed, need.request_id, tokens)
 
     def _without_limited(
         self, need: PlacementNeed, usable: list[RelayTarget]
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -60,6 +60,7 @@
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.team_limiter import AdmissionDecision
 from magnoliaroad.relay.turn import LoadedTurn
+from magnoliaroad.target_model.expected_end import Choice
 from magnoliaroad.target_model.stream_pace import StreamPace
 from magnoliaroad.targets import (
     AnswerCut,
@@ -70,8 +71,8 @@
     classify_failure,
 )
 from magnoliaroad.verdict import Verdict
-from magnoliaroad.waiting.admission import return_after_s
-from magnoliaroad.waiting.metrics import PROGRAMS_REFUSED
+from magnoliaroad.waiting.admission import RETURNED_PART, return_after_s
+from magnoliaroad.waiting.metrics import PROGRAMS_REFUSED, PROGRAMS_TAKEN
 from magnoliaroad.waiting.room import WaitingRequest
 from magnoliaroad.waiting.standing import Standing, rank_of
 
@@ -269,6 +270,8 @@
         rank = rank_of(self.route, self.admitted.team)
         used_part = admission.record_limit(self.route.name, self.call.time_left_s)
         if admission.admits(service, rank, waiting, used_part, now):
+            has_returned = used_part >= RETURNED_PART
+            PROGRAMS_TAKEN.inc({"kind": "returned" if has_returned else "new"})
             return
         if await self._has_begun_elsewhere():
             self._starts_program = False
@@ -616,13 +619,14 @@
             placed=self._placed,
             session=self._affinity_key,
             data_centres=self._data_centres,
-            tokens=call.prompt_tokens + call.output_tokens,
+            prompt_tokens=call.prompt_tokens,
+            output_tokens=call.output_tokens,
         )
 
     async def _place(self, excluded: set[str]) -> RelayTarget:
         call, placer, need = self.call, self.parts.placer, self._need()
         try:
-            target, candidates, end_s = await placer.place(
+            target, candidates, choice = await placer.place(
                 need, excluded, self.deadline
             )
         except NoTarget as exc:
@@ -630,13 +634,14 @@
         # It may have been quarantined while it waited for the limit of a target.
         self._refuse_quarantined()
         placer.assign(need, target)
-        self._expected_s = end_s
+        self._expected_s = 0.0 if choice is None else choice.end_s
         logger.bind(
             request=call.request_id,
             target=target.name,
             service=self._service,
             load=self.parts.table.load(target.name),
-            expected_s=round(end_s, 4),
+            expected_s=round(self._expected_s, 4),
+            expected_by=None if choice is None else _inputs_of(choice),
             candidates=candidates,
             excluded=len(excluded),
             program=call.program,
@@ -821,7 +826,8 @@
         model = self.parts.target_model
         if not self.streams or not model.is_active(target.service, time.monotonic()):
             return None
-        return StreamPace(model, target)
+        new_tokens = 0 if self._placed == target.name else self.call.prompt_tokens
+        return StreamPace(model, target, self._sent_at, new_tokens)
 
     def _record_turn(self, target: RelayTarget) -> None:
         call = self.call
@@ -901,3 +907,15 @@
             self.route.retention_s,
             self._stays_here,
         )
+
+
+def _inputs_of(choice: Choice) -> dict[str, float]:
+    """Returns what the expected end was computed from, for the log."""
+    candidate = choice.candidate
+    return {
+        "turn_s": round(candidate.turn_s, 4),
+        "prompt_s": round(candidate.prompt_s, 4),
+        "load": round(candidate.load, 2),
+        "slots": candidate.slots,
+        "is_far": candidate.is_far,
+    }
--- a/src/magnoliaroad/target_model/expected_end.py
+++ b/src/magnoliaroad/target_model/expected_end.py
@@ -7,9 +7,6 @@
 
 # Part of a turn's time by which a full batch makes it longer.
 FULL_BATCH_PART = 0.5
-# Time to compute a prompt anew, as part of a turn's time: about as much as a batch that
-# is a third larger costs.
-PROMPT_PART = 0.33
 # Time by which another data centre must be faster: the way there and back in seconds,
 # and as part of a turn's time for the bytes, which are dear between data centres.
 FAR_S = 0.005
@@ -34,6 +31,7 @@
         slots: Requests that it can run at the same time.
         is_far: Whether it is in another data centre.
         free_tokens: Tokens that its memory holds beyond the requests there.
+        prompt_s: Time to compute the prompt there if it is not held, in seconds.
     """
 
     name: str
@@ -42,6 +40,7 @@
     slots: int
     is_far: bool
     free_tokens: float
+    prompt_s: float
 
 
 class Choice(NamedTuple):
@@ -51,11 +50,13 @@
         name: Id of the target.
         end_s: Time until the turn is expected to end, in seconds.
         reason: ``kept``, ``moved`` or ``new``.
+        candidate: What counted for and against it.
     """
 
     name: str
     end_s: float
     reason: str
+    candidate: Candidate
 
 
 def expected_end_s(candidate: Candidate, holds_prompt: bool, tokens: int) -> float:
@@ -74,7 +75,7 @@
         waiting = max(waiting, slots)
     wait_s = waiting / slots * turn_s
     batch_s = FULL_BATCH_PART * min(1.0, candidate.load / slots) * turn_s
-    prompt_s = 0.0 if holds_prompt else PROMPT_PART * turn_s
+    prompt_s = 0.0 if holds_prompt else candidate.prompt_s
     way_s = FAR_S + FAR_PART * turn_s if candidate.is_far else 0.0
     return way_s + wait_s + prompt_s + turn_s + batch_s
 
@@ -100,6 +101,7 @@
     """
     with_memory = [c for c in candidates if c.free_tokens >= tokens]
     candidates = with_memory or candidates
+    by_name = {candidate.name: candidate for candidate in candidates}
     ends = {
         candidate.name: expected_end_s(candidate, candidate.name == placed, tokens)
         for candidate in candidates
@@ -109,7 +111,7 @@
     fastest_s = min(candidate.turn_s for candidate in candidates)
     margin_s = max(MOVE_MARGIN_S, MOVE_MARGIN_PART * fastest_s)
     if placed in ends and ends[placed] <= best_s + margin_s:
-        return Choice(placed, ends[placed], "kept")
+        return Choice(placed, ends[placed], "kept", by_name[placed])
     tie_s = best_s + TIE_PART * fastest_s
     equal = [
         candidate.name
@@ -117,4 +119,5 @@
         if ends[candidate.name] <= tie_s and candidate.is_far <= best.is_far
     ]
     name = highest_ranked(request, equal)
-    return Choice(name, ends[name], "moved" if placed else "new")
+    reason = "moved" if placed else "new"
+    return Choice(name, ends[name], reason, by_name[name])
--- a/src/magnoliaroad/target_model/model.py
+++ b/src/magnoliaroad/target_model/model.py
@@ -17,8 +17,14 @@
 
 # Weight of a new turn in the mean number of events and of tokens of a service's turns.
 TURN_WEIGHT = 0.05
+# Time to compute a prompt anew while that of a token is not known, as part of a turn's
+# time: about as much as a batch that is a third larger costs.
+PROMPT_PART = 0.33
 # Time within which an estimate was renewed to be told to peers, in seconds.
 TOLD_WITHIN_S = 1.5
+# Largest factor by which the time for one prompt may exceed the mean; one that waited
+# for a slot at the target unnoticed takes much longer.
+MAX_PROMPT_FACTOR = 3.0
 # Most targets in one report.
 MAX_TOLD = 64
 MICROSECONDS = 1e6
@@ -48,6 +54,8 @@
         self._find_service = find_service
         self._mean_events: dict[tuple[str, str], float] = {}
         self._mean_tokens: dict[str, float] = {}
+        # Time to compute a token of a prompt at a target of median speed, by service.
+        self._prompt_token_s: dict[str, float] = {}
 
     def is_active(self, service: str, now: float) -> bool:
         """Whether the model decides where requests of a service go."""
@@ -67,6 +75,34 @@
         if times.events:
             self.paces.record(start_of(target), times.mean_s, now)
 
+    def record_prompt(
+        self, target: RelayTarget, tokens: int, took_s: float, now: float
+    ) -> None:
+        """Records how long a target took for a prompt that it did not hold.
+
+        Without effect while requests wait there, whose time would count too.
+
+        Args:
+            target: The target.
+            tokens: Tokens of the prompt.
+            took_s: Time until the first event, in seconds.
+            now: Time in seconds.
+        """
+        if tokens <= 0 or self._load(target, now) > target.slots:
+            return
+        known = self.paces.find(start_of(target), now)
+        usual_s = self._usual_pace_s(target.service, now)
+        speed = known / usual_s if known and usual_s else 1.0
+        token_s = took_s / tokens / speed / self.loads.slowdown(target, now)
+        before = self._prompt_token_s.get(target.service, token_s)
+        token_s = min(token_s, MAX_PROMPT_FACTOR * before)
+        _update_mean(self._prompt_token_s, target.service, token_s)
+
+    def _usual_pace_s(self, service: str, now: float) -> float | None:
+        targets = self._table.targets.values()
+        starts = [start_of(target) for target in targets if target.service == service]
+        return self.paces.median(starts, now)
+
     def record_turn(
         self,
         service: str,
@@ -101,6 +137,7 @@
         targets: Sequence[RelayTarget],
         route: str,
         data_centre: str,
+        prompt_tokens: int,
         now: float,
     ) -> list[Candidate]:
         """Returns what is known of targets; empty if too little is.
@@ -109,6 +146,7 @@
             targets: Targets of one service.
             route: Route of the request.
             data_centre: Data centre of this host.
+            prompt_tokens: Tokens of its prompt; 0 if unknown.
             now: Time in seconds.
         """
         service = targets[0].service
@@ -120,8 +158,15 @@
             return []
         plan = self._find_service(service)
         memory = plan.memory_tokens if plan is not None else 0
+        token_s = self._prompt_token_s.get(service, 0.0)
+        if prompt_tokens and token_s:
+            prompt_events = prompt_tokens * token_s / usual_s
+        else:
+            prompt_events = PROMPT_PART * events
         return [
-            self._candidate(target, usual_s, events, memory, data_centre, now)
+            self._candidate(
+                target, usual_s, events, prompt_events, memory, data_centre, now
+            )
             for target in targets
         ]
 
@@ -130,6 +175,7 @@
         target: RelayTarget,
         usual_s: float,
         events: float,
+        prompt_events: float,
         memory: int,
         data_centre: str,
         now: float,
@@ -137,13 +183,15 @@
         pace_s = self.paces.find(start_of(target), now) or usual_s
         load = self._load(target, now)
         held = load * self._mean_tokens.get(target.service, 0.0)
+        event_s = pace_s * self.loads.slowdown(target, now)
         return Candidate(
             name=target.name,
-            turn_s=events * pace_s * self.loads.slowdown(target, now),
+            turn_s=events * event_s,
             load=load,
             slots=target.slots,
             is_far=target.data_centre != data_centre,
             free_tokens=memory - held if memory else float("inf"),
+            prompt_s=prompt_events * event_s,
         )
 
     def plain_candidates(
--- a/src/magnoliaroad/target_model/stream_pace.py
+++ b/src/magnoliaroad/target_model/stream_pace.py
@@ -15,11 +15,21 @@
     Args:
         model: Gets the result.
         target: The target that sends the stream.
+        sent_at: Time at which the request was sent, in seconds.
+        prompt_tokens: Tokens of the prompt if the target did not hold it, else 0.
     """
 
-    def __init__(self, model: TargetModel, target: RelayTarget) -> None:
+    def __init__(
+        self,
+        model: TargetModel,
+        target: RelayTarget,
+        sent_at: float,
+        prompt_tokens: int = 0,
+    ) -> None:
         self._model = model
         self._target = target
+        self._sent_at = sent_at
+        self._prompt_tokens = prompt_tokens
         self._times = EventTimes()
         self._counted = 0
         # Arrival of the last event; ``None`` if the caller has held up the stream.
@@ -35,6 +45,10 @@
         """
         if count > self._counted:
             events = count - self._counted
+            if not self._counted:
+                took_s = arrived - self._sent_at
+                model, target = self._model, self._target
+                model.record_prompt(target, self._prompt_tokens, took_s, arrived)
             if self._counted and self._last_arrived is not None:
                 slowdown = self._model.loads.slowdown(self._target, arrived)
                 self._times.add(arrived - self._last_arrived, events, slowdown)
--- a/src/magnoliaroad/waiting/room.py
+++ b/src/magnoliaroad/waiting/room.py
@@ -102,8 +102,8 @@
         """Waits until the request is to be tried again; returns whether it is."""
         now = time.monotonic()
         limit_s = self._longest_wait_s(request, now)
-        if self._has_stopped or limit_s <= 0 or not self._has_space(request):
-            OUTCOMES.inc({"outcome": "refused at once"})
+        if reason := self._reason_to_refuse(request, limit_s):
+            OUTCOMES.inc({"outcome": reason})
             return False
         queue = self._queues.setdefault(request.service, RoomQueue())
         if request.has_tried:
@@ -112,7 +112,7 @@
         queue.add(key, request.team, request.standing, request.since)
         if queue.expected_wait_s(key) > limit_s:
             queue.remove(key)
-            OUTCOMES.inc({"outcome": "refused at once"})
+            OUTCOMES.inc({"outcome": "would wait too long"})
             return False
         logger.bind(
             request=request.request_id,
@@ -127,6 +127,14 @@
         OUTCOMES.inc({"outcome": "tried again" if woken else "given up"})
         return woken
 
+    def _reason_to_refuse(self, request: WaitingRequest, limit_s: float) -> str:
+        """Returns why a request is refused at once; empty if it may wait."""
+        if self._has_stopped:
+            return "host stops"
+        if limit_s <= 0:
+            return "no time left"
+        return "" if self._has_space(request) else "no space"
+
     def _longest_wait_s(self, request: WaitingRequest, now: float) -> float:
         left_s = (request.deadline - request.since) * MAX_WAIT_PART
         return request.since + min(self.cfg.longest_wait_s, left_s) - now
--- a/tests/target_model/test_expected_end.py
+++ b/tests/target_model/test_expected_end.py
@@ -8,12 +8,14 @@
     Candidate,
     choose_by_expected_end,
 )
+from magnoliaroad.target_model.model import PROMPT_PART
 
 SLOTS = 8
 
 
 def candidate(name, turn_s=0.15, load=0.0, is_far=False, free_tokens=float("inf")):
-    return Candidate(name, turn_s, load, SLOTS, is_far, free_tokens)
+    prompt_s = PROMPT_PART * turn_s
+    return Candidate(name, turn_s, load, SLOTS, is_far, free_tokens, prompt_s)
 
 
 def choose(candidates, placed="", request="r-1", tokens=15_000):
--- a/tests/target_model/test_model.py
+++ b/tests/target_model/test_model.py
@@ -20,9 +20,9 @@
     return TargetModel(PlacementSettings(), table, lambda name: None)
 
 
-def stream(model, began, gap_s, events=20, slow_after=None):
+def stream(model, began, gap_s, events=20, slow_after=None, prompt_tokens=0):
     """Plays a stream with an event each ``gap_s``; returns its end."""
-    pace, at = StreamPace(model, TARGET), began
+    pace, at = StreamPace(model, TARGET, began, prompt_tokens), began
     for count in range(1, events + 1):
         at += gap_s
         slow = slow_after is not None and count > slow_after
@@ -82,7 +82,7 @@
         model.record_turn("lm", "short", 10, 100, 0.0, 0.1)
         model.record_turn("lm", "long", 200, 100, 0.0, 2.0)
     ends = [
-        model.candidates([TARGET], route, "dc-1", now)[0].turn_s
+        model.candidates([TARGET], route, "dc-1", 0, now)[0].turn_s
         for route in ("short", "long", "other")
     ]
     assert ends[0] == pytest.approx(0.1)
@@ -94,7 +94,7 @@
     """Guards against an expected time of nothing."""
     now = learn(model)
     model.record_turn("lm", "r", 0, 100, 0.0, 0.1)
-    assert not model.candidates([TARGET], "r", "dc-1", now)
+    assert not model.candidates([TARGET], "r", "dc-1", 0, now)
 
 
 def test_loads_of_services_that_state_no_slowdown_are_not_kept(model):
@@ -112,3 +112,30 @@
     assert not model.report(later).paces
     model.merge(model.report_all(later), later)
     assert not model.report(later).paces
+
+
+def test_the_time_for_a_prompt_follows_its_tokens(model):
+    """Guards against programs with long prompts that move as if they had short ones."""
+    now = learn(model)
+    model.record_turn("lm", "r", 20, 100, 0.0, 0.2)
+    for _ in range(10):
+        now = stream(model, now, 0.01, prompt_tokens=100)
+
+    def prompt_s(tokens):
+        return model.candidates([TARGET], "r", "dc-1", tokens, now)[0].prompt_s
+
+    assert prompt_s(100) == pytest.approx(0.01)
+    assert prompt_s(10_000) == pytest.approx(1.0)
+    assert prompt_s(0) == pytest.approx(0.33 * 0.2)
+
+
+def test_a_prompt_that_has_waited_counts_little(model):
+    now = learn(model)
+    model.record_turn("lm", "r", 20, 100, 0.0, 0.2)
+    model.record_prompt(TARGET, 100, 0.01, now)
+    model.record_prompt(TARGET, 100, 10.0, now)
+    model._table.record_start("i-1")
+    model.record_load(TARGET, TargetLoad(9, 3, 8, 1.0), now)
+    model.record_prompt(TARGET, 100, 10.0, now)
+    prompt_s = model.candidates([TARGET], "r", "dc-1", 100, now)[0].prompt_s
+    assert prompt_s < 0.012
