--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -532,8 +532,10 @@
                     if exc.refusal is not TARGETS_FULL:
                         raise
                     refused = exc
-            if not offers.found_full_only or not await self._wait_for_room():
+            if not offers.found_full_only:
                 raise refused
+            if not await self._wait_for_room():
+                raise self._no_room_error()
             offers.readmit_full()
 
     async def _queue_behind_waiting(self) -> None:
@@ -546,7 +548,14 @@
         if not waiting.count(service) or waiting.goes_first(service, self._standing()):
             return
         if waiting.is_active(service) and not await self._wait_for_room():
-            raise self._refusal_error(TARGETS_FULL)
+            raise self._no_room_error()
+
+    def _no_room_error(self) -> Refused:
+        """Returns the error for a request that does not wait for room any longer."""
+        refusal = TARGETS_FULL
+        if self.parts.waiting.is_active(self._service):
+            refusal = refusal._replace(retry_after_s=return_after_s(random))
+        return self._refusal_error(refusal)
 
     async def _wait_for_room(self) -> bool:
         """Waits for a target with room; returns whether to look for one again."""
--- a/tests/platform/test_waiting.py
+++ b/tests/platform/test_waiting.py
@@ -74,6 +74,8 @@
         assert len(room._woken) <= 3
         answers = await asyncio.gather(*calls)
         assert {status for status, _, _ in answers} == {503}
+        # Refused requests must not all come back at the same time.
+        assert len({headers["Retry-After"] for _, headers, _ in answers}) > 3
 
 
 async def test_a_caller_that_leaves_waits_no_longer(tmp_path):
