--- a/src/magnoliaroad/explain/candidates.py
+++ b/src/magnoliaroad/explain/candidates.py
@@ -34,9 +34,16 @@
         self._expected_s: dict[str, float] = {}
         model = parts.target_model
         if need.streams and preview.usable and model.is_active(need.service, now):
-            known = model.candidates(preview.usable, parts.cfg.data_centre, now)
+            known = model.candidates(
+                preview.usable,
+                need.route,
+                parts.cfg.data_centre,
+                need.prompt_tokens,
+                now,
+            )
+            tokens = need.prompt_tokens + need.output_tokens
             self._expected_s = {
-                one.name: expected_end_s(one, one.name == need.placed, need.tokens)
+                one.name: expected_end_s(one, one.name == need.placed, tokens)
                 for one in known
             }
 
@@ -71,7 +78,7 @@
             load_counted=counted,
             load_own=table.in_flight.get(target.name, 0),
             load_stated=self._report_stated_load(target),
-            load_assumed=self._load(target, counted),
+            load_assumed=self._load(target),
             pace_s=model.paces.find(start_of(target), now),
             expected_s=self._expected_s.get(target.name),
             favour=[],
@@ -81,11 +88,12 @@
             favour=self._favour(report), against=self._against(report)
         )
 
-    def _load(self, target: RelayTarget, counted: int) -> float:
+    def _load(self, target: RelayTarget) -> float:
         """Returns the load by which the choice is made."""
-        if target.name not in self._expected_s:
-            return float(counted)
-        return self._parts.target_model.loads.load(target, counted, self._now)
+        model = self._parts.target_model
+        if not model.is_active(self._need.service, self._now):
+            return float(self._parts.table.load(target.name))
+        return model.loads_of([target], self._now)[0][0]
 
     def _report_limit(self, target: RelayTarget) -> LimitReport | None:
         limiter = self._parts.target_limiter
--- a/src/magnoliaroad/explain/explain.py
+++ b/src/magnoliaroad/explain/explain.py
@@ -18,7 +18,7 @@
 from magnoliaroad.homes import allowed_data_centres
 from magnoliaroad.refusal import Refusal
 from magnoliaroad.relay.parts import RelayParts
-from magnoliaroad.relay.placer import BY_LOAD, Decision, PlacementNeed, Preview
+from magnoliaroad.relay.placer import BY_FREE_SLOTS, Decision, PlacementNeed, Preview
 from magnoliaroad.relay.plan import RelayPlan, RelayTeam, pick_service
 from magnoliaroad.relay.refusals import (
     NO_ROUTE,
@@ -38,6 +38,7 @@
     "kept": "it served the program's last turn, and none ends the turn much earlier",
     "moved": "the target of the program's last turn is not usable or ends it later",
     "new": "the turn ends there about as early as at any target",
+    BY_FREE_SLOTS: "it has free slots by what the targets state, near targets first",
 }
 # The same for choices by load, which depend on the kind of the request.
 BY_LOAD_KEPT = "it served the program's last turn and is not overloaded"
@@ -116,7 +117,9 @@
         placed=placed,
         session=query.program or query.request,
         data_centres=allowed,
-        tokens=query.prompt_tokens + query.output_tokens,
+        route=route.name,
+        prompt_tokens=query.prompt_tokens,
+        output_tokens=query.output_tokens,
     )
     program = None
     if streams and query.program:
@@ -166,7 +169,7 @@
 
 
 def _why(need: PlacementNeed, decision: Decision, preview: Preview) -> str:
-    if decision.reason != BY_LOAD:
+    if decision.reason in REASONS:
         text = REASONS[decision.reason]
     elif not need.streams:
         text = BY_LOAD_PLAIN
--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -30,6 +30,7 @@
 from magnoliaroad.target_model.expected_end import Choice, choose_by_expected_end
 from magnoliaroad.target_model.metrics import CHOICES
 from magnoliaroad.target_model.model import TargetModel
+from magnoliaroad.target_model.plain_choice import choose_by_free_slots
 
 # With more hosts than this for each target of a plain service, a host keeps to one
 # target: it has so few requests that connections to all would reach the idle timeout.
@@ -39,7 +40,7 @@
 # Time after which a stated limit is asked for again by a request, in seconds.
 REFRESH_S = 1.0
 # Reason of a choice that the load decides.
-BY_LOAD = "load"
+BY_LOAD, BY_FREE_SLOTS = "load", "free slots"
 
 
 class NoTarget(Exception):
@@ -59,6 +60,7 @@
 
     Attributes:
         service: Service to which the request goes.
+        route: Name of its route.
         version: Version of the target's software; ``None`` for any.
         streams: Whether the answer is a stream of an engine.
         request_id: Id of the request.
@@ -66,10 +68,12 @@
         placed: Target that served the last turn of the program; empty if unknown.
         session: Key by which streams without a program are placed.
         data_centres: Data centres to which it may go; ``None`` for any.
-        tokens: Tokens of its prompt and most of its output; 0 if unknown.
+        prompt_tokens: Tokens of its prompt; 0 if unknown.
+        output_tokens: Most tokens of its output; 0 if unknown.
     """
 
     service: str
+    route: str
     version: str | None
     streams: bool
     request_id: str
@@ -77,7 +81,8 @@
     placed: str
     session: str
     data_centres: frozenset[str] | None = None
-    tokens: int = 0
+    prompt_tokens: int = 0
+    output_tokens: int = 0
 
 
 class Placement(NamedTuple):
@@ -86,12 +91,12 @@
     Attributes:
         target: The target.
         candidates: Number of targets that were usable.
-        end_s: Time until the request is expected to end, in seconds; 0 if unknown.
+        choice: How it was chosen by its expected end; ``None`` if it was not.
     """
 
     target: RelayTarget
     candidates: int
-    end_s: float = 0.0
+    choice: Choice | None = None
 
 
 class Decision(NamedTuple):
@@ -99,13 +104,14 @@
 
     Attributes:
         target: The target.
-        end_s: Time until the request is expected to end, in seconds; 0 if unknown.
-        reason: ``kept``, ``moved`` or ``new`` by the expected end, else ``BY_LOAD``.
+        reason: ``kept``, ``moved`` or ``new`` by the expected end, ``BY_FREE_SLOTS`` by
+            what the targets state, or ``BY_LOAD`` by the counts of the hosts.
+        choice: How it was chosen by its expected end; ``None`` if otherwise.
     """
 
     target: RelayTarget
-    end_s: float
     reason: str
+    choice: Choice | None = None
 
 
 class Preview(NamedTuple):
@@ -173,11 +179,11 @@
         usable = self._find_usable(need, excluded)
         waits_s: dict[str, float] = {}
         while left := self._not_refused(usable, waits_s):
-            target, end_s = self._choose(need, left)
+            target, choice = self._choose(need, left)
             reserved = self._reserved_part(need, target, excluded)
             decision = await self._limiter.admit(target, reserved)
             if decision.admitted:
-                return Placement(target, len(usable), end_s)
+                return Placement(target, len(usable), choice)
             waits_s[target.name] = decision.wait_s
         target = await self._wait_for_limit(need, excluded, waits_s, deadline)
         return Placement(target, len(usable))
@@ -283,39 +289,43 @@
 
     def _choose(
         self, need: PlacementNeed, left: list[RelayTarget]
-    ) -> tuple[RelayTarget, float]:
-        """Returns a target and the time until the request is expected to end there."""
+    ) -> tuple[RelayTarget, Choice | None]:
+        """Returns a target, and how it was chosen if by its expected end."""
         decision = self._decide(need, left)
         if decision.reason != BY_LOAD:
             CHOICES.inc({"reason": decision.reason})
-        return decision.target, decision.end_s
+        return decision.target, decision.choice
 
     def _decide(self, need: PlacementNeed, left: list[RelayTarget]) -> Decision:
         usable = self._without_limited(need, left)
         choice = self._choose_by_expected_end(need, usable)
         if choice is None:
-            return Decision(self._choose_by_load(need, usable), 0.0, BY_LOAD)
-        target = self._table.targets[choice.name]
-        return Decision(target, choice.end_s, choice.reason)
+            return self._decide_by_load(need, usable)
+        return Decision(self._table.targets[choice.name], choice.reason, choice)
 
-    def _choose_by_load(
+    def _decide_by_load(
         self, need: PlacementNeed, usable: list[RelayTarget]
-    ) -> RelayTarget:
+    ) -> Decision:
         data_centre = self.cfg.data_centre
         if need.streams and need.program:
-            return choose_by_program(
+            target = choose_by_program(
                 self._table, usable, need.program, need.placed, data_centre
             )
+            return Decision(target, BY_LOAD)
         if need.streams:
-            return choose_by_session(self._table, usable, need.session, data_centre)
+            target = choose_by_session(self._table, usable, need.session, data_centre)
+            return Decision(target, BY_LOAD)
         few_requests = self._host_count() > HOSTS_PER_TARGET * len(usable)
-        return choose_least_loaded(
-            self._table,
-            usable,
-            data_centre,
-            need.request_id,
-            self.cfg.name if few_requests else None,
+        affinity_host = self.cfg.name if few_requests else None
+        now = time.monotonic()
+        if self._model.is_active(need.service, now):
+            candidates = self._model.plain_candidates(usable, data_centre, now)
+            name = choose_by_free_slots(candidates, need.request_id, affinity_host)
+            return Decision(self._table.targets[name], BY_FREE_SLOTS)
+        target = choose_least_loaded(
+            self._table, usable, data_centre, need.request_id, affinity_host
         )
+        return Decision(target, BY_LOAD)
 
     def _choose_by_expected_end(
         self, need: PlacementNeed, usable: list[RelayTarget]
@@ -324,12 +334,13 @@
         now = time.monotonic()
         if not need.streams or not self._model.is_active(need.service, now):
             return None
-        candidates = self._model.candidates(usable, self.cfg.data_centre, now)
+        candidates = self._model.candidates(
+            usable, need.route, self.cfg.data_centre, need.prompt_tokens, now
+        )
         if not candidates:
             return None
-        return choose_by_expected_end(
-            candidates, need.placed, need.request_id, need.tokens
-        )
+        tokens = need.prompt_tokens + need.output_tokens
+        return choose_by_expected_end(candidates, need.placed, need.request_id, tokens)
 
     def _without_limited(
         self, need: PlacementNeed, usable: list[RelayTarget]
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -60,6 +60,8 @@
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.relay.team_limiter import AdmissionDecision
 from magnoliaroad.relay.turn import LoadedTurn
+from magnoliaroad.target_model.expected_end import Choice
+from magnoliaroad.target_model.stream_pace import StreamPace
 from magnoliaroad.targets import (
     AnswerCut,
     RequestEnd,
@@ -69,8 +71,8 @@
     classify_failure,
 )
 from magnoliaroad.verdict import Verdict
-from magnoliaroad.waiting.admission import return_after_s
-from magnoliaroad.waiting.metrics import PROGRAMS_REFUSED
+from magnoliaroad.waiting.admission import RETURNED_PART, return_after_s
+from magnoliaroad.waiting.metrics import PROGRAMS_REFUSED, PROGRAMS_TAKEN
 from magnoliaroad.waiting.room import WaitingRequest
 from magnoliaroad.waiting.standing import Standing, rank_of
 
@@ -138,7 +140,7 @@
         self._previous: LoadedTurn | None = None
         self._placed = ""
         self._expected_s = 0.0
-        self._waits_since = 0.0
+        self._waits_since: float | None = None
         self._starts_program = False
         self._sent_at = 0.0
         self._origin: StreamOrigin | None = None
@@ -227,7 +229,7 @@
     async def _prepare(self) -> None:
         call, team = self.call, self.admitted.team
         self._starts_program = self._may_start_program()
-        self._refuse_new_program()
+        await self._refuse_new_program()
         if self.streams and not can_be_sent(call.program + call.request_id):
             raise Refused(bad_call("The ids of a stream must be UTF-8."))
         if team is not None:
@@ -245,30 +247,46 @@
             await self._restrict_to_origin()
         if self.streams and call.program:
             self._placed = await self.parts.program_targets.find(call.program)
+            if self._placed:
+                self._starts_program = False
         if self.streams and call.budget is not None and call.program:
             self._reservation = await self.parts.budgets.reserve(
                 call.program, call.budget, call.output_tokens
             )
 
-    def _refuse_new_program(self) -> None:
+    async def _refuse_new_program(self) -> None:
         """Raises ``Refused`` if the service lacks room for new programs."""
-        parts, service = self.parts, self._service
+        parts, service, admission = (
+            self.parts,
+            self._service,
+            self.parts.program_admission,
+        )
         if not self._starts_program or not parts.waiting.is_active(service):
             return
         now = time.monotonic()
         usable = parts.table.usable(service, now, data_centres=self._data_centres)
         loads = parts.target_model.loads_of(usable, now)
-        waiting = parts.program_admission.record_waiting(service, loads, now)
+        waiting = admission.record_waiting(service, loads, now)
         rank = rank_of(self.route, self.admitted.team)
-        used_part = 0.0
-        if self.call.time_left_s is not None:
-            used_part = 1.0 - self.call.time_left_s / self.route.timeout_s
-        if parts.program_admission.admits(service, rank, waiting, used_part, now):
+        used_part = admission.record_limit(self.route.name, self.call.time_left_s)
+        if admission.admits(service, rank, waiting, used_part, now):
+            has_returned = used_part >= RETURNED_PART
+            PROGRAMS_TAKEN.inc({"kind": "returned" if has_returned else "new"})
+            return
+        if await self._has_begun_elsewhere():
+            self._starts_program = False
             return
         PROGRAMS_REFUSED.inc({"rank": str(rank)})
         refusal = no_room_for_programs(return_after_s(random))
         raise Refused(refusal, waiting=round(waiting, 2), rank=rank)
 
+    async def _has_begun_elsewhere(self) -> bool:
+        """Returns whether the program had a turn that another host has placed."""
+        program = self.call.program
+        if await self.parts.program_targets.find(program):
+            return True
+        return await self.parts.budgets.has_program(program)
+
     async def _restrict_to_origin(self) -> None:
         """Restricts the targets to those that may continue the stream.
 
@@ -503,6 +521,8 @@
             Refused: There is none, and the request does not wait for room, or has
                 waited too long.
         """
+        if self._waits_since is None and not offers.excluded:
+            await self._queue_behind_waiting()
         while True:
             refused = self._refusal_error(TARGETS_FULL)
             if offers.count < MAX_OFFERS:
@@ -512,16 +532,39 @@
                     if exc.refusal is not TARGETS_FULL:
                         raise
                     refused = exc
-            if not offers.found_full_only or not await self._wait_for_room():
+            if not offers.found_full_only:
                 raise refused
+            if not await self._wait_for_room():
+                raise self._no_room_error()
             offers.readmit_full()
 
+    async def _queue_behind_waiting(self) -> None:
+        """Waits for room if requests that go first wait for it already.
+
+        Raises:
+            Refused: The request does not wait, or has waited too long.
+        """
+        waiting, service = self.parts.waiting, self._service
+        if not waiting.count(service) or waiting.goes_first(service, self._standing()):
+            return
+        if waiting.is_active(service) and not await self._wait_for_room():
+            raise self._no_room_error()
+
+    def _no_room_error(self) -> Refused:
+        """Returns the error for a request that does not wait for room any longer."""
+        refusal = TARGETS_FULL
+        if self.parts.waiting.is_active(self._service):
+            refusal = refusal._replace(retry_after_s=return_after_s(random))
+        return self._refusal_error(refusal)
+
     async def _wait_for_room(self) -> bool:
         """Waits for a target with room; returns whether to look for one again."""
         waiting = self.parts.waiting
         if not waiting.is_active(self._service):
             return False
-        self._waits_since = self._waits_since or time.monotonic()
+        has_tried = self._waits_since is not None
+        if self._waits_since is None:
+            self._waits_since = time.monotonic()
         request = WaitingRequest(
             request_id=self.call.request_id,
             service=self._service,
@@ -530,6 +573,7 @@
             size=len(self.call.body),
             since=self._waits_since,
             deadline=self.deadline,
+            has_tried=has_tried,
         )
         return await waiting.wait(request)
 
@@ -576,6 +620,7 @@
         call = self.call
         return PlacementNeed(
             service=self._service,
+            route=self.route.name,
             version=None if self._origin is None else self._origin.version,
             streams=self.streams,
             request_id=call.request_id,
@@ -583,13 +628,14 @@
             placed=self._placed,
             session=self._affinity_key,
             data_centres=self._data_centres,
-            tokens=call.prompt_tokens + call.output_tokens,
+            prompt_tokens=call.prompt_tokens,
+            output_tokens=call.output_tokens,
         )
 
     async def _place(self, excluded: set[str]) -> RelayTarget:
         call, placer, need = self.call, self.parts.placer, self._need()
         try:
-            target, candidates, end_s = await placer.place(
+            target, candidates, choice = await placer.place(
                 need, excluded, self.deadline
             )
         except NoTarget as exc:
@@ -597,13 +643,14 @@
         # It may have been quarantined while it waited for the limit of a target.
         self._refuse_quarantined()
         placer.assign(need, target)
-        self._expected_s = end_s
+        self._expected_s = 0.0 if choice is None else choice.end_s
         logger.bind(
             request=call.request_id,
             target=target.name,
             service=self._service,
             load=self.parts.table.load(target.name),
-            expected_s=round(end_s, 4),
+            expected_s=round(self._expected_s, 4),
+            expected_by=None if choice is None else _inputs_of(choice),
             candidates=candidates,
             excluded=len(excluded),
             program=call.program,
@@ -753,32 +800,49 @@
         await resp.prepare(self._req)
         while opened.parts:
             await self._write(opened.parts.popleft())
+        pace = self._pace_of(opened.target)
+        try:
+            await self._relay_events(opened, pace)
+        finally:
+            if pace is not None:
+                pace.end(time.monotonic())
+        if self.streams:
+            opened.check_events(self._scanner)
+        self.parts.table.record_success(opened.target.name)
+        if pace is not None:
+            self._record_turn(opened.target)
+        await self._save_turn(opened)
+        SENDS.inc({"outcome": "answered"})
+        await resp.write_eof()
+        return resp
+
+    async def _relay_events(self, opened: OpenAnswer, pace: StreamPace | None) -> None:
         last_at, counted = time.monotonic(), 0
         async for chunk in opened.response.iter_chunks():
+            arrived = time.monotonic()
             await self._write(chunk)
             now, count = time.monotonic(), self._scanner.count
             if counted and count > counted:
                 gap_s = (now - last_at) / (count - counted)
-                self._record_gap(opened.target, gap_s, now)
+                self.parts.table.record_event_gap(opened.target.name, gap_s, now)
             if count > counted:
                 last_at, counted = now, count
-        if self.streams:
-            opened.check_events(self._scanner)
-        self.parts.table.record_success(opened.target.name)
-        self._record_turn(opened.target)
-        await self._save_turn(opened)
-        SENDS.inc({"outcome": "answered"})
-        await resp.write_eof()
-        return resp
+            if pace is not None:
+                pace.record(count, arrived, now)
 
-    def _record_gap(self, target: RelayTarget, gap_s: float, now: float) -> None:
-        self.parts.table.record_event_gap(target.name, gap_s, now)
-        self.parts.target_model.record_gap(target, gap_s, now)
+    def _pace_of(self, target: RelayTarget) -> StreamPace | None:
+        """Returns what learns from a stream; ``None`` where nothing is learnt."""
+        model = self.parts.target_model
+        if not self.streams or not model.is_active(target.service, time.monotonic()):
+            return None
+        new_tokens = 0 if self._placed == target.name else self.call.prompt_tokens
+        return StreamPace(model, target, self._sent_at, new_tokens)
 
     def _record_turn(self, target: RelayTarget) -> None:
         call = self.call
         self.parts.target_model.record_turn(
             target.service,
+            self.route.name,
             self._scanner.count,
             call.prompt_tokens + call.output_tokens,
             self._expected_s,
@@ -852,3 +916,15 @@
             self.route.retention_s,
             self._stays_here,
         )
+
+
+def _inputs_of(choice: Choice) -> dict[str, float]:
+    """Returns what the expected end was computed from, for the log."""
+    candidate = choice.candidate
+    return {
+        "turn_s": round(candidate.turn_s, 4),
+        "prompt_s": round(candidate.prompt_s, 4),
+        "load": round(candidate.load, 2),
+        "slots": candidate.slots,
+        "is_far": candidate.is_far,
+    }
--- a/tests/explain/test_explain.py
+++ b/tests/explain/test_explain.py
@@ -26,6 +26,7 @@
 from magnoliaroad.slow_start import ColdRates, SlowStartSettings
 from magnoliaroad.store.settings import StoreSettings
 from magnoliaroad.target_model.model import TargetModel
+from magnoliaroad.target_model.pace import EventTimes
 from magnoliaroad.waiting.admission import ProgramAdmission
 from magnoliaroad.waiting.room import WaitingRoom
 from tests.fakes.peers import PeerNetwork
@@ -97,9 +98,11 @@
     model, now = parts.target_model, time.monotonic()
     for number, one in enumerate(parts.table.targets.values()):
         model.record_load(one, TargetLoad(0, 0, 8, 1.0), now)
+        times = EventTimes()
+        times.add(0.01 * (1 + number % 2), 1, 1.0)
         for _ in range(3):
-            model.record_gap(one, 0.01 * (1 + number % 2), now)
-    model.record_turn("lm", 20, 500, 0.0, 0.2)
+            model.record_pace(one, times, now)
+    model.record_turn("lm", ROUTE.name, 20, 500, 0.0, 0.2)
 
 
 def by_name(found):
@@ -115,7 +118,9 @@
     for number in range(40):
         program = f"p-{number}"
         found = ask(parts, program=program, request=f"r-{number}")
-        need = PlacementNeed("lm", None, True, f"r-{number}", program, "", program)
+        need = PlacementNeed(
+            "lm", ROUTE.name, None, True, f"r-{number}", program, "", program
+        )
         placed = await parts.placer.place(need, set(), time.monotonic() + 1.0)
         assert (found.outcome, found.target) == ("sent", placed.target.name)
         assert (found.candidates[0].expected_s is not None) == learnt
@@ -200,7 +205,7 @@
 
     def state():
         held = (quota._teams, limiter._buckets, limiter._own_parts)
-        held += (limiter._refused_until, parts.program_admission._short_since)
+        held += (limiter._refused_until, parts.program_admission._shortages)
         held += (parts.program_targets._targets._values, parts.programs._values)
         return snapshot(dict(enumerate(held))), dict(parts.table.in_flight)
 
