End streamed answers to HTTP/1.0 callers that keep connections

An answer without a length to an HTTP/1.0 caller that asked to keep its connection had neither a length nor an end: the host kept the connection, and the caller waited for more until it was closed as idle. Both hosts now close it after the answer.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -8,7 +8,7 @@
 from collections.abc import Awaitable
 from socket import SO_ERROR, SOL_SOCKET
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from aiohttp.streams import StreamReader
 from aiohttp.web_protocol import RequestHandler
 from loguru import logger
@@ -311,6 +311,18 @@
     await conn.cut_off(req.writer.output_size)
 
 
+def end_by_close(req: web.BaseRequest, resp: web.StreamResponse) -> None:
+    """Lets an answer end with its connection if nothing else marks its end.
+
+    Answers to HTTP/1.0 without a length end with their connection, also if the caller
+    asked to keep it. To be called once the head has been written.
+    """
+    framed = req.writer.chunked or req.writer.length is not None
+    if framed or req.version >= HttpVersion11:
+        return
+    resp.force_close()
+
+
 def make_connection(server: web.Server) -> CallerConnection:
     """Returns the protocol of a new connection; aiohttp has no option for its class."""
     return CallerConnection(server, loop=server._loop, **server._kwargs)
--- a/src/magnoliaroad/entry/plain_reply.py
+++ b/src/magnoliaroad/entry/plain_reply.py
@@ -2,6 +2,7 @@
 
 from aiohttp import web
 
+from magnoliaroad.caller_connection import end_by_close
 from magnoliaroad.entry.headers import answer_headers
 from magnoliaroad.once import StoredAnswer
 from magnoliaroad.targets import TargetResponse
@@ -45,6 +46,7 @@
             self._resp.content_length = int(response.headers["Content-Length"])
         try:
             await self._resp.prepare(self._req)
+            end_by_close(self._req, self._resp)
         except ConnectionError:
             self.caller_left = True
 
--- a/src/magnoliaroad/entry/stream_reply.py
+++ b/src/magnoliaroad/entry/stream_reply.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 from typing_extensions import override
 
+from magnoliaroad.caller_connection import end_by_close
 from magnoliaroad.entry.completion import Completion
 from magnoliaroad.entry.events import DONE_EVENT, SEPARATOR
 from magnoliaroad.entry.refused import refusal_body
@@ -27,13 +28,13 @@
             return
         if not self.started:
             self.started = True
-            await self._resp.prepare(self._req)
+            await self._prepare()
         await self._resp.write(events)
 
     @override
     async def end(self, completion: Completion) -> web.StreamResponse:
         if not self.started:
-            await self._resp.prepare(self._req)
+            await self._prepare()
         await self._resp.write_eof(DONE_EVENT + SEPARATOR)
         return self._resp
 
@@ -42,3 +43,7 @@
         body = json.dumps(refusal_body(refusal)).encode()
         await self._resp.write_eof(b"data: " + body + SEPARATOR)
         return self._resp
+
+    async def _prepare(self) -> None:
+        await self._resp.prepare(self._req)
+        end_by_close(self._req, self._resp)
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -11,6 +11,7 @@
 from loguru import logger
 from returns.pipeline import is_successful
 
+from magnoliaroad.caller_connection import end_by_close
 from magnoliaroad.decoding import can_be_sent
 from magnoliaroad.drain_limit import DrainLimit
 from magnoliaroad.hedging.metrics import HEDGES, WASTED
@@ -751,6 +752,7 @@
         if self._should_close():
             resp.force_close()
         await resp.prepare(self._req)
+        end_by_close(self._req, resp)
         while opened.parts:
             await self._write(opened.parts.popleft())
         last_at, counted = time.monotonic(), 0
