Reset connections of HTTP/1.0 callers whose answer is cut

An answer to HTTP/1.0 without a length ends with its connection. When its target broke off, the host closed the connection in the usual way, so that callers took the part that they had received for the whole answer. Such connections now end with a reset until the answer has been written whole, also when the host gives a connection up for its memory or its process ends.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -3,10 +3,11 @@
 import asyncio
 import contextlib
 import select
+import struct
 import time
 import typing
 from collections.abc import Awaitable
-from socket import SO_ERROR, SOL_SOCKET
+from socket import SO_ERROR, SO_LINGER, SOL_SOCKET
 
 from aiohttp import HttpVersion11, web
 from aiohttp.streams import StreamReader
@@ -55,6 +56,9 @@
 MAX_LINGER_S = 30.0
 # Time between checks whether it has, in seconds.
 CHECK_INTERVAL_S = 0.05
+# Values of ``SO_LINGER`` with which a close resets the connection, and with which not.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+END_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class CallerConnection(RequestHandler):
@@ -71,6 +75,7 @@
     __slots__ = (
         "_last_body",
         "_queued_bytes",
+        "_resets_on_close",
         "_waits_for_turn",
         "head_began_at",
         "head_bytes",
@@ -82,6 +87,7 @@
         self._msg_queue_resume_size = 0
         self._queued_bytes = 0
         self._waits_for_turn = False
+        self._resets_on_close = False
         self.head_began_at: float | None = None
         self.head_bytes = 0
         self._last_body: StreamReader | None = None
@@ -219,20 +225,47 @@
         resp, reset = await finish
         if not reset and not resp.keep_alive and request.content.is_eof():
             await self._linger()
+        if self._resets_on_close and self.transport is not None:
+            self._end_on_close()
         return resp, reset
 
-    async def _linger(self) -> None:
+    def reset_unless_complete(self) -> None:
+        """Lets the connection be reset if it is closed before the answer is complete.
+
+        For an answer that only the end of its connection ends: to the caller, a planned
+        close, also one of the kernel's when the process ends, completes it.
+        """
+        if self.transport is not None:
+            self._resets_on_close = True
+            self._set_linger(RESET_ON_CLOSE)
+
+    def _end_on_close(self) -> None:
+        """Lets a close end an answer that was written whole."""
+        if not self._transport.get_write_buffer_size():
+            self._resets_on_close = False
+            self._set_linger(END_ON_CLOSE)
+
+    def _set_linger(self, value: bytes) -> None:
+        # Fails if the socket has been closed.
+        with contextlib.suppress(OSError):
+            sock = self._transport.get_extra_info("socket")
+            sock.setsockopt(SOL_SOCKET, SO_LINGER, value)
+
+    async def _linger(self, sends_end: bool = True) -> None:
         """Waits until the caller has received the answer that ends its connection.
 
         The caller sees its end at once, and what it still sends is discarded. If the
         connection were closed with bytes unread, the kernel would reset it and drop
         what it has not sent of the answer.
+
+        Args:
+            sends_end: Whether the caller sees the end of the connection.
         """
         self.close()
         loop = asyncio.get_running_loop()
         until = loop.time() + MAX_LINGER_S
         with contextlib.suppress(OSError):
-            if self.transport is not None:
+            if self.transport is not None and sends_end:
                 self._transport.write_eof()
         while self.transport is not None and loop.time() < until:
             if self.transport.is_closing() or not unsent_bytes(self._transport):
@@ -247,8 +280,9 @@
         """
         if self.transport is None:
             return
+        resets, self._resets_on_close = self._resets_on_close, False
         if self._transport.get_write_buffer_size() > written:
-            await self._linger()
+            await self._linger(sends_end=not resets)
         if self.transport is not None:
             self._transport.abort()
 
@@ -312,15 +346,17 @@
 
 
 def end_by_close(req: web.BaseRequest, resp: web.StreamResponse) -> None:
-    """Lets an answer end with its connection if nothing else marks its end.
+    """Lets only a complete answer end with a close if nothing else marks its end.
 
     Answers to HTTP/1.0 without a length end with their connection, also if the caller
     asked to keep it. To be called once the head has been written.
     """
     framed = req.writer.chunked or req.writer.length is not None
-    if framed or req.version >= HttpVersion11:
+    conn = typing.cast(CallerConnection | None, req.protocol)
+    if framed or req.version >= HttpVersion11 or conn is None:
         return
     resp.force_close()
+    conn.reset_unless_complete()
 
 
 def make_connection(server: web.Server) -> CallerConnection:
--- a/tests/entry/test_old_callers.py
+++ b/tests/entry/test_old_callers.py
@@ -9,6 +9,7 @@
 
 from tests.entry.engines import event
 from tests.entry.hosts import HEADERS, chat_body, host_with_target
+from tests.entry.test_services import payout_edit
 from tests.platform.raw_target import LINGER_0
 
 PATHS = ("/services/payouts/x", "/v1/chat/completions")
@@ -71,6 +72,21 @@
         return resp
 
 
+@pytest.mark.parametrize("repeatable", [True, False])
+@pytest.mark.parametrize("connection", ["close", "keep-alive"])
+async def test_only_a_whole_answer_of_a_service_ends_with_a_close(
+    connection, repeatable
+):
+    """A cut answer without a length ended with a close, as a whole one does."""
+    target = Target()
+    async with host_with_target(target.app(), payout_edit(repeatable)) as (_, url):
+        whole = await read_answer(url, PATHS[0], connection, "first")
+        target.cut = True
+        cut = await read_answer(url, PATHS[0], connection, "second")
+    assert whole == PLAIN_BODY
+    assert cut is None
+
+
 @pytest.mark.parametrize("connection", ["close", "keep-alive"])
 async def test_a_whole_stream_ends_with_a_close(connection):
     """A stream to a caller that asked to keep its connection did not end."""
