Take cut answers of the store for none

Answers of the store without a length counted as whole when a reset ended them: a cut 404 as "no such key" or a lost lease, a cut 412 as a conflict.

--- a/src/magnoliaroad/store/client.py
+++ b/src/magnoliaroad/store/client.py
@@ -20,6 +20,7 @@
 from magnoliaroad.store.interface import Store
 from magnoliaroad.store.settings import StoreSettings
 from magnoliaroad.store.watch import WatchBatch
+from magnoliaroad.targets.connector import TargetConnector
 
 # Most of an entry but for its value, in bytes.
 ENTRY_BYTES = 1024
@@ -110,7 +111,9 @@
         if self._session is None:
             # A small compressed body may become a large one.
             self._session = aiohttp.ClientSession(
-                auto_decompress=False, headers={"Accept-Encoding": "identity"}
+                connector=TargetConnector(),
+                auto_decompress=False,
+                headers={"Accept-Encoding": "identity"},
             )
         timeout = aiohttp.ClientTimeout(total=limit_s or self.cfg.timeout_s)
         url = f"{self.cfg.url}/v1/{operation}"
--- a/src/magnoliaroad/targets/connector.py
+++ b/src/magnoliaroad/targets/connector.py
@@ -1,4 +1,4 @@
-"""Connection pool of the requests to targets."""
+"""Connection pool of the requests to targets and to the store."""
 
 import asyncio
 import functools
