Check orders to evacuate again after a target's home host was asked

The target of a request could be evacuated while its home host was asked for admission. Requests whose targets are all evacuated are now refused as targets_evacuated. At most MAX_ASKED cold targets are asked one after the other, as for stated limits, and a request that waits for a cold target is no longer refused because the target's entry was written again.

--- a/src/magnoliaroad/evacuation/orders.py
+++ b/src/magnoliaroad/evacuation/orders.py
@@ -31,10 +31,12 @@
 
     Attributes:
         revision: Revision of the store that the orders stem from.
+        names: The data centres to evacuate.
     """
 
     def __init__(self) -> None:
         self.revision = UNKNOWN_REVISION
+        self.names: frozenset[str] = frozenset()
         self._ordered_at: dict[str, float] = {}
 
     def __contains__(self, data_centre: str) -> bool:
@@ -84,7 +86,8 @@
     def _replace(
         self, now: float, data_centres: Collection[str], revision: int
     ) -> EvacuationChange:
-        known, names = self._ordered_at, frozenset(data_centres)
+        known = self._ordered_at
+        self.names = names = frozenset(data_centres)
         change = EvacuationChange(names - known.keys(), known.keys() - names)
         self.revision = revision
         self._ordered_at = {name: known.get(name, now) for name in sorted(names)}
--- a/src/magnoliaroad/relay/placer.py
+++ b/src/magnoliaroad/relay/placer.py
@@ -18,11 +18,12 @@
     NO_TARGET,
     NO_TARGET_IN_REGION,
     NO_TARGET_OF_VERSION,
+    TARGETS_EVACUATED,
     TARGETS_FULL,
     targets_limited,
 )
 from magnoliaroad.relay.settings import RelaySettings
-from magnoliaroad.relay.target import RelayTarget
+from magnoliaroad.relay.target import RelayTarget, start_of
 from magnoliaroad.relay.target_limit import FIRST_TRY, FURTHER_TRY, PROMPT_HELD
 from magnoliaroad.relay.target_limiter import TargetLimiter
 from magnoliaroad.relay.target_table import TargetTable
@@ -140,9 +141,13 @@
             target, end_s = self._choose(need, left)
             reserved = self._reserved_part(need, target, excluded)
             decision = await self._limiter.admit(target, reserved)
-            if decision.admitted:
+            if not decision.admitted:
+                waits_s[target.name] = decision.wait_s
+            elif self._table.accepts(target):
                 return Placement(target, len(usable), end_s)
-            waits_s[target.name] = decision.wait_s
+            else:
+                # It left or was evacuated while its home host was asked.
+                usable = self._find_usable(need, excluded)
         target = await self._wait_for_limit(need, excluded, waits_s, deadline)
         return Placement(target, len(usable))
 
@@ -181,7 +186,8 @@
         if not decision.admitted:
             raise NoTarget(targets_limited(decision.wait_s))
         await asyncio.sleep(decision.wait_s)
-        if target not in self._find_usable(need, excluded):
+        # Its entry may have changed in other respects, as when a cold target is warm.
+        if start_of(target) not in map(start_of, self._find_usable(need, excluded)):
             raise NoTarget(TARGETS_FULL)
         return target
 
@@ -192,6 +198,8 @@
             need.service, time.monotonic(), excluded, need.version, need.data_centres
         )
         if not usable:
+            if self._table.all_evacuated(need.service, need.data_centres):
+                raise NoTarget(TARGETS_EVACUATED)
             if need.data_centres is not None and not excluded:
                 raise NoTarget(NO_TARGET_IN_REGION)
             none_known = NO_TARGET if need.version is None else NO_TARGET_OF_VERSION
@@ -209,12 +217,12 @@
         self, usable: list[RelayTarget], waits_s: dict[str, float]
     ) -> list[RelayTarget]:
         """Returns the targets to choose from once some have refused the request."""
-        enough_asked = len(waits_s) >= MAX_ASKED
+        enough_asked, now = len(waits_s) >= MAX_ASKED, time.monotonic()
         return [
             target
             for target in usable
             if target.name not in waits_s
-            and not (enough_asked and self._table.limits.is_limited(target))
+            and not (enough_asked and self._limiter.is_limited(target, now))
         ]
 
     def _choose(
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -8,6 +8,9 @@
 # Retry time for callers of a host that has lost the store, in seconds. The balancer
 # then uses other hosts, after two readiness checks one second apart.
 STORE_LOST_RETRY_S = 1.5
+# Retry time while all targets are evacuated, in seconds. Operators end that, and hosts
+# hear of it from a notice of peers, one each second.
+EVACUATED_RETRY_S = 1.0
 # Retry time for callers that cannot resume a stream, in seconds. It is short because a
 # new stream can begin at once.
 RESUME_RETRY_S = 0.1
@@ -90,6 +93,13 @@
     action="Send the request again.",
     retry_after_s=HOST_START_RETRY_S,
 )
+TARGETS_EVACUATED = Refusal(
+    code="targets_evacuated",
+    status=503,
+    message="All targets of the service are in data centres that are evacuated.",
+    action="Send the request again later.",
+    retry_after_s=EVACUATED_RETRY_S,
+)
 TARGETS_FULL = Refusal(
     code="targets_full",
     status=503,
--- a/src/magnoliaroad/relay/target_table.py
+++ b/src/magnoliaroad/relay/target_table.py
@@ -104,13 +104,15 @@
             version: Version of their software; ``None`` for any.
             data_centres: Data centres to which the request may go; ``None`` for any.
         """
+        # Not looked up by each target: most deployments have no order at all.
+        evacuated = self.evacuations.names
         ready = [
             target
             for target in self.targets.values()
             if target.service == service
             and target.state is TargetState.READY
             and target not in self.leaving
-            and target.data_centre not in self.evacuations
+            and target.data_centre not in evacuated
             and version in (None, target.version)
             and (data_centres is None or target.data_centre in data_centres)
         ]
@@ -119,6 +121,39 @@
         reached = [t for t in left if t.data_centre not in self.silent_data_centres]
         return self._without_slow(reached, now) or left
 
+    def accepts(self, target: RelayTarget) -> bool:
+        """Whether a target that was usable may still get a new request."""
+        known = self.targets.get(target.name)
+        return (
+            known is not None
+            and known.started_ms == target.started_ms
+            and known.state is TargetState.READY
+            and target not in self.leaving
+            and known.data_centre not in self.evacuations.names
+        )
+
+    def all_evacuated(
+        self, service: str, data_centres: Collection[str] | None = None
+    ) -> bool:
+        """Whether a service would have targets if no data centre were evacuated.
+
+        Args:
+            service: Name of the service.
+            data_centres: Data centres to which the request may go; ``None`` for any.
+        """
+        evacuated = self.evacuations.names
+        if not evacuated:
+            return False
+        used = {
+            target.data_centre
+            for target in self.targets.values()
+            if target.service == service
+            and target.state is TargetState.READY
+            and target not in self.leaving
+            and (data_centres is None or target.data_centre in data_centres)
+        }
+        return bool(used) and used <= evacuated
+
     def record_event_gap(self, name: str, gap_s: float, now: float) -> None:
         """Adds a gap between two events of a target's stream to its mean."""
         before = self._event_gaps.get(name)
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -81,7 +81,10 @@
         place(deployment, target, "dc-2")
         deployment.kv.write(KEY, {})
         await until_known(deployment, True)
-        status, headers, _ = await deployment.call("/safe/x", Authorization=UNLIMITED)
+        status, headers, body = await deployment.call(
+            "/safe/x", Authorization=UNLIMITED
+        )
         assert status == 503
         assert float(headers["Retry-After"]) > 0
+        assert b"evacuated" in body
         assert not target.runs
