Tell all hosts of a data centre a change of orders wherever it came from

Only the host that got a change by its watch told the others. Hosts of a data centre whose reader listed the orders, or that heard of them from another data centre, learnt by random notices, some of them after the five seconds that an order may take. Hosts that know no state of the store ask four times a second.

--- a/src/magnoliaroad/evacuation/service.py
+++ b/src/magnoliaroad/evacuation/service.py
@@ -31,6 +31,10 @@
 WITHDRAWN_NOTICE_S = 60.0
 # Time after its start in which a host reads the store, in seconds; then it asks peers.
 STORE_READ_S = 0.5
+# Time between two notices of a host that knows no state of the store, in seconds: until
+# a peer answers it may send requests to evacuated data centres, and peers that have
+# just started know no more.
+UNREAD_INTERVAL_S = 0.25
 # Time between checks for requests in flight at evacuated targets, in seconds.
 CHECK_INTERVAL_S = 0.1
 
@@ -38,8 +42,8 @@
 class EvacuationService(Service, MirrorListener):
     """Applies orders of operators to the choice of targets.
 
-    Few hosts watch the store, so a host that reads a change there tells the hosts of
-    its data centre. While there are orders, each host also sends them to a random peer
+    Few hosts watch the store, so a host to which a change comes from there, or from
+    another data centre, tells the hosts of its own. While there are orders, each host also sends them to a random peer
     from time to time, which answers if it knows newer ones. So hosts that start, or
     that lose the store, learn of orders and withdrawals.
 
@@ -82,7 +86,9 @@
         """Applies the orders among the operator's entries."""
         names = self._read_orders(entries.values())
         now = time.monotonic()
-        self._apply(self.orders.apply_snapshot(now, names, revision), now, "store")
+        change = self.orders.apply_snapshot(now, names, revision)
+        self._apply(change, now, "store")
+        self._notify_near(change)
 
     def on_batch(self, batch: WatchBatch) -> None:
         """Applies the orders that the operator has given or withdrawn."""
@@ -95,8 +101,7 @@
         now = time.monotonic()
         change = self.orders.apply_batch(now, ordered, withdrawn, batch.revision)
         self._apply(change, now, "store")
-        if change:
-            self._peers.send_all(self._near_contacts(), self._notice())
+        self._notify_near(change)
 
     def _read_orders(self, entries: Iterable[StoreEntry]) -> set[str]:
         names = set()
@@ -122,6 +127,14 @@
         change = self.orders.merge(now, notice.data_centres, notice.revision)
         NOTICES.inc({"outcome": "changed" if change else "known"})
         self._apply(change, now, sender)
+        # Peers that send by chance alone leave some hosts out for many seconds.
+        if change and sender not in self._near_contacts():
+            self._notify_near(change)
+
+    def _notify_near(self, change: EvacuationChange) -> None:
+        """Tells a change to the hosts of this data centre."""
+        if change:
+            self._peers.send_all(self._near_contacts(), self._notice())
 
     def _notice(self) -> EvacuationNotice:
         return EvacuationNotice(self.orders.revision, self.orders.data_centres)
@@ -201,8 +214,10 @@
                 contacts = list(self._contacts())
                 if contacts:
                     self._peers.send(random.choice(contacts), self._notice())
+            never_read = self.orders.revision == UNKNOWN_REVISION
+            interval_s = UNREAD_INTERVAL_S if never_read else NOTICE_INTERVAL_S
             # Jitter, so that hosts that learnt together do not tell together.
-            await asyncio.sleep(NOTICE_INTERVAL_S * random.uniform(0.5, 1.5))
+            await asyncio.sleep(interval_s * random.uniform(0.5, 1.5))
 
     def _must_exchange(self, now: float) -> bool:
         """Whether peers may know other orders, or lack those of this host."""
