--- a/src/magnoliaroad/relay/path_prober.py
+++ b/src/magnoliaroad/relay/path_prober.py
@@ -82,7 +82,7 @@
     def record_unreachable(self, target: RelayTarget) -> None:
         """Records a connection to a target that could not be made."""
         service = target.service
-        known = sum(t.service == service for t in self._table.targets.values())
+        known = len(self._find_targets(service))
         now = time.monotonic()
         if not self.paths.record_unreachable(service, target.name, now, known):
             if not self.paths.is_cut(service):
@@ -115,8 +115,8 @@
     async def _probe_service(self, service: str) -> None:
         targets = [
             target
-            for target in self._table.targets.values()
-            if target.service == service and target.state is TargetState.READY
+            for target in self._find_targets(service)
+            if target.state is TargetState.READY
         ]
         if not targets:
             # There is nothing to be cut off from.
@@ -137,6 +137,15 @@
         for target in chosen:
             self.record_unreachable(target)
 
+    def _find_targets(self, service: str) -> list[RelayTarget]:
+        """Returns the targets of a service, except those that are evacuated."""
+        evacuated = self._table.evacuations.names
+        return [
+            target
+            for target in self._table.targets.values()
+            if target.service == service and target.data_centre not in evacuated
+        ]
+
     async def _can_connect(self, target: RelayTarget) -> bool:
         try:
             return await self._client.can_connect(target.address)
--- a/tests/relay/test_path_prober.py
+++ b/tests/relay/test_path_prober.py
@@ -65,6 +65,18 @@
     assert table.cooldowns(0.1) == {}
 
 
+async def test_evacuated_targets_are_neither_probed_nor_missed(prober, client):
+    """Guards against probes of an empty data centre, and cuts that it would hide."""
+    table = prober._table
+    for number in (0, 1):
+        table.set(target(number)._replace(data_centre="dc-2"))
+    table.set(target(3))
+    table.evacuations.apply_snapshot(0.0, ["dc-2"], 5)
+    await prober._probe_service("lm")
+    assert client.probes == 2
+    assert prober.paths.cut == ["lm"]
+
+
 async def test_a_service_without_targets_is_not_cut_off(prober, client):
     for number in range(3):
         prober.record_unreachable(target(number))
