--- a/src/magnoliaroad/evacuation/service.py
+++ b/src/magnoliaroad/evacuation/service.py
@@ -43,9 +43,9 @@
     """Applies orders of operators to the choice of targets.
 
     Few hosts watch the store, so a host to which a change comes from there, or from
-    another data centre, tells the hosts of its own. While there are orders, each host also sends them to a random peer
-    from time to time, which answers if it knows newer ones. So hosts that start, or
-    that lose the store, learn of orders and withdrawals.
+    another data centre, tells the hosts of its own. While there are orders, each host
+    also sends them to a random peer from time to time, which answers if it knows newer
+    ones. So hosts that start, or that lose the store, learn of orders and withdrawals.
 
     Args:
         decoder: Decodes the orders.
