Use own parts if a home host knows no rate for a cold target

A home host without the configuration, as after its start, admitted all requests to a cold target: 128 in a second of nine hosts in virtual time, where the bound is 36. Home hosts are also told that a target is cold if it states a limit that is higher.

--- a/src/magnoliaroad/relay/target_limiter.py
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -29,6 +29,8 @@
 MAX_REMEMBERED_S = 0.25
 
 ADMITTED = BucketDecision(True, 0.0)
+# Reply of a home host that cannot decide.
+UNKNOWN_TARGET = TargetAdmissionReply(False, False, 0.0, NO_LIMIT, 0.0)
 
 
 class TargetLimiter:
@@ -191,7 +193,10 @@
         self, target: RelayTarget, reserved_part: float, longest_wait_s: float
     ) -> TargetAdmissionRequest | ColdAdmissionRequest:
         now, stated = self._now(), self.limits.find(target)
-        if stated is not None and stated.rate is not None:
+        cold_rate = self._cold_rates.find(target, now)
+        is_stated = stated is not None and stated.rate is not None
+        # The home host may not have read yet that the target is cold.
+        if is_stated and (cold_rate is None or stated.rate <= cold_rate):
             return TargetAdmissionRequest(
                 *start_of(target),
                 rate=stated.rate,
@@ -273,7 +278,7 @@
     ) -> TargetAdmissionReply:
         target = self._find_start(req.target, req.started_ms)
         if target is None:
-            return TargetAdmissionReply(False, False, 0.0, NO_LIMIT, 0.0)
+            return UNKNOWN_TARGET
         self._record(target, req.rate, self._now() - req.age_s, sender)
         return self._answer(target, req)
 
@@ -282,8 +287,12 @@
     ) -> TargetAdmissionReply:
         target = self._find_start(req.target, req.started_ms)
         if target is None:
-            return TargetAdmissionReply(False, False, 0.0, NO_LIMIT, 0.0)
-        self._table.cold.record_remaining(target, req.cold_s, self._now())
+            return UNKNOWN_TARGET
+        now = self._now()
+        self._table.cold.record_remaining(target, req.cold_s, now)
+        if self._find_rate(target, now) is None:
+            # This host has another configuration, or none yet.
+            return UNKNOWN_TARGET
         return self._answer(target, req)
 
     def _answer(
--- a/tests/slow_start/test_fleet.py
+++ b/tests/slow_start/test_fleet.py
@@ -131,3 +131,26 @@
     loop.run_until_complete(fleet.run(1.0))
     assert not any(peers.sent for peers in fleet.network.hosts.values())
     assert len(fleet.sent_at) > 9 * 15
+
+
+def test_a_home_host_without_the_configuration_does_not_admit_all(loop, fleet):
+    """Guards against a home host that has just started and knows no rate."""
+    fleet.limiters[HOME]._cold_rates._find_service = lambda name: None
+    fleet.send_all = lambda name, seconds: (
+        asyncio.sleep(0) if name == HOME else Fleet.send_all(fleet, name, seconds)
+    )
+    loop.run_until_complete(fleet.run(4.0))
+    assert 0 < fleet.most_in_second() <= MOST_IN_SECOND
+
+
+def test_a_home_host_that_has_not_read_the_entry_keeps_the_lower_rate(loop, fleet):
+    """Guards against a stated limit that hides from it that the target is cold."""
+    fleet.rate = 4 * RATE
+    for limiter in fleet.limiters.values():
+        limiter.record_answer(TARGET, fleet.rate, 0.0)
+    fleet.limiters[HOME]._table.cold.record_entry(TARGET, 0.0)
+    fleet.send_all = lambda name, seconds: (
+        asyncio.sleep(0) if name == HOME else Fleet.send_all(fleet, name, seconds)
+    )
+    loop.run_until_complete(fleet.run(4.0))
+    assert fleet.most_in_second() <= MOST_IN_SECOND
