Bound the time for which a target counts as cold, and believe its answers

The bound of ten times cold_start_s was applied to the time left at each request, so that an entry of 600 s held for 600 s instead of 30. Longer times are now logged. The header Magnoliaroad-Cold-Ms was read from answers and not used. Admissions are counted by reason.

--- a/src/magnoliaroad/relay/metrics.py
+++ b/src/magnoliaroad/relay/metrics.py
@@ -35,7 +35,8 @@
     "relay_cut_services", "Services whose targets this host cannot reach itself."
 )
 TARGET_ADMISSIONS = Counter(
-    "relay_target_admissions_total", "Decisions on requests to limited targets."
+    "relay_target_admissions_total",
+    "Decisions on requests to limited targets, by outcome and reason of the limit.",
 )
 COLD_TARGETS = Gauge(
     "relay_cold_targets", "Targets that are cold, as far as this host knows."
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -684,6 +684,9 @@
                 return
             target = known
         self.parts.target_limiter.record_answer(target, head.limit, sent_at)
+        if head.cold_s:
+            now = time.monotonic()
+            self.parts.table.cold.record_remaining(target, head.cold_s, now)
         if head.load is not None:
             self.parts.target_model.record_load(target, head.load, time.monotonic())
         if head.leaving:
--- a/src/magnoliaroad/relay/target_limit_messages.py
+++ b/src/magnoliaroad/relay/target_limit_messages.py
@@ -32,8 +32,8 @@
     """The reply to ``TargetAdmissionRequest``.
 
     Attributes:
-        known: Whether the home host knows the target, and the rate of a cold one; if not,
-            nothing was counted.
+        known: Whether the home host knows the target, and the rate of a cold one; if
+            not, nothing was counted.
         admitted: Whether the request may be sent, after ``wait_s``.
         wait_s: Seconds until a request like this one may be sent.
         rate: Newest limit in requests a second; ``NO_LIMIT`` for none.
--- a/src/magnoliaroad/relay/target_limiter.py
+++ b/src/magnoliaroad/relay/target_limiter.py
@@ -135,7 +135,9 @@
             remembered_s = min(decision.wait_s, MAX_REMEMBERED_S)
             self._refused_until[remembered] = now + remembered_s
         outcome = "admitted" if decision.admitted else "refused"
-        TARGET_ADMISSIONS.inc({"outcome": outcome})
+        is_cold = self._cold_rates.find(target, now) is not None
+        reason = "cold" if is_cold else "stated"
+        TARGET_ADMISSIONS.inc({"outcome": outcome, "reason": reason})
         return decision
 
     def is_limited(self, target: RelayTarget, now: float) -> bool:
--- a/src/magnoliaroad/slow_start/rates.py
+++ b/src/magnoliaroad/slow_start/rates.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from loguru import logger
+
 from magnoliaroad.relay.plan import RelayService
 from magnoliaroad.relay.target import RelayTarget
 from magnoliaroad.slow_start.cold_targets import ColdTargets
@@ -44,16 +46,22 @@
         self.cfg = cfg
         self.cold = cold
         self._find_service = find_service
+        self._reported: dict[str, RelayTarget] = {}
 
     def remaining_s(self, target: RelayTarget, now: float) -> float:
         """Returns the time for which a target remains cold; 0 without a limit."""
-        remaining_s = self.cold.remaining_s(target, now)
-        if not remaining_s:
+        if not self.cold.remaining_s(target, now):
             return 0.0
         service = self._find_service(target.service)
         if service is None or service.cold_rate <= 0:
             return 0.0
-        return min(remaining_s, MAX_COLD_FACTOR * service.cold_s)
+        longest_s = MAX_COLD_FACTOR * service.cold_s
+        if target.cold_s > longest_s and target != self._reported.get(target.name):
+            self._reported[target.name] = target
+            logger.bind(
+                target=target.name, cold_s=target.cold_s, longest_s=longest_s
+            ).warning("target is cold for too long")
+        return self.cold.remaining_s(target, now, longest_s)
 
     def find(self, target: RelayTarget, now: float) -> float | None:
         """Returns the rate of a target; ``None`` if it is warm or has no limit."""
--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -67,6 +67,7 @@
         broke_off: Ids of the requests that it did not answer soundly.
         leaving: Value of the leaving header on all its answers; ``None`` for no header.
         limit: Value of the limit header on all its answers; ``None`` for no header.
+        cold_ms: Value of the header that states for how long it remains cold.
         poison: Body of requests that crash the target; ``None`` for none.
         down_s: Time from a crash to the restart, in seconds.
         crashed_at: Times of the crashes, by the event loop's clock.
@@ -88,7 +89,7 @@
         self.in_flight = 0
         self.abandoned = 0
         self.broke_off = set()
-        self.leaving = self.limit = None
+        self.leaving = self.limit = self.cold_ms = None
         self.poison = None
         self.down_s = 0.5
         self.crashed_at = []
@@ -327,7 +328,11 @@
         return chunked
 
     def _stated_headers(self):
-        stated = {"server-leaving": self.leaving, "server-limit": self.limit}
+        stated = {
+            "server-leaving": self.leaving,
+            "server-limit": self.limit,
+            "magnoliaroad-cold-ms": self.cold_ms,
+        }
         return [
             f"{name}: {value}" for name, value in stated.items() if value is not None
         ]
--- a/tests/platform/test_limited_targets.py
+++ b/tests/platform/test_limited_targets.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.platform.deployment import UNLIMITED, Deployment
+from tests.platform.deployment import UNLIMITED, Deployment, config
 from tests.platform.target_standin import TargetStandin
 
 # The rule: from ``KNOWN_S`` after it was first stated, a target gets in ``WINDOW_S`` at
@@ -56,6 +56,18 @@
         assert sum(got) == DEMAND
 
 
+async def test_an_answer_that_states_a_cold_target_is_believed(tmp_path):
+    """Guards against full load until the entry of a target that got cold is read."""
+    target = TargetStandin("i-0", "app")
+    target.cold_ms = "2000"
+    async with Deployment(tmp_path, target) as deployment:
+        service = {"name": "app", "cold_start_s": 3.0, "cold_per_s": RATE}
+        deployment.kv.write("op/config", config(9, services=[service]))
+        await deployment.until(lambda: deployment.relays[0].plans.version == 9)
+        await send_many(deployment, PATHS["app"], 1.0, 60)
+        assert 0 < len(target.runs) <= RATE * 1.5 + 5
+
+
 async def test_requests_beyond_all_limits_are_refused_with_a_time_to_return(tmp_path):
     target = TargetStandin("i-0", "app")
     target.limit = "2"
--- a/tests/slow_start/test_rates.py
+++ b/tests/slow_start/test_rates.py
@@ -3,6 +3,7 @@
 from itertools import pairwise
 
 import pytest
+from loguru import logger
 
 from magnoliaroad.relay.plan import RelayService
 from magnoliaroad.relay.target import RelayTarget, TargetState, start_of
@@ -60,8 +61,14 @@
 
 
 def test_an_entry_that_states_too_long_a_time_is_not_believed(cold):
+    lines, one = [], rates(cold)
+    sink = logger.add(lambda text: lines.append(text.record["message"]))
     cold.record_entry(target(600.0), 0.0)
-    assert rates(cold).remaining_s(target(600.0), 0.0) == 30.0
+    assert one.remaining_s(target(600.0), 0.0) == 30.0
+    assert one.remaining_s(target(600.0), 29.0) == 1.0
+    assert one.find(target(600.0), 30.0) is None
+    logger.remove(sink)
+    assert lines == ["target is cold for too long"]
 
 
 @pytest.mark.parametrize("rate", [0.5, 5.0, 21.0, 100.0])
