Keep bodies at the host if any data centre has no known region

Record hosts in a data centre that the settings give no region for got copies of turns. Turns that record hosts held from before a route or team was bound to a region were reported as not existing. Log lines of refusals name the regions.

--- a/src/magnoliaroad/homes/__init__.py
+++ b/src/magnoliaroad/homes/__init__.py
@@ -1,5 +1,9 @@
 """The regions inside which requests of a route or a team must stay."""
 
-from magnoliaroad.homes.regions import allowed_data_centres
+from magnoliaroad.homes.regions import (
+    allowed_data_centres,
+    allowed_regions,
+    must_stay_at_host,
+)
 
-__all__ = ["allowed_data_centres"]
+__all__ = ["allowed_data_centres", "allowed_regions", "must_stay_at_host"]
--- a/src/magnoliaroad/homes/regions.py
+++ b/src/magnoliaroad/homes/regions.py
@@ -1,6 +1,6 @@
 """Finds the data centres that may see the body of a request."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from magnoliaroad.relay.plan import RelayTeam
 from magnoliaroad.relay.route import RelayRoute
@@ -21,9 +21,30 @@
     Returns:
         Names of the data centres; ``None`` if neither states any region.
     """
-    by_team = () if team is None else team.allowed_regions
-    stated = [frozenset(names) for names in (route.allowed_regions, by_team) if names]
-    if not stated:
+    allowed = allowed_regions(route, team)
+    if allowed is None:
         return None
-    allowed = frozenset.intersection(*stated)
     return frozenset(name for name, region in regions.items() if region in allowed)
+
+
+def allowed_regions(route: RelayRoute, team: RelayTeam | None) -> frozenset[str] | None:
+    """Returns the regions that route and team both allow; ``None`` for all."""
+    by_team = () if team is None else team.allowed_regions
+    stated = [frozenset(names) for names in (route.allowed_regions, by_team) if names]
+    return frozenset.intersection(*stated) if stated else None
+
+
+def must_stay_at_host(
+    allowed: frozenset[str] | None, data_centres: Iterable[str]
+) -> bool:
+    """Whether a body must not be given to other hosts to keep.
+
+    Copies of records move between hosts, so one data centre outside is enough.
+
+    Args:
+        allowed: Data centres that may see it; ``None`` for any.
+        data_centres: The data centres of all hosts, those of unknown region included.
+    """
+    if allowed is None:
+        return False
+    return not allowed or not allowed.issuperset(data_centres)
--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -248,15 +248,13 @@
 
         Args:
             key: Key of the record.
-            in_store_only: Whether no other host may see it; it is then read from the
-                store by this host.
+            in_store_only: Whether no other host may see it; no peer then reads it for
+                this host. Record hosts are asked nevertheless, by its key alone: they
+                may hold a record from before its route or team was bound to a region.
         """
         pause_s = MIN_RETRY_S
         while True:
-            if in_store_only:
-                certain, value = await self._read_store(key)
-            else:
-                certain, value = await self._fetch_once(key)
+            certain, value = await self._fetch_once(key)
             if value is not None or certain:
                 return value
             for host in [] if in_store_only else self._helpers():
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -16,7 +16,11 @@
 from magnoliaroad.hedging.metrics import HEDGES, WASTED
 from magnoliaroad.hedging.policy import HedgeTarget
 from magnoliaroad.hedging.race import race
-from magnoliaroad.homes import allowed_data_centres
+from magnoliaroad.homes import (
+    allowed_data_centres,
+    allowed_regions,
+    must_stay_at_host,
+)
 from magnoliaroad.quarantine import exact_fingerprint
 from magnoliaroad.refusal import Refusal, Refused
 from magnoliaroad.relay.admission import AdmittedCall
@@ -39,6 +43,7 @@
 from magnoliaroad.relay.plan import RelayTeam, pick_service
 from magnoliaroad.relay.refusals import (
     NO_PATH,
+    NO_TARGET_IN_REGION,
     NO_TARGET_OF_VERSION,
     NOT_RESUMABLE,
     NOT_SENT_IN_TIME,
@@ -166,8 +171,11 @@
     @property
     def _stays_here(self) -> bool:
         """Whether some hosts must not see the body, so that none is given a copy."""
-        allowed = self._data_centres
-        return allowed is not None and not allowed.issuperset(self.parts.cfg.regions)
+        if self._data_centres is None:
+            return False
+        cfg, turns = self.parts.cfg, self.parts.turns
+        known = {*cfg.regions, *cfg.data_centres, *turns.data_centres}
+        return must_stay_at_host(self._data_centres, known)
 
     async def run(self) -> web.StreamResponse:
         """Returns the answer after it was sent to the caller.
@@ -593,7 +601,11 @@
                 need, excluded, self.deadline
             )
         except NoTarget as exc:
-            raise self._refusal_error(exc.refusal) from None
+            error = self._refusal_error(exc.refusal)
+            if exc.refusal is NO_TARGET_IN_REGION:
+                regions = allowed_regions(self.route, self.admitted.team) or ()
+                error.inputs["regions"] = sorted(regions)
+            raise error from None
         # It may have been quarantined while it waited for the limit of a target.
         self._refuse_quarantined()
         placer.assign(need, target)
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -61,6 +61,11 @@
         """Size of the turns that were read or written recently."""
         return self._cache.size
 
+    @property
+    def data_centres(self) -> set[str]:
+        """The data centres of the hosts that keep records."""
+        return {address.data_centre for address in self._records.hosts.values()}
+
     async def load(
         self,
         turn_id: str,
--- a/tests/homes/test_regions.py
+++ b/tests/homes/test_regions.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from magnoliaroad.homes import allowed_data_centres
+from magnoliaroad.homes import allowed_data_centres, must_stay_at_host
 from magnoliaroad.relay.helper_choice import Helper, HelperChoice
 from magnoliaroad.relay.plan import RelayTeam
 from magnoliaroad.relay.route import RelayRoute, ServiceWeight
@@ -49,6 +49,23 @@
     assert allowed(["a"], [], {}) == set()
 
 
+@pytest.mark.parametrize(
+    ("allowed", "data_centres", "stays"),
+    [
+        (None, {"a-1", "b-1"}, False),
+        ({"a-1", "a-2"}, {"a-1", "a-2"}, False),
+        ({"a-1", "a-2"}, {"a-1", "b-1"}, True),
+        (set(), set(), True),
+    ],
+)
+def test_one_data_centre_outside_keeps_bodies_at_the_host(allowed, data_centres, stays):
+    """Guards against copies in data centres that the settings have no region for."""
+    assert (
+        must_stay_at_host(None if allowed is None else frozenset(allowed), data_centres)
+        is stays
+    )
+
+
 def test_targets_outside_are_no_fallback():
     table = TargetTable()
     for name, data_centre in (("i-1", "a-1"), ("i-2", "b-1")):
--- a/tests/platform/test_regions.py
+++ b/tests/platform/test_regions.py
@@ -1,6 +1,7 @@
 """Requests that must stay in a region, with real hosts."""
 
 import pytest
+from loguru import logger
 
 from tests.platform.deployment import UNLIMITED, Deployment, config, route
 from tests.platform.target_standin import TargetStandin
@@ -17,7 +18,9 @@
 
     def settings(self, name, **listen):
         cfg = super().settings(name, **listen)
-        return cfg._replace(regions={"dc-1": "a", "dc-2": self.far_region})
+        regions = {"dc-1": "a", "dc-2": self.far_region}
+        known = {name: region for name, region in regions.items() if region}
+        return cfg._replace(regions=known, data_centres=("dc-1", "dc-2"))
 
     async def __aenter__(self):
         await super().__aenter__()
@@ -63,11 +66,26 @@
         assert len(targets[0].runs) == 20
 
 
+async def test_the_log_of_a_refusal_names_the_regions(tmp_path):
+    """Guards against refusals whose cause operators cannot find."""
+    lines = []
+    async with TwoRegions(tmp_path, TargetStandin("i-0", "app")) as deployment:
+        logger.enable("magnoliaroad")
+        sink = logger.add(lambda text: lines.append(text.record))
+        await deployment.call("/far/x", Authorization=UNLIMITED)
+        logger.remove(sink)
+        logger.disable("magnoliaroad")
+    refused = [one["extra"] for one in lines if one["message"] == "refused"]
+    assert [(one["code"], one["regions"]) for one in refused] == [
+        ("no_target_in_region", ["c"])
+    ]
+
+
 def journal_bytes(folder):
     return b"".join(path.read_bytes() for path in folder.rglob("*") if path.is_file())
 
 
-@pytest.mark.parametrize("far_region", ["a", "b"])
+@pytest.mark.parametrize("far_region", ["a", "b", None])
 async def test_record_hosts_get_no_turn_that_must_stay_in_a_region(
     tmp_path, far_region
 ):
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -141,6 +141,17 @@
     run_scenario(loop, tmp_path, body, cfg=CFG._replace(lost_hosts=2))
 
 
+def test_a_record_from_before_it_had_to_stay_at_its_host_is_found(loop, tmp_path):
+    """Guards against lost programs as their route or team is bound to a region."""
+
+    async def body(fleet):
+        await fleet.client.keep("turns/1", b"hello", 65.0)
+        assert fleet.state.get("turns/1") is None
+        assert await fleet.client.fetch("turns/1", in_store_only=True) == b"hello"
+
+    run_scenario(loop, tmp_path, body)
+
+
 def test_with_fewer_hosts_than_copies_the_record_goes_to_the_store(loop, tmp_path):
     async def body(fleet):
         await fleet.client.keep("turns/1", b"hello", 65.0)
