Bind turns to the regions of the turns that they continue

A turn of a route that is bound to a region could be continued on a route that is not, or after the binding was removed, and its whole chain then went to any target. Records of turns now carry the regions.

--- a/src/magnoliaroad/homes/__init__.py
+++ b/src/magnoliaroad/homes/__init__.py
@@ -3,7 +3,13 @@
 from magnoliaroad.homes.regions import (
     allowed_data_centres,
     allowed_regions,
+    data_centres_in,
     must_stay_at_host,
 )
 
-__all__ = ["allowed_data_centres", "allowed_regions", "must_stay_at_host"]
+__all__ = [
+    "allowed_data_centres",
+    "allowed_regions",
+    "data_centres_in",
+    "must_stay_at_host",
+]
--- a/src/magnoliaroad/homes/regions.py
+++ b/src/magnoliaroad/homes/regions.py
@@ -21,7 +21,13 @@
     Returns:
         Names of the data centres; ``None`` if neither states any region.
     """
-    allowed = allowed_regions(route, team)
+    return data_centres_in(allowed_regions(route, team), regions)
+
+
+def data_centres_in(
+    allowed: frozenset[str] | None, regions: Mapping[str, str]
+) -> frozenset[str] | None:
+    """Returns the data centres in the regions ``allowed``; ``None`` for any."""
     if allowed is None:
         return None
     return frozenset(name for name, region in regions.items() if region in allowed)
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -17,8 +17,8 @@
 from magnoliaroad.hedging.policy import HedgeTarget
 from magnoliaroad.hedging.race import race
 from magnoliaroad.homes import (
-    allowed_data_centres,
     allowed_regions,
+    data_centres_in,
     must_stay_at_host,
 )
 from magnoliaroad.quarantine import exact_fingerprint
@@ -149,9 +149,8 @@
         self._origin: StreamOrigin | None = None
         self._reservation: Reservation | None = None
         self._admission: AdmissionDecision | None = None
-        self._data_centres = allowed_data_centres(
-            self.route, admitted.team, parts.cfg.regions
-        )
+        self._regions = allowed_regions(self.route, admitted.team)
+        self._data_centres = data_centres_in(self._regions, parts.cfg.regions)
         self._affinity_key = (
             self.call.program or self.call.session or self.call.request_id
         )
@@ -247,6 +246,7 @@
                 self._held.grow,
                 self._stays_here,
             )
+            self._bind_to(self._previous.turn.regions)
             # The joined text of the chain, and the body that joins it with the new one.
             self._held.grow(len(self._previous.text) + len(call.body))
         if self.streams and call.resume_after is not None:
@@ -258,6 +258,14 @@
                 call.program, call.budget, call.output_tokens
             )
 
+    def _bind_to(self, regions: tuple[str, ...]) -> None:
+        """Binds the request to the regions of the turn that it continues, too."""
+        if not regions:
+            return
+        bound = frozenset(regions)
+        self._regions = bound if self._regions is None else self._regions & bound
+        self._data_centres = data_centres_in(self._regions, self.parts.cfg.regions)
+
     def _refuse_new_program(self) -> None:
         """Raises ``Refused`` if the service lacks room for new programs."""
         parts, service = self.parts, self._service
@@ -603,8 +611,7 @@
         except NoTarget as exc:
             error = self._refusal_error(exc.refusal)
             if exc.refusal is NO_TARGET_IN_REGION:
-                regions = allowed_regions(self.route, self.admitted.team) or ()
-                error.inputs["regions"] = sorted(regions)
+                error.inputs["regions"] = sorted(self._regions or ())
             raise error from None
         # It may have been quarantined while it waited for the limit of a target.
         self._refuse_quarantined()
@@ -866,4 +873,5 @@
             self._previous,
             self.route.retention_s,
             self._stays_here,
+            tuple(sorted(self._regions or ())),
         )
--- a/src/magnoliaroad/relay/turn.py
+++ b/src/magnoliaroad/relay/turn.py
@@ -16,12 +16,15 @@
         chain_started_at: Time of day at which the oldest of them was written, in
             seconds.
         text: Input and output, as a target receives them.
+        regions: Regions to which the texts of the chain and its own are bound; all if
+            it is empty.
     """
 
     team: str
     chain: tuple[str, ...]
     chain_started_at: float
     text: bytes
+    regions: tuple[str, ...] = ()
 
 
 class LoadedTurn(NamedTuple):
@@ -39,8 +42,12 @@
 
 
 def pack_turn(turn: Turn) -> bytes:
-    """Returns ``turn`` as msgpack."""
-    return msgpack.packb(turn)
+    """Returns ``turn`` as msgpack.
+
+    Hosts of the previous build know no regions. They read turns that are bound to none,
+    and refuse the others, which they might send anywhere.
+    """
+    return msgpack.packb(turn if turn.regions else turn[:-1])
 
 
 def unpack_turn(data: bytes) -> Turn:
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -113,6 +113,7 @@
         previous: LoadedTurn | None,
         retention_s: float,
         in_store_only: bool = False,
+        regions: tuple[str, ...] = (),
     ) -> None:
         """Writes a turn; returns once it is durable against the loss of hosts.
 
@@ -123,6 +124,7 @@
             previous: The turn that it continues.
             retention_s: Time for which it can be loaded, in seconds.
             in_store_only: Whether no other host may see it.
+            regions: Regions to which it and its chain are bound; all if empty.
 
         Raises:
             TimeoutError: It was not written within the time limit.
@@ -145,7 +147,7 @@
             chain += await self._write_parts(
                 own_id, team, parts, retention_s, in_store_only
             )
-            turn = Turn(team, chain, chain_started_at, rest)
+            turn = Turn(team, chain, chain_started_at, rest, regions)
             await self._write(turn_id, turn, retention_s, in_store_only)
 
     async def _write_parts(
--- a/tests/platform/test_regions.py
+++ b/tests/platform/test_regions.py
@@ -81,6 +81,27 @@
     ]
 
 
+async def test_a_turn_stays_in_its_region_on_another_route(tmp_path):
+    """Guards against bodies that leave with a later turn of their program."""
+    targets = [TargetStandin(f"i-{n}") for n in range(2)]
+    async with TwoRegions(tmp_path, *targets) as deployment:
+        status, first, _ = await deployment.turn()
+        assert status == 200
+        routes = [route("free", "/stream/", "streaming", "lm", retain=True)]
+        deployment.kv.write("op/config", config(10, routes=routes))
+        relay = deployment.relays[0]
+        await deployment.until(lambda: relay.plans.version == 10)
+        status, second, _ = await deployment.turn(Magnoliaroad_Previous_Turn=first)
+        assert status == 200
+        deployment.kv.delete("servers/i-0")
+        await deployment.until(lambda: "i-0" not in relay.table.targets)
+        status, _, _ = await deployment.turn(Magnoliaroad_Previous_Turn=second)
+        assert status == 503
+        assert not targets[1].runs
+        status, _, _ = await deployment.turn()
+        assert status == 200
+
+
 def journal_bytes(folder):
     return b"".join(path.read_bytes() for path in folder.rglob("*") if path.is_file())
 
