Teach the soak the evacuation of a data centre and cold targets

Orders are given and withdrawn during the faults, and one is in force at the end; new targets may be cold.

--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -1,6 +1,7 @@
 """A stand-in for a target that writes its answers byte by byte."""
 
 import asyncio
+import time
 
 from tests.platform.answer_ends import (
     ANSWER_ENDS,
@@ -61,7 +62,10 @@
         born: Start of its first incarnation, in milliseconds; a crash adds one.
         answer: Body of whole answers to plain calls.
         plan_pause_s: Pause after each event of a stream below ``/plan/``, in seconds.
+        zone: Data centre that its entry states.
+        cold_until: Monotonic time until which its entry states that it is cold.
         runs: Requests that it ran: method, path, headers, body.
+        run_times: Monotonic time of each of them.
         in_flight: Requests that are being answered.
         abandoned: Requests whose connection was closed before their answer.
         broke_off: Ids of the requests that it did not answer soundly.
@@ -85,7 +89,10 @@
         self.answer = b"whole"
         self.plan_pause_s = 0.005
         self.script = ["ok"]
+        self.zone = "dc-1"
+        self.cold_until = 0.0
         self.runs = []
+        self.run_times = []
         self.in_flight = 0
         self.abandoned = 0
         self.broke_off = set()
@@ -151,14 +158,15 @@
         self.on_start()
 
     def entry(self, **changes):
+        now = time.monotonic()
         fields = {
             "service": self.service,
             "address": self.address,
-            "zone": "dc-1",
+            "zone": self.zone,
             "version": self.version,
             "slots": 8,
             "state": "ready",
-            "cold_remaining_ms": 0,
+            "cold_remaining_ms": max(0, round(1000 * (self.cold_until - now))),
             "call_seq": 1,
             "born": self.born + len(self.crashed_at),
         }
@@ -201,6 +209,7 @@
             signature = f"Magnoliaroad-Response-Seal: {SIGNATURE}"
             self._write_answer(writer, 200, before, b"before", signature)
         self.runs.append((method, path, lower, body))
+        self.run_times.append(time.monotonic())
         if body == self.poison:
             self.crash()
             while self.hangs_on_crash and await reader.read(1):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -32,13 +32,17 @@
 DRAIN_LIMIT_S = 6.0
 # Time after a disruption until a host is in contact with the others again.
 REJOIN_S = 3.0
+# Time for which a new target is cold, and requests a second that it takes meanwhile.
+COLD_S = 3.0
+COLD_PER_S = 4.0
 # Pause between events of resumable streams, so that many are cut by faults.
 PLAN_PAUSE_S = 0.12
 
 
 def soak_config(version):
-    """Returns the configuration with routes for large answers."""
+    """Returns the configuration with routes for large answers and cold targets."""
     fields = config(version)
+    fields["services"][1] |= {"cold_start_s": COLD_S, "cold_per_s": COLD_PER_S}
     fields["routes"] += [
         route("large", "/safe/large/", "safe", "app", timeout_ms=5000),
         route(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -11,6 +11,7 @@
 import random
 import sys
 import tempfile
+import time
 from pathlib import Path
 from typing import NamedTuple
 
@@ -19,6 +20,9 @@
 from tests.platform.target_standin import TargetStandin
 from tests.soak.callers import EVENTS_PER_STREAM, POISON, Callers
 from tests.soak.fleet import (
+    COLD_PER_S,
+    COLD_S,
+    DATA_CENTRES,
     HOST_PROGRAM,
     REJOIN_S,
     SMALL_BUFFERS_PROGRAM,
@@ -46,6 +50,11 @@
 # Maximum number of times that hosts in contact may forward the crashing request after
 # it has crashed three targets and is known. It is the platform's limit.
 MAX_SENT_AFTER_DETECTION = 3
+# Time after an order within which no request may reach an evacuated target.
+EVACUATE_S = 5.0
+EVACUATED = DATA_CENTRES[1]
+# Most requests of any second at a cold target; also the platform's limit.
+MAX_COLD_PER_S = 1.5 * COLD_PER_S + 5
 
 
 class SoakResult(NamedTuple):
@@ -113,13 +122,14 @@
             *(slow.run_at_stops(end + 1.0) for _ in range(load.stop_callers)),
         )
         await fault_task
-        await _recover(fleet, callers)
+        await _recover(fleet, callers, _evacuate in load.injectors)
         callers.violations += await check_resumes_after_faults(fleet, callers)
         losses = find_losses(fleet, slow.unanswered)
         violations = [
             *callers.violations,
             *_check_targets(fleet, callers),
             *_check_poison(callers),
+            *_check_cold(fleet),
             *check_resumes(callers),
             *losses.lost,
             *find_stranded(fleet, callers.first_tries),
@@ -245,7 +255,7 @@
     fleet.register(target, call_seq=2)
 
 
-async def _release(fleet, rng, violations):
+async def _release(fleet, rng, violations, cold_s=0.0):
     """Replaces a target by one of the other version.
 
     The new one has another address: a host that is cut off from the store could not
@@ -272,9 +282,31 @@
         version="v1" if old.version == "v2" else "v2",
         born=old.entry()["born"] + 1,
     )
+    new.cold_until = time.monotonic() + cold_s if cold_s else 0.0
     await fleet.add_target(new)
 
 
+async def _release_cold(fleet, rng, violations):
+    """Replaces a target by one that takes few requests at first."""
+    await _release(fleet, rng, violations, COLD_S)
+
+
+async def _evacuate(fleet, rng, violations):
+    """Orders an evacuation and withdraws it."""
+    _order_evacuation(fleet)
+    await asyncio.sleep(rng.uniform(0.2, 4.0))
+    fleet.kv.delete(f"op/evacuate/{EVACUATED}")
+
+
+def _order_evacuation(fleet):
+    """Evacuates one of the targets, which is moved to a data centre of its own."""
+    target = next(one for one in fleet.targets if one.name == "i-app1")
+    target.zone = EVACUATED
+    fleet.register(target)
+    fleet.kv.write(f"op/evacuate/{EVACUATED}", {})
+    return target
+
+
 async def _cut_targets(fleet, rng, violations):
     """Cuts a relay host off from all targets while another one reaches them."""
     hosts = [
@@ -310,7 +342,15 @@
 # The seeds of the CI script draw their faults from this one.
 BASIC_LOAD = Load(INJECTORS, ())
 FULL_LOAD = Load(
-    (*INJECTORS, _hang_up, _cut_targets, _cut_targets, _write_odd_entry),
+    (
+        *INJECTORS,
+        _hang_up,
+        _cut_targets,
+        _cut_targets,
+        _write_odd_entry,
+        _release_cold,
+        _evacuate,
+    ),
     ANSWER_ENDS,
     SLOW_CALLER_COUNT,
     STOP_CALLER_COUNT,
@@ -319,7 +359,7 @@
 PLANNED_LOAD = FULL_LOAD._replace(injectors=PLANNED, answer_ends=())
 
 
-async def _recover(fleet, callers):
+async def _recover(fleet, callers, evacuates):
     for target in fleet.targets:
         target.script = ["ok"]
     await fleet.until_ready()
@@ -328,6 +368,11 @@
     while loop.time() < recovered_at:
         await callers.call_service("/pay/x", "POST", POISON)
         await asyncio.sleep(POISON_INTERVAL_S)
+    evacuated = None
+    if evacuates:
+        evacuated = _order_evacuation(fleet)
+        await asyncio.sleep(EVACUATE_S)
+        reached = len(evacuated.runs)
     before = callers.answered
     for _ in range(20):
         await callers.call_service("/pay/x", "POST", b"money")
@@ -336,6 +381,10 @@
         callers.violations.append(
             f"only {served} of 20 requests succeeded after the faults"
         )
+    if evacuated is not None and len(evacuated.runs) > reached:
+        callers.violations.append(
+            f"{len(evacuated.runs) - reached} requests reached an evacuated target"
+        )
 
 
 def _check_targets(fleet, callers):
@@ -368,6 +417,17 @@
     return violations
 
 
+def _check_cold(fleet):
+    """Returns a message for each target that got too much while it was cold."""
+    messages = []
+    for target in [*fleet.targets, *fleet.former_targets]:
+        cold = [at for at in target.run_times if at < target.cold_until]
+        most = max((sum(0 <= at - b < 1.0 for at in cold) for b in cold), default=0)
+        if most > MAX_COLD_PER_S:
+            messages.append(f"{target.name}: {most} requests in a second while cold")
+    return messages
+
+
 def _check_poison(callers):
     """Returns a message if the crashing request was forwarded too often."""
     times = sorted(at for target in callers.fleet.targets for at in target.crashed_at)
