--- a/src/magnoliaroad/relay/leaving.py
+++ b/src/magnoliaroad/relay/leaving.py
@@ -20,7 +20,8 @@
         self._marked_at: dict[TargetStart, float] = {}
 
     def __contains__(self, target: RelayTarget) -> bool:
-        return start_of(target) in self._marked_at
+        # Each request asks for each target, and mostly none is marked.
+        return bool(self._marked_at) and start_of(target) in self._marked_at
 
     def mark(self, target: RelayTarget, now: float) -> bool:
         """Marks a target; returns whether it was not marked before."""
