Judge the chunks of a body by whole reads, and keep the turns of connections

A read that the parser had stopped in the middle, as the buffer of the body was full, counted as small chunks, and a connection that had sent small chunks was read 2 KB at a time for ever. Taking a queued request resumed a connection that waited for its turn, requests whose bodies each fit into one read were not counted, what is discarded after a refusal waited for turns, and turns scheduled in an event loop that had ended never came.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -15,9 +15,8 @@
 from typing_extensions import override
 
 from magnoliaroad.caller_load.parse_turns import (
-    SMALL_READ_BYTES,
+    FramingCount,
     ParseTurns,
-    has_small_chunks,
 )
 from magnoliaroad.error_traces import forget_traces
 from magnoliaroad.head_memory import HeadMemory
@@ -47,6 +46,8 @@
 # Most bytes that are read from a connection at once; what exceeds the buffer of a body
 # is held for each caller.
 READ_BYTES = 32_768
+# Separators of a field of a head, in bytes.
+FIELD_BYTES = 4
 # Most bytes of requests that wait for the answer of an earlier one. A caller that sends
 # more is not read until they have been taken, so that its leaving is seen later.
 MAX_QUEUED_BYTES = 32_768
@@ -69,6 +70,8 @@
     """
 
     __slots__ = (
+        "_framing",
+        "_is_chunked",
         "_last_body",
         "_queued_bytes",
         "_waits_for_turn",
@@ -82,6 +85,8 @@
         self._msg_queue_resume_size = 0
         self._queued_bytes = 0
         self._waits_for_turn = False
+        self._framing = FramingCount(READ_BYTES)
+        self._is_chunked = False
         self.head_began_at: float | None = None
         self.head_bytes = 0
         self._last_body: StreamReader | None = None
@@ -105,11 +110,7 @@
         count = self._request_count
         self._queued_bytes = len(data) + (self._queued_bytes if self._messages else 0)
         super().data_received(data)
-        if (
-            self._queued_bytes > MAX_QUEUED_BYTES
-            and len(self._messages) > 1
-            and not self._buffer_paused
-        ):
+        if self._queue_is_full() and not self._buffer_paused:
             self._pause_reading_for_buffer()
         if self._request_count > count:
             message, self._last_body = self._messages[-1]
@@ -121,15 +122,47 @@
             self._head_arrives(data)
         elif not self._reading_paused:
             self._body_arrives(data, body_bytes)
-        if body is not None and not between:
-            self._limit_parsing(len(data), body.total_bytes - body_bytes)
+        new = self._request_count - count
+        if self._is_chunked or new:
+            self._count_framing(len(data), body, body_bytes, new)
 
-    def _limit_parsing(self, read_bytes: int, body_bytes: int) -> None:
-        """Lets a connection whose body comes in small chunks wait for its turn."""
-        if self.transport is None or not has_small_chunks(read_bytes, body_bytes):
+    def _count_framing(
+        self, read_bytes: int, body: StreamReader | None, body_bytes: int, new: int
+    ) -> None:
+        """Lets a connection whose bodies come in small chunks wait for its turn.
+
+        Args:
+            read_bytes: What was read, in bytes.
+            body: Body that arrived before, if any.
+            body_bytes: Size of that body before.
+            new: Number of requests that have begun since.
+        """
+        content = 0 if body is None else body.total_bytes - body_bytes
+        was_chunked = self._is_chunked
+        for index in range(1, new + 1):
+            message, new_body = self._messages[-index]
+            chunked = getattr(message, "chunked", False)
+            if index == 1:
+                self._is_chunked = chunked
+            if chunked or was_chunked:
+                content += new_body.total_bytes + _head_bytes(message)
+        ended = self._last_body is None or self._last_body.is_eof()
+        if self._close or not (was_chunked or self._is_chunked):
+            # What follows the last request of a connection is discarded unparsed.
+            self._framing.clear()
             return
-        self._transport.max_size = SMALL_READ_BYTES
-        if not self._waits_for_turn:
+        self._framing.add(read_bytes, content)
+        if ended and not new and not content:
+            # A part of the next head.
+            self._framing.clear()
+            return
+        if self._reading_paused:
+            return
+        small = self._framing.is_small()
+        if self.transport is None:
+            return
+        self._transport.max_size = self._framing.read_size
+        if small and not self._waits_for_turn:
             self._waits_for_turn = True
             self._pause_reading_for_buffer()
             PARSE_TURNS.add(self)
@@ -137,9 +170,22 @@
     def take_turn(self) -> None:
         """Reads the connection again, which has waited for its turn."""
         self._waits_for_turn = False
-        if self.transport is not None and self._queued_bytes <= MAX_QUEUED_BYTES:
+        # A full queue of requests resumes reading itself, once it is empty.
+        if self.transport is not None and not self._queue_is_full():
             self._resume_reading_for_buffer()
 
+    def _queue_is_full(self) -> bool:
+        count = len(self._messages)
+        return count >= self._max_msg_queue_size or (
+            count > 1 and self._queued_bytes > MAX_QUEUED_BYTES
+        )
+
+    @override
+    def _resume_reading_for_buffer(self) -> None:
+        # aiohttp resumes whatever was paused whenever it takes the last request.
+        if not self._waits_for_turn:
+            super()._resume_reading_for_buffer()
+
     def _head_arrives(self, data: bytes) -> None:
         """Counts a part of an incomplete head; refuses one that is too large."""
         if self.head_began_at is None:
@@ -316,6 +362,12 @@
     return CallerConnection(server, loop=server._loop, **server._kwargs)
 
 
+def _head_bytes(message: object) -> int:
+    """Returns the size of the fields of a head, in bytes; 0 of a malformed one."""
+    fields = getattr(message, "raw_headers", ())
+    return sum(len(name) + len(value) + FIELD_BYTES for name, value in fields)
+
+
 def _is_readable(transport: asyncio.Transport) -> bool:
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
--- a/src/magnoliaroad/caller_load/parse_turns.py
+++ b/src/magnoliaroad/caller_load/parse_turns.py
@@ -18,6 +18,48 @@
 FRAMING_PART = 0.5
 
 
+class FramingCount:
+    """Counts how much of what a connection reads is framing of its bodies.
+
+    The parser may stop within a read until the body before it is consumed, so that a
+    read is judged only once it has been parsed whole.
+
+    Attributes:
+        read_size: Most bytes to read at once from now on.
+    """
+
+    def __init__(self, read_size: int) -> None:
+        self.read_size = read_size
+        self._max_read_size = read_size
+        self._read_bytes = 0
+        self._content_bytes = 0
+
+    def add(self, read_bytes: int, content_bytes: int) -> None:
+        """Adds what was read, and what was parsed of bodies and heads."""
+        self._read_bytes += read_bytes
+        self._content_bytes += content_bytes
+
+    def clear(self) -> None:
+        """Leaves out what was read so far."""
+        self._read_bytes = self._content_bytes = 0
+
+    def is_small(self) -> bool:
+        """Returns whether what was read came in small chunks; sets ``read_size``.
+
+        After small chunks the size grows step by step, as they may alternate with
+        large ones.
+        """
+        if self._read_bytes < MIN_READ_BYTES:
+            return False
+        small = has_small_chunks(self._read_bytes, self._content_bytes)
+        self.clear()
+        if small:
+            self.read_size = SMALL_READ_BYTES
+        else:
+            self.read_size = min(self._max_read_size, 2 * self.read_size)
+        return small
+
+
 class Turn(Protocol):
     """A connection that waits to be read."""
 
@@ -47,12 +89,18 @@
     def __init__(self) -> None:
         self._waiting: collections.deque[Turn] = collections.deque()
         self._scheduled = False
+        self._loop: asyncio.AbstractEventLoop | None = None
 
     def __len__(self) -> int:
         return len(self._waiting)
 
     def add(self, conn: Turn) -> None:
         """Adds a connection, which is read again at its turn."""
+        loop = asyncio.get_running_loop()
+        if self._loop is not loop:
+            # A turn that was scheduled in a loop which has ended never comes.
+            self._waiting.clear()
+            self._loop, self._scheduled = loop, False
         self._waiting.append(conn)
         self._schedule()
 
@@ -60,11 +108,11 @@
         if self._scheduled or not self._waiting:
             return
         self._scheduled = True
-        loop = asyncio.get_running_loop()
+        assert self._loop is not None
         if len(self._waiting) <= TURN_CONNECTIONS:
-            loop.call_soon(self._next_turn)
+            self._loop.call_soon(self._next_turn)
         else:
-            loop.call_later(TURN_PAUSE_S, self._next_turn)
+            self._loop.call_later(TURN_PAUSE_S, self._next_turn)
 
     def _next_turn(self) -> None:
         self._scheduled = False
--- /dev/null
+++ b/tests/caller_load/test_caller_connection.py
@@ -0,0 +1,216 @@
+"""Connections of callers whose bodies come in chunks of many sizes."""
+
+import asyncio
+import socket
+
+import pytest
+from aiohttp import web
+
+from magnoliaroad import caller_connection
+from magnoliaroad.caller_connection import READ_BYTES, make_connection
+from magnoliaroad.caller_load.parse_turns import SMALL_READ_BYTES, ParseTurns
+
+HEAD = b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+ONE_BYTE = b"1\r\nx\r\n"
+BODY_BUFFER_BYTES = 8192
+
+
+class Transport(asyncio.Transport):
+    """Keeps whether it is read and with which size."""
+
+    def __init__(self, sock):
+        super().__init__({"socket": sock})
+        self.max_size = 0
+        self.reads = True
+        self.closed = False
+
+    def pause_reading(self):
+        self.reads = False
+
+    def resume_reading(self):
+        self.reads = True
+
+    def is_closing(self):
+        return self.closed
+
+    def close(self):
+        self.closed = True
+
+    def write(self, data):
+        pass
+
+    def get_write_buffer_size(self):
+        return 0
+
+
+class Caller:
+    """A connection whose bytes the test gives, and a handler that reads if it may."""
+
+    def __init__(self, sock):
+        self.may_read = asyncio.Event()
+        self.served = []
+        server = web.Server(
+            self._handle, read_bufsize=BODY_BUFFER_BYTES, access_log=None
+        )
+        self.conn = make_connection(server)
+        self.transport = Transport(sock)
+        self.conn.connection_made(self.transport)
+
+    async def _handle(self, req):
+        await self.may_read.wait()
+        self.served.append(len(await req.read()))
+        return web.Response()
+
+    async def send(self, data):
+        """Passes bytes on in reads of the size that the connection asks for."""
+        while data:
+            while not self.transport.reads:
+                await asyncio.sleep(0)
+            part, data = (
+                data[: self.transport.max_size],
+                data[self.transport.max_size :],
+            )
+            self.conn.data_received(part)
+            await asyncio.sleep(0)
+
+
+@pytest.fixture
+def turns(monkeypatch):
+    turns = ParseTurns()
+    monkeypatch.setattr(caller_connection, "PARSE_TURNS", turns)
+    return turns
+
+
+@pytest.fixture
+def sock():
+    with socket.socket() as sock:
+        yield sock
+
+
+async def test_a_read_that_is_parsed_in_parts_does_not_count_as_small_chunks(
+    turns, sock
+):
+    """Guards against large uploads that are slowed down since their reader is late.
+
+    The parser stops once the buffer of the body is full, in the middle of a read.
+    """
+    caller = Caller(sock)
+    await caller.send(HEAD)
+    chunk = b"fa0\r\n" + b"x" * 4000 + b"\r\n"
+    caller.conn.data_received(chunk * 3)
+    caller.conn.data_received((chunk * 8)[:READ_BYTES])
+    assert caller.transport.max_size == READ_BYTES
+    caller.may_read.set()
+    await asyncio.sleep(0.01)
+    assert caller.transport.reads
+    assert caller.transport.max_size == READ_BYTES
+    assert not len(turns)
+
+
+async def test_large_chunks_behind_small_ones_are_read_in_large_parts(turns, sock):
+    caller = Caller(sock)
+    caller.may_read.set()
+    await caller.send(HEAD)
+    await caller.send(ONE_BYTE * 1000)
+    assert caller.transport.max_size == SMALL_READ_BYTES
+    await caller.send(b"30d40\r\n" + b"x" * 200_000 + b"\r\n")
+    assert caller.transport.max_size == READ_BYTES
+    await caller.send(b"0\r\n\r\n")
+    await asyncio.sleep(0.01)
+    assert caller.served == [201_000]
+
+
+async def test_taking_a_request_does_not_end_the_wait_for_a_turn(turns, sock):
+    """Guards against bodies that are read out of turn since aiohttp resumes reading."""
+    turns._schedule = lambda: None
+    caller = Caller(sock)
+    await caller.send(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+    caller.conn.data_received(HEAD)
+    caller.conn.data_received(ONE_BYTE * 60)
+    assert len(turns) == 1
+    caller.may_read.set()
+    await asyncio.sleep(0.01)
+    assert len(caller.served) == 1
+    assert not caller.transport.reads
+    caller.conn.take_turn()
+    assert caller.transport.reads
+
+
+async def test_small_bodies_of_one_connection_take_turns_too(turns, sock):
+    """Guards against the same work in many requests that are each read at once."""
+    caller = Caller(sock)
+    caller.may_read.set()
+    await caller.send(HEAD + ONE_BYTE * 2000 + b"0\r\n\r\n")
+    await asyncio.sleep(0.01)
+    assert caller.transport.max_size == SMALL_READ_BYTES
+
+
+async def test_requests_behind_a_body_do_not_count_as_its_framing(turns, sock):
+    caller = Caller(sock)
+    caller.may_read.set()
+    await caller.send(
+        b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n12345678"
+    )
+    await caller.send(b"9" + b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n" * 12)
+    assert caller.transport.max_size == READ_BYTES
+    assert not len(turns)
+
+
+async def test_what_is_discarded_does_not_wait_for_a_turn(turns, sock):
+    """Guards against refusals that are lost as unread bytes reset their connection."""
+    caller = Caller(sock)
+    await caller.send(HEAD)
+    caller.conn.close()
+    caller.conn.data_received(ONE_BYTE * 1000)
+    assert caller.transport.reads
+    assert not len(turns)
+
+
+async def test_a_caller_that_leaves_while_it_waits_is_not_read_again(turns, sock):
+    caller = Caller(sock)
+    await caller.send(HEAD)
+    caller.conn.data_received(ONE_BYTE * 400)
+    assert len(turns) == 1
+    caller.conn.connection_lost(None)
+    await asyncio.sleep(0.05)
+    assert not caller.transport.reads
+    assert not len(turns)
+
+
+async def test_a_turn_does_not_resume_a_full_queue_of_requests(turns, sock):
+    caller = Caller(sock)
+    await caller.send(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+    filler = b"X: " + b"x" * 8000
+    head = b"GET /x HTTP/1.1\r\nHost: x\r\n" + filler + b"\r\n\r\n"
+    for _ in range(5):
+        caller.conn.data_received(head)
+    caller.conn.data_received(HEAD)
+    caller.conn.data_received(ONE_BYTE * 60)
+    await asyncio.sleep(0.05)
+    assert not caller.transport.reads
+    caller.may_read.set()
+    await asyncio.sleep(0.05)
+    assert caller.transport.reads
+    assert len(caller.served) == 6
+
+
+def test_turns_go_on_in_another_event_loop(sock):
+    """Guards against connections that wait for a turn of a loop that has ended."""
+    turns, taken = ParseTurns(), []
+
+    class Conn:
+        def take_turn(self):
+            taken.append(self)
+
+    async def leave():
+        for _ in range(20):
+            turns.add(Conn())
+
+    async def wait():
+        turns.add(Conn())
+        await asyncio.sleep(0.05)
+
+    asyncio.run(leave())
+    taken.clear()
+    asyncio.run(wait())
+    assert len(taken) == 1
