--- a/tests/platform/test_callers_out_of_bounds.py
+++ b/tests/platform/test_callers_out_of_bounds.py
@@ -49,7 +49,8 @@
         taken: Bytes that the host has taken from them.
     """
 
-    def __init__(self, address, act, buffer_bytes=None):
+    def __init__(self, address, act, buffer_bytes=None, size=CROWD):
+        self._size = size
         self._sent = 0
         self._writers = []
         self._address = address
@@ -58,7 +59,7 @@
         self._tasks = []
 
     async def __aenter__(self):
-        self._tasks = [asyncio.create_task(self._run()) for _ in range(CROWD)]
+        self._tasks = [asyncio.create_task(self._run()) for _ in range(self._size)]
         return self
 
     async def __aexit__(self, *exc_info):
