--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -123,7 +123,7 @@
         elif not self._reading_paused:
             self._body_arrives(data, body_bytes)
         new = self._request_count - count
-        if self._is_chunked or new:
+        if self._is_chunked or new or self._framing.read_size < READ_BYTES:
             self._count_framing(len(data), body, body_bytes, new)
 
     def _count_framing(
@@ -137,36 +137,45 @@
             body_bytes: Size of that body before.
             new: Number of requests that have begun since.
         """
-        content = 0 if body is None else body.total_bytes - body_bytes
         was_chunked = self._is_chunked
-        for index in range(1, new + 1):
-            message, new_body = self._messages[-index]
-            chunked = getattr(message, "chunked", False)
-            if index == 1:
-                self._is_chunked = chunked
-            if chunked or was_chunked:
-                content += new_body.total_bytes + _head_bytes(message)
-        ended = self._last_body is None or self._last_body.is_eof()
-        if self._close or not (was_chunked or self._is_chunked):
-            # What follows the last request of a connection is discarded unparsed.
+        content = self._content_bytes(new)
+        if body is not None:
+            content += body.total_bytes - body_bytes
+        if not (was_chunked or self._is_chunked):
+            content = read_bytes
+        last = self._last_body
+        ended = last is None or last.is_eof()
+        if self._close or (ended and not new and not content):
+            # What follows the last request of a connection is discarded unparsed; else
+            # this is a part of the next head.
             self._framing.clear()
             return
         self._framing.add(read_bytes, content)
-        if ended and not new and not content:
-            # A part of the next head.
-            self._framing.clear()
-            return
-        if self._reading_paused:
+        if self._reading_paused or self.transport is None:
             return
         small = self._framing.is_small()
-        if self.transport is None:
-            return
         self._transport.max_size = self._framing.read_size
         if small and not self._waits_for_turn:
             self._waits_for_turn = True
             self._pause_reading_for_buffer()
             PARSE_TURNS.add(self)
 
+    def _content_bytes(self, new: int) -> int:
+        """Returns the size of the heads and bodies of the last ``new`` requests.
+
+        Reads without chunks are not judged, so that these are left out. Notes whether
+        the last request has chunks.
+        """
+        content, was_chunked = 0, self._is_chunked
+        for index in range(1, new + 1):
+            message, body = self._messages[-index]
+            chunked = getattr(message, "chunked", False)
+            if index == 1:
+                self._is_chunked = chunked
+            if chunked or was_chunked:
+                content += body.total_bytes + _head_bytes(message)
+        return content
+
     def take_turn(self) -> None:
         """Reads the connection again, which has waited for its turn."""
         self._waits_for_turn = False
--- a/tests/caller_load/test_caller_connection.py
+++ b/tests/caller_load/test_caller_connection.py
@@ -214,3 +214,18 @@
     taken.clear()
     asyncio.run(wait())
     assert len(taken) == 1
+
+
+async def test_a_request_with_a_length_behind_small_chunks_is_read_in_large_parts(
+    turns, sock
+):
+    caller = Caller(sock)
+    caller.may_read.set()
+    await caller.send(HEAD + ONE_BYTE * 300)
+    await caller.send(ONE_BYTE * 300 + b"0\r\n\r\n")
+    await asyncio.sleep(0.01)
+    assert caller.transport.max_size == SMALL_READ_BYTES
+    length = b"Content-Length: 200000"
+    await caller.send(b"POST /x HTTP/1.1\r\nHost: x\r\n" + length + b"\r\n\r\n")
+    await caller.send(b"x" * 200_000)
+    assert caller.transport.max_size == READ_BYTES
