Count both attempts of a hedged request by how each of them ended

- A first attempt that was refused reset what was known of a second one that may have run, so that the refusal claimed that nothing had run, and the team's token was given back.
Which targets may have run the request is now kept for each.
- A first attempt that was lost while the second one won counted neither as a crash nor against its target.
- A second attempt that was refused or did not reach its target counted as an attempt, and as evidence of a crash if that target disappeared.
- Of two answers at the same moment the second left its target counted as busy for ever.
- A request that became suspect of crashing targets got a second attempt.
- A race that was cancelled twice did not drop an answer that came meanwhile.
- The second attempt's body has memory of its own, and the time of a turn is that of the attempt that won.
Six tests fail before.

--- a/src/magnoliaroad/hedging/race.py
+++ b/src/magnoliaroad/hedging/race.py
@@ -1,6 +1,7 @@
 """Runs two attempts at a request and keeps the first that succeeds."""
 
 import asyncio
+import functools
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, NamedTuple
 
@@ -67,12 +68,21 @@
 async def _end(
     tasks: list[asyncio.Future[Any]], discard: Callable[[Any], None]
 ) -> None:
-    """Cancels attempts, and waits until their connections are closed."""
+    """Cancels attempts, and waits until their connections are closed.
+
+    What is left of them is dropped also if the wait is cancelled.
+    """
     for task in tasks:
-        task.cancel()
+        if task.done():
+            _drop(discard, task)
+        else:
+            task.cancel()
+            task.add_done_callback(functools.partial(_drop, discard))
     if tasks:
         await asyncio.wait(tasks)
-    for task in tasks:
-        # Also marks the error of an attempt that failed as seen.
-        if _has_succeeded(task):
-            discard(task.result())
+
+
+def _drop(discard: Callable[[Any], None], task: asyncio.Future[Any]) -> None:
+    # Also marks the error of an attempt that failed as seen.
+    if _has_succeeded(task):
+        discard(task.result())
--- a/src/magnoliaroad/relay/offers.py
+++ b/src/magnoliaroad/relay/offers.py
@@ -52,6 +52,13 @@
         self.attempts += 1
         self.excluded.add(target)
 
+    def record_second_failure(
+        self, target: str, exc: TargetError, path_lost: bool
+    ) -> bool:
+        """Records that a second attempt has failed, as ``record_failure``."""
+        self.attempts -= 1
+        return self.record_failure(target, exc, path_lost)
+
     @property
     def found_full_only(self) -> bool:
         """Whether a target was full, and none has failed in another way."""
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine
 from contextlib import asynccontextmanager
+from functools import partial
 from typing import Any
 
 from aiohttp import HttpVersion11, web
@@ -127,11 +128,13 @@
             limit_s = min(limit_s, self.call.time_left_s)
         expected_s = durations.longest_s(self.route.name)
         self.deadline = drain.fit(time.monotonic(), began + limit_s, expected_s)
-        self.sent = False
         self.resp: web.StreamResponse | None = None
         self._req = req
+        # Targets that may have run the request, also those of attempts under way.
+        self._ran_at: set[str] = set()
         self._held = held
         self._answer_held = held.beside()
+        self._second_held = held.beside()
         self._output_held = held.beside()
         self._should_close = should_close
         self._limit: asyncio.Timeout | None = None
@@ -140,7 +143,7 @@
         self._expected_s = 0.0
         self._waits_since = 0.0
         self._starts_program = False
-        self._sent_at = 0.0
+        self._sent_at: dict[str, float] = {}
         self._origin: StreamOrigin | None = None
         self._reservation: Reservation | None = None
         self._admission: AdmissionDecision | None = None
@@ -158,6 +161,11 @@
             admitted.team_name, call.method, call.path, call.body
         )
 
+    @property
+    def sent(self) -> bool:
+        """Whether a target may have run the request."""
+        return bool(self._ran_at)
+
     @property
     def streams(self) -> bool:
         """Whether the answer is passed on as it arrives."""
@@ -180,7 +188,7 @@
             limit_s = self.deadline - time.monotonic()
             async with asyncio.timeout(limit_s) as self._limit:
                 await self._prepare()
-                with self._answer_held, self._output_held:
+                with self._answer_held, self._second_held, self._output_held:
                     return await self._send_and_relay()
         except TimeoutError as exc:
             begun, expired = self.resp is not None, self._limit.expired()
@@ -377,7 +385,9 @@
                     opened = await self._send_hedged(target, offers)
                     target = opened.target
                 else:
-                    opened = await self._send(target, offers.attempts)
+                    opened = await self._send(
+                        target, offers.attempts, self._answer_held
+                    )
                 response = opened.response
                 FIRST_BYTE.observe(
                     {"kind": self.route.kind.value}, time.monotonic() - self.began
@@ -388,10 +398,7 @@
             except NoPath as exc:
                 raise self._refusal_error(NO_PATH) from exc
             except TargetError as exc:
-                end = classify_failure(exc)
-                path_lost = not was_cut and sender.is_cut(target.service)
-                blamed = offers.record_failure(target.name, exc, path_lost)
-                self._record_failure(target, exc, blamed)
+                end = self._record_failed(target, exc, was_cut, offers.record_failure)
                 may_retry = (
                     self._may_retry(exc.verdict)
                     and offers.attempts < self.route.attempts
@@ -422,6 +429,14 @@
         if age_s is None:
             age_s = self.deadline - sent_at
         others: list[RelayTarget] = []
+        failures: list[TargetError] = []
+
+        async def send_first() -> OpenAnswer:
+            try:
+                return await self._send(target, offers.attempts, self._answer_held)
+            except TargetError as exc:
+                failures.append(exc)
+                raise
 
         async def start_second() -> Coroutine[Any, Any, OpenAnswer] | None:
             other = await self._choose_second(target, offers)
@@ -429,19 +444,23 @@
                 return None
             others.append(other)
             offers.record_second(other.name)
-            return self._send_second(other, offers.attempts)
+            return self._send_second(other, offers)
 
+        was_cut = self.parts.sender.is_cut(target.service)
         result = await race(
-            self._send(target, offers.attempts), age_s, start_second, self._discard
+            send_first(), age_s, start_second, partial(self._discard, target)
         )
         opened = result.winner
         took_s = time.monotonic() - sent_at
         policy.times.record(self.route.name, took_s)
         if result.has_second:
-            self.sent = True
             self._record_hedge(target, others[0], result.is_second, took_s, age_s)
         if result.is_second:
-            self._record_end(target, RequestEnd.UNANSWERED)
+            ends = [
+                self._record_failed(target, exc, was_cut, offers.record_failure)
+                for exc in failures
+            ]
+            self._record_end(target, ends[0] if ends else None)
             self.parts.placer.assign(self._need(), opened.target)
         return opened
 
@@ -453,6 +472,9 @@
         now = time.monotonic()
         if parts.waiting.count(self._service):
             return None
+        if not is_successful(parts.quarantine.check(self.fingerprint)):
+            # It has become suspect of crashing targets since the first attempt.
+            return None
         need = self._need()._replace(placed="")
         try:
             target = parts.placer.choose_unlimited(need, excluded)
@@ -461,20 +483,53 @@
         load = HedgeTarget(parts.table.load(target.name), target.slots)
         return target if parts.hedging.take(self._service, load, now) else None
 
-    async def _send_second(self, target: RelayTarget, attempts: int) -> OpenAnswer:
+    async def _send_second(self, target: RelayTarget, offers: Offers) -> OpenAnswer:
+        was_cut = self.parts.sender.is_cut(target.service)
         self._record_start(target)
-        answered = False
+        answered, end = False, None
         try:
-            opened = await self._send(target, attempts)
+            opened = await self._send(target, offers.attempts, self._second_held)
             answered = True
             return opened
+        except TargetError as exc:
+            end = self._record_failed(
+                target, exc, was_cut, offers.record_second_failure
+            )
+            raise
         finally:
             if not answered:
-                self._record_end(target, RequestEnd.UNANSWERED)
+                self._record_end(target, end)
 
-    def _discard(self, opened: OpenAnswer) -> None:
-        """Drops an answer that came at the same moment as the other one."""
+    def _discard(self, first: RelayTarget, opened: OpenAnswer) -> None:
+        """Drops an answer that came at the same moment as the other one.
+
+        Args:
+            first: Target of the first attempt, whose end the caller records.
+            opened: The answer.
+        """
         opened.response.close()
+        if opened.target.name != first.name:
+            self._record_end(opened.target, RequestEnd.UNANSWERED)
+
+    def _record_failed(
+        self,
+        target: RelayTarget,
+        exc: TargetError,
+        was_cut: bool,
+        record: Callable[[str, TargetError, bool], bool],
+    ) -> RequestEnd:
+        """Records that an attempt has failed; returns how it ended.
+
+        Args:
+            target: Target of the attempt.
+            exc: How it failed.
+            was_cut: Whether the host was cut off from the service before.
+            record: Records it for the offers; returns whether the target is to blame.
+        """
+        path_lost = not was_cut and self.parts.sender.is_cut(target.service)
+        blamed = record(target.name, exc, path_lost)
+        self._record_failure(target, exc, blamed)
+        return classify_failure(exc)
 
     def _record_hedge(
         self,
@@ -557,7 +612,8 @@
                 passed.
         """
         if end is None:
-            end = RequestEnd.UNANSWERED if self.sent else RequestEnd.UNKNOWN
+            sent = target.name in self._ran_at
+            end = RequestEnd.UNANSWERED if sent else RequestEnd.UNKNOWN
         self.parts.table.record_end(target.name)
         if end is RequestEnd.COMPLETED:
             self.parts.waiting.record_end(target.service)
@@ -615,7 +671,9 @@
         ).info("placed")
         return target
 
-    async def _send(self, target: RelayTarget, attempts: int) -> OpenAnswer:
+    async def _send(
+        self, target: RelayTarget, attempts: int, held: HeldMemory
+    ) -> OpenAnswer:
         remaining_s = self.deadline - time.monotonic() - self.parts.cfg.targets.margin_s
         if remaining_s < MIN_SEND_TIME_S:
             raise TimeoutError
@@ -630,21 +688,21 @@
             ),
             body=body,
         )
-        sent_before, sent_at, response = self.sent, time.monotonic(), None
-        self._sent_at = sent_at
+        sent_at, response = time.monotonic(), None
+        self._sent_at[target.name] = sent_at
         try:
             response = await self.parts.sender.open(
                 target,
                 call.request_id,
                 request,
                 self._first_byte_timeout_s(remaining_s, attempts),
-                self._mark_sent,
+                lambda: self._ran_at.add(target.name),
                 self._data_centres,
             )
-            return await self._check_answer(target, response, sent_at)
+            return await self._check_answer(target, response, sent_at, held)
         except BaseException as exc:
             if isinstance(exc, TargetError) and exc.verdict is Verdict.NOT_RUN:
-                self.sent = sent_before
+                self._ran_at.discard(target.name)
             if response is not None:
                 response.close()
             raise
@@ -655,11 +713,12 @@
             return None
         return self._standing().urgency
 
-    def _mark_sent(self) -> None:
-        self.sent = True
-
     async def _check_answer(
-        self, target: RelayTarget, response: TargetAnswer, sent_at: float
+        self,
+        target: RelayTarget,
+        response: TargetAnswer,
+        sent_at: float,
+        held: HeldMemory,
     ) -> OpenAnswer:
         head = self.parts.dialect.read_answer(response.headers)
         opened = OpenAnswer(target, response, head)
@@ -669,7 +728,7 @@
         opened.check_accepted()
         if self.streams and opened.succeeded:
             return opened
-        opened = await opened.buffer(self._answer_held)
+        opened = await opened.buffer(held)
         if opened.complete:
             self.parts.table.record_success(target.name)
         return opened
@@ -782,7 +841,7 @@
             self._scanner.count,
             call.prompt_tokens + call.output_tokens,
             self._expected_s,
-            time.monotonic() - self._sent_at,
+            time.monotonic() - self._sent_at[target.name],
         )
 
     def _check_origin(self, target: RelayTarget) -> None:
--- a/tests/hedging/test_race.py
+++ b/tests/hedging/test_race.py
@@ -107,3 +107,28 @@
     loop.run_until_complete(run())
     loop.close()
     assert sorted(attempts.cancelled) == ["first", "second"]
+
+
+def test_an_answer_after_a_race_that_was_cancelled_twice_is_discarded(attempts):
+    """Guards against a connection that stays open as its answer came during the end."""
+
+    async def answer_late():
+        try:
+            await asyncio.sleep(1.0)
+        except asyncio.CancelledError:
+            await asyncio.sleep(0.05)
+        return "late"
+
+    async def run():
+        discard = attempts.discarded.append
+        task = asyncio.ensure_future(race(answer_late(), 0.1, None, discard))
+        for _ in range(2):
+            await asyncio.sleep(0.01)
+            task.cancel()
+        await asyncio.wait([task])
+        await asyncio.sleep(0.2)
+
+    loop = VirtualTimeLoop()
+    loop.run_until_complete(run())
+    loop.close()
+    assert attempts.discarded == ["late"]
--- a/tests/platform/test_hedging.py
+++ b/tests/platform/test_hedging.py
@@ -3,8 +3,13 @@
 import asyncio
 
 import pytest
+from returns.result import Failure, Success
 
+from magnoliaroad.hedging.race import RaceResult
 from magnoliaroad.hedging.settings import HedgingSettings
+from magnoliaroad.quarantine.refusals import suspect_waits
+from magnoliaroad.relay import run
+from magnoliaroad.targets import RequestEnd
 from tests.platform.deployment import UNLIMITED, Deployment
 from tests.platform.target_standin import TargetStandin
 
@@ -63,3 +68,151 @@
         )
         assert answers == [200] * 8
         assert sum(len(target.runs) for target in targets) == 8
+
+
+class SlowTarget(TargetStandin):
+    """Answers by ``then``, after 0.3 s."""
+
+    def __init__(self, name):
+        super().__init__(name, "app")
+        self.then = "ok"
+
+    async def _write_scripted_answer(
+        self, act, reader, writer, request_id, path, headers
+    ):
+        if act != "later":
+            return await super()._write_scripted_answer(
+                act, reader, writer, request_id, path, headers
+            )
+        await asyncio.sleep(0.3)
+        if self.then == "full":
+            mark = "Magnoliaroad-Not-Executed: 1"
+            self._write_answer(writer, 503, request_id, b"", mark)
+            return True
+        return await super()._write_scripted_answer(
+            self.then, reader, writer, request_id, path, headers
+        )
+
+
+def spy(monkeypatch, obj, name):
+    """Returns the arguments of the calls of a method from now on."""
+    calls, method = [], getattr(obj, name)
+
+    def note(*args):
+        calls.append(args)
+        return method(*args)
+
+    monkeypatch.setattr(obj, name, note)
+    return calls
+
+
+async def first_of(targets):
+    """Returns the target that got the first attempt, and the other one."""
+    while not any(target.runs for target in targets):
+        await asyncio.sleep(0.005)
+    return sorted(targets, key=lambda target: not target.runs)
+
+
+async def hedge(deployment, targets, then, second):
+    """Lets the first attempt end by ``then`` while the second follows ``second``.
+
+    Returns:
+        The status, and the names of the two targets.
+    """
+    for target in targets:
+        target.runs.clear()
+        target.script, target.then = ["later"], then
+    task = asyncio.create_task(call(deployment))
+    first, other = await first_of(targets)
+    other.script = [second]
+    return await task, first.name, other.name
+
+
+async def no_counts(deployment):
+    table = deployment.relays[0].table
+    await deployment.until(lambda: not any(table.in_flight.values()))
+    assert not deployment.relays[0].quarantine._in_flight
+
+
+async def test_a_refusal_after_a_second_attempt_does_not_claim_that_nothing_ran(
+    tmp_path,
+):
+    """Guards against a first attempt that was not run hiding a second that may be."""
+    targets = [SlowTarget(f"i-{n}") for n in range(2)]
+    async with Hedged(tmp_path, *targets) as deployment:
+        await learn(deployment)
+        status, *_ = await hedge(deployment, targets, "full", "reset")
+        assert status == 502
+        await no_counts(deployment)
+
+
+async def test_a_second_attempt_that_was_refused_leaves_no_trace(tmp_path, monkeypatch):
+    """Guards against crash evidence and attempts of requests that did not run."""
+    targets = [SlowTarget(f"i-{n}") for n in range(2)]
+    async with Hedged(tmp_path, *targets) as deployment:
+        await learn(deployment)
+        ends = spy(monkeypatch, deployment.relays[0].quarantine, "request_ended")
+        status, first, second = await hedge(deployment, targets, "ok", "full")
+        assert status == 200
+        by_target = {args[0]: args[2] for args in ends}
+        assert by_target[second] is RequestEnd.UNKNOWN
+        assert by_target[first] is RequestEnd.COMPLETED
+        await no_counts(deployment)
+
+
+async def test_a_first_attempt_that_was_lost_counts_against_its_target(
+    tmp_path, monkeypatch
+):
+    """Guards against crashes that are not seen since the second attempt answers."""
+    targets = [SlowTarget(f"i-{n}") for n in range(2)]
+    async with Hedged(tmp_path, *targets) as deployment:
+        await learn(deployment)
+        relay = deployment.relays[0]
+        ends = spy(monkeypatch, relay.quarantine, "request_ended")
+        failures = spy(monkeypatch, relay.table, "record_failure")
+        status, first, _ = await hedge(deployment, targets, "reset", "slow")
+        assert status == 200
+        assert {args[0]: args[2] for args in ends}[first] is RequestEnd.LOST
+        assert [args[0] for args in failures] == [first]
+        await no_counts(deployment)
+
+
+async def test_an_answer_that_comes_at_the_same_moment_is_not_counted_on(
+    tmp_path, monkeypatch
+):
+    """Guards against a target that seems busy for ever."""
+
+    async def race_of_equals(first, age_s, start_second, discard):
+        task = asyncio.ensure_future(first)
+        await asyncio.sleep(age_s)
+        second = await start_second()
+        if second is None:
+            return RaceResult(await task, False, False)
+        discard(await second)
+        return RaceResult(await task, False, True)
+
+    targets = [SlowTarget(f"i-{n}") for n in range(2)]
+    async with Hedged(tmp_path, *targets) as deployment:
+        await learn(deployment)
+        monkeypatch.setattr(run, "race", race_of_equals)
+        status, *_ = await hedge(deployment, targets, "ok", "ok")
+        assert status == 200
+        assert all(target.runs for target in targets)
+        await no_counts(deployment)
+
+
+async def test_a_request_that_has_become_suspect_gets_no_second_attempt(
+    tmp_path, monkeypatch
+):
+    targets = [SlowTarget(f"i-{n}") for n in range(2)]
+    async with Hedged(tmp_path, *targets) as deployment:
+        await learn(deployment)
+        quarantine = deployment.relays[0].quarantine
+        checks = iter([Success(None)] * 3)
+        suspect = Failure(suspect_waits("f"))
+        monkeypatch.setattr(quarantine, "check", lambda _: next(checks, suspect))
+        for target in targets:
+            target.runs.clear()
+            target.script = ["slow"]
+        await call(deployment)
+        assert sum(len(target.runs) for target in targets) == 1
