--- a/tests/platform/test_old_callers.py
+++ b/tests/platform/test_old_callers.py
@@ -83,7 +83,7 @@
     async with Deployment(tmp_path, target) as deployment:
 
         def shed():
-            for conn in deployment.relays[0].server._connections():
+            for conn in deployment.relays[0].server._server.connections:
                 conn.shed()
 
         assert await read_stream(deployment, "/plan/x", shed) is None
