--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -3,10 +3,8 @@
 import asyncio
 import random
 import time
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from functools import partial
-from typing import Any
 
 from aiohttp import HttpVersion11, web
 from loguru import logger
@@ -15,9 +13,7 @@
 from magnoliaroad.caller_connection import end_by_close
 from magnoliaroad.decoding import can_be_sent
 from magnoliaroad.drain_limit import DrainLimit
-from magnoliaroad.hedging.metrics import HEDGES, WASTED
-from magnoliaroad.hedging.policy import HedgeTarget
-from magnoliaroad.hedging.race import race
+from magnoliaroad.hedging.hedged_send import HedgedSend
 from magnoliaroad.homes import (
     allowed_regions,
     data_centres_in,
@@ -56,7 +52,6 @@
     TIMED_OUT,
     as_unavailable,
     bad_call,
-    no_room_for_programs,
     over_limit,
 )
 from magnoliaroad.relay.request_memory import HeldMemory
@@ -78,10 +73,7 @@
     classify_failure,
 )
 from magnoliaroad.verdict import Verdict
-from magnoliaroad.waiting.admission import RETURNED_PART, return_after_s
-from magnoliaroad.waiting.metrics import PROGRAMS_REFUSED, PROGRAMS_TAKEN
-from magnoliaroad.waiting.room import WaitingRequest
-from magnoliaroad.waiting.standing import Standing, rank_of
+from magnoliaroad.waiting.request_room import RequestRoom
 
 # Most targets that one request is offered to. Targets that refuse it or cannot be
 # reached do not count as attempts, so the route's limit alone does not bound these.
@@ -141,16 +133,14 @@
         # Targets that may have run the request, also those of attempts under way.
         self._ran_at: set[str] = set()
         self._held = held
-        self._answer_held = held.beside()
-        self._second_held = held.beside()
+        self.answer_held = held.beside()
+        self.second_held = held.beside()
         self._output_held = held.beside()
         self._should_close = should_close
         self._limit: asyncio.Timeout | None = None
         self._previous: LoadedTurn | None = None
         self._placed = ""
         self._expected_s = 0.0
-        self._waits_since: float | None = None
-        self._starts_program = False
         self._sent_at: dict[str, float] = {}
         self._origin: StreamOrigin | None = None
         self._reservation: Reservation | None = None
@@ -161,6 +151,7 @@
             self.call.program or self.call.session or self.call.request_id
         )
         self._service = pick_service(self.route, self._affinity_key)
+        self._room = RequestRoom(parts, admitted, self._service, began)
         self._scanner = EventScanner()
         self._scans = False
         call = self.call
@@ -198,7 +189,7 @@
             limit_s = self.deadline - time.monotonic()
             async with asyncio.timeout(limit_s) as self._limit:
                 await self._prepare()
-                with self._answer_held, self._second_held, self._output_held:
+                with self.answer_held, self.second_held, self._output_held:
                     return await self._send_and_relay()
         except TimeoutError as exc:
             begun, expired = self.resp is not None, self._limit.expired()
@@ -244,8 +235,8 @@
 
     async def _prepare(self) -> None:
         call, team = self.call, self.admitted.team
-        self._starts_program = self._may_start_program()
-        await self._refuse_new_program()
+        self._room.starts_program = self._may_start_program()
+        await self._room.admit_program(self._data_centres)
         if self.streams and not can_be_sent(call.program + call.request_id):
             raise Refused(bad_call("The ids of a stream must be UTF-8."))
         if team is not None:
@@ -265,7 +256,7 @@
         if self.streams and call.program:
             self._placed = await self.parts.program_targets.find(call.program)
             if self._placed:
-                self._starts_program = False
+                self._room.starts_program = False
         if self.streams and call.budget is not None and call.program:
             self._reservation = await self.parts.budgets.reserve(
                 call.program, call.budget, call.output_tokens
@@ -279,39 +270,6 @@
         self._regions = bound if self._regions is None else self._regions & bound
         self._data_centres = data_centres_in(self._regions, self.parts.cfg.regions)
 
-    async def _refuse_new_program(self) -> None:
-        """Raises ``Refused`` if the service lacks room for new programs."""
-        parts, service, admission = (
-            self.parts,
-            self._service,
-            self.parts.program_admission,
-        )
-        if not self._starts_program or not parts.waiting.is_active(service):
-            return
-        now = time.monotonic()
-        usable = parts.table.usable(service, now, data_centres=self._data_centres)
-        loads = parts.target_model.loads_of(usable, now)
-        waiting = admission.record_waiting(service, loads, now)
-        rank = rank_of(self.route, self.admitted.team)
-        used_part = admission.record_limit(self.route.name, self.call.time_left_s)
-        if admission.admits(service, rank, waiting, used_part, now):
-            has_returned = used_part >= RETURNED_PART
-            PROGRAMS_TAKEN.inc({"kind": "returned" if has_returned else "new"})
-            return
-        if await self._has_begun_elsewhere():
-            self._starts_program = False
-            return
-        PROGRAMS_REFUSED.inc({"rank": str(rank)})
-        refusal = no_room_for_programs(return_after_s(random))
-        raise Refused(refusal, waiting=round(waiting, 2), rank=rank)
-
-    async def _has_begun_elsewhere(self) -> bool:
-        """Returns whether the program had a turn that another host has placed."""
-        program = self.call.program
-        if await self.parts.program_targets.find(program):
-            return True
-        return await self.parts.budgets.has_program(program)
-
     async def _restrict_to_origin(self) -> None:
         """Restricts the targets to those that may continue the stream.
 
@@ -338,7 +296,7 @@
         if origin.service not in {share.service for share in self.route.services}:
             raise Refused(NO_TARGET_OF_VERSION)
         self._origin = origin
-        self._service = origin.service
+        self._service = self._room.service = origin.service
 
     def _over_limit_error(
         self, team: RelayTeam, decision: AdmissionDecision
@@ -412,17 +370,15 @@
         while True:
             self._refuse_quarantined()
             target = await self._next_target(offers)
-            self._record_start(target)
+            self.record_start(target)
             response, end = None, None
             was_cut = sender.is_cut(target.service)
             try:
-                if self._may_hedge(offers):
-                    opened = await self._send_hedged(target, offers)
+                if self.parts.hedging.may_hedge(self.route, offers.attempts):
+                    opened = await HedgedSend(self, offers).send(target)
                     target = opened.target
                 else:
-                    opened = await self._send(
-                        target, offers.attempts, self._answer_held
-                    )
+                    opened = await self.send(target, offers.attempts, self.answer_held)
                 response = opened.response
                 FIRST_BYTE.observe(
                     {"kind": self.route.kind.value}, time.monotonic() - self.began
@@ -433,7 +389,7 @@
             except NoPath as exc:
                 raise self._refusal_error(NO_PATH) from exc
             except TargetError as exc:
-                end = self._record_failed(target, exc, was_cut, offers.record_failure)
+                end = self.record_failed(target, exc, was_cut, offers.record_failure)
                 may_retry = (
                     self._may_retry(exc.verdict)
                     and offers.attempts < self.route.attempts
@@ -444,109 +400,9 @@
             finally:
                 if response is not None:
                     response.close()
-                self._record_end(target, end)
-
-    def _may_hedge(self, offers: Offers) -> bool:
-        return self.parts.hedging.may_hedge(self.route, offers.attempts)
-
-    async def _send_hedged(self, target: RelayTarget, offers: Offers) -> OpenAnswer:
-        """Sends the request, and once more elsewhere if the answer is late.
-
-        Returns:
-            The first answer. The other attempt has ended, and its end is recorded.
-
-        Raises:
-            TargetError: Both attempts failed; the error is that of the first.
-        """
-        policy, sent_at = self.parts.hedging, time.monotonic()
-        policy.record_request(self._service, sent_at)
-        age_s = policy.age_s(self.route)
-        if age_s is None:
-            age_s = self.deadline - sent_at
-        others: list[RelayTarget] = []
-        failures: list[TargetError] = []
-
-        async def send_first() -> OpenAnswer:
-            try:
-                return await self._send(target, offers.attempts, self._answer_held)
-            except TargetError as exc:
-                failures.append(exc)
-                raise
-
-        async def start_second() -> Coroutine[Any, Any, OpenAnswer] | None:
-            other = await self._choose_second(target, offers)
-            if other is None:
-                return None
-            others.append(other)
-            offers.record_second(other.name)
-            return self._send_second(other, offers)
-
-        was_cut = self.parts.sender.is_cut(target.service)
-        result = await race(
-            send_first(), age_s, start_second, partial(self._discard, target)
-        )
-        opened = result.winner
-        took_s = time.monotonic() - sent_at
-        policy.times.record(self.route.name, took_s)
-        if result.has_second:
-            self._record_hedge(target, others[0], result.is_second, took_s, age_s)
-        if result.is_second:
-            ends = [
-                self._record_failed(target, exc, was_cut, offers.record_failure)
-                for exc in failures
-            ]
-            self._record_end(target, ends[0] if ends else None)
-            self.parts.placer.assign(self._need(), opened.target)
-        return opened
-
-    async def _choose_second(
-        self, first: RelayTarget, offers: Offers
-    ) -> RelayTarget | None:
-        """Returns the target of a second attempt; ``None`` if there is to be none."""
-        parts, excluded = self.parts, {first.name, *offers.excluded}
-        now = time.monotonic()
-        if parts.waiting.count(self._service):
-            return None
-        if not is_successful(parts.quarantine.check(self.fingerprint)):
-            # It has become suspect of crashing targets since the first attempt.
-            return None
-        need = self._need()._replace(placed="")
-        try:
-            target = parts.placer.choose_unlimited(need, excluded)
-        except NoTarget:
-            return None
-        load = HedgeTarget(parts.table.load(target.name), target.slots)
-        return target if parts.hedging.take(self._service, load, now) else None
-
-    async def _send_second(self, target: RelayTarget, offers: Offers) -> OpenAnswer:
-        was_cut = self.parts.sender.is_cut(target.service)
-        self._record_start(target)
-        answered, end = False, None
-        try:
-            opened = await self._send(target, offers.attempts, self._second_held)
-            answered = True
-            return opened
-        except TargetError as exc:
-            end = self._record_failed(
-                target, exc, was_cut, offers.record_second_failure
-            )
-            raise
-        finally:
-            if not answered:
-                self._record_end(target, end)
-
-    def _discard(self, first: RelayTarget, opened: OpenAnswer) -> None:
-        """Drops an answer that came at the same moment as the other one.
+                self.record_end(target, end)
 
-        Args:
-            first: Target of the first attempt, whose end the caller records.
-            opened: The answer.
-        """
-        opened.response.close()
-        if opened.target.name != first.name:
-            self._record_end(opened.target, RequestEnd.UNANSWERED)
-
-    def _record_failed(
+    def record_failed(
         self,
         target: RelayTarget,
         exc: TargetError,
@@ -566,26 +422,6 @@
         self._record_failure(target, exc, blamed)
         return classify_failure(exc)
 
-    def _record_hedge(
-        self,
-        first: RelayTarget,
-        second: RelayTarget,
-        second_won: bool,
-        took_s: float,
-        age_s: float,
-    ) -> None:
-        HEDGES.inc({"outcome": "won" if second_won else "lost"})
-        WASTED.add({}, took_s if second_won else max(0.0, took_s - age_s))
-        logger.bind(
-            request=self.call.request_id,
-            route=self.route.name,
-            first=first.name,
-            second=second.name,
-            second_won=second_won,
-            after_s=round(age_s, 4),
-            took_s=round(took_s, 4),
-        ).info("second attempt")
-
     async def _next_target(self, offers: Offers) -> RelayTarget:
         """Returns the next target to offer the request to.
 
@@ -593,8 +429,10 @@
             Refused: There is none, and the request does not wait for room, or has
                 waited too long.
         """
-        if self._waits_since is None and not offers.excluded:
-            await self._queue_behind_waiting()
+        if not offers.excluded and not await self._room.wait_behind_others(
+            self.deadline
+        ):
+            raise self._refusal_error(self._room.refusal())
         while True:
             refused = self._refusal_error(TARGETS_FULL)
             if offers.count < MAX_OFFERS:
@@ -606,65 +444,16 @@
                     refused = exc
             if not offers.found_full_only:
                 raise refused
-            if not await self._wait_for_room():
-                raise self._no_room_error()
+            if not await self._room.wait(self.deadline):
+                raise self._refusal_error(self._room.refusal())
             offers.readmit_full()
 
-    async def _queue_behind_waiting(self) -> None:
-        """Waits for room if requests that go first wait for it already.
-
-        Raises:
-            Refused: The request does not wait, or has waited too long.
-        """
-        waiting, service = self.parts.waiting, self._service
-        if not waiting.count(service) or waiting.goes_first(service, self._standing()):
-            return
-        if waiting.is_active(service) and not await self._wait_for_room():
-            raise self._no_room_error()
-
-    def _no_room_error(self) -> Refused:
-        """Returns the error for a request that does not wait for room any longer."""
-        refusal = TARGETS_FULL
-        if self.parts.waiting.is_active(self._service):
-            refusal = refusal._replace(retry_after_s=return_after_s(random))
-        return self._refusal_error(refusal)
-
-    async def _wait_for_room(self) -> bool:
-        """Waits for a target with room; returns whether to look for one again."""
-        waiting = self.parts.waiting
-        if not waiting.is_active(self._service):
-            return False
-        has_tried = self._waits_since is not None
-        if self._waits_since is None:
-            self._waits_since = time.monotonic()
-        request = WaitingRequest(
-            request_id=self.call.request_id,
-            service=self._service,
-            team=self.admitted.team_name,
-            standing=self._standing(),
-            size=len(self.call.body),
-            since=self._waits_since,
-            deadline=self.deadline,
-            has_tried=has_tried,
-        )
-        return await waiting.wait(request)
-
-    def _standing(self) -> Standing:
-        call, now = self.call, time.monotonic()
-        left_s = call.program_left_s
-        passed_s = now - self.began
-        slack_s = self.deadline - now if left_s is None else left_s - passed_s
-        return Standing(
-            rank=rank_of(self.route, self.admitted.team),
-            slack_s=slack_s,
-            has_begun=not self._starts_program,
-        )
-
-    def _record_start(self, target: RelayTarget) -> None:
+    def record_start(self, target: RelayTarget) -> None:
+        """Records that the request is sent to a target."""
         self.parts.table.record_start(target.name)
         self.parts.quarantine.request_started(target.name, self.fingerprint)
 
-    def _record_end(self, target: RelayTarget, end: RequestEnd | None) -> None:
+    def record_end(self, target: RelayTarget, end: RequestEnd | None) -> None:
         """Records the end of a request at a target.
 
         Args:
@@ -689,7 +478,8 @@
     def _may_retry(self, verdict: Verdict) -> bool:
         return verdict.may_retry or self.route.repeatable
 
-    def _need(self) -> PlacementNeed:
+    def need(self) -> PlacementNeed:
+        """Returns what the request needs of its target."""
         call = self.call
         return PlacementNeed(
             service=self._service,
@@ -706,7 +496,7 @@
         )
 
     async def _place(self, excluded: set[str]) -> RelayTarget:
-        call, placer, need = self.call, self.parts.placer, self._need()
+        call, placer, need = self.call, self.parts.placer, self.need()
         try:
             target, candidates, choice = await placer.place(
                 need, excluded, self.deadline
@@ -738,9 +528,19 @@
         ).info("placed")
         return target
 
-    async def _send(
+    async def send(
         self, target: RelayTarget, attempts: int, held: HeldMemory
     ) -> OpenAnswer:
+        """Sends the request to a target; returns its answer once that has begun.
+
+        Args:
+            target: The target.
+            attempts: Targets that may have run the request before.
+            held: Memory of the answer.
+
+        Raises:
+            TargetError: The target did not answer soundly.
+        """
         remaining_s = self.deadline - time.monotonic() - self.parts.cfg.targets.margin_s
         if remaining_s < MIN_SEND_TIME_S:
             raise TimeoutError
@@ -776,9 +576,9 @@
 
     def _urgency(self) -> int | None:
         """Returns the urgency to state to an engine; ``None`` to state none."""
-        if not self.streams or not self.parts.waiting.is_active(self._service):
+        if not self.streams or not self._room.is_active:
             return None
-        return self._standing().urgency
+        return self._room.standing(self.deadline).urgency
 
     async def _check_answer(
         self,
@@ -985,7 +785,7 @@
             raise AnswerCut(f"stream without end: {exc}") from exc
         except Refused as exc:
             raise AnswerCut("no memory for the output of a turn") from exc
-        if not self._answer_held.take_spare(scanner.unfinished_bytes):
+        if not self.answer_held.take_spare(scanner.unfinished_bytes):
             raise AnswerCut("no memory for an event without end")
 
     async def _save_turn(self, opened: OpenAnswer) -> None:
