--- a/tests/platform/test_hedging.py
+++ b/tests/platform/test_hedging.py
@@ -5,10 +5,10 @@
 import pytest
 from returns.result import Failure, Success
 
+from magnoliaroad.hedging import hedged_send
 from magnoliaroad.hedging.race import RaceResult
 from magnoliaroad.hedging.settings import HedgingSettings
 from magnoliaroad.quarantine.refusals import suspect_waits
-from magnoliaroad.relay import run
 from magnoliaroad.targets import RequestEnd
 from tests.platform.deployment import UNLIMITED, Deployment
 from tests.platform.target_standin import TargetStandin
@@ -194,7 +194,7 @@
     targets = [SlowTarget(f"i-{n}") for n in range(2)]
     async with Hedged(tmp_path, *targets) as deployment:
         await learn(deployment)
-        monkeypatch.setattr(run, "race", race_of_equals)
+        monkeypatch.setattr(hedged_send, "race", race_of_equals)
         status, *_ = await hedge(deployment, targets, "ok", "ok")
         assert status == 200
         assert all(target.runs for target in targets)
