--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -185,6 +185,9 @@
         self.target_model = TargetModel(
             cfg.placement, self.table, self.plans.find_service
         )
+        self.pace_exchange = PaceExchange(
+            self.target_model, self.peers, self.fleet.near_hosts_in_contact
+        )
         parts = RelayParts(
             cfg=cfg,
             dialect=dialect,
@@ -277,9 +280,7 @@
             self.evacuation,
             self.announcer,
             self.fleet,
-            PaceExchange(
-                self.target_model, self.peers, self.fleet.near_hosts_in_contact
-            ),
+            self.pace_exchange,
             self.quarantine,
             self.claims,
             MetricsServer(self.cfg.listen.metrics, {EXPLAIN_PATH: self._explain}),
