Teach the soak busy targets, bursts of one rank and programs that are read slowly

Targets refuse work beyond their places and state their load with four figures, some of them false; the slowdown changes. One kind of request at a time comes in bursts, of the first or the last rank. Programs read large turns slowly. The seed chooses whether requests wait and whether they get second attempts. The checks are those that exist.

--- a/tests/platform/target_standin.py
+++ b/tests/platform/target_standin.py
@@ -14,7 +14,8 @@
 
 SIGNATURE = "3e1b.07"
 LARGE_PATH = "/safe/large/"
-# Size of an event of a stream below /plan/large/, in bytes.
+LARGE_STREAM_PATHS = ("/plan/large/", "/stream/large/")
+# Size of an event of a stream below ``LARGE_STREAM_PATHS``, in bytes.
 LARGE_EVENT_BYTES = 12_000
 # Entries of a script with which a target answers soundly.
 SOUND_ACTS = ("ok", "slow", "slowly", "error", "full", "moved", "bare")
@@ -51,7 +52,7 @@
     to all further requests.
 
     Paths below ``/safe/large/`` name the size of the body, in bytes. Events of streams
-    below ``/plan/large/`` have ``LARGE_EVENT_BYTES``.
+    below ``LARGE_STREAM_PATHS`` have ``LARGE_EVENT_BYTES``.
 
     Paths below ``/stream/`` and ``/plan/`` are answered by streams, which begin after
     the event that ``Last-Event-Id`` names. Targets of a version other than v1 write it
@@ -72,6 +73,9 @@
         leaving: Value of the leaving header on all its answers; ``None`` for no header.
         limit: Value of the limit header on all its answers; ``None`` for no header.
         load: Value of the load header on all its answers; ``None`` for no header.
+        places: Requests that it runs at a time, others are refused as full; ``None``
+            for no bound.
+        work_s: Time until it begins each answer, in seconds.
         cold_ms: Value of the header that states for how long it remains cold.
         poison: Body of requests that crash the target; ``None`` for none.
         down_s: Time from a crash to the restart, in seconds.
@@ -98,6 +102,8 @@
         self.abandoned = 0
         self.broke_off = set()
         self.leaving = self.limit = self.load = self.cold_ms = None
+        self.places = None
+        self.work_s = 0.0
         self.poison = None
         self.down_s = 0.5
         self.crashed_at = []
@@ -191,6 +197,8 @@
         lower = {name.lower(): value for name, value in headers.items()}
         body = await reader.readexactly(int(lower.get("content-length", 0)))
         act = self.script[0] if len(self.script) == 1 else self.script.pop(0)
+        if self.places is not None and self.in_flight >= self.places:
+            act = "full"
         request_id = lower["magnoliaroad-request-id"]
         self._writers[writer] = request_id
         if act not in SOUND_ACTS:
@@ -230,9 +238,10 @@
         if act == "reset":
             writer.transport.abort()
             return False
-        if act in ("silent", "slow"):
+        work_s = {"silent": 5.0, "slow": 0.5}.get(act, self.work_s)
+        if work_s:
             try:
-                async with asyncio.timeout(5.0 if act == "silent" else 0.5):
+                async with asyncio.timeout(work_s):
                     await read_until_closed(reader)
                 self.abandoned += 1
                 return False
@@ -243,9 +252,10 @@
         if act == "wrong_id":
             request_id = "another"
         if path.startswith(("/stream/", "/plan/")):
+            is_large = path.startswith(LARGE_STREAM_PATHS)
             pause_s = self.plan_pause_s if path.startswith("/plan/") else 0.005
             after = int(headers.get("last-event-id", 0))
-            pad = LARGE_EVENT_BYTES if path.startswith("/plan/large/") else 0
+            pad = LARGE_EVENT_BYTES if is_large else 0
             return await self._stream(act, writer, request_id, after, pause_s, pad)
         status = 500 if act == "error" else 200
         signature = (
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -182,9 +182,10 @@
             self.violations.append(f"{request_id} of stream {stream}: {problem}")
         return bool(problem) or attempt.status == 200 or not events
 
-    async def call_service(self, path, method, body):
+    async def call_service(self, path, method, body, relay=None):
         request_id = f"r-{next(self._numbers)}"
-        relay, now = self.rng.choice(self.fleet.relay_hosts), time.monotonic()
+        relay = relay or self.rng.choice(self.fleet.relay_hosts)
+        now = time.monotonic()
         status, answer = await self._send(
             request_id, path, method, body, {}, relay=relay
         )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -48,6 +48,16 @@
         route(
             "long", "/plan/large/", "streaming", "lm", resumable=True, timeout_ms=5000
         ),
+        route(
+            "tale",
+            "/stream/large/",
+            "streaming",
+            "lm",
+            retain=True,
+            retention_s=60.0,
+            timeout_ms=5000,
+        ),
+        route("low", "/pay/low", "unsafe", "app", priority=2),
     ]
     return fields
 
@@ -164,6 +174,7 @@
             "store": {"url": f"http://127.0.0.1:{self.link.port}"},
             "drain": {"notice_s": NOTICE_S, "limit_s": DRAIN_LIMIT_S},
             "logs": {"path": "-"},
+            **self.fleet.host_settings,
         }
 
     async def kill(self):
@@ -232,15 +243,19 @@
 
     Attributes:
         program: Program that the host processes run.
+        host_settings: Further settings of all hosts.
         answer_ends: Further ends of answers that faults of targets draw from.
         targets: Targets that the store lists, if they are not down.
         former_targets: Targets that have left or are about to.
         store_disruptions: Spans of faults of the store.
     """
 
-    def __init__(self, tmp_path, relays=3, records=2, program=HOST_PROGRAM):
+    def __init__(
+        self, tmp_path, relays=3, records=2, program=HOST_PROGRAM, host_settings=None
+    ):
         self.tmp_path = tmp_path
         self.program = program
+        self.host_settings = host_settings or {}
         self.answer_ends = ()
         self.kv = KvStandin()
         self.config_version = 3
--- a/tests/soak/slow_callers.py
+++ b/tests/soak/slow_callers.py
@@ -36,6 +36,8 @@
 # longest time until it does.
 LATE_SHARE = 0.2
 MAX_LATE_S = 4.5
+# Longest program whose turns are read slowly.
+MAX_SLOW_TURNS = 4
 # How an exchange ended if its connection did so with the answer before.
 ENDED_BEFORE = "end before it"
 
@@ -50,6 +52,7 @@
         host: The host process that the connection was opened to.
         limit_s: Its time limit, in seconds.
         is_fresh: Whether it is sent as soon as its connection is open, at once.
+        headers: Further header lines.
     """
 
     request_id: str
@@ -58,6 +61,7 @@
     host: object
     limit_s: float
     is_fresh: bool = False
+    headers: tuple[str, ...] = ()
 
     @property
     def is_streamed(self):
@@ -71,6 +75,7 @@
             f"Magnoliaroad-Request-Id: {self.request_id}",
             f"Magnoliaroad-Deadline-Ms: {int(self.limit_s * 1000)}",
             f"Content-Length: {len(self.body)}",
+            *self.headers,
         ]
         return "\r\n".join([*lines, "", ""]).encode() + self.body
 
@@ -151,6 +156,12 @@
                 await self._connect(self.rng.choice(stopping), use)
             await asyncio.sleep(0.0 if stopping else STOP_CHECK_INTERVAL_S)
 
+    async def run_programs(self, end):
+        """Reads the turns of one program after another slowly."""
+        while time.monotonic() < end:
+            host = self.rng.choice(self.fleet.relay_hosts)
+            await self._connect(host, self._use_program)
+
     async def _connect(self, host, use):
         name = f"c-{next(self._numbers)}"
         try:
@@ -184,6 +195,31 @@
                 goes_on = await self._read(conn, sent, self._choose_pace())
             await asyncio.sleep(self.rng.choice((0.0, 0.02, 0.3, 0.8)))
 
+    async def _use_program(self, conn, host, name):
+        """Sends turns with large answers; each continues the one before."""
+        previous, history, goes_on = "", b"", True
+        for number in range(1, MAX_SLOW_TURNS + 1):
+            if not goes_on or not conn.is_open():
+                return
+            request_id = f"{name}-{number}"
+            self.callers.histories[request_id] = history
+            body = f"{request_id};".encode()
+            headers = (f"Magnoliaroad-Program-Id: {name}",)
+            if previous:
+                headers += (f"Magnoliaroad-Previous-Turn: {previous}",)
+            path = "/stream/large/x"
+            request = Request(
+                request_id, path, body, host, LARGE_LIMIT_S, headers=headers
+            )
+            sent = await self._send(conn, request)
+            answer = bytearray()
+            goes_on = await self._read(conn, sent, self._choose_pace(), answer=answer)
+            if not answer:
+                return
+            previous, events = request_id, whole_events(answer)
+            lines = [line[6:] for e in events for line in e.split("\n")[1:]]
+            history += body + "".join(f"{line}\n" for line in lines).encode()
+
     async def _use_once(self, conn, host, name):
         request = Request(name, "/safe/x", b"", host, SHORT_LIMIT_S, is_fresh=True)
         await self._read(conn, await self._send(conn, request), Pace())
@@ -212,15 +248,18 @@
         self._record_end(second, 0, second.error or ENDED_BEFORE)
         return False
 
-    async def _read(self, conn, sent, pace, followed=False):
-        """Returns whether the connection may be used for another request."""
+    async def _read(self, conn, sent, pace, followed=False, answer=None):
+        """Returns whether the connection may be used for another request.
+
+        ``answer``, if given, gets the body of a success.
+        """
         request, end = sent.request, sent.error
         if end:
             self._record_end(sent, 0, end)
             return False
         try:
             async with asyncio.timeout(request.limit_s + PATIENCE_S):
-                answer = await conn.read_answer(pace, followed)
+                got = await conn.read_answer(pace, followed)
         except ConnClosed as exc:
             end = str(exc)
         except TimeoutError:
@@ -229,8 +268,10 @@
             raise FramingError(f"{request.request_id} {request.path}: {exc}") from exc
         else:
             self.answered += 1
-            self._check(sent, answer)
-            return answer.headers.get("connection", "").lower() != "close"
+            self._check(sent, got)
+            if answer is not None and got.status == HTTPStatus.OK:
+                answer += got.body
+            return got.headers.get("connection", "").lower() != "close"
         self._record_end(sent, conn.received, end, followed)
         return False
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,6 +18,7 @@
 from tests.platform.answer_ends import ANSWER_ENDS
 from tests.platform.deployment import KEY
 from tests.platform.target_standin import TargetStandin
+from tests.soak.busy_targets import choose_host_settings, run_bursts, state_loads
 from tests.soak.callers import EVENTS_PER_STREAM, POISON, Callers
 from tests.soak.fleet import (
     COLD_PER_S,
@@ -41,6 +42,8 @@
 STREAM_CALLER_COUNT = 24
 # Callers that read slowly.
 SLOW_CALLER_COUNT = 16
+# Callers that read the turns of programs slowly.
+SLOW_PROGRAM_COUNT = 6
 # Callers that connect to hosts that are about to stop.
 STOP_CALLER_COUNT = 24
 # Time after the last fault until all requests must succeed again.
@@ -91,6 +94,9 @@
         slow_callers: Number of callers that read slowly.
         stop_callers: Number of callers that connect to hosts that are about to stop.
         program: Program of the hosts.
+        slow_programs: Number of callers that read the turns of programs slowly.
+        busy_targets: Whether targets state their load and refuse work beyond it, kinds
+            of requests come in bursts, and the seed chooses settings of the hosts.
     """
 
     injectors: tuple
@@ -98,6 +104,8 @@
     slow_callers: int = 0
     stop_callers: int = 0
     program: Path = HOST_PROGRAM
+    slow_programs: int = 0
+    busy_targets: bool = False
 
 
 async def soak(
@@ -106,7 +114,8 @@
     """Runs the soak test with ``seed``, by default with ``BASIC_LOAD``."""
     load = load or BASIC_LOAD
     rng = random.Random(seed)
-    async with Fleet(folder, program=load.program) as fleet:
+    settings = choose_host_settings(seed) if load.busy_targets else {}
+    async with Fleet(folder, program=load.program, host_settings=settings) as fleet:
         callers = Callers(fleet, rng)
         slow = SlowCallers(fleet, callers, seed)
         loop = asyncio.get_running_loop()
@@ -120,6 +129,12 @@
             *(callers.run_streams(end + 1.0) for _ in range(STREAM_CALLER_COUNT)),
             *(slow.run(end + 1.0) for _ in range(load.slow_callers)),
             *(slow.run_at_stops(end + 1.0) for _ in range(load.stop_callers)),
+            *(slow.run_programs(end + 1.0) for _ in range(load.slow_programs)),
+            *(
+                run(callers, seed, end + 1.0)
+                for run in (state_loads, run_bursts)
+                if load.busy_targets
+            ),
         )
         await fault_task
         await _recover(fleet, callers, _evacuate in load.injectors)
@@ -355,6 +370,8 @@
     SLOW_CALLER_COUNT,
     STOP_CALLER_COUNT,
     SMALL_BUFFERS_PROGRAM,
+    SLOW_PROGRAM_COUNT,
+    busy_targets=True,
 )
 PLANNED_LOAD = FULL_LOAD._replace(injectors=PLANNED, answer_ends=())
 
