Blame no host for a connection that the soak's caller closed itself

A caller that gives up an answer closes the connection; the request behind it was then reported as lost where a target had already run it. Where the host closes first, the message stays.

--- a/tests/soak/slow_callers.py
+++ b/tests/soak/slow_callers.py
@@ -245,9 +245,16 @@
         second = second._replace(sent_at=max(second.sent_at, time.monotonic()))
         if goes_on:
             return await self._read(conn, second, Pace())
-        self._record_end(second, 0, second.error or ENDED_BEFORE)
+        # Where the caller gave up the first, it closes the connection itself.
+        if not self._gave_up(first.request):
+            self._record_end(second, 0, second.error or ENDED_BEFORE)
         return False
 
+    def _gave_up(self, request):
+        """Returns whether the last exchange is one that its caller gave up."""
+        last = self.unanswered[-1:]
+        return any(e.request is request and not e.end for e in last)
+
     async def _read(self, conn, sent, pace, followed=False, answer=None):
         """Returns whether the connection may be used for another request.
 
--- a/tests/soak/test_slow_callers.py
+++ b/tests/soak/test_slow_callers.py
@@ -1,13 +1,21 @@
 """What the soak's slow callers find wrong with an answer."""
 
+import asyncio
 from types import SimpleNamespace
 
 import pytest
 
 from tests.platform.target_standin import large_body
+from tests.soak import slow_callers
 from tests.soak.callers import EVENTS_PER_STREAM
-from tests.soak.slow_callers import PIECE_PAUSE_S, Request, Sent, SlowCallers
-from tests.soak.slow_conn import Answer
+from tests.soak.slow_callers import (
+    ENDED_BEFORE,
+    PIECE_PAUSE_S,
+    Request,
+    Sent,
+    SlowCallers,
+)
+from tests.soak.slow_conn import Answer, ConnClosed
 
 ID = {"magnoliaroad-request-id": "c-1"}
 CLOSE = {"connection": "close"}
@@ -69,3 +77,34 @@
 ):
     violations, not_run = check("/safe/x", Answer(status, headers, b""), pause_s)
     assert (not violations, bool(not_run)) == (allowed, allowed)
+
+
+class FirstUnanswered:
+    """A connection on which the first answer does not end."""
+
+    received = 1
+
+    def __init__(self, is_closed):
+        self.is_closed = is_closed
+
+    async def read_answer(self, pace, followed=False):
+        if self.is_closed:
+            raise ConnClosed("end of data")
+        await asyncio.sleep(1.0)
+
+
+@pytest.mark.parametrize(
+    ("is_closed", "ends"), [(True, ["end of data", ENDED_BEFORE]), (False, [""])]
+)
+async def test_a_request_behind_one_that_was_given_up_is_not_lost(
+    monkeypatch, is_closed, ends
+):
+    """A soak blamed the host of a connection that the caller had closed itself."""
+    monkeypatch.setattr(slow_callers, "PATIENCE_S", 0.0)
+    slow = SlowCallers(None, None, 1)
+    first, second = (
+        Sent(Request(name, "/safe/x", b"", None, 0.01), 0.0, 0.0, "")
+        for name in ("c-1", "c-2")
+    )
+    assert not await slow._read_both(FirstUnanswered(is_closed), first, second)
+    assert [exchange.end for exchange in slow.unanswered] == ends
