--- a/src/magnoliaroad/caller_load/__init__.py
+++ b/src/magnoliaroad/caller_load/__init__.py
@@ -1,1 +1,1 @@
-"""Bounds the work that callers with badly divided bodies cause."""
+"""Bounds the work that bodies in very small chunks cause."""
--- a/src/magnoliaroad/evacuation/messages.py
+++ b/src/magnoliaroad/evacuation/messages.py
@@ -1,4 +1,4 @@
-"""Messages by which hosts tell each other the orders to evacuate data centres."""
+"""Messages between hosts about orders to evacuate data centres."""
 
 from typing import NamedTuple
 
--- a/src/magnoliaroad/evacuation/service.py
+++ b/src/magnoliaroad/evacuation/service.py
@@ -132,7 +132,7 @@
             self._notify_near(change)
 
     def _notify_near(self, change: EvacuationChange) -> None:
-        """Tells a change to the hosts of this data centre."""
+        """Sends a change to the hosts of this data centre."""
         if change:
             self._peers.send_all(self._near_contacts(), self._notice())
 
@@ -216,7 +216,7 @@
                     self._peers.send(random.choice(contacts), self._notice())
             never_read = self.orders.revision == UNKNOWN_REVISION
             interval_s = UNREAD_INTERVAL_S if never_read else NOTICE_INTERVAL_S
-            # Jitter, so that hosts that learnt together do not tell together.
+            # Jitter, so that hosts informed at the same time do not all send at once.
             await asyncio.sleep(interval_s * random.uniform(0.5, 1.5))
 
     def _must_exchange(self, now: float) -> bool:
--- a/src/magnoliaroad/target_model/exchange.py
+++ b/src/magnoliaroad/target_model/exchange.py
@@ -25,7 +25,7 @@
 
 
 class PaceExchange(Service):
-    """Tells random peers of the data centre what this host has learnt of targets.
+    """Sends this host's estimates of targets to random peers of the data centre.
 
     Only for services whose streams are placed by their expected end. A host that starts
     asks one peer for all that it knows.
--- a/src/magnoliaroad/target_model/expected_end.py
+++ b/src/magnoliaroad/target_model/expected_end.py
@@ -8,7 +8,7 @@
 # Part of a turn's time by which a full batch makes it longer.
 FULL_BATCH_PART = 0.5
 # Time by which another data centre must be faster: the way there and back in seconds,
-# and as part of a turn's time for the bytes, which are dear between data centres.
+# and as part of a turn's time for the bytes, which are costly between data centres.
 FAR_S = 0.005
 FAR_PART = 0.5
 # A program changes its target only if it ends earlier by this much: by time in seconds,
--- a/src/magnoliaroad/target_model/messages.py
+++ b/src/magnoliaroad/target_model/messages.py
@@ -1,4 +1,4 @@
-"""Messages by which hosts tell each other the pace of targets."""
+"""Messages between hosts about the pace of targets."""
 
 from typing import NamedTuple
 
--- a/src/magnoliaroad/target_model/model.py
+++ b/src/magnoliaroad/target_model/model.py
@@ -20,7 +20,7 @@
 # Time to compute a prompt anew while that of a token is not known, as part of a turn's
 # time: about as much as a batch that is a third larger costs.
 PROMPT_PART = 0.33
-# Time within which an estimate was renewed to be told to peers, in seconds.
+# Age up to which an estimate is sent to peers, in seconds.
 TOLD_WITHIN_S = 1.5
 # Largest factor by which the time for one prompt may exceed the mean; one that waited
 # for a slot at the target unnoticed takes much longer.
@@ -227,7 +227,7 @@
         return self.loads.load(target, self._table.load(name), own, now)
 
     def report(self, now: float) -> PaceReport:
-        """Returns what this host has learnt lately, to be told to a peer."""
+        """Returns this host's latest estimates, to be sent to a peer."""
         return _report_of(self.paces.recent(now, TOLD_WITHIN_S))
 
     def report_all(self, now: float) -> PaceReport:
--- a/src/magnoliaroad/target_model/pace.py
+++ b/src/magnoliaroad/target_model/pace.py
@@ -16,8 +16,8 @@
 MAX_SAMPLES = 16
 # Samples before which an estimate is not used: the first may have met a slowdown.
 MIN_SAMPLES = 2
-# Time without news after which an estimate is dropped, in seconds: programs of the
-# target's next customers would else avoid or crowd it for a reason of the past.
+# Time without news after which an estimate is dropped, in seconds: programs of its
+# next customers would else avoid or overload the target because of outdated figures.
 LIFETIME_S = 60.0
 
 
--- a/src/magnoliaroad/target_model/stream_pace.py
+++ b/src/magnoliaroad/target_model/stream_pace.py
@@ -58,5 +58,5 @@
             self._last_arrived = None
 
     def end(self, now: float) -> None:
-        """Tells the model what the stream has shown, whether it is whole or not."""
+        """Adds what the stream has shown to the model, whether it is whole or not."""
         self._model.record_pace(self._target, self._times, now)
--- a/tests/target_model/test_stated_loads.py
+++ b/tests/target_model/test_stated_loads.py
@@ -28,7 +28,7 @@
 def test_a_false_statement_neither_draws_all_work_nor_excludes(
     loads, stated, least, most
 ):
-    """Guards against a target that lies and is avoided, or crowded, for good."""
+    """Guards against a wrong stated load that is believed for good."""
     loads.record(TARGET, stated, 1, 0.0)
     assert least <= loads.load(TARGET, 10, 1, 0.0) <= most
 
