--- a/src/magnoliaroad/entry/plain_run.py
+++ b/src/magnoliaroad/entry/plain_run.py
@@ -157,7 +157,9 @@
             limit_s = self.services.drain.time_limit_s(
                 time.monotonic(), self.services.targets.cfg.first_byte_timeout_s
             )
-            return await self.services.targets.open(req, limit_s)
+            response = await self.services.targets.open(req, limit_s)
+            _check_is_answer(response)
+            return response
         except TargetError as exc:
             self.progress.verdict = exc.verdict
             self._release(placement, exc)
@@ -185,6 +187,14 @@
         ).warning("target failed")
 
 
+def _check_is_answer(response: TargetResponse) -> None:
+    # Services state no request id: if this is the answer to an earlier call, that to
+    # this one is still to come.
+    if response.is_doubtful:
+        response.close_connection()
+        raise TargetError("answer before the whole request", Verdict.MAY_HAVE_RUN)
+
+
 async def _read_start(
     chunks: AsyncIterator[bytes], limit_bytes: int
 ) -> tuple[bytes, bool]:
--- a/tests/entry/test_unmatched_answers.py
+++ b/tests/entry/test_unmatched_answers.py
@@ -6,9 +6,10 @@
 from aiohttp import web
 
 from magnoliaroad.targets.connector import TargetConnector
-from tests.entry.hosts import chat_body, host_with_target
+from tests.entry.hosts import HEADERS, chat_body, host_with_target
 from tests.entry.raw_engine import REFUSAL, RawEngine, Script, answer
 from tests.entry.test_requests import post
+from tests.entry.test_services import call, payout_edit
 
 # A field that makes a request larger than the kernel's buffers take at once, and that
 # is not counted as a part of the prompt.
@@ -23,6 +24,10 @@
     return fields["choices"][0]["message"]["content"]
 
 
+def keyed(key):
+    return HEADERS | {"Idempotency-Key": key}
+
+
 def host_before(engine):
     return host_with_target(web.Application(), engine.edit)
 
@@ -84,6 +89,29 @@
     assert verdict == "may have run" or engine.runs == 1
 
 
+@pytest.mark.parametrize("repeatable", [True, False])
+async def test_an_early_answer_of_a_service_on_a_kept_connection_does_not_count(
+    repeatable,
+):
+    """Guards against the answer to an earlier call being passed on for another one."""
+    second = Script(answer("two"), at_head=answer("one"))
+
+    def edit(config, url):
+        return payout_edit(repeatable)(config, engine.url)
+
+    async with (
+        RawEngine(Script(answer("one")), second) as engine,
+        host_with_target(web.Application(), edit) as (_, url),
+    ):
+        status, _, body = await call(url, "x", headers=keyed("1"), data=b"a")
+        assert (status, b"one" in body) == (200, True)
+        large = b"x" * 7_000_000
+        status, _, body = await call(url, "x", headers=keyed("2"), data=large)
+        assert status >= 500
+        assert b"may have run" in body
+    assert engine.runs == 2
+
+
 async def test_an_early_refusal_on_a_new_connection_counts():
     async with (
         RawEngine(Script(b"", at_head=REFUSAL)) as engine,
