--- a/src/magnoliaroad/entry/chat_run.py
+++ b/src/magnoliaroad/entry/chat_run.py
@@ -266,14 +266,13 @@
 
 
 def _check_status(response: TargetResponse) -> None:
+    response.check_is_own()
     status = response.status
-    if status == 200 and not response.is_doubtful:
+    if status == 200:
         return
     # Engines state no request id: if this is the answer to an earlier request, that to
     # this one is still to come.
     response.close_connection()
-    if response.is_doubtful:
-        raise TargetError("answer before the whole request", Verdict.MAY_HAVE_RUN)
     if status in BUSY_STATUSES:
         raise TargetError(f"engine answered with status {status}", Verdict.NOT_RUN)
     if status in REJECTED_STATUSES:
--- a/src/magnoliaroad/entry/plain_run.py
+++ b/src/magnoliaroad/entry/plain_run.py
@@ -158,7 +158,7 @@
                 time.monotonic(), self.services.targets.cfg.first_byte_timeout_s
             )
             response = await self.services.targets.open(req, limit_s)
-            _check_is_answer(response)
+            response.check_is_own()
             return response
         except TargetError as exc:
             self.progress.verdict = exc.verdict
@@ -187,14 +187,6 @@
         ).warning("target failed")
 
 
-def _check_is_answer(response: TargetResponse) -> None:
-    # Services state no request id: if this is the answer to an earlier call, that to
-    # this one is still to come.
-    if response.is_doubtful:
-        response.close_connection()
-        raise TargetError("answer before the whole request", Verdict.MAY_HAVE_RUN)
-
-
 async def _read_start(
     chunks: AsyncIterator[bytes], limit_bytes: int
 ) -> tuple[bytes, bool]:
--- a/src/magnoliaroad/targets/response.py
+++ b/src/magnoliaroad/targets/response.py
@@ -9,7 +9,8 @@
 from magnoliaroad.error_traces import forget_traces
 from magnoliaroad.targets.answer import TargetAnswer
 from magnoliaroad.targets.closable_response import ClosableResponse
-from magnoliaroad.targets.errors import AnswerCut, describe_error
+from magnoliaroad.targets.errors import AnswerCut, TargetError, describe_error
+from magnoliaroad.verdict import Verdict
 
 
 class TargetResponse(TargetAnswer):
@@ -37,6 +38,19 @@
         self.status = resp.status
         self.headers = resp.headers
 
+    def check_is_own(self) -> None:
+        """Checks that the answer is not one to an earlier request.
+
+        For targets that state no request id. The answer to this request would still be
+        to come, so that the connection is closed.
+
+        Raises:
+            TargetError: It may be one.
+        """
+        if self.is_doubtful:
+            self.close_connection()
+            raise TargetError("answer before the whole request", Verdict.MAY_HAVE_RUN)
+
     @override
     async def iter_chunks(self) -> AsyncIterator[bytes]:
         content = self._resp.content
