--- a/src/magnoliaroad/relay/plan.py
+++ b/src/magnoliaroad/relay/plan.py
@@ -2,11 +2,8 @@
 
 from typing import NamedTuple
 
-import xxhash
-
 from magnoliaroad.relay.route import RelayRoute
-
-HASH_RANGE = 2.0**64
+from magnoliaroad.rendezvous import hash_part
 
 
 class RelayService(NamedTuple):
@@ -103,9 +100,7 @@
     if len(route.services) == 1:
         return route.services[0].service
     total = sum(part.weight for part in route.services)
-    point = (
-        xxhash.xxh3_64_intdigest(f"{route.name}\0{key}".encode()) / HASH_RANGE * total
-    )
+    point = hash_part(route.name, key) * total
     for part in route.services:
         point -= part.weight
         if point < 0:
--- a/src/magnoliaroad/slow_start/send_slots.py
+++ b/src/magnoliaroad/slow_start/send_slots.py
@@ -3,15 +3,13 @@
 import math
 from collections.abc import Container
 
-import xxhash
-
 from magnoliaroad.relay.target import TargetStart
 from magnoliaroad.relay.target_limit import BucketDecision
+from magnoliaroad.rendezvous import hash_part
 
 # Length of a slot, in seconds. If all hosts get requests at once, those in their slots
 # send one each; the shorter the slots, the fewer these are.
 SLOT_S = 0.25
-HASH_RANGE = 2**64
 
 
 class SendSlots:
@@ -64,5 +62,4 @@
 
     def _phase(self, start: TargetStart) -> float:
         """Returns by which part of a slot's interval this host's slots are earlier."""
-        text = f"{start.name}\0{self._name}"
-        return xxhash.xxh3_64_intdigest(text.encode()) / HASH_RANGE
+        return hash_part(start.name, self._name)
--- a/src/magnoliaroad/target_model/plain_choice.py
+++ b/src/magnoliaroad/target_model/plain_choice.py
@@ -4,9 +4,7 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-import xxhash
-
-from magnoliaroad.rendezvous import highest_ranked
+from magnoliaroad.rendezvous import HASH_RANGE, hash_part, highest_ranked
 
 # Part of a target's slots up to which a host may keep to it; a slowed target reaches it
 # with fewer requests. With a half, half as many requests again found a full target at
@@ -16,7 +14,6 @@
 LEAST_FREE = 0.25
 # Free slots, as part of all, below which targets of other data centres are drawn too.
 FAR_FREE_PART = 0.5
-HASH_RANGE = 2.0**64
 
 
 class PlainCandidate(NamedTuple):
@@ -78,7 +75,7 @@
     Of exponentially distributed times, each is the smallest with a chance in proportion
     to its rate.
     """
-    key = f"{request}\0{candidate.name}".encode()
-    part = (xxhash.xxh3_64_intdigest(key) + 1.0) / (HASH_RANGE + 1.0)
+    # Above 0, which has no logarithm.
+    part = hash_part(request, candidate.name) + 1.0 / HASH_RANGE
     free = max(LEAST_FREE, candidate.slots - candidate.load) / candidate.slowdown
     return -math.log(part) / free
