--- a/src/magnoliaroad/evacuation/orders.py
+++ b/src/magnoliaroad/evacuation/orders.py
@@ -1,6 +1,6 @@
 """The data centres whose targets get no further requests."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Set
 from typing import NamedTuple
 
 # Revision of orders that stem from no state of the store.
@@ -31,12 +31,10 @@
 
     Attributes:
         revision: Revision of the store that the orders stem from.
-        names: The data centres to evacuate.
     """
 
     def __init__(self) -> None:
         self.revision = UNKNOWN_REVISION
-        self.names: frozenset[str] = frozenset()
         self._ordered_at: dict[str, float] = {}
 
     def __contains__(self, data_centre: str) -> bool:
@@ -45,6 +43,11 @@
     def __bool__(self) -> bool:
         return bool(self._ordered_at)
 
+    @property
+    def names(self) -> Set[str]:
+        """The data centres to evacuate, for many lookups at once."""
+        return self._ordered_at.keys()
+
     @property
     def data_centres(self) -> list[str]:
         """The data centres to evacuate, in alphabetical order."""
@@ -87,7 +90,7 @@
         self, now: float, data_centres: Collection[str], revision: int
     ) -> EvacuationChange:
         known = self._ordered_at
-        self.names = names = frozenset(data_centres)
+        names = frozenset(data_centres)
         change = EvacuationChange(names - known.keys(), known.keys() - names)
         self.revision = revision
         self._ordered_at = {name: known.get(name, now) for name in sorted(names)}
