--- a/src/magnoliaroad/target_model/pace.py
+++ b/src/magnoliaroad/target_model/pace.py
@@ -84,8 +84,8 @@
             sample_s: Time for one event without the slowdown, in seconds.
             now: Time in seconds.
         """
-        known = self._paces.get(start)
-        if known is None or now - known.at > LIFETIME_S:
+        known = self._current(start, now)
+        if known is None:
             self._paces[start] = Pace(sample_s, 1, now, now)
             return
         low_s, high_s = (
@@ -101,8 +101,8 @@
     ) -> None:
         """Combines the estimate of a peer with that of this host."""
         samples = min(MAX_SAMPLES, samples)
-        known = self._paces.get(start)
-        if known is None or now - known.at > LIFETIME_S:
+        known = self._current(start, now)
+        if known is None:
             self._paces[start] = Pace(mean_s, samples, now, -math.inf)
             return
         both = known.samples + samples
@@ -112,10 +112,13 @@
 
     def find(self, start: TargetStart, now: float) -> float | None:
         """Returns the time for an event of a target; ``None`` if it is not known."""
+        pace = self._current(start, now)
+        return None if pace is None or pace.samples < MIN_SAMPLES else pace.mean_s
+
+    def _current(self, start: TargetStart, now: float) -> Pace | None:
+        """Returns the estimate for a target; ``None`` if there is none or it is old."""
         pace = self._paces.get(start)
-        if pace is None or pace.samples < MIN_SAMPLES or now - pace.at > LIFETIME_S:
-            return None
-        return pace.mean_s
+        return None if pace is None or now - pace.at > LIFETIME_S else pace
 
     def median(self, starts: Iterable[TargetStart], now: float) -> float | None:
         """Returns the median pace of the targets that have one."""
