--- a/src/magnoliaroad/hedging/hedged_send.py
+++ b/src/magnoliaroad/hedging/hedged_send.py
@@ -122,7 +122,7 @@
             failures.append(exc)
             raise
 
-    async def _start_second(
+    def _start_second(
         self, first: RelayTarget
     ) -> Coroutine[Any, Any, OpenAnswer] | None:
         self._second = self._choose_second(first)
--- a/src/magnoliaroad/hedging/race.py
+++ b/src/magnoliaroad/hedging/race.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import functools
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, NamedTuple
 
 
@@ -23,7 +23,7 @@
 async def race(
     first: Coroutine[Any, Any, Any],
     age_s: float,
-    start_second: Callable[[], Awaitable[Coroutine[Any, Any, Any] | None]],
+    start_second: Callable[[], Coroutine[Any, Any, Any] | None],
     discard: Callable[[Any], None],
 ) -> RaceResult:
     """Returns the result of the first attempt that succeeds; cancels the other one.
@@ -44,7 +44,7 @@
     winner = None
     try:
         await asyncio.wait(tasks, timeout=age_s)
-        if not tasks[0].done() and (second := await start_second()) is not None:
+        if not tasks[0].done() and (second := start_second()) is not None:
             tasks.append(asyncio.ensure_future(second))
         await _wait_for_success(tasks)
         winner = next(filter(_has_succeeded, tasks), tasks[0])
--- a/tests/hedging/test_race.py
+++ b/tests/hedging/test_race.py
@@ -32,7 +32,7 @@
 
 
 def play(attempts, first, second, age_s=0.1):
-    async def start_second():
+    def start_second():
         return None if second is None else attempts.run("second", *second)
 
     async def run():
@@ -92,7 +92,7 @@
 
 
 def test_a_caller_that_leaves_ends_both_attempts(attempts):
-    async def start_second():
+    def start_second():
         return attempts.run("second", 5.0)
 
     async def run():
--- a/tests/platform/test_hedging.py
+++ b/tests/platform/test_hedging.py
@@ -185,7 +185,7 @@
     async def race_of_equals(first, age_s, start_second, discard):
         task = asyncio.ensure_future(first)
         await asyncio.sleep(age_s)
-        second = await start_second()
+        second = start_second()
         if second is None:
             return RaceResult(await task, False, False)
         discard(await second)
