--- a/tests/entry/test_callers_out_of_bounds.py
+++ b/tests/entry/test_callers_out_of_bounds.py
@@ -38,6 +38,7 @@
     Crowd,
     check_process,
     hold,
+    until_still,
 )
 
 HEADERS = {"Host": "arcade.example", "Authorization": f"Bearer {DEMO_KEY}"}
@@ -178,10 +179,7 @@
 async def test_a_crowd_leaves_the_front_end_alive_and_serving(tmp_path, act):
     async with entry_process(tmp_path) as host:
         async with Crowd(host.listen["callers"], act, SMALL_BUFFER) as crowd:
-            taken = -1
-            while crowd.taken != taken:
-                taken = crowd.taken
-                await asyncio.sleep(1.0)
+            await until_still(crowd)
             check_process(host)
             assert await call(host) == 200
         check_process(host)
--- a/tests/platform/test_callers_out_of_bounds.py
+++ b/tests/platform/test_callers_out_of_bounds.py
@@ -91,6 +91,14 @@
     await reader.read()
 
 
+async def until_still(crowd):
+    """Returns once the host takes nothing more from the crowd."""
+    taken = -1
+    while crowd.taken != taken:
+        taken = crowd.taken
+        await asyncio.sleep(1.0)
+
+
 async def stop_short(crowd, reader, writer, part, count):
     """Sends a body in chunks without the last one, and stays."""
     await crowd.send(writer, request_bytes(CHUNKED, "/pay/x", "POST"))
@@ -158,10 +166,7 @@
     async with host_process(tmp_path, *targets(), memory=MEMORY) as host:
         await host.until_ready()
         async with Crowd(host.listen["callers"], act, SMALL_BUFFER) as crowd:
-            taken = -1
-            while crowd.taken != taken:
-                taken = crowd.taken
-                await asyncio.sleep(1.0)
+            await until_still(crowd)
             check_process(host)
             assert await pay(host) == 200
         check_process(host)
@@ -173,10 +178,7 @@
     async with host_process(tmp_path, *targets(), memory=MEMORY) as host:
         await host.until_ready()
         async with Crowd(host.listen[name], act) as crowd:
-            taken = -1
-            while crowd.taken != taken:
-                taken = crowd.taken
-                await asyncio.sleep(1.0)
+            await until_still(crowd)
             check_process(host)
             assert await pay(host) == 200
         check_process(host)
--- a/tests/platform/test_crowds_elsewhere.py
+++ b/tests/platform/test_crowds_elsewhere.py
@@ -41,6 +41,7 @@
     slow_reading,
     small_chunks,
     targets,
+    until_still,
 )
 
 # Connections of a large crowd, and the memory of the smallest machines.
@@ -59,14 +60,6 @@
 FURTHER_TURNS = 3
 
 
-async def until_still(crowd):
-    """Returns once the host takes nothing more from the crowd."""
-    taken = -1
-    while crowd.taken != taken:
-        taken = crowd.taken
-        await asyncio.sleep(1.0)
-
-
 async def large_trailers(crowd, reader, writer):
     await crowd.send(writer, request_bytes(CHUNKED, "/pay/x", "POST"))
     await crowd.send(writer, b"1\r\nx\r\n0\r\n")
--- a/tests/relay/test_target_limiter.py
+++ b/tests/relay/test_target_limiter.py
@@ -30,6 +30,7 @@
     """Hosts whose callers send a target several times as much as it takes."""
 
     names = NAMES
+    service = None
 
     def __init__(self, loop):
         self.loop = loop
@@ -40,9 +41,13 @@
         self.cut = set()
         self.limiters = {name: self.limiter(name) for name in self.names}
 
-    def limiter(self, name):
+    def table(self):
         table = TargetTable()
         table.set(TARGET)
+        return table
+
+    def limiter(self, name):
+        table = self.table()
         return TargetLimiter(
             name,
             self.network.join(name),
@@ -50,7 +55,7 @@
             lambda: self.in_contact(name),
             lambda: len(self.names),
             lambda: len(self.in_contact(name)) / len(self.names),
-            ColdRates(SlowStartSettings(), table.cold, lambda name: None),
+            ColdRates(SlowStartSettings(), table.cold, lambda name: self.service),
             self.loop.time,
         )
 
--- a/tests/slow_start/test_fleet.py
+++ b/tests/slow_start/test_fleet.py
@@ -5,10 +5,7 @@
 import pytest
 
 from magnoliaroad.relay.plan import RelayService
-from magnoliaroad.relay.target_limiter import TargetLimiter
-from magnoliaroad.relay.target_table import TargetTable
 from magnoliaroad.rendezvous import highest_ranked
-from magnoliaroad.slow_start import ColdRates, SlowStartSettings
 from tests.fakes.loop import VirtualTimeLoop
 from tests.relay.test_target_limiter import HOME, NAMES, TARGET, Fleet
 
@@ -21,20 +18,12 @@
 class ColdFleet(Fleet):
     """Hosts that all send their requests to a target that has just come back."""
 
-    def limiter(self, name):
-        table = TargetTable()
-        table.set(TARGET)
+    service = SERVICE
+
+    def table(self):
+        table = super().table()
         table.cold.record_entry(TARGET._replace(cold_s=20.0), 0.0)
-        return TargetLimiter(
-            name,
-            self.network.join(name),
-            table,
-            lambda: self.in_contact(name),
-            lambda: len(self.names),
-            lambda: len(self.in_contact(name)) / len(self.names),
-            ColdRates(SlowStartSettings(), table.cold, lambda service: SERVICE),
-            self.loop.time,
-        )
+        return table
 
     def most_in_second(self):
         sent = sorted(self.sent_at)
