--- a/tests/entry/services.py
+++ b/tests/entry/services.py
@@ -5,6 +5,8 @@
 from aiohttp import web
 
 BIG_BODY = bytes(range(256)) * 1200
+# Times this body in a huge answer.
+HUGE_PARTS = 7
 
 
 class FaultyService:
@@ -43,6 +45,14 @@
         await resp.write_eof()
         return resp
 
+    async def _huge(self, req):
+        resp = web.StreamResponse()
+        await resp.prepare(req)
+        for _ in range(HUGE_PARTS):
+            await resp.write(BIG_BODY)
+        await resp.write_eof()
+        return resp
+
     async def _cut(self, req):
         resp = web.StreamResponse()
         resp.content_length = len(BIG_BODY)
--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -69,9 +69,16 @@
 
     def peak_mb(self):
         """Returns the most memory that the process has held, in megabytes."""
+        return self._memory_mb("VmHWM")
+
+    def resident_mb(self):
+        """Returns the memory that the process holds now, in megabytes."""
+        return self._memory_mb("VmRSS")
+
+    def _memory_mb(self, field):
         with open(f"/proc/{self.proc.pid}/status") as status:
             lines = dict(line.split(":", 1) for line in status)
-        return int(lines["VmHWM"].split()[0]) * 1024 / 1_000_000
+        return int(lines[field].split()[0]) * 1024 / 1_000_000
 
 
 @contextlib.asynccontextmanager
@@ -81,6 +88,7 @@
     names=RELAY_LISTENERS,
     program=(HOST_PROGRAM,),
     before_start=lambda path: None,
+    operator_config=None,
     **settings,
 ):
     """Starts a host and its targets; ends the host if it still runs.
@@ -88,7 +96,7 @@
     ``before_start`` is called with the path of the file of settings.
     """
     kv = await KvStandin().start()
-    kv.write("op/config", config())
+    kv.write("op/config", operator_config or config())
     for target in targets:
         await target.start()
         kv.write(f"servers/{target.name}", target.entry())
--- a/tests/platform/test_callers_out_of_bounds.py
+++ b/tests/platform/test_callers_out_of_bounds.py
@@ -6,12 +6,12 @@
 """
 
 import asyncio
-import contextlib
+import itertools
 import os
-import socket
 
 import pytest
 
+from tests.platform.crowd import CROWD, Crowd, until_still
 from tests.platform.host_process import HEADERS, host_process
 from tests.platform.raw_caller import (
     SMALL_BUFFER,
@@ -26,11 +26,9 @@
 # 45 to 50 MB at rest.
 LIMIT_MB = 90
 MEMORY = {"limit_mb": LIMIT_MB}
-CROWD = 60
 # Descriptors of a host at rest, for the crowd, and for as many connections to targets.
 MOST_DESCRIPTORS = 40 + 2 * CROWD
-# Size of the kernel's buffer of a caller, and what it holds at most of a connection.
-SEND_BUFFER_BYTES = 4096
+# What the kernel holds at most of a connection.
 MOST_BUFFERED = 1_000_000
 CHUNKED = HEADERS | {"Transfer-Encoding": "chunked"}
 ONE_BYTE = b"1\r\nx\r\n"
@@ -42,63 +40,11 @@
 MOST_TAKEN = CROWD * 5 * 4_096
 
 
-class Crowd:
-    """Callers that each run ``act(writer, reader)`` on a connection of their own.
-
-    Attributes:
-        taken: Bytes that the host has taken from them.
-    """
-
-    def __init__(self, address, act, buffer_bytes=None, size=CROWD):
-        self._size = size
-        self._sent = 0
-        self._writers = []
-        self._address = address
-        self._act = act
-        self._buffer_bytes = buffer_bytes
-        self._tasks = []
-
-    async def __aenter__(self):
-        self._tasks = [asyncio.create_task(self._run()) for _ in range(self._size)]
-        return self
-
-    async def __aexit__(self, *exc_info):
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-
-    async def _run(self):
-        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-            async with raw_connection(self._address, self._buffer_bytes) as streams:
-                self._writers.append(streams[1])
-                sock = streams[1].get_extra_info("socket")
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
-                await self._act(self, *streams)
-
-    @property
-    def taken(self):
-        buffered = (one.transport.get_write_buffer_size() for one in self._writers)
-        return self._sent - sum(buffered)
-
-    async def send(self, writer, data):
-        self._sent += len(data)
-        writer.write(data)
-        await writer.drain()
-
-
 async def hold(reader):
     """Keeps a connection open until the host ends it."""
     await reader.read()
 
 
-async def until_still(crowd):
-    """Returns once the host takes nothing more from the crowd."""
-    taken = -1
-    while crowd.taken != taken:
-        taken = crowd.taken
-        await asyncio.sleep(1.0)
-
-
 async def stop_short(crowd, reader, writer, part, count):
     """Sends a body in chunks without the last one, and stays."""
     await crowd.send(writer, request_bytes(CHUNKED, "/pay/x", "POST"))
@@ -133,8 +79,10 @@
 
 
 async def both(crowd, reader, writer):
-    acts = [large_chunks, small_chunks, slow_reading]
-    await acts[id(writer) // 64 % len(acts)](crowd, reader, writer)
+    await next(TURNS)(crowd, reader, writer)
+
+
+TURNS = itertools.cycle([large_chunks, small_chunks, slow_reading])
 
 
 ACTS = [large_chunks, small_chunks, extensions, slow_reading, slow_stream, both]
--- a/tests/platform/test_crowds_elsewhere.py
+++ b/tests/platform/test_crowds_elsewhere.py
@@ -12,6 +12,7 @@
 
 import pytest
 
+from tests.platform.crowd import CROWD, Crowd, until_still
 from tests.platform.deployment import config, route
 from tests.platform.host_process import (
     HEADERS,
@@ -27,11 +28,9 @@
 )
 from tests.platform.test_callers_out_of_bounds import (
     CHUNKED,
-    CROWD,
     LIMIT_MB,
     MEMORY,
     MOST_DESCRIPTORS,
-    Crowd,
     both,
     check_process,
     extensions,
@@ -41,7 +40,6 @@
     slow_reading,
     small_chunks,
     targets,
-    until_still,
 )
 
 # Connections of a large crowd, and the memory of the smallest machines.
