Bound the bytes that the kernel holds of connections that are not read

Callers: a crowd whose bodies stop short of their end took a host over the memory of its machine, which counts what has arrived and is not read yet.

Cause: nothing set the kernel's receive buffers. Each connection began with 128 KB, and grew to megabytes by itself (1.7 MB of one body in chunks of one byte, 6 MB of a large one): 400 connections held 27 to 48 MB, 2,500 some 250 MB. The same holds for answers of targets whose callers read slowly, for peers, and for connections in the queue of a listening socket.

Change: listening sockets have a buffer of 4 KB, which their connections inherit. A connection on which a body arrives in more than one piece gets 64 KB, of a pool with 8 % of the memory limit, and gives it back at the end of the body; peers get it once they sent a frame. Connections to targets have 8 KB, and 64 KB from a pool of the same size. Buffers that are set do not grow. The store clients use the sockets of the other outgoing connections (64 KB, keepalive).

Why it works: Linux holds no more payload than the buffer that is set, twice the value of the option.

--- a/src/magnoliaroad/app.py
+++ b/src/magnoliaroad/app.py
@@ -6,6 +6,7 @@
 from loguru import logger
 from mode import Service
 
+from magnoliaroad.caller_load.limits import CallerLimits
 from magnoliaroad.config import ConfigService, HostLocation
 from magnoliaroad.drain_limit import DrainLimit
 from magnoliaroad.entry import EntryServer, EntryServices
@@ -18,6 +19,7 @@
 from magnoliaroad.peers import PeerService
 from magnoliaroad.programs import ProgramService
 from magnoliaroad.quarantine import BlocklistWatcher, QuarantineService
+from magnoliaroad.receive_buffers import ReceivePool
 from magnoliaroad.relay.request_memory import RequestMemory
 from magnoliaroad.routing import PlacementService
 from magnoliaroad.settings import HostSettings
@@ -42,7 +44,13 @@
         self.cfg = cfg
         self.store = store or HttpStore(cfg.store)
         listen = cfg.listen
-        self.peers = PeerService(cfg.peers, cfg.name, listen.address, listen.peer_port)
+        self.peers = PeerService(
+            cfg.peers,
+            cfg.name,
+            listen.address,
+            listen.peer_port,
+            ReceivePool(cfg.memory.receive_bytes),
+        )
         self.config = ConfigService(
             self.store,
             self.peers,
@@ -71,7 +79,7 @@
         self.limits = LimitService(
             cfg.limits, self.config, self.membership, self.store, self.peers
         )
-        self.targets = TargetClient(cfg.targets)
+        self.targets = TargetClient(cfg.targets, ReceivePool(cfg.memory.receive_bytes))
         self.programs = ProgramService(
             cfg.programs,
             cfg.name,
@@ -101,7 +109,9 @@
             lambda: self.membership.leaving_targets,
         )
         self._requests = RequestMemory(cfg.memory.request_bytes)
-        self.entry = EntryServer(listen, cfg.entry, self._entry_services())
+        self.entry = EntryServer(
+            listen, cfg.entry, self._entry_services(), CallerLimits(cfg.memory)
+        )
         self.memory = MemoryWatch(
             cfg.memory,
             [
--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -15,13 +15,11 @@
 from loguru import logger
 from typing_extensions import override
 
-from magnoliaroad.caller_load.parse_turns import (
-    FramingCount,
-    ParseTurns,
-)
+from magnoliaroad.caller_load.limits import CallerLimits
+from magnoliaroad.caller_load.parse_turns import FramingCount
 from magnoliaroad.error_traces import forget_traces
-from magnoliaroad.head_memory import HeadMemory
 from magnoliaroad.idle import awaits_request
+from magnoliaroad.receive_buffers import ReceiveBuffer
 from magnoliaroad.unsent_bytes import unsent_bytes
 
 TIMED_OUT = (
@@ -40,8 +38,6 @@
 MAX_HEAD_BYTES = 65_536
 # How often the parser holds the fields of a head: as they came and decoded.
 HEAD_COPIES = 2
-HEADS = HeadMemory()
-PARSE_TURNS = ParseTurns()
 # Time for which the rest of a head that is too large is discarded, in seconds.
 REFUSED_HEAD_S = 0.5
 # Most bytes that are read from a connection at once; what exceeds the buffer of a body
@@ -65,6 +61,11 @@
 class CallerConnection(RequestHandler):
     """Knows whether a request has begun to arrive.
 
+    Args:
+        server: The server.
+        limits: Bounds what all connections hold together.
+        options: Options of aiohttp.
+
     Attributes:
         head_began_at: Monotonic time in seconds at which an incomplete head of a
             request began; ``None`` if there is none. Not known of a head that arrives
@@ -77,15 +78,19 @@
         "_framing",
         "_is_chunked",
         "_last_body",
+        "_limits",
         "_queued_bytes",
+        "_receive_buffer",
         "_resets_on_close",
         "_waits_for_turn",
         "head_began_at",
         "head_bytes",
     )
 
-    def __init__(self, server: web.Server, **options) -> None:
+    def __init__(self, server: web.Server, limits: CallerLimits, **options) -> None:
         super().__init__(server, **options)
+        self._limits = limits
+        self._receive_buffer = ReceiveBuffer(limits.receive_pool)
         # Reading that was paused for the queue goes on once the queue is empty.
         self._msg_queue_resume_size = 0
         self._queued_bytes = 0
@@ -129,9 +134,20 @@
         elif not self._reading_paused:
             self._body_arrives(data, body_bytes)
         new = self._request_count - count
+        self._adjust_receive_buffer()
         if self._is_chunked or new or self._framing.read_size < READ_BYTES:
             self._count_framing(len(data), body, body_bytes, new)
 
+    def _adjust_receive_buffer(self) -> None:
+        """Lets the kernel take more of a body that does not arrive in one piece."""
+        body = self._last_body
+        if self.transport is None:
+            return
+        if body is None or body.is_eof():
+            self._receive_buffer.reduce(self.transport)
+        else:
+            self._receive_buffer.enlarge(self.transport)
+
     def _count_framing(
         self, read_bytes: int, body: StreamReader | None, body_bytes: int, new: int
     ) -> None:
@@ -164,7 +180,7 @@
         if small and not self._waits_for_turn:
             self._waits_for_turn = True
             self._pause_reading_for_buffer()
-            PARSE_TURNS.add(self)
+            self._limits.turns.add(self)
 
     def _content_bytes(self, new: int) -> int:
         """Returns the size of the heads and bodies of the last ``new`` requests.
@@ -209,7 +225,7 @@
             self.head_began_at = time.monotonic()
         if self._close:
             return
-        fits = HEADS.take(len(data), self.head_bytes)
+        fits = self._limits.heads.take(len(data), self.head_bytes)
         self.head_bytes += len(data)
         if self.head_bytes > MAX_HEAD_BYTES:
             self._give_up_head("head too large", HEAD_TOO_LARGE)
@@ -227,20 +243,22 @@
         if body is None or body.is_eof() or body.total_bytes > body_bytes:
             self._free_head()
         elif not self._close:
-            fits = HEADS.take(len(data), self.head_bytes)
+            fits = self._limits.heads.take(len(data), self.head_bytes)
             self.head_bytes += len(data)
             if self.head_bytes > MAX_HEAD_BYTES or not fits:
                 self._give_up_head("trailers too large", MEMORY_FULL)
 
     def _free_head(self) -> None:
         if self.head_bytes:
-            HEADS.free(self.head_bytes)
+            self._limits.heads.free(self.head_bytes)
             self.head_bytes = 0
 
     def _give_up_head(self, reason: str, answer: bytes) -> None:
         """Refuses an incomplete head and frees it; what still arrives is discarded."""
         logger.bind(
-            reason=reason, head_bytes=self.head_bytes, heads_bytes=HEADS.held_bytes
+            reason=reason,
+            head_bytes=self.head_bytes,
+            heads_bytes=self._limits.heads.held_bytes,
         ).info("head refused")
         if awaits_request(self):
             self.refuse_head(answer)
@@ -256,6 +274,7 @@
         unread = [body for _, body in self._messages]
         super().connection_lost(exc)
         self._free_head()
+        self._receive_buffer.close()
         for body in (*unread, self._last_body):
             # The parts of a connection refer to each other, so that only the garbage
             # collector frees them; it counts objects, not their size.
@@ -414,9 +433,9 @@
     conn.reset_unless_complete()
 
 
-def make_connection(server: web.Server) -> CallerConnection:
+def make_connection(server: web.Server, limits: CallerLimits) -> CallerConnection:
     """Returns the protocol of a new connection; aiohttp has no option for its class."""
-    return CallerConnection(server, loop=server._loop, **server._kwargs)
+    return CallerConnection(server, limits, loop=server._loop, **server._kwargs)
 
 
 def _head_bytes(message: object) -> int:
--- a/src/magnoliaroad/caller_listener.py
+++ b/src/magnoliaroad/caller_listener.py
@@ -9,8 +9,10 @@
 from typing_extensions import override
 
 from magnoliaroad.caller_connection import CallerConnection, make_connection
+from magnoliaroad.caller_load.limits import CallerLimits
 from magnoliaroad.connection_filter import drop_new_connections
 from magnoliaroad.listening import listening_socket
+from magnoliaroad.receive_buffers import LEAST_BYTES, limit_receive_buffer
 
 # Most connections that wait in the kernel's queue.
 BACKLOG = 1024
@@ -24,6 +26,12 @@
 class _CallerSite(web.SockSite):
     """Serves connections as ``CallerConnection``."""
 
+    def __init__(
+        self, runner: web.BaseRunner, sock: socket.socket, limits: CallerLimits
+    ) -> None:
+        super().__init__(runner, sock, backlog=BACKLOG)
+        self._limits = limits
+
     @override
     async def start(self) -> None:
         await web.BaseSite.start(self)
@@ -37,7 +45,7 @@
     def make_connection(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
         assert self._runner.server is not None
-        return make_connection(self._runner.server)
+        return make_connection(self._runner.server, self._limits)
 
 
 class CallerListener:
@@ -47,11 +55,15 @@
         runner: Runs the server.
         address: IP address to listen on.
         port: TCP port to listen on.
+        limits: Bounds what all connections of the process hold together.
     """
 
-    def __init__(self, runner: web.BaseRunner, address: str, port: int) -> None:
+    def __init__(
+        self, runner: web.BaseRunner, address: str, port: int, limits: CallerLimits
+    ) -> None:
         self.socket = listening_socket(address, port)
-        self._site = _CallerSite(runner, self.socket, backlog=BACKLOG)
+        limit_receive_buffer(self.socket, LEAST_BYTES)
+        self._site = _CallerSite(runner, self.socket, limits)
 
     async def start(self) -> None:
         """Starts listening."""
--- a/src/magnoliaroad/entry/server.py
+++ b/src/magnoliaroad/entry/server.py
@@ -10,6 +10,7 @@
 from mode import Service
 
 from magnoliaroad.caller_listener import CallerListener
+from magnoliaroad.caller_load.limits import CallerLimits
 from magnoliaroad.caller_load.shedding import held_bytes, shed
 from magnoliaroad.connection_drain import ConnectionDrain
 from magnoliaroad.entry.body import ignore_expectation
@@ -30,6 +31,12 @@
 class EntryServer(Service):
     """Serves callers and shuts down gracefully after ``drain`` is called.
 
+    Args:
+        listen: Address and port to listen on.
+        cfg: Limits on requests and on the shutdown.
+        services: Services that requests use.
+        limits: Bounds what connections hold together.
+
     Attributes:
         port: Port that the server listens on, once started.
         draining: Whether the host reports itself as not ready, so that the load
@@ -38,9 +45,14 @@
     """
 
     def __init__(
-        self, listen: ListenSettings, cfg: EntrySettings, services: EntryServices
+        self,
+        listen: ListenSettings,
+        cfg: EntrySettings,
+        services: EntryServices,
+        limits: CallerLimits,
     ) -> None:
         super().__init__()
+        self._limits = limits
         self.listen = listen
         self.cfg = cfg
         self.services = services
@@ -84,7 +96,10 @@
         )
         await self._runner.setup()
         self._listener = CallerListener(
-            self._runner, self.listen.address, self.listen.http_port
+            self._runner,
+            self.listen.address,
+            self.listen.http_port,
+            self._limits,
         )
         await self._listener.start()
         self.port = self._listener.socket.getsockname()[1]
--- a/src/magnoliaroad/memory/settings.py
+++ b/src/magnoliaroad/memory/settings.py
@@ -11,6 +11,8 @@
         request_fraction: Part of it for the bodies of requests. The largest is copied
             twice on its way, and the rest of the process takes a third of the memory of
             a small host.
+        receive_fraction: Part of it for what the kernel holds of large bodies that
+            callers send, and as much for answers of targets and for messages of hosts.
         check_interval_s: Time between two checks of the resident memory, in seconds.
         high_fraction: Part of the limit from which on memory is reported by holder, and
             garbage is collected as memory grows.
@@ -24,6 +26,7 @@
 
     limit_mb: int = 150
     request_fraction: float = 0.1
+    receive_fraction: float = 0.08
     check_interval_s: float = 0.1
     high_fraction: float = 0.4
     growth_fraction: float = 0.1
@@ -40,3 +43,8 @@
     def request_bytes(self) -> int:
         """Most bytes of the bodies of all requests together."""
         return int(self.limit_bytes * self.request_fraction)
+
+    @property
+    def receive_bytes(self) -> int:
+        """Most bytes of the kernel's enlarged buffers of one kind of connection."""
+        return int(self.limit_bytes * self.receive_fraction)
--- a/src/magnoliaroad/peers/connection.py
+++ b/src/magnoliaroad/peers/connection.py
@@ -10,6 +10,7 @@
 from magnoliaroad.peers.frame_memory import FrameMemory
 from magnoliaroad.peers.metrics import LOST
 from magnoliaroad.peers.settings import PeerSettings
+from magnoliaroad.receive_buffers import FULL_BYTES, limit_receive_buffer
 from magnoliaroad.verdict import Verdict
 
 READ_BYTES = 65_536
@@ -51,6 +52,8 @@
         except (OSError, TimeoutError) as exc:
             self.closed = True
             raise PeerError(f"{address}:{port}: {exc!r}", Verdict.NOT_RUN) from exc
+        sock = self._writer.get_extra_info("socket")
+        limit_receive_buffer(sock, FULL_BYTES)
         self._writer.transport.max_size = READ_BYTES
         self._last_received_at = time.monotonic()
         self._write(Frame(FrameKind.HEARTBEAT, 0, self._sender))
--- a/src/magnoliaroad/peers/inbound.py
+++ b/src/magnoliaroad/peers/inbound.py
@@ -4,6 +4,7 @@
 import time
 
 from magnoliaroad.peers.frame import Frame, pack_frame
+from magnoliaroad.receive_buffers import ReceiveBuffer
 
 # Most messages of one connection that are handled at the same time.
 MAX_RUNNING = 1024
@@ -18,6 +19,7 @@
 
     Args:
         writer: The connection.
+        receive_buffer: The kernel's buffer of the connection.
 
     Attributes:
         sender: Name of the peer; empty until it is known.
@@ -25,11 +27,14 @@
         heard_at: Monotonic time at which bytes last arrived, in seconds.
     """
 
-    def __init__(self, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self, writer: asyncio.StreamWriter, receive_buffer: ReceiveBuffer
+    ) -> None:
         self.sender = ""
         self.running = 0
         self.heard_at = time.monotonic()
         self._writer = writer
+        self._receive_buffer = receive_buffer
 
     def may_read(self, running_total: int) -> bool:
         """Returns whether a further message may be handled."""
@@ -54,6 +59,11 @@
         """Returns the bytes that the process holds because the peer reads slowly."""
         return self._writer.transport.get_write_buffer_size()
 
+    def enlarge_receive_buffer(self) -> None:
+        """Lets the kernel hold more of what the peer sends."""
+        self._receive_buffer.enlarge(self._writer.transport)
+
     def close(self) -> None:
         """Aborts the connection."""
+        self._receive_buffer.close()
         self._writer.transport.abort()
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -29,10 +29,18 @@
 from magnoliaroad.peers.metrics import LOST
 from magnoliaroad.peers.settings import PeerSettings
 from magnoliaroad.processor_time import PROCESSOR_SECONDS, measured
+from magnoliaroad.receive_buffers import (
+    LEAST_BYTES,
+    ReceiveBuffer,
+    ReceivePool,
+    limit_receive_buffer,
+)
 from magnoliaroad.verdict import Verdict
 
 # Most bytes of replies, on all connections together, that peers have not read.
 MAX_UNSENT_BYTES = 16_000_000
+# Most bytes that the kernel holds of messages if the host states no bound.
+RECEIVE_BYTES = 12_000_000
 # Time between checks for connections without messages, in seconds.
 SILENCE_CHECK_S = 1.0
 # Longest text of an error, in characters; it may quote the message.
@@ -47,11 +55,20 @@
         name: Name of this host.
         address: IP address to listen on.
         port: TCP port to listen on; 0 picks a free one.
+        receive_pool: Bounds what the kernel holds of messages.
     """
 
-    def __init__(self, cfg: PeerSettings, name: str, address: str, port: int) -> None:
+    def __init__(
+        self,
+        cfg: PeerSettings,
+        name: str,
+        address: str,
+        port: int,
+        receive_pool: ReceivePool | None = None,
+    ) -> None:
         super().__init__()
         self.cfg = cfg
+        self._receive_pool = receive_pool or ReceivePool(RECEIVE_BYTES)
         self.name = name
         self.address = address
         self.port = port
@@ -145,16 +162,16 @@
 
     async def on_start(self) -> None:
         """Starts listening."""
-        self._server = await open_when_free(
-            lambda: asyncio.start_server(
-                self._serve_connection,
-                sock=listening_socket(self.address, self.port),
-                limit=BUFFER_BYTES,
-            ),
-            f"{self.address}:{self.port}",
-        )
+        self._server = await open_when_free(self._listen, f"{self.address}:{self.port}")
         self.port = self._server.sockets[0].getsockname()[1]
 
+    async def _listen(self) -> asyncio.Server:
+        sock = listening_socket(self.address, self.port)
+        limit_receive_buffer(sock, LEAST_BYTES)
+        return await asyncio.start_server(
+            self._serve_connection, sock=sock, limit=BUFFER_BYTES
+        )
+
     async def on_stop(self) -> None:
         """Stops listening and closes all connections."""
         if self._server is not None:
@@ -192,13 +209,15 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         writer.transport.max_size = READ_BYTES
-        conn = InboundConnection(writer)
+        conn = InboundConnection(writer, ReceiveBuffer(self._receive_pool))
         frames = FrameReader(self._frame_memory, conn.close)
         self._inbound.add(conn)
         try:
             while data := await reader.read(READ_BYTES):
                 conn.heard_at = time.monotonic()
                 received = deque(frames.feed(data))
+                if received:
+                    conn.enlarge_receive_buffer()
                 # No variable keeps the last frame until the next one.
                 while received:
                     while not conn.may_read(self._running):
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from magnoliaroad.background import background_task
+from magnoliaroad.caller_load.limits import CallerLimits
 from magnoliaroad.evacuation.service import EvacuationService
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.explain.endpoint import PATH as EXPLAIN_PATH
@@ -17,6 +18,7 @@
 from magnoliaroad.peers import PeerService
 from magnoliaroad.quarantine import QuarantineService
 from magnoliaroad.quarantine.stored_list import PREFIX as QUARANTINE_PREFIX
+from magnoliaroad.receive_buffers import ReceivePool
 from magnoliaroad.records.client import RecordClient
 from magnoliaroad.records.lru_cache import LruCache
 from magnoliaroad.relay.announcer import Announcer
@@ -100,7 +102,13 @@
         self.store = ObservedStore(store)
         self.contact = StoreContact(self.store, PREFIX + cfg.name)
         address, _, port = cfg.listen.peers.rpartition(":")
-        self.peers = PeerService(cfg.peers, cfg.name, address, int(port))
+        self.peers = PeerService(
+            cfg.peers,
+            cfg.name,
+            address,
+            int(port),
+            ReceivePool(cfg.memory.receive_bytes),
+        )
         self.plans = PlanHolder(decoder)
         self.table = TargetTable()
         self.quota = TeamTokenBuckets(cfg.quota, time.monotonic(), self.plans.find_team)
@@ -167,7 +175,8 @@
         self.client = TargetClient(
             TargetSettings(
                 connect_timeout_s=timing.connect_timeout_s, idle_s=timing.idle_s
-            )
+            ),
+            ReceivePool(cfg.memory.receive_bytes),
         )
         self.prober = PathProber(self.table, TargetPaths(), self.client)
         direct = DirectSender(self.client, self.prober)
@@ -230,7 +239,8 @@
             targets_current=self.fleet.targets_current,
             notify_peers=self.fleet.send_heartbeat_soon,
         )
-        self.server = RelayServer(parts, self._ready)
+        self._caller_limits = CallerLimits(cfg.memory)
+        self.server = RelayServer(parts, self._ready, self._caller_limits)
         self._explain = ExplainEndpoint(parts, self._status)
         self.memory = MemoryWatch(
             cfg.memory,
@@ -283,7 +293,11 @@
             self.pace_exchange,
             self.quarantine,
             self.claims,
-            MetricsServer(self.cfg.listen.metrics, {EXPLAIN_PATH: self._explain}),
+            MetricsServer(
+                self.cfg.listen.metrics,
+                self._caller_limits,
+                {EXPLAIN_PATH: self._explain},
+            ),
             self.server,
         ):
             await self.add_runtime_dependency(part)
--- a/src/magnoliaroad/relay/metrics_server.py
+++ b/src/magnoliaroad/relay/metrics_server.py
@@ -11,6 +11,7 @@
 
 from magnoliaroad.background import background_task
 from magnoliaroad.caller_listener import CallerListener
+from magnoliaroad.caller_load.limits import CallerLimits
 from magnoliaroad.listening import open_when_free
 
 
@@ -21,12 +22,14 @@
 
     Args:
         address: Address ``ip:port`` to listen on.
+        limits: Bounds what connections hold together.
         pages: What answers requests for other pages, by path.
     """
 
     def __init__(
         self,
         address: str,
+        limits: CallerLimits,
         pages: Mapping[
             str, Callable[[web.BaseRequest], web.Response]
         ] = MappingProxyType({}),
@@ -34,6 +37,7 @@
         super().__init__()
         self._pages = pages
         self._address = address
+        self._limits = limits
         self._runner: web.ServerRunner | None = None
 
     async def on_start(self) -> None:
@@ -58,7 +62,8 @@
     async def _open(self) -> None:
         host, _, port = self._address.rpartition(":")
         assert self._runner is not None
-        await CallerListener(self._runner, host, int(port)).start()
+        listener = CallerListener(self._runner, host, int(port), self._limits)
+        await listener.start()
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
         page = self._pages.get(req.path)
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -8,9 +8,11 @@
 from mode import Service
 
 from magnoliaroad.background import background_task, run_restarting
+from magnoliaroad.caller_load.limits import CallerLimits
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerAddress, PeerService
+from magnoliaroad.receive_buffers import ReceivePool
 from magnoliaroad.records.messages import RecordHostHeartbeat, RelayHostAnnouncement
 from magnoliaroad.records.service import RecordService
 from magnoliaroad.relay.announcer import Announcer
@@ -55,7 +57,13 @@
         self.contact = StoreContact(self.store, PREFIX + cfg.name)
         self._decoder = decoder
         address, _, port = cfg.listen.peers.rpartition(":")
-        self.peers = PeerService(cfg.peers, cfg.name, address, int(port))
+        self.peers = PeerService(
+            cfg.peers,
+            cfg.name,
+            address,
+            int(port),
+            ReceivePool(cfg.memory.receive_bytes),
+        )
         self._entry = HostEntry(cfg.data_centre, address, int(port), relays=False)
         self.announcer = Announcer(self.store, cfg.fleet, cfg.name, self._entry)
         self.contact.on_regained.append(self.announcer.renew_soon)
@@ -100,7 +108,7 @@
 
     async def on_start(self) -> None:
         """Starts the services, each after those that it depends on."""
-        metrics = MetricsServer(self.cfg.listen.metrics)
+        metrics = MetricsServer(self.cfg.listen.metrics, CallerLimits(self.cfg.memory))
         # ``records`` and ``escrow`` are first: they read their files before peers can
         # ask for anything.
         for part in (
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Callable
 
 from aiohttp import web
 from loguru import logger
@@ -11,6 +12,7 @@
 from magnoliaroad.caller_connection import cut_off_answer
 from magnoliaroad.caller_left import caller_left
 from magnoliaroad.caller_listener import CallerListener
+from magnoliaroad.caller_load.limits import CallerLimits
 from magnoliaroad.caller_load.shedding import held_bytes, shed
 from magnoliaroad.connection_drain import ConnectionDrain
 from magnoliaroad.drain_limit import DrainLimit
@@ -55,15 +57,19 @@
     Args:
         parts: Components of the host.
         ready: Returns whether the host can serve requests.
+        limits: Bounds what connections hold together.
 
     Attributes:
         draining: Whether readiness checks are answered with 503.
         in_flight: Requests that are being answered.
     """
 
-    def __init__(self, parts: RelayParts, ready) -> None:
+    def __init__(
+        self, parts: RelayParts, ready: Callable[[], bool], limits: CallerLimits
+    ) -> None:
         super().__init__()
         self.parts = parts
+        self._limits = limits
         self.draining = False
         self.in_flight = InFlightRequests()
         self._ready = ready
@@ -101,7 +107,7 @@
         self._runners.append(runner)
 
         async def start_listener() -> CallerListener:
-            listener = CallerListener(runner, host, int(port))
+            listener = CallerListener(runner, host, int(port), self._limits)
             await listener.start()
             return listener
 
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -9,7 +9,7 @@
 from mode import Service
 
 from magnoliaroad.error_traces import forget_traces
-from magnoliaroad.keepalive_socket import keepalive_socket
+from magnoliaroad.receive_buffers import ReceivePool
 from magnoliaroad.targets.closable_response import ClosableResponse
 from magnoliaroad.targets.connector import TargetConnector
 from magnoliaroad.targets.errors import (
@@ -84,11 +84,17 @@
 
 
 class TargetClient(Service):
-    """Sends requests to targets; errors state whether the request may have run."""
+    """Sends requests to targets; errors state whether the request may have run.
 
-    def __init__(self, cfg: TargetSettings) -> None:
+    Args:
+        cfg: Timeouts and connection pool.
+        receive_pool: Bounds what the kernel holds of answers.
+    """
+
+    def __init__(self, cfg: TargetSettings, receive_pool: ReceivePool) -> None:
         super().__init__()
         self.cfg = cfg
+        self._receive_pool = receive_pool
         self._session: aiohttp.ClientSession | None = None
 
     async def on_start(self) -> None:
@@ -98,7 +104,7 @@
                 limit=0,
                 limit_per_host=self.cfg.pool_size,
                 keepalive_timeout=self.cfg.idle_s,
-                socket_factory=keepalive_socket,
+                receive_pool=self._receive_pool,
             ),
             timeout=aiohttp.ClientTimeout(
                 total=None,
--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -11,6 +11,7 @@
 from typing_extensions import override
 
 from magnoliaroad.error_traces import forget_traces
+from magnoliaroad.receive_buffers import ReceiveBuffer, ReceivePool
 from magnoliaroad.targets.errors import MAX_DETAIL_CHARS, NotHttp
 
 # Statuses of interim responses, which aiohttp skips. 101 ends HTTP on its connection.
@@ -32,6 +33,10 @@
 
     Closes a connection on which interim responses do not end.
 
+    Args:
+        receive_pool: Bounds what the kernel holds of answers; ``None`` if it need not.
+        loop: The event loop.
+
     Attributes:
         has_answered: Whether the connection has been used for a request.
     """
@@ -41,10 +46,18 @@
     _target_closed = False
     _interim_count = 0
 
+    def __init__(
+        self, receive_pool: ReceivePool | None, loop: asyncio.AbstractEventLoop
+    ) -> None:
+        super().__init__(loop=loop)
+        self._receive_buffer = receive_pool and ReceiveBuffer(receive_pool)
+
     @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # asyncio has no public option for the size of a read.
         transport.max_size = READ_BYTES
+        if self._receive_buffer is not None:
+            self._receive_buffer.enlarge(transport)
         super().connection_made(transport)
 
     @override
@@ -87,6 +100,8 @@
 
     @override
     def connection_lost(self, exc: BaseException | None) -> None:
+        if self._receive_buffer is not None:
+            self._receive_buffer.close()
         payload = self._payload
         body, self._open_body = self._open_body, None
         if body is not None and not body.is_eof() and not self._target_closed:
--- a/tests/caller_load/test_caller_connection.py
+++ b/tests/caller_load/test_caller_connection.py
@@ -6,9 +6,10 @@
 import pytest
 from aiohttp import web
 
-from magnoliaroad import caller_connection
 from magnoliaroad.caller_connection import READ_BYTES, make_connection
+from magnoliaroad.caller_load.limits import CallerLimits
 from magnoliaroad.caller_load.parse_turns import SMALL_READ_BYTES, ParseTurns
+from magnoliaroad.memory.settings import MemorySettings
 
 HEAD = b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 ONE_BYTE = b"1\r\nx\r\n"
@@ -46,13 +47,13 @@
 class Caller:
     """A connection whose bytes the test gives, and a handler that reads if it may."""
 
-    def __init__(self, sock):
+    def __init__(self, sock, limits):
         self.may_read = asyncio.Event()
         self.served = []
         server = web.Server(
             self._handle, read_bufsize=BODY_BUFFER_BYTES, access_log=None
         )
-        self.conn = make_connection(server)
+        self.conn = make_connection(server, limits)
         self.transport = Transport(sock)
         self.conn.connection_made(self.transport)
 
@@ -75,10 +76,8 @@
 
 
 @pytest.fixture
-def turns(monkeypatch):
-    turns = ParseTurns()
-    monkeypatch.setattr(caller_connection, "PARSE_TURNS", turns)
-    return turns
+def limits():
+    return CallerLimits(MemorySettings())
 
 
 @pytest.fixture
@@ -88,13 +87,13 @@
 
 
 async def test_a_read_that_is_parsed_in_parts_does_not_count_as_small_chunks(
-    turns, sock
+    limits, sock
 ):
     """Guards against large uploads that are slowed down since their reader is late.
 
     The parser stops once the buffer of the body is full, in the middle of a read.
     """
-    caller = Caller(sock)
+    caller = Caller(sock, limits)
     await caller.send(HEAD)
     chunk = b"fa0\r\n" + b"x" * 4000 + b"\r\n"
     caller.conn.data_received(chunk * 3)
@@ -104,11 +103,11 @@
     await asyncio.sleep(0.01)
     assert caller.transport.reads
     assert caller.transport.max_size == READ_BYTES
-    assert not len(turns)
+    assert not len(limits.turns)
 
 
-async def test_large_chunks_behind_small_ones_are_read_in_large_parts(turns, sock):
-    caller = Caller(sock)
+async def test_large_chunks_behind_small_ones_are_read_in_large_parts(limits, sock):
+    caller = Caller(sock, limits)
     caller.may_read.set()
     await caller.send(HEAD)
     await caller.send(ONE_BYTE * 1000)
@@ -120,14 +119,14 @@
     assert caller.served == [201_000]
 
 
-async def test_taking_a_request_does_not_end_the_wait_for_a_turn(turns, sock):
+async def test_taking_a_request_does_not_end_the_wait_for_a_turn(limits, sock):
     """Guards against bodies that are read out of turn since aiohttp resumes reading."""
-    turns._schedule = lambda: None
-    caller = Caller(sock)
+    limits.turns._schedule = lambda: None
+    caller = Caller(sock, limits)
     await caller.send(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
     caller.conn.data_received(HEAD)
     caller.conn.data_received(ONE_BYTE * 60)
-    assert len(turns) == 1
+    assert len(limits.turns) == 1
     caller.may_read.set()
     await asyncio.sleep(0.01)
     assert len(caller.served) == 1
@@ -136,49 +135,49 @@
     assert caller.transport.reads
 
 
-async def test_small_bodies_of_one_connection_take_turns_too(turns, sock):
+async def test_small_bodies_of_one_connection_take_turns_too(limits, sock):
     """Guards against the same work in many requests that are each read at once."""
-    caller = Caller(sock)
+    caller = Caller(sock, limits)
     caller.may_read.set()
     await caller.send(HEAD + ONE_BYTE * 2000 + b"0\r\n\r\n")
     await asyncio.sleep(0.01)
     assert caller.transport.max_size == SMALL_READ_BYTES
 
 
-async def test_requests_behind_a_body_do_not_count_as_its_framing(turns, sock):
-    caller = Caller(sock)
+async def test_requests_behind_a_body_do_not_count_as_its_framing(limits, sock):
+    caller = Caller(sock, limits)
     caller.may_read.set()
     await caller.send(
         b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n12345678"
     )
     await caller.send(b"9" + b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n" * 12)
     assert caller.transport.max_size == READ_BYTES
-    assert not len(turns)
+    assert not len(limits.turns)
 
 
-async def test_what_is_discarded_does_not_wait_for_a_turn(turns, sock):
+async def test_what_is_discarded_does_not_wait_for_a_turn(limits, sock):
     """Guards against refusals that are lost as unread bytes reset their connection."""
-    caller = Caller(sock)
+    caller = Caller(sock, limits)
     await caller.send(HEAD)
     caller.conn.close()
     caller.conn.data_received(ONE_BYTE * 1000)
     assert caller.transport.reads
-    assert not len(turns)
+    assert not len(limits.turns)
 
 
-async def test_a_caller_that_leaves_while_it_waits_is_not_read_again(turns, sock):
-    caller = Caller(sock)
+async def test_a_caller_that_leaves_while_it_waits_is_not_read_again(limits, sock):
+    caller = Caller(sock, limits)
     await caller.send(HEAD)
     caller.conn.data_received(ONE_BYTE * 400)
-    assert len(turns) == 1
+    assert len(limits.turns) == 1
     caller.conn.connection_lost(None)
     await asyncio.sleep(0.05)
     assert not caller.transport.reads
-    assert not len(turns)
+    assert not len(limits.turns)
 
 
-async def test_a_turn_does_not_resume_a_full_queue_of_requests(turns, sock):
-    caller = Caller(sock)
+async def test_a_turn_does_not_resume_a_full_queue_of_requests(limits, sock):
+    caller = Caller(sock, limits)
     await caller.send(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
     filler = b"X: " + b"x" * 8000
     head = b"GET /x HTTP/1.1\r\nHost: x\r\n" + filler + b"\r\n\r\n"
@@ -217,9 +216,9 @@
 
 
 async def test_a_request_with_a_length_behind_small_chunks_is_read_in_large_parts(
-    turns, sock
+    limits, sock
 ):
-    caller = Caller(sock)
+    caller = Caller(sock, limits)
     caller.may_read.set()
     await caller.send(HEAD + ONE_BYTE * 300)
     await caller.send(ONE_BYTE * 300 + b"0\r\n\r\n")
