Keep an enlarged receive buffer until the connection ends

Callers: on a kept connection, a larger request after a large and many small ones would come in parts 0.2 s apart.

Cause: reduced the buffer at the end of a body. A sender on Linux cuts its data into segments of at most half of the largest window that it has seen, and waits for its persist timer while one does not fit.

Evidence: the same on connections between hosts: of calls with 300 KB beside small ones some got no reply within the 2.5 s of silence after which the connection is closed, and failed.

Change: a buffer is only enlarged, and given back as its connection ends. With the pool used up, connections keep their 4 KB; there the segments are small from the start.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -134,19 +134,13 @@
         elif not self._reading_paused:
             self._body_arrives(data, body_bytes)
         new = self._request_count - count
-        self._adjust_receive_buffer()
+        if self.transport is not None and self._awaits_body():
+            self._receive_buffer.enlarge(self.transport)
         if self._is_chunked or new or self._framing.read_size < READ_BYTES:
             self._count_framing(len(data), body, body_bytes, new)
 
-    def _adjust_receive_buffer(self) -> None:
-        """Lets the kernel take more of a body that does not arrive in one piece."""
-        body = self._last_body
-        if self.transport is None:
-            return
-        if body is None or body.is_eof():
-            self._receive_buffer.reduce(self.transport)
-        else:
-            self._receive_buffer.enlarge(self.transport)
+    def _awaits_body(self) -> bool:
+        return self._last_body is not None and not self._last_body.is_eof()
 
     def _count_framing(
         self, read_bytes: int, body: StreamReader | None, body_bytes: int, new: int
--- a/src/magnoliaroad/receive_buffers/buffer.py
+++ b/src/magnoliaroad/receive_buffers/buffer.py
@@ -9,8 +9,8 @@
 # Least buffer of a connection, in bytes. It takes the head of a usual request, and so
 # many connections may have one that thousands must fit into the memory of a host.
 LEAST_BYTES = 4096
-# Buffer of a connection on which a large body arrives, in bytes: the largest window
-# without scaling, which the listening socket's small buffer excludes.
+# Buffer of a connection on which a large body arrives, in bytes. It lets some 17 MB a
+# second through between data centres.
 FULL_BYTES = 65_536
 # Linux doubles the size that is set, and holds no more payload than that.
 KERNEL_FACTOR = 2
@@ -28,18 +28,19 @@
 
 
 class ReceiveBuffer:
-    """Buffer of one connection, which is larger while a large body arrives.
+    """Buffer of one connection, which is enlarged once a large body arrives.
+
+    It stays so until the connection ends. With a smaller one the peer would wait for
+    its persist timer: it sends no less than half of the largest window that it saw.
 
     Args:
         pool: Bounds the enlarged buffers of all connections.
-        least_bytes: Size that the connection always has.
     """
 
-    __slots__ = ("_enlarged", "_least_bytes", "_pool")
+    __slots__ = ("_enlarged", "_pool")
 
-    def __init__(self, pool: ReceivePool, least_bytes: int = LEAST_BYTES) -> None:
+    def __init__(self, pool: ReceivePool) -> None:
         self._pool = pool
-        self._least_bytes = least_bytes
         self._enlarged = False
 
     def enlarge(self, transport: asyncio.BaseTransport) -> None:
@@ -48,12 +49,6 @@
             self._enlarged = True
             limit_receive_buffer(transport.get_extra_info("socket"), FULL_BYTES)
 
-    def reduce(self, transport: asyncio.BaseTransport) -> None:
-        """Gives the enlarged buffer back."""
-        if self._enlarged:
-            limit_receive_buffer(transport.get_extra_info("socket"), self._least_bytes)
-            self.close()
-
     def close(self) -> None:
         """Gives the enlarged buffer back as the connection ends."""
         if self._enlarged:
