Free the scanner of a peer's frames with each frame

Callers: a crowd at the address for other hosts took a host over the memory of its machine: 318 to 326 MB resident of 90 with 400 connections that send heartbeats and read the answers slowly, 72 to 88 MB with requests of HTTP.

Cause: each connection had a msgpack.Unpacker that finds the ends of frames. Its buffer is 1 MB at first, and it is filled to its end before what was scanned is dropped; so each connection that sent 1 MB held as much. Bytes that are no frames were scanned whole, each as an object of its own.

Change: a scanner lives for one read, with a buffer of the size of what it scans; only an incomplete frame of 16 KB or more keeps one. Bytes that do not begin with an array of four are refused before anything is scanned. Frames that hosts send all begin so, also those of older builds.

--- a/src/magnoliaroad/peers/frame.py
+++ b/src/magnoliaroad/peers/frame.py
@@ -11,8 +11,13 @@
 from magnoliaroad.peers.metrics import SENT
 
 MAX_FRAME_BYTES = 8_000_000
-# Size from which the buffer of a frame is freed at its end, in bytes.
-LARGE_FRAME_BYTES = 131_072
+# Size from which an incomplete frame has a scanner of its own, in bytes. A smaller one
+# is scanned again with what follows it.
+LARGE_FRAME_BYTES = 16_384
+# Most that a scanner holds beside a frame, in bytes.
+SPARE_BYTES = 131_072
+# First byte of a frame: an array of four.
+FRAME_START = b"\x94"
 _DECODER = msgspec.msgpack.Decoder(tuple[int, int, str, msgspec.Raw])
 
 
@@ -59,6 +64,9 @@
     Args:
         memory: Bounds the incomplete frames of all connections.
         on_dropped: Is called if that of this connection was dropped.
+
+    Attributes:
+        held_bytes: Bytes of the incomplete frame.
     """
 
     def __init__(
@@ -68,10 +76,9 @@
         self._on_dropped = on_dropped
         self._dropped = False
         self._chunks: list[bytes] = []
-        self._held_bytes = 0
-        self._scanner = _new_scanner()
-        # Offset of the incomplete frame among the bytes that were scanned.
-        self._start = 0
+        self.held_bytes = 0
+        # Scans an incomplete frame that is large.
+        self._scanner: msgpack.Unpacker | None = None
 
     def feed(self, data: bytes) -> list[Frame]:
         """Returns the frames that ``data`` completes.
@@ -81,69 +88,82 @@
         """
         if self._dropped:
             raise ValueError("frame dropped")
-        sizes = self._complete_sizes(data)
-        if not sizes:
-            self._hold(data)
-            return []
-        if self._chunks:
-            data = b"".join((*self._chunks, data))
-            self._release()
+        if self._scanner is None:
+            data = self._take_chunks(data)
+            if not data.startswith(FRAME_START):
+                raise ValueError("not a frame")
+            sizes = _complete_sizes(_new_scanner(len(data)), data)
+        else:
+            sizes = _complete_sizes(self._scanner, data)
+            if sizes:
+                data = self._take_chunks(data)
         frames, at = [], 0
         for size in sizes:
             frames.append(_to_frame(data[at : at + size]))
             at += size
-        rest = data[at:]
-        if at > LARGE_FRAME_BYTES:
-            # The buffer of the scanner never shrinks.
-            self._scanner, self._start = _new_scanner(), 0
-            self._complete_sizes(rest)
-        if rest:
-            self._hold(rest)
+        if at < len(data):
+            self._hold(data[at:] if at else data)
         return frames
 
     def drop(self) -> None:
         """Frees the incomplete frame; the stream cannot be read further."""
         self._dropped = True
         self._chunks.clear()
-        self._scanner = _new_scanner()
+        self._scanner = None
         self._on_dropped()
 
     def close(self) -> None:
         """Frees the incomplete frame at the end of the stream."""
-        self._release()
-
-    def _complete_sizes(self, data: bytes) -> list[int]:
-        """Returns the sizes of the frames that end in ``data``, in bytes."""
-        scanner, sizes = self._scanner, []
-        start = self._start
-        scanner.feed(data)
-        try:
-            while True:
-                scanner.skip()
-                end = scanner.tell()
-                sizes.append(end - start)
-                start = end
-        except msgpack.OutOfData:
-            self._start = start
-            return sizes
+        self._take_chunks(b"")
+
+    def _take_chunks(self, data: bytes) -> bytes:
+        """Returns the incomplete frame with ``data`` behind it, and holds none."""
+        if not self._chunks:
+            return data
+        data = b"".join((*self._chunks, data))
+        self._chunks.clear()
+        self._scanner = None
+        self.held_bytes = 0
+        self._memory.hold(self.drop, 0)
+        return data
 
     def _hold(self, data: bytes) -> None:
         self._chunks.append(data)
-        self._held_bytes += len(data)
-        if self._held_bytes > MAX_FRAME_BYTES:
+        self.held_bytes += len(data)
+        if self.held_bytes > MAX_FRAME_BYTES:
             raise ValueError(f"frame of more than {MAX_FRAME_BYTES} bytes")
-        self._memory.hold(self.drop, self._held_bytes)
+        if self._scanner is None and self.held_bytes >= LARGE_FRAME_BYTES:
+            self._scanner = _new_scanner(2 * self.held_bytes)
+            _complete_sizes(self._scanner, data)
+        self._memory.hold(self.drop, self.held_bytes)
         if self._dropped:
             raise ValueError("frame dropped")
 
-    def _release(self) -> None:
-        self._chunks.clear()
-        self._held_bytes = 0
-        self._memory.hold(self.drop, 0)
 
+def _new_scanner(size: int) -> msgpack.Unpacker:
+    """Returns a scanner whose buffer has ``size`` bytes at first."""
+    return msgpack.Unpacker(
+        read_size=size, max_buffer_size=MAX_FRAME_BYTES + SPARE_BYTES
+    )
+
+
+def _complete_sizes(scanner: msgpack.Unpacker, data: bytes) -> list[int]:
+    """Returns the sizes of the frames that end in ``data``, in bytes.
 
-def _new_scanner() -> msgpack.Unpacker:
-    return msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES + LARGE_FRAME_BYTES)
+    Args:
+        scanner: Has got what was before ``data`` of an incomplete frame.
+        data: Bytes of the stream.
+    """
+    sizes, start = [], 0
+    scanner.feed(data)
+    try:
+        while True:
+            scanner.skip()
+            end = scanner.tell()
+            sizes.append(end - start)
+            start = end
+    except msgpack.OutOfData:
+        return sizes
 
 
 def _to_frame(data: bytes) -> Frame:
--- a/tests/peers/test_bounds.py
+++ b/tests/peers/test_bounds.py
@@ -57,7 +57,16 @@
 def test_a_frame_without_end_is_refused(opening):
     reader = FrameReader(FrameMemory(2 * MAX_FRAME_BYTES))
     with pytest.raises(ValueError, match="frame of more|Unpack|exceeds"):
-        read(reader, opening + b"\x80" * (MAX_FRAME_BYTES + 10**6), 65_536)
+        read(reader, HALF[:5] + opening + b"\x80" * (MAX_FRAME_BYTES + 10**6), 65_536)
+
+
+@pytest.mark.parametrize("opening", [b"POST / HTTP/1.1", b"\xdd\xff", b"\x93\x03"])
+def test_what_is_no_frame_is_refused_at_its_first_byte(opening):
+    """Guards against the work and memory of scanning what callers send to peers."""
+    memory = FrameMemory()
+    with pytest.raises(ValueError, match="not a frame"):
+        FrameReader(memory).feed(opening)
+    assert memory.held_bytes == 0
 
 
 def test_the_oldest_incomplete_frame_is_dropped():
