Bound what peers that do not go on make a host hold

Cause: unread answers to heartbeats were not counted, only replies; each connection might hold 64 KB of them, 64 KB that it had read and 32 KB that wait to be read. Near its memory limit a host gave up nothing of peers.

Change: the bound on unread replies counts all answers and the buffers of their connections, and is a part of the memory limit (10 %, 15 MB of 150; it was 16 MB). A message is handled once the answers before it are nearly read. Near the limit connections of peers are closed that have been silent within a frame or an answer for 0.5 s.

--- a/src/magnoliaroad/app.py
+++ b/src/magnoliaroad/app.py
@@ -49,7 +49,7 @@
             cfg.name,
             listen.address,
             listen.peer_port,
-            ReceivePool(cfg.memory.receive_bytes),
+            cfg.memory,
         )
         self.config = ConfigService(
             self.store,
@@ -117,7 +117,7 @@
             [
                 MemoryHolder("requests", lambda: self._requests.held_bytes),
                 MemoryHolder("callers", self.entry.held_bytes, self.entry.shed),
-                MemoryHolder("peers", self.peers.held_bytes),
+                MemoryHolder("peers", self.peers.held_bytes, self.peers.shed),
             ],
         )
 
--- a/src/magnoliaroad/memory/settings.py
+++ b/src/magnoliaroad/memory/settings.py
@@ -13,6 +13,7 @@
             a small host.
         receive_fraction: Part of it for what the kernel holds of large bodies that
             callers send, and as much for answers of targets and for messages of hosts.
+        unread_fraction: Part of it for replies that other hosts have not read.
         check_interval_s: Time between two checks of the resident memory, in seconds.
         high_fraction: Part of the limit from which on memory is reported by holder, and
             garbage is collected as memory grows.
@@ -27,6 +28,7 @@
     limit_mb: int = 150
     request_fraction: float = 0.1
     receive_fraction: float = 0.08
+    unread_fraction: float = 0.1
     check_interval_s: float = 0.1
     high_fraction: float = 0.4
     growth_fraction: float = 0.1
@@ -48,3 +50,8 @@
     def receive_bytes(self) -> int:
         """Most bytes of the kernel's enlarged buffers of one kind of connection."""
         return int(self.limit_bytes * self.receive_fraction)
+
+    @property
+    def unread_bytes(self) -> int:
+        """Most bytes of replies that other hosts have not read."""
+        return int(self.limit_bytes * self.unread_fraction)
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -14,33 +14,40 @@
 
 from magnoliaroad.background import background_task
 from magnoliaroad.listening import listening_socket, open_when_free
+from magnoliaroad.memory.settings import MemorySettings
 from magnoliaroad.peers.address import PeerAddress
 from magnoliaroad.peers.catalogue import (
     MessageCatalogue,
     UnknownMessage,
     message_tag,
 )
-from magnoliaroad.peers.connection import BUFFER_BYTES, READ_BYTES, PeerConnection
+from magnoliaroad.peers.connection import PeerConnection
 from magnoliaroad.peers.errors import PeerError
-from magnoliaroad.peers.frame import Frame, FrameKind, FrameReader, pack_frame
+from magnoliaroad.peers.frame import Frame, FrameKind, pack_frame
 from magnoliaroad.peers.frame_memory import FrameMemory
-from magnoliaroad.peers.inbound import PAUSE_S, InboundConnection
+from magnoliaroad.peers.inbound import (
+    BUFFER_BYTES,
+    MAX_READ_BYTES,
+    PAUSE_S,
+    InboundConnection,
+)
 from magnoliaroad.peers.interface import Handler, Peers
 from magnoliaroad.peers.metrics import LOST
 from magnoliaroad.peers.settings import PeerSettings
 from magnoliaroad.processor_time import PROCESSOR_SECONDS, measured
 from magnoliaroad.receive_buffers import (
-    LEAST_BYTES,
     ReceiveBuffer,
     ReceivePool,
     limit_receive_buffer,
 )
 from magnoliaroad.verdict import Verdict
 
-# Most bytes of replies, on all connections together, that peers have not read.
-MAX_UNSENT_BYTES = 16_000_000
-# Most bytes that the kernel holds of messages if the host states no bound.
-RECEIVE_BYTES = 12_000_000
+DEFAULT_MEMORY = MemorySettings()
+# Least that the kernel holds of messages on one connection, in bytes; most fit into it.
+LEAST_RECEIVE_BYTES = 16_384
+# Silence of a peer after which it counts as stalled if it was to go on, in seconds;
+# several round trips between continents.
+STALL_S = 0.5
 # Time between checks for connections without messages, in seconds.
 SILENCE_CHECK_S = 1.0
 # Longest text of an error, in characters; it may quote the message.
@@ -55,7 +62,7 @@
         name: Name of this host.
         address: IP address to listen on.
         port: TCP port to listen on; 0 picks a free one.
-        receive_pool: Bounds what the kernel holds of messages.
+        memory: Memory of the process, parts of which its connections may hold.
     """
 
     def __init__(
@@ -64,11 +71,12 @@
         name: str,
         address: str,
         port: int,
-        receive_pool: ReceivePool | None = None,
+        memory: MemorySettings = DEFAULT_MEMORY,
     ) -> None:
         super().__init__()
         self.cfg = cfg
-        self._receive_pool = receive_pool or ReceivePool(RECEIVE_BYTES)
+        self._receive_pool = ReceivePool(memory.receive_bytes)
+        self._max_unread_bytes = memory.unread_bytes
         self.name = name
         self.address = address
         self.port = port
@@ -149,16 +157,26 @@
 
     def held_bytes(self) -> int:
         """Returns the bytes that the process holds for peers and of them."""
-        return self._frame_memory.held_bytes + self.unsent_bytes()
+        inbound = sum(conn.held_bytes() for conn in self._inbound)
+        return inbound + sum(conn.unsent_bytes() for conn in self._connections.values())
 
-    def unsent_bytes(self) -> int:
-        """Returns the bytes that the process holds for slow peers."""
-        return self._unsent_replies() + sum(
-            conn.unsent_bytes() for conn in self._connections.values()
-        )
+    def shed(self, size: int) -> int:
+        """Closes connections of peers that stopped, until ``size`` bytes are free.
 
-    def _unsent_replies(self) -> int:
-        return sum(conn.unsent_bytes() for conn in self._inbound)
+        Returns:
+            How many bytes they held.
+        """
+        freed, since = 0, time.monotonic() - STALL_S
+        stalled = [conn for conn in self._inbound if conn.heard_at < since]
+        # Of two peers the one that was heard later is more likely to go on.
+        for conn in sorted(stalled, key=lambda conn: conn.heard_at):
+            if freed >= size:
+                break
+            held = conn.held_bytes()
+            if held:
+                _close_stalled(conn)
+                freed += held
+        return freed
 
     async def on_start(self) -> None:
         """Starts listening."""
@@ -167,7 +185,7 @@
 
     async def _listen(self) -> asyncio.Server:
         sock = listening_socket(self.address, self.port)
-        limit_receive_buffer(sock, LEAST_BYTES)
+        limit_receive_buffer(sock, LEAST_RECEIVE_BYTES)
         return await asyncio.start_server(
             self._serve_connection, sock=sock, limit=BUFFER_BYTES
         )
@@ -208,22 +226,20 @@
     async def _serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        writer.transport.max_size = READ_BYTES
-        conn = InboundConnection(writer, ReceiveBuffer(self._receive_pool))
-        frames = FrameReader(self._frame_memory, conn.close)
+        conn = InboundConnection(
+            writer, ReceiveBuffer(self._receive_pool), self._frame_memory
+        )
         self._inbound.add(conn)
         try:
-            while data := await reader.read(READ_BYTES):
-                conn.heard_at = time.monotonic()
-                received = deque(frames.feed(data))
-                if received:
-                    conn.enlarge_receive_buffer()
+            while data := await reader.read(MAX_READ_BYTES):
+                received = deque(conn.feed(data))
                 # No variable keeps the last frame until the next one.
                 while received:
                     while not conn.may_read(self._running):
                         await asyncio.sleep(PAUSE_S)
                     self._dispatch(conn, received.popleft())
-                await conn.drain()
+                    if conn.unsent_bytes():
+                        await conn.drain()
         except (OSError, ValueError) as exc:
             logger.bind(host=conn.sender, reason=repr(exc)).debug(
                 "peer connection ended"
@@ -231,7 +247,6 @@
             if conn.unsent_bytes():
                 _report_unread(conn)
         finally:
-            frames.close()
             self._inbound.discard(conn)
             conn.close()
 
@@ -250,14 +265,12 @@
                 logger.bind(host=conn.sender, silent_s=limit_s).debug(
                     "peer connection ended"
                 )
-                if conn.unsent_bytes():
-                    _report_unread(conn)
-                conn.close()
+                _close_stalled(conn)
 
     def _dispatch(self, conn: InboundConnection, frame: Frame) -> None:
         if frame.kind == FrameKind.HEARTBEAT:
             conn.sender = frame.tag
-            conn.write(frame._replace(fields=()))
+            self._write(conn, frame._replace(fields=()))
             return
         if self._call_plain(conn, frame):
             return
@@ -329,15 +342,17 @@
     def _reply(self, conn: InboundConnection, frame: Frame, reply: Frame) -> None:
         if frame.kind != FrameKind.REQUEST:
             return
-        conn.write(reply)
-        if conn.unsent_bytes() and self._unsent_replies() > MAX_UNSENT_BYTES:
-            self._close_slowest()
+        self._write(conn, reply)
 
-    def _close_slowest(self) -> None:
-        """Closes the connection that holds most of the unsent replies."""
-        conn = max(self._inbound, key=InboundConnection.unsent_bytes)
-        _report_unread(conn)
-        conn.close()
+    def _write(self, conn: InboundConnection, frame: Frame) -> None:
+        conn.write(frame)
+        if not conn.unsent_bytes():
+            return
+        slow = [conn for conn in self._inbound if conn.unsent_bytes()]
+        held = sum(conn.held_bytes() for conn in slow)
+        # A single reply may be larger than the bound.
+        if held > self._max_unread_bytes and len(slow) > 1:
+            _close_stalled(max(slow, key=InboundConnection.held_bytes))
 
     def _spawn(self, coro: Any) -> None:
         task = asyncio.create_task(coro)
@@ -345,6 +360,12 @@
         task.add_done_callback(self._background_tasks.discard)
 
 
+def _close_stalled(conn: InboundConnection) -> None:
+    if conn.unsent_bytes():
+        _report_unread(conn)
+    conn.close()
+
+
 def _report_unread(conn: InboundConnection) -> None:
     LOST.inc({"reason": "unread"})
     logger.bind(host=conn.sender, unsent_bytes=conn.unsent_bytes()).warning(
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -107,7 +107,7 @@
             cfg.name,
             address,
             int(port),
-            ReceivePool(cfg.memory.receive_bytes),
+            cfg.memory,
         )
         self.plans = PlanHolder(decoder)
         self.table = TargetTable()
@@ -248,7 +248,7 @@
                 MemoryHolder("requests", lambda: requests.held_bytes),
                 MemoryHolder("callers", self.server.held_bytes, self.server.shed),
                 MemoryHolder("turns", lambda: parts.turns.cached_bytes),
-                MemoryHolder("peers", self.peers.held_bytes),
+                MemoryHolder("peers", self.peers.held_bytes, self.peers.shed),
             ],
         )
         self.detours = DetourService(
--- a/src/magnoliaroad/relay/record_app.py
+++ b/src/magnoliaroad/relay/record_app.py
@@ -12,7 +12,6 @@
 from magnoliaroad.event_wait import wait_for_event
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.peers import PeerAddress, PeerService
-from magnoliaroad.receive_buffers import ReceivePool
 from magnoliaroad.records.messages import RecordHostHeartbeat, RelayHostAnnouncement
 from magnoliaroad.records.service import RecordService
 from magnoliaroad.relay.announcer import Announcer
@@ -62,7 +61,7 @@
             cfg.name,
             address,
             int(port),
-            ReceivePool(cfg.memory.receive_bytes),
+            cfg.memory,
         )
         self._entry = HostEntry(cfg.data_centre, address, int(port), relays=False)
         self.announcer = Announcer(self.store, cfg.fleet, cfg.name, self._entry)
@@ -95,7 +94,7 @@
             cfg.memory,
             [
                 MemoryHolder("records", lambda: self.records.pending_bytes),
-                MemoryHolder("peers", self.peers.held_bytes),
+                MemoryHolder("peers", self.peers.held_bytes, self.peers.shed),
             ],
         )
         self._addresses: dict[str, PeerAddress] = {}
--- a/tests/peers/test_bounds.py
+++ b/tests/peers/test_bounds.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import NamedTuple
 
 import pytest
 
+from magnoliaroad.memory.settings import MemorySettings
 from magnoliaroad.peers import MessageCatalogue, PeerAddress, PeerService
 from magnoliaroad.peers.frame import (
     LARGE_FRAME_BYTES,
@@ -17,6 +19,7 @@
 )
 from magnoliaroad.peers.frame_memory import FrameMemory
 from magnoliaroad.peers.inbound import MAX_RUNNING
+from magnoliaroad.peers.service import STALL_S
 from magnoliaroad.peers.settings import PeerSettings
 
 HALF = b"\x94\x03\x00\xa1x\xc6" + (7_900_000).to_bytes(4, "big") + b"x" * 500_000
@@ -108,6 +111,55 @@
     assert reply == Count(4_000_000)
 
 
+async def test_what_peers_do_not_read_is_bounded_over_all_connections():
+    """Guards against heartbeats whose answers nobody reads, each within its bound."""
+    memory = MemorySettings(limit_mb=20)
+    heartbeats = pack_frame(Frame(FrameKind.HEARTBEAT, 0, "n" * 10_000)) * 100
+    most, streams = 0, []
+    async with (
+        PeerService(PeerSettings(), "a", "127.0.0.1", 0, memory) as called,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        # Connections inherit the size from the listening socket.
+        listening = called._server.sockets[0]
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        for _ in range(80):
+            sock = socket.socket()
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.setblocking(False)
+            address = ("127.0.0.1", called.port)
+            await asyncio.get_running_loop().sock_connect(sock, address)
+            streams.append(await asyncio.open_connection(sock=sock))
+            transport = streams[-1][1].transport
+            stack.callback(transport.abort)
+            transport.pause_reading()
+            transport.write(heartbeats)
+            await asyncio.sleep(0.01)
+            most = max(most, called.held_bytes())
+    assert LARGE_FRAME_BYTES < most < 2 * memory.unread_bytes
+
+
+async def test_a_peer_that_stalls_is_closed_for_memory_and_no_other():
+    async with (
+        PeerService(PeerSettings(), "a", "127.0.0.1", 0) as called,
+        contextlib.AsyncExitStack() as stack,
+    ):
+        streams = []
+        for data in (HALF, pack_frame(Frame(FrameKind.HEARTBEAT, 0, "b"))):
+            streams.append(await asyncio.open_connection("127.0.0.1", called.port))
+            stack.callback(streams[-1][1].transport.abort)
+            streams[-1][1].write(data)
+        (stalled, _), (sound, _) = streams
+        await sound.read(1)
+        while called.held_bytes() < len(HALF):
+            await asyncio.sleep(0.01)
+        assert called.shed(1) == 0
+        await asyncio.sleep(2 * STALL_S)
+        assert called.shed(10**9) >= len(HALF)
+        assert await stalled.read() == b""
+        assert not sound.at_eof()
+
+
 async def test_a_peer_gets_a_bounded_number_of_messages_handled_at_once():
     running, most = 0, 0
 
