Judge reads in many parts before they are parsed

Callers: beside 500 and 1,500 connections with bodies in chunks of one byte, payments of others fell from some 280 to 103 and 36 in 8 s; some got no answer in 3 s.

Cause: a connection was read by 32 KB at first, some 11,000 parse steps, and was judged only once that had been parsed. A crowd that sends at the same time had all of these reads parsed in one turn of the event loop.

Change: each read counts its line ends, which are the parse steps of chunks and fields, before it is parsed. The steps of one turn of the loop are bounded; what exceeds them waits, with its connection paused. Reads begin with 4 KB and grow while they are filled with large parts. This takes the place of FramingCount, which compared the content of a body with what was read, after the fact.

Tests: a new one counts the steps of 500 first reads in each turn of the loop, without a network; the ones of FramingCount are replaced by ones of what is admitted and of the size of reads, those of turns fill the turn first, as a connection by itself no longer waits.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -16,7 +16,8 @@
 from typing_extensions import override
 
 from magnoliaroad.caller_load.limits import CallerLimits
-from magnoliaroad.caller_load.parse_turns import FramingCount
+from magnoliaroad.caller_load.parse_turns import count_steps
+from magnoliaroad.caller_load.read_size import ReadSize
 from magnoliaroad.error_traces import forget_traces
 from magnoliaroad.idle import awaits_request
 from magnoliaroad.receive_buffers import ReceiveBuffer
@@ -40,11 +41,6 @@
 HEAD_COPIES = 2
 # Time for which the rest of a head that is too large is discarded, in seconds.
 REFUSED_HEAD_S = 0.5
-# Most bytes that are read from a connection at once; what exceeds the buffer of a body
-# is held for each caller.
-READ_BYTES = 32_768
-# Separators of a field of a head, in bytes.
-FIELD_BYTES = 4
 # Most bytes of requests that wait for the answer of an earlier one. A caller that sends
 # more is not read until they have been taken, so that its leaving is seen later.
 MAX_QUEUED_BYTES = 32_768
@@ -75,11 +71,12 @@
     """
 
     __slots__ = (
-        "_framing",
+        "_deferred",
         "_is_chunked",
         "_last_body",
         "_limits",
         "_queued_bytes",
+        "_read_size",
         "_receive_buffer",
         "_resets_on_close",
         "_waits_for_turn",
@@ -96,7 +93,8 @@
         self._queued_bytes = 0
         self._waits_for_turn = False
         self._resets_on_close = False
-        self._framing = FramingCount(READ_BYTES)
+        self._deferred = b""
+        self._read_size = ReadSize()
         self._is_chunked = False
         self.head_began_at: float | None = None
         self.head_bytes = 0
@@ -105,7 +103,7 @@
     @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # asyncio has no public option for the size of a read.
-        transport.max_size = READ_BYTES
+        transport.max_size = self._read_size.size
         super().connection_made(transport)
         if transport.get_extra_info("socket").getsockopt(SOL_SOCKET, SO_ERROR):
             # The caller reset it while it waited to be accepted; what it sent before
@@ -115,8 +113,41 @@
 
     @override
     def data_received(self, data: bytes) -> None:
+        # aiohttp passes no data to go on with what the parser holds.
+        if not data or self._may_parse(data):
+            self._parse(data)
+
+    def _may_parse(self, data: bytes) -> bool:
+        """Returns whether a read is parsed now; else it waits for its turn."""
+        if self.transport is None or self._close:
+            return True
+        has_length = self._awaits_body() and not self._is_chunked
+        steps = 0 if has_length else count_steps(data)
+        self._transport.max_size = self._read_size.adapt(len(data), steps)
+        if self._limits.turns.admit(steps):
+            return True
+        self._deferred = data
+        self._waits_for_turn = True
+        self._pause_reading_for_buffer()
+        self._limits.turns.add(self)
+        return False
+
+    def take_turn(self) -> None:
+        """Parses the read that has waited for its turn, and reads on."""
+        self._waits_for_turn = False
+        data, self._deferred = self._deferred, b""
+        if self.transport is None:
+            return
+        self._limits.turns.spend(count_steps(data))
+        self._parse(data)
+        # A full queue of requests resumes reading itself, once it is empty.
+        if self.transport is not None and not self._queue_is_full():
+            self._resume_reading_for_buffer()
+
+    def _parse(self, data: bytes) -> None:
         body = self._last_body
         between = body is None or body.is_eof()
+        has_length = not between and not self._is_chunked
         body_bytes = 0 if body is None else body.total_bytes
         count = self._request_count
         self._queued_bytes = len(data) + (self._queued_bytes if self._messages else 0)
@@ -124,81 +155,28 @@
         if self._queue_is_full() and not self._buffer_paused:
             self._pause_reading_for_buffer()
         if self._request_count > count:
-            message, self._last_body = self._messages[-1]
-            # Of a malformed request the parser gives an error in place of a message.
-            forget_traces(getattr(message, "exc", None))
-            self.head_began_at = None
-            self._free_head()
+            self._requests_begin()
+            if has_length:
+                # Only what follows the body takes steps, which were not counted yet.
+                self._limits.turns.spend(count_steps(data))
         elif between:
             self._head_arrives(data)
         elif not self._reading_paused:
             self._body_arrives(data, body_bytes)
-        new = self._request_count - count
         if self.transport is not None and self._awaits_body():
             self._receive_buffer.enlarge(self.transport)
-        if self._is_chunked or new or self._framing.read_size < READ_BYTES:
-            self._count_framing(len(data), body, body_bytes, new)
+
+    def _requests_begin(self) -> None:
+        message, self._last_body = self._messages[-1]
+        # Of a malformed request the parser gives an error in place of a message.
+        forget_traces(getattr(message, "exc", None))
+        self._is_chunked = getattr(message, "chunked", False)
+        self.head_began_at = None
+        self._free_head()
 
     def _awaits_body(self) -> bool:
         return self._last_body is not None and not self._last_body.is_eof()
 
-    def _count_framing(
-        self, read_bytes: int, body: StreamReader | None, body_bytes: int, new: int
-    ) -> None:
-        """Lets a connection whose bodies come in small chunks wait for its turn.
-
-        Args:
-            read_bytes: What was read, in bytes.
-            body: Body that arrived before, if any.
-            body_bytes: Size of that body before.
-            new: Number of requests that have begun since.
-        """
-        was_chunked = self._is_chunked
-        content = self._content_bytes(new)
-        if body is not None:
-            content += body.total_bytes - body_bytes
-        if not (was_chunked or self._is_chunked):
-            content = read_bytes
-        last = self._last_body
-        ended = last is None or last.is_eof()
-        if self._close or (ended and not new and not content):
-            # What follows the last request of a connection is discarded unparsed; else
-            # this is a part of the next head.
-            self._framing.clear()
-            return
-        self._framing.add(read_bytes, content)
-        if self._reading_paused or self.transport is None:
-            return
-        small = self._framing.is_small()
-        self._transport.max_size = self._framing.read_size
-        if small and not self._waits_for_turn:
-            self._waits_for_turn = True
-            self._pause_reading_for_buffer()
-            self._limits.turns.add(self)
-
-    def _content_bytes(self, new: int) -> int:
-        """Returns the size of the heads and bodies of the last ``new`` requests.
-
-        Reads without chunks are not judged, so that these are left out. Notes whether
-        the last request has chunks.
-        """
-        content, was_chunked = 0, self._is_chunked
-        for index in range(1, new + 1):
-            message, body = self._messages[-index]
-            chunked = getattr(message, "chunked", False)
-            if index == 1:
-                self._is_chunked = chunked
-            if chunked or was_chunked:
-                content += body.total_bytes + _head_bytes(message)
-        return content
-
-    def take_turn(self) -> None:
-        """Reads the connection again, which has waited for its turn."""
-        self._waits_for_turn = False
-        # A full queue of requests resumes reading itself, once it is empty.
-        if self.transport is not None and not self._queue_is_full():
-            self._resume_reading_for_buffer()
-
     def _queue_is_full(self) -> bool:
         count = len(self._messages)
         return count >= self._max_msg_queue_size or (
@@ -269,6 +247,7 @@
         super().connection_lost(exc)
         self._free_head()
         self._receive_buffer.close()
+        self._deferred = b""
         for body in (*unread, self._last_body):
             # The parts of a connection refer to each other, so that only the garbage
             # collector frees them; it counts objects, not their size.
@@ -361,7 +340,7 @@
         body = self._last_body
         unread = body._size if type(body) is StreamReader else 0
         unsent = self._transport.get_write_buffer_size()
-        return HEAD_COPIES * self.head_bytes + unread + unsent
+        return HEAD_COPIES * self.head_bytes + len(self._deferred) + unread + unsent
 
     def shed(self) -> None:
         """Gives up what it holds; an incomplete head is refused, all else cut off."""
@@ -375,6 +354,7 @@
         return (
             awaits_request(self)
             and self.head_began_at is None
+            and not self._waits_for_turn
             and not _is_readable(self._transport)
         )
 
@@ -432,12 +412,6 @@
     return CallerConnection(server, limits, loop=server._loop, **server._kwargs)
 
 
-def _head_bytes(message: object) -> int:
-    """Returns the size of the fields of a head, in bytes; 0 of a malformed one."""
-    fields = getattr(message, "raw_headers", ())
-    return sum(len(name) + len(value) + FIELD_BYTES for name, value in fields)
-
-
 def _is_readable(transport: asyncio.Transport) -> bool:
     poll = select.poll()
     poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
--- a/tests/caller_load/test_caller_connection.py
+++ b/tests/caller_load/test_caller_connection.py
@@ -1,14 +1,22 @@
 """Connections of callers whose bodies come in chunks of many sizes."""
 
 import asyncio
+import contextlib
+import itertools
 import socket
 
 import pytest
 from aiohttp import web
 
-from magnoliaroad.caller_connection import READ_BYTES, make_connection
+from magnoliaroad.caller_connection import make_connection
 from magnoliaroad.caller_load.limits import CallerLimits
-from magnoliaroad.caller_load.parse_turns import SMALL_READ_BYTES, ParseTurns
+from magnoliaroad.caller_load.parse_turns import (
+    FREE_STEPS,
+    TURN_STEPS,
+    ParseTurns,
+    count_steps,
+)
+from magnoliaroad.caller_load.read_size import FIRST_READ_BYTES, MAX_READ_BYTES
 from magnoliaroad.memory.settings import MemorySettings
 
 HEAD = b"POST /x HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -44,6 +52,11 @@
         return 0
 
 
+class Waiting:
+    def take_turn(self):
+        pass
+
+
 class Caller:
     """A connection whose bytes the test gives, and a handler that reads if it may."""
 
@@ -96,13 +109,14 @@
     caller = Caller(sock, limits)
     await caller.send(HEAD)
     chunk = b"fa0\r\n" + b"x" * 4000 + b"\r\n"
-    caller.conn.data_received(chunk * 3)
-    caller.conn.data_received((chunk * 8)[:READ_BYTES])
-    assert caller.transport.max_size == READ_BYTES
+    for _ in range(3):
+        caller.conn.data_received(chunk * 3)
+    caller.conn.data_received((chunk * 8)[:MAX_READ_BYTES])
+    assert caller.transport.max_size == MAX_READ_BYTES
     caller.may_read.set()
     await asyncio.sleep(0.01)
     assert caller.transport.reads
-    assert caller.transport.max_size == READ_BYTES
+    assert caller.transport.max_size == MAX_READ_BYTES
     assert not len(limits.turns)
 
 
@@ -111,9 +125,9 @@
     caller.may_read.set()
     await caller.send(HEAD)
     await caller.send(ONE_BYTE * 1000)
-    assert caller.transport.max_size == SMALL_READ_BYTES
+    assert caller.transport.max_size == FIRST_READ_BYTES
     await caller.send(b"30d40\r\n" + b"x" * 200_000 + b"\r\n")
-    assert caller.transport.max_size == READ_BYTES
+    assert caller.transport.max_size == MAX_READ_BYTES
     await caller.send(b"0\r\n\r\n")
     await asyncio.sleep(0.01)
     assert caller.served == [201_000]
@@ -122,6 +136,7 @@
 async def test_taking_a_request_does_not_end_the_wait_for_a_turn(limits, sock):
     """Guards against bodies that are read out of turn since aiohttp resumes reading."""
     limits.turns._schedule = lambda: None
+    limits.turns.spend(TURN_STEPS)
     caller = Caller(sock, limits)
     await caller.send(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
     caller.conn.data_received(HEAD)
@@ -141,20 +156,59 @@
     caller.may_read.set()
     await caller.send(HEAD + ONE_BYTE * 2000 + b"0\r\n\r\n")
     await asyncio.sleep(0.01)
-    assert caller.transport.max_size == SMALL_READ_BYTES
+    assert caller.transport.max_size == FIRST_READ_BYTES
 
 
 async def test_requests_behind_a_body_do_not_count_as_its_framing(limits, sock):
     caller = Caller(sock, limits)
     caller.may_read.set()
-    await caller.send(
-        b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n12345678"
-    )
+    length = b"Content-Length: 200009"
+    await caller.send(b"POST /x HTTP/1.1\r\nHost: x\r\n" + length + b"\r\n\r\n")
+    await caller.send(b"\r\n" * 100_000 + b"12345678")
     await caller.send(b"9" + b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n" * 12)
-    assert caller.transport.max_size == READ_BYTES
+    assert caller.transport.max_size == MAX_READ_BYTES
     assert not len(limits.turns)
 
 
+async def test_one_turn_of_the_loop_parses_a_bounded_part_of_many_first_reads(limits):
+    """Guards against a crowd whose first reads take the event loop for seconds."""
+    callers = []
+    with contextlib.ExitStack() as stack:
+        for _ in range(500):
+            callers.append(Caller(stack.enter_context(socket.socket()), limits))
+            callers[-1].may_read.set()
+        data = (HEAD + ONE_BYTE * 1000)[:FIRST_READ_BYTES]
+        for caller in callers:
+            caller.conn.data_received(data)
+        begun = [sum(1 for one in callers if one.conn._request_count)]
+        while begun[-1] < len(callers):
+            await asyncio.sleep(0)
+            begun.append(sum(1 for one in callers if one.conn._request_count))
+    most = max(later - earlier for earlier, later in itertools.pairwise([0, *begun]))
+    assert most * count_steps(data) <= TURN_STEPS + count_steps(data)
+
+
+async def test_usual_heads_do_not_wait_behind_a_crowd(limits, sock):
+    limits.turns.spend(TURN_STEPS)
+    for _ in range(20):
+        limits.turns.add(Waiting())
+    caller = Caller(sock, limits)
+    caller.may_read.set()
+    fields = b"".join(b"X-%d: x\r\n" % number for number in range(FREE_STEPS - 4))
+    caller.conn.data_received(b"GET /x HTTP/1.1\r\nHost: x\r\n" + fields + b"\r\n")
+    assert caller.conn._request_count == 1
+
+
+async def test_a_connection_that_waits_for_its_turn_is_not_idle(limits, sock):
+    """Guards against requests that are lost as a drain closes idle connections."""
+    caller = Caller(sock, limits)
+    await asyncio.sleep(0)
+    limits.turns.spend(TURN_STEPS)
+    caller.conn.data_received(HEAD + ONE_BYTE * 400)
+    assert not caller.conn._request_count
+    assert not caller.conn.is_idle()
+
+
 async def test_what_is_discarded_does_not_wait_for_a_turn(limits, sock):
     """Guards against refusals that are lost as unread bytes reset their connection."""
     caller = Caller(sock, limits)
@@ -168,6 +222,7 @@
 async def test_a_caller_that_leaves_while_it_waits_is_not_read_again(limits, sock):
     caller = Caller(sock, limits)
     await caller.send(HEAD)
+    limits.turns.spend(TURN_STEPS)
     caller.conn.data_received(ONE_BYTE * 400)
     assert len(limits.turns) == 1
     caller.conn.connection_lost(None)
@@ -184,8 +239,11 @@
     for _ in range(5):
         caller.conn.data_received(head)
     caller.conn.data_received(HEAD)
+    limits.turns.spend(TURN_STEPS)
     caller.conn.data_received(ONE_BYTE * 60)
+    assert len(limits.turns) == 1
     await asyncio.sleep(0.05)
+    assert not len(limits.turns)
     assert not caller.transport.reads
     caller.may_read.set()
     await asyncio.sleep(0.05)
@@ -223,8 +281,8 @@
     await caller.send(HEAD + ONE_BYTE * 300)
     await caller.send(ONE_BYTE * 300 + b"0\r\n\r\n")
     await asyncio.sleep(0.01)
-    assert caller.transport.max_size == SMALL_READ_BYTES
+    assert caller.transport.max_size == FIRST_READ_BYTES
     length = b"Content-Length: 200000"
     await caller.send(b"POST /x HTTP/1.1\r\nHost: x\r\n" + length + b"\r\n\r\n")
     await caller.send(b"x" * 200_000)
-    assert caller.transport.max_size == READ_BYTES
+    assert caller.transport.max_size == MAX_READ_BYTES
--- a/tests/caller_load/test_parse_turns.py
+++ b/tests/caller_load/test_parse_turns.py
@@ -4,8 +4,14 @@
 
 from magnoliaroad.caller_load.parse_turns import (
     TURN_CONNECTIONS,
+    TURN_STEPS,
     ParseTurns,
-    has_small_chunks,
+    count_steps,
+)
+from magnoliaroad.caller_load.read_size import (
+    FIRST_READ_BYTES,
+    MAX_READ_BYTES,
+    ReadSize,
 )
 from tests.fakes.loop import VirtualTimeLoop
 
@@ -70,8 +76,28 @@
     loop.close()
 
 
-def test_only_small_chunks_wait():
-    assert has_small_chunks(2048, 341)
-    assert not has_small_chunks(32_768, 32_600)
-    assert not has_small_chunks(32_768, 20_000)
-    assert not has_small_chunks(12, 1)
+def test_only_reads_with_many_parts_wait():
+    """As many as fill a turn are parsed in it; heads and large chunks always are."""
+
+    async def run():
+        turns = ParseTurns()
+        steps = count_steps(b"1\r\nx\r\n" * 340)
+        admitted = [turns.admit(steps) for _ in range(100)]
+        assert admitted.count(True) == TURN_STEPS // steps
+        assert turns.admit(count_steps(b"X-Field: a\r\n" * 40))
+        assert turns.admit(count_steps(b"7fff\r\n" + b"x" * 32_767 + b"\r\n"))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert turns.admit(10 * TURN_STEPS)
+        assert not turns.admit(steps)
+
+    asyncio.run(run())
+
+
+def test_reads_grow_while_they_are_filled_with_large_parts():
+    size = ReadSize()
+    sizes = [size.adapt(size.size, 2) for _ in range(5)]
+    assert sizes == [2 * FIRST_READ_BYTES, 4 * FIRST_READ_BYTES, *[MAX_READ_BYTES] * 3]
+    assert size.adapt(MAX_READ_BYTES // 2, 2) == MAX_READ_BYTES
+    assert size.adapt(600, 2 * 600 // 6) == FIRST_READ_BYTES
+    assert size.adapt(600, 20) == FIRST_READ_BYTES
--- a/tests/platform/test_callers_out_of_bounds.py
+++ b/tests/platform/test_callers_out_of_bounds.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from magnoliaroad.receive_buffers import FULL_BYTES
 from tests.platform.crowd import CROWD, Crowd, until_still
 from tests.platform.host_process import HEADERS, host_process
 from tests.platform.raw_caller import (
@@ -28,8 +29,8 @@
 MEMORY = {"limit_mb": LIMIT_MB}
 # Descriptors of a host at rest, for the crowd, and for as many connections to targets.
 MOST_DESCRIPTORS = 40 + 2 * CROWD
-# What the kernel holds at most of a connection.
-MOST_BUFFERED = 1_000_000
+# More than the kernel holds of a connection on both sides.
+MOST_BUFFERED = 2 * FULL_BYTES
 CHUNKED = HEADERS | {"Transfer-Encoding": "chunked"}
 ONE_BYTE = b"1\r\nx\r\n"
 LARGE_CHUNK = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
