Bound the connections of each address, and end those that stopped

Once all descriptors are used nobody else is served until the crowd leaves.

Change: each address has a largest number of connections: 64 for readiness checks and for metrics; for callers a quarter of the memory limit by 14 KB each (2,678 with 150 MB), and at most three quarters of the descriptors. For a new one beyond it, a thirty-second part of the others are ended: requests that have not arrived within 1 s, then idle connections, then requests that arrive, then answers that are not read; within each the oldest first. Requests being served are never ended; if all are, the new connection is closed unread, so that its caller knows that nothing has run. "too many connections" in the log, and two counters by address.

The order is a decision without sockets, tested by itself; so is the room that is made. The test of hosts without descriptors no longer has the metrics address, as it can no longer use them up: a stricter one in its place asks that the host is never out of them there, and that metrics are answered meanwhile.

--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -15,7 +15,9 @@
 from loguru import logger
 from typing_extensions import override
 
+from magnoliaroad.caller_load.eviction import Phase, Standing
 from magnoliaroad.caller_load.limits import CallerLimits
+from magnoliaroad.caller_load.open_connections import OpenConnections
 from magnoliaroad.caller_load.parse_turns import count_steps
 from magnoliaroad.caller_load.read_size import ReadSize
 from magnoliaroad.error_traces import forget_traces
@@ -60,6 +62,7 @@
     Args:
         server: The server.
         limits: Bounds what all connections hold together.
+        connections: The connections of the same address.
         options: Options of aiohttp.
 
     Attributes:
@@ -71,6 +74,8 @@
     """
 
     __slots__ = (
+        "_began_at",
+        "_connections",
         "_deferred",
         "_is_chunked",
         "_last_body",
@@ -84,9 +89,18 @@
         "head_bytes",
     )
 
-    def __init__(self, server: web.Server, limits: CallerLimits, **options) -> None:
+    def __init__(
+        self,
+        server: web.Server,
+        limits: CallerLimits,
+        connections: OpenConnections,
+        **options,
+    ) -> None:
         super().__init__(server, **options)
         self._limits = limits
+        self._connections = connections
+        # Time at which the connection or its last request began.
+        self._began_at = time.monotonic()
         self._receive_buffer = ReceiveBuffer(limits.receive_pool)
         # Reading that was paused for the queue goes on once the queue is empty.
         self._msg_queue_resume_size = 0
@@ -110,6 +124,9 @@
             # could still be read.
             logger.debug("connection reset before it was accepted")
             self._transport.abort()
+        elif not self._connections.add(self):
+            # Unread, so that the caller knows that nothing has run.
+            self._transport.abort()
 
     @override
     def data_received(self, data: bytes) -> None:
@@ -172,6 +189,7 @@
         forget_traces(getattr(message, "exc", None))
         self._is_chunked = getattr(message, "chunked", False)
         self.head_began_at = None
+        self._began_at = time.monotonic()
         self._free_head()
 
     def _awaits_body(self) -> bool:
@@ -245,6 +263,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         unread = [body for _, body in self._messages]
         super().connection_lost(exc)
+        self._connections.remove(self)
         self._free_head()
         self._receive_buffer.close()
         self._deferred = b""
@@ -362,6 +381,36 @@
         elif self.transport is not None:
             self._transport.abort()
 
+    def standing(self) -> Standing:
+        """Returns what the connection waits for, and since when."""
+        if awaits_request(self):
+            if self.head_began_at is not None:
+                return Standing(Phase.RECEIVING, self.head_began_at)
+            phase = Phase.RECEIVING if self._waits_for_turn else Phase.IDLE
+        elif self._awaits_body():
+            phase = Phase.RECEIVING
+        elif self.transport is not None and self._transport.get_write_buffer_size():
+            phase = Phase.SENDING
+        else:
+            phase = Phase.SERVED
+        return Standing(phase, self._began_at)
+
+    def evict(self) -> bool:
+        """Ends the connection to make room for others, unless a request has come.
+
+        Returns:
+            Whether it was ended.
+        """
+        if self.transport is None:
+            return True
+        if self.is_idle():
+            self.close_idle()
+            return True
+        if awaits_request(self) and self.head_began_at is None:
+            return False
+        self.shed()
+        return True
+
     def is_idle(self) -> bool:
         """Returns whether no part of a request has arrived or waits to be read."""
         return (
@@ -420,9 +469,13 @@
     conn.reset_unless_complete()
 
 
-def make_connection(server: web.Server, limits: CallerLimits) -> CallerConnection:
+def make_connection(
+    server: web.Server, limits: CallerLimits, connections: OpenConnections
+) -> CallerConnection:
     """Returns the protocol of a new connection; aiohttp has no option for its class."""
-    return CallerConnection(server, limits, loop=server._loop, **server._kwargs)
+    return CallerConnection(
+        server, limits, connections, loop=server._loop, **server._kwargs
+    )
 
 
 def _is_readable(transport: asyncio.Transport) -> bool:
--- a/src/magnoliaroad/caller_listener.py
+++ b/src/magnoliaroad/caller_listener.py
@@ -10,6 +10,7 @@
 
 from magnoliaroad.caller_connection import CallerConnection, make_connection
 from magnoliaroad.caller_load.limits import CallerLimits
+from magnoliaroad.caller_load.open_connections import OpenConnections
 from magnoliaroad.connection_filter import drop_new_connections
 from magnoliaroad.listening import listening_socket
 from magnoliaroad.receive_buffers import LEAST_BYTES, limit_receive_buffer
@@ -27,10 +28,15 @@
     """Serves connections as ``CallerConnection``."""
 
     def __init__(
-        self, runner: web.BaseRunner, sock: socket.socket, limits: CallerLimits
+        self,
+        runner: web.BaseRunner,
+        sock: socket.socket,
+        limits: CallerLimits,
+        connections: OpenConnections,
     ) -> None:
         super().__init__(runner, sock, backlog=BACKLOG)
         self._limits = limits
+        self._connections = connections
 
     @override
     async def start(self) -> None:
@@ -45,7 +51,8 @@
     def make_connection(self) -> CallerConnection:
         """Returns the protocol of a new connection."""
         assert self._runner.server is not None
-        return make_connection(self._runner.server, self._limits)
+        server = self._runner.server
+        return make_connection(server, self._limits, self._connections)
 
 
 class CallerListener:
@@ -56,14 +63,20 @@
         address: IP address to listen on.
         port: TCP port to listen on.
         limits: Bounds what all connections of the process hold together.
+        connections: The connections of this address.
     """
 
     def __init__(
-        self, runner: web.BaseRunner, address: str, port: int, limits: CallerLimits
+        self,
+        runner: web.BaseRunner,
+        address: str,
+        port: int,
+        limits: CallerLimits,
+        connections: OpenConnections,
     ) -> None:
         self.socket = listening_socket(address, port)
         limit_receive_buffer(self.socket, LEAST_BYTES)
-        self._site = _CallerSite(runner, self.socket, limits)
+        self._site = _CallerSite(runner, self.socket, limits, connections)
 
     async def start(self) -> None:
         """Starts listening."""
--- a/src/magnoliaroad/caller_load/status_server.py
+++ b/src/magnoliaroad/caller_load/status_server.py
@@ -4,6 +4,8 @@
 
 from aiohttp import web
 
+# Most connections of such an address. The balancer or the scraper has one or two.
+MAX_STATUS_CONNECTIONS = 64
 # Part of a body that is held, in bytes. Handlers read none.
 BODY_BUFFER_BYTES = 2048
 # Idle time after which a connection is closed, in seconds; longer than between the
--- a/src/magnoliaroad/entry/server.py
+++ b/src/magnoliaroad/entry/server.py
@@ -11,6 +11,7 @@
 
 from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.caller_load.limits import CallerLimits
+from magnoliaroad.caller_load.open_connections import OpenConnections
 from magnoliaroad.caller_load.shedding import held_bytes, shed
 from magnoliaroad.connection_drain import ConnectionDrain
 from magnoliaroad.entry.body import ignore_expectation
@@ -100,6 +101,7 @@
             self.listen.address,
             self.listen.http_port,
             self._limits,
+            OpenConnections("callers", self._limits.max_connections),
         )
         await self._listener.start()
         self.port = self._listener.socket.getsockname()[1]
--- a/src/magnoliaroad/memory/settings.py
+++ b/src/magnoliaroad/memory/settings.py
@@ -14,6 +14,8 @@
         receive_fraction: Part of it for what the kernel holds of large bodies that
             callers send, and as much for answers of targets and for messages of hosts.
         unread_fraction: Part of it for replies that other hosts have not read.
+        connection_fraction: Part of it for connections of callers, which bounds their
+            number.
         check_interval_s: Time between two checks of the resident memory, in seconds.
         high_fraction: Part of the limit from which on memory is reported by holder, and
             garbage is collected as memory grows.
@@ -29,6 +31,7 @@
     request_fraction: float = 0.1
     receive_fraction: float = 0.08
     unread_fraction: float = 0.1
+    connection_fraction: float = 0.25
     check_interval_s: float = 0.1
     high_fraction: float = 0.4
     growth_fraction: float = 0.1
--- a/src/magnoliaroad/relay/metrics_server.py
+++ b/src/magnoliaroad/relay/metrics_server.py
@@ -12,7 +12,11 @@
 from magnoliaroad.background import background_task
 from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.caller_load.limits import CallerLimits
-from magnoliaroad.caller_load.status_server import status_server
+from magnoliaroad.caller_load.open_connections import OpenConnections
+from magnoliaroad.caller_load.status_server import (
+    MAX_STATUS_CONNECTIONS,
+    status_server,
+)
 from magnoliaroad.listening import open_when_free
 
 
@@ -63,7 +67,10 @@
     async def _open(self) -> None:
         host, _, port = self._address.rpartition(":")
         assert self._runner is not None
-        listener = CallerListener(self._runner, host, int(port), self._limits)
+        connections = OpenConnections("metrics", MAX_STATUS_CONNECTIONS)
+        listener = CallerListener(
+            self._runner, host, int(port), self._limits, connections
+        )
         await listener.start()
 
     async def _answer(self, req: web.BaseRequest) -> web.Response:
--- a/src/magnoliaroad/relay/server.py
+++ b/src/magnoliaroad/relay/server.py
@@ -13,8 +13,12 @@
 from magnoliaroad.caller_left import caller_left
 from magnoliaroad.caller_listener import CallerListener
 from magnoliaroad.caller_load.limits import CallerLimits
+from magnoliaroad.caller_load.open_connections import OpenConnections
 from magnoliaroad.caller_load.shedding import held_bytes, shed
-from magnoliaroad.caller_load.status_server import status_server
+from magnoliaroad.caller_load.status_server import (
+    MAX_STATUS_CONNECTIONS,
+    status_server,
+)
 from magnoliaroad.connection_drain import ConnectionDrain
 from magnoliaroad.drain_limit import DrainLimit
 from magnoliaroad.expectation import expects_continue, send_continue
@@ -96,17 +100,29 @@
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
         )
-        self._caller_listener = await self._listen(self._server, listen.callers)
-        await self._listen(status_server(self._handle_readiness), listen.ready)
+        self._caller_listener = await self._listen(
+            self._server,
+            listen.callers,
+            OpenConnections("callers", self._limits.max_connections),
+        )
+        await self._listen(
+            status_server(self._handle_readiness),
+            listen.ready,
+            OpenConnections("ready", MAX_STATUS_CONNECTIONS),
+        )
 
-    async def _listen(self, server: web.Server, address: str) -> CallerListener:
+    async def _listen(
+        self, server: web.Server, address: str, connections: OpenConnections
+    ) -> CallerListener:
         host, _, port = address.rpartition(":")
         runner = web.ServerRunner(server, shutdown_timeout=SHUTDOWN_TIMEOUT_S)
         await runner.setup()
         self._runners.append(runner)
 
         async def start_listener() -> CallerListener:
-            listener = CallerListener(runner, host, int(port), self._limits)
+            listener = CallerListener(
+                runner, host, int(port), self._limits, connections
+            )
             await listener.start()
             return listener
 
--- a/tests/caller_load/test_caller_connection.py
+++ b/tests/caller_load/test_caller_connection.py
@@ -9,7 +9,9 @@
 from aiohttp import web
 
 from magnoliaroad.caller_connection import make_connection
+from magnoliaroad.caller_load.eviction import ARRIVAL_S, Phase
 from magnoliaroad.caller_load.limits import CallerLimits
+from magnoliaroad.caller_load.open_connections import OpenConnections
 from magnoliaroad.caller_load.parse_turns import (
     FREE_STEPS,
     TURN_STEPS,
@@ -45,6 +47,11 @@
     def close(self):
         self.closed = True
 
+    abort = close
+
+    def write_eof(self):
+        pass
+
     def write(self, data):
         pass
 
@@ -60,13 +67,15 @@
 class Caller:
     """A connection whose bytes the test gives, and a handler that reads if it may."""
 
-    def __init__(self, sock, limits):
+    def __init__(self, sock, limits, connections=None):
         self.may_read = asyncio.Event()
         self.served = []
         server = web.Server(
             self._handle, read_bufsize=BODY_BUFFER_BYTES, access_log=None
         )
-        self.conn = make_connection(server, limits)
+        if connections is None:
+            connections = OpenConnections("callers", 1000)
+        self.conn = make_connection(server, limits, connections)
         self.transport = Transport(sock)
         self.conn.connection_made(self.transport)
 
@@ -286,3 +295,36 @@
     await caller.send(b"POST /x HTTP/1.1\r\nHost: x\r\n" + length + b"\r\n\r\n")
     await caller.send(b"x" * 200_000)
     assert caller.transport.max_size == MAX_READ_BYTES
+
+
+async def test_a_connection_beyond_the_most_ends_one_that_stopped(limits):
+    """Guards against a crowd that stays and so keeps all others from a host."""
+    connections = OpenConnections("callers", 3)
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(5)]
+        stopped, served, idle = (Caller(one, limits, connections) for one in socks[:3])
+        await asyncio.sleep(0)
+        stopped.conn.data_received(HEAD + ONE_BYTE)
+        served.conn.data_received(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.01)
+        stopped.conn._began_at -= 2 * ARRIVAL_S
+        phases = [one.conn.standing().phase for one in (stopped, served, idle)]
+        assert phases == [Phase.RECEIVING, Phase.SERVED, Phase.IDLE]
+        assert not Caller(socks[3], limits, connections).transport.closed
+        assert [one.transport.closed for one in (stopped, served, idle)] == [True, 0, 0]
+        idle.conn.data_received(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+
+
+async def test_a_connection_is_closed_unread_if_all_others_are_served(limits):
+    connections = OpenConnections("callers", 2)
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(3)]
+        callers = [Caller(one, limits, connections) for one in socks[:2]]
+        await asyncio.sleep(0)
+        for caller in callers:
+            caller.conn.data_received(b"GET /x HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.sleep(0.01)
+        assert Caller(socks[2], limits, connections).transport.closed
+        assert not any(caller.transport.closed for caller in callers)
+        callers[0].conn.connection_lost(None)
+        assert len(connections) == 1
--- a/tests/entry/test_caller_listener.py
+++ b/tests/entry/test_caller_listener.py
@@ -6,9 +6,7 @@
 
 from aiohttp import web
 
-from magnoliaroad.caller_listener import CallerListener
-from magnoliaroad.caller_load.limits import CallerLimits
-from magnoliaroad.memory.settings import MemorySettings
+from tests.entry.listeners import caller_listener
 
 STOPS = 20
 
@@ -21,7 +19,7 @@
 
     runner = web.ServerRunner(web.Server(answer, access_log=None))
     await runner.setup()
-    listener = CallerListener(runner, "127.0.0.1", 0, CallerLimits(MemorySettings()))
+    listener = caller_listener(runner)
     await listener.start()
     address = listener.socket.getsockname()
     # Blocking calls: the loop does not accept the connections meanwhile.
@@ -65,9 +63,7 @@
     for _ in range(STOPS):
         runner = web.ServerRunner(web.Server(answer, access_log=None))
         await runner.setup()
-        listener = CallerListener(
-            runner, "127.0.0.1", 0, CallerLimits(MemorySettings())
-        )
+        listener = caller_listener(runner)
         await listener.start()
         stop = threading.Event()
         address = listener.socket.getsockname()
--- a/tests/entry/test_connection_drain.py
+++ b/tests/entry/test_connection_drain.py
@@ -7,11 +7,9 @@
 import pytest
 from aiohttp import web
 
-from magnoliaroad.caller_listener import CallerListener
-from magnoliaroad.caller_load.limits import CallerLimits
 from magnoliaroad.connection_drain import HEAD_LIMIT_S, ConnectionDrain
 from magnoliaroad.in_flight import InFlightRequests
-from magnoliaroad.memory.settings import MemorySettings
+from tests.entry.listeners import caller_listener
 from tests.platform.kept_caller import KeptCaller
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -49,9 +47,7 @@
 async def door():
     door = Door()
     await door.runner.setup()
-    door.listener = CallerListener(
-        door.runner, "127.0.0.1", 0, CallerLimits(MemorySettings())
-    )
+    door.listener = caller_listener(door.runner)
     await door.listener.start()
     yield door
     await door.runner.cleanup()
--- a/tests/platform/test_descriptors.py
+++ b/tests/platform/test_descriptors.py
@@ -38,7 +38,6 @@
     [
         (RELAY_LISTENERS, "callers"),
         (RELAY_LISTENERS, "peers"),
-        (RELAY_LISTENERS, "metrics"),
         (RECORD_LISTENERS, "peers"),
     ],
 )
@@ -64,3 +63,29 @@
         host.proc.send_signal(signal.SIGTERM)
         async with asyncio.timeout(10.0):
             assert await host.proc.wait() == 0
+
+
+@pytest.mark.parametrize(
+    ("names", "name"),
+    [
+        (RELAY_LISTENERS, "ready"),
+        (RELAY_LISTENERS, "metrics"),
+        (RECORD_LISTENERS, "metrics"),
+    ],
+)
+async def test_status_addresses_use_up_no_descriptors(tmp_path, names, name):
+    """Guards against a host that no balancer or scraper reaches while a crowd stays."""
+    async with host_process(
+        tmp_path, names=names, data_folder=str(tmp_path / "data")
+    ) as host:
+        await host.until_logged("host started")
+        assert await read_metrics(host.listen["metrics"]) == 200
+        limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+        resource.prlimit(host.proc.pid, resource.RLIMIT_NOFILE, limits)
+        with idle_connections(host.listen[name]):
+            await host.until_logged("too many connections")
+            assert await read_metrics(host.listen["metrics"]) == 200
+        assert not host.logged("library message")
+        host.proc.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(10.0):
+            assert await host.proc.wait() == 0
