Let bodies that stop short make room for others

Callers that sent a part of a body and nothing more kept what the host held of it for 60 s, so that a crowd of them filled the limit of the requests' memory and all larger requests of others were refused meanwhile. A connection that was ended to make room was reset, where its caller is owed a refusal.

A connection that is evicted while its body arrives gets the same refusal.

--- a/src/magnoliaroad/caller_body.py
+++ b/src/magnoliaroad/caller_body.py
@@ -1,10 +1,14 @@
 """Reads the bodies of callers' requests."""
 
 import asyncio
+import contextlib
+import typing
 from collections.abc import Callable
+from typing import Protocol
 
 from aiohttp import web
 
+from magnoliaroad.caller_connection import CallerConnection
 from magnoliaroad.idle import has_queued_request
 
 # Longest wait for the next bytes of a body, in seconds; the default of nginx's
@@ -30,8 +34,20 @@
     """The body did not arrive in time."""
 
 
-def _ignore_size(size: int) -> None:
-    pass
+class BodyGivenUp(BodyError):
+    """The memory or the connection of the body was needed for others."""
+
+
+class ArrivingBody(Protocol):
+    """Counts what is held of a body."""
+
+    def arriving(
+        self, on_given_up: Callable[[], None]
+    ) -> contextlib.AbstractContextManager[None]:
+        """Counts a body that arrives; calls ``on_given_up`` if it is given up."""
+
+    def grow_to(self, size: int) -> None:
+        """Counts what has been read so far, in bytes; may raise to give up."""
 
 
 def check_length(req: web.BaseRequest, max_bytes: int) -> None:
@@ -41,10 +57,7 @@
 
 
 async def read_body(
-    req: web.BaseRequest,
-    max_bytes: int,
-    stall_s: float,
-    on_size: Callable[[int], None] = _ignore_size,
+    req: web.BaseRequest, max_bytes: int, stall_s: float, held: ArrivingBody
 ) -> bytes:
     """Returns the whole body of a request.
 
@@ -52,36 +65,64 @@
         req: The request.
         max_bytes: Largest size of the body.
         stall_s: Longest wait for the next bytes, in seconds.
-        on_size: Called with what has been read so far, in bytes; may raise to give up.
+        held: Counts what is held of it.
 
     Raises:
         BodyError: The body is too large or malformed, or does not arrive.
     """
     check_length(req, max_bytes)
-    content, body = req.content, bytearray()
-    while not content.at_eof():
-        if content.is_eof() and content.exception() is None:
-            # The rest has arrived, so that no timer is needed.
-            body += content.read_nowait()
-        else:
-            body += await _next_chunk(req, stall_s)
-        if len(body) > max_bytes:
-            raise BodyTooLarge
-        on_size(len(body))
+    reader, body = _BodyReader(req, stall_s), bytearray()
+    conn = typing.cast(CallerConnection, req.protocol)
+    with held.arriving(reader.give_up), conn.receiving(reader.give_up):
+        while not req.content.at_eof():
+            body += await reader.read()
+            if len(body) > max_bytes:
+                raise BodyTooLarge
+            held.grow_to(len(body))
     return bytes(body)
 
 
-async def _next_chunk(req: web.BaseRequest, stall_s: float) -> bytes:
-    until = asyncio.get_running_loop().time() + stall_s
-    while True:
-        try:
-            async with asyncio.timeout(min(CHECK_INTERVAL_S, stall_s)) as limit:
-                return await req.content.readany()
-        except TimeoutError as exc:
-            # aiohttp does not report a malformed chunk to the reader of the body.
-            if has_queued_request(req.protocol):
+class _BodyReader:
+    """Reads the next bytes of a body, unless it is given up meanwhile."""
+
+    def __init__(self, req: web.BaseRequest, stall_s: float) -> None:
+        self._req = req
+        self._stall_s = stall_s
+        self._limit: asyncio.Timeout | None = None
+        self._given_up = False
+
+    def give_up(self) -> None:
+        """Ends the wait for the rest of the body."""
+        self._given_up = True
+        if self._limit is not None:
+            self._limit.reschedule(asyncio.get_running_loop().time())
+
+    async def read(self) -> bytes:
+        """Returns what has arrived.
+
+        Raises:
+            BodyError: The body is malformed, does not arrive or was given up.
+        """
+        content = self._req.content
+        if content.is_eof() and content.exception() is None:
+            # The rest has arrived, so that no timer is needed.
+            return content.read_nowait()
+        until = asyncio.get_running_loop().time() + self._stall_s
+        while True:
+            if self._given_up:
+                raise BodyGivenUp
+            try:
+                async with asyncio.timeout(
+                    min(CHECK_INTERVAL_S, self._stall_s)
+                ) as self._limit:
+                    return await content.readany()
+            except TimeoutError as exc:
+                # aiohttp does not report a malformed chunk to the reader of the body.
+                if has_queued_request(self._req.protocol):
+                    raise BodyMalformed from exc
+                if asyncio.get_running_loop().time() >= until:
+                    raise BodyStalled from exc
+            except web.RequestPayloadError as exc:
                 raise BodyMalformed from exc
-            if limit.when() >= until:
-                raise BodyStalled from exc
-        except web.RequestPayloadError as exc:
-            raise BodyMalformed from exc
+            finally:
+                self._limit = None
--- a/src/magnoliaroad/caller_connection.py
+++ b/src/magnoliaroad/caller_connection.py
@@ -6,7 +6,7 @@
 import struct
 import time
 import typing
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable, Iterator
 from socket import SO_ERROR, SO_LINGER, SOL_SOCKET
 
 from aiohttp import HttpVersion11, web
@@ -80,6 +80,7 @@
         "_is_chunked",
         "_last_body",
         "_limits",
+        "_on_evicted",
         "_queued_bytes",
         "_read_size",
         "_receive_buffer",
@@ -107,6 +108,7 @@
         self._queued_bytes = 0
         self._waits_for_turn = False
         self._resets_on_close = False
+        self._on_evicted: Callable[[], None] | None = None
         self._deferred = b""
         self._read_size = ReadSize()
         self._is_chunked = False
@@ -375,12 +377,29 @@
         return HEAD_COPIES * self.head_bytes + len(self._deferred) + unread + unsent
 
     def shed(self) -> None:
-        """Gives up what it holds; an incomplete head is refused, all else cut off."""
+        """Gives up what it holds.
+
+        A request that has not arrived is refused, all else cut off.
+        """
         if self.head_began_at is not None and awaits_request(self):
             self._give_up_head("memory of the host", MEMORY_FULL)
+        elif self._on_evicted is not None:
+            self._on_evicted()
         elif self.transport is not None:
             self._transport.abort()
 
+    @contextlib.contextmanager
+    def receiving(self, on_evicted: Callable[[], None]) -> Iterator[None]:
+        """Lets ``on_evicted`` be called if a body that is read has to make room.
+
+        Its request is to be refused then.
+        """
+        self._on_evicted = on_evicted
+        try:
+            yield
+        finally:
+            self._on_evicted = None
+
     def standing(self) -> Standing:
         """Returns what the connection waits for, and since when."""
         if awaits_request(self):
--- a/src/magnoliaroad/entry/body.py
+++ b/src/magnoliaroad/entry/body.py
@@ -5,6 +5,7 @@
 from magnoliaroad.caller_body import (
     BODY_STALL_S,
     BodyError,
+    BodyGivenUp,
     BodyMalformed,
     BodyStalled,
     BodyTooLarge,
@@ -14,6 +15,7 @@
 from magnoliaroad.entry.refused import Refused, bad_request
 from magnoliaroad.expectation import expects_continue, send_continue
 from magnoliaroad.refusal import Refusal
+from magnoliaroad.relay.refusals import MEMORY_FULL
 from magnoliaroad.relay.request_memory import HeldMemory
 
 REFUSALS = {
@@ -30,6 +32,7 @@
         message="The body did not arrive in time.",
         action="Send the request again.",
     ),
+    BodyGivenUp: MEMORY_FULL,
 }
 
 
@@ -52,6 +55,6 @@
         held.check(req.content_length or 0)
         if expects_continue(req):
             await send_continue(req)
-        return await read_body(req, max_bytes, BODY_STALL_S, held.grow_to)
+        return await read_body(req, max_bytes, BODY_STALL_S, held)
     except BodyError as exc:
         raise Refused(REFUSALS[type(exc)]) from exc
--- a/src/magnoliaroad/relay/body.py
+++ b/src/magnoliaroad/relay/body.py
@@ -6,12 +6,18 @@
 from magnoliaroad.caller_body import (
     BODY_STALL_S,
     BodyError,
+    BodyGivenUp,
     BodyMalformed,
     BodyStalled,
     BodyTooLarge,
 )
 from magnoliaroad.refusal import Refused
-from magnoliaroad.relay.refusals import BODY_STALLED, BODY_TOO_LARGE, bad_call
+from magnoliaroad.relay.refusals import (
+    BODY_STALLED,
+    BODY_TOO_LARGE,
+    MEMORY_FULL,
+    bad_call,
+)
 from magnoliaroad.relay.request_memory import HeldMemory
 
 # Largest body of a request, in bytes; bodies are read before the configuration's own
@@ -21,6 +27,7 @@
     BodyTooLarge: BODY_TOO_LARGE,
     BodyMalformed: bad_call("The body is malformed."),
     BodyStalled: BODY_STALLED,
+    BodyGivenUp: MEMORY_FULL,
 }
 
 
@@ -40,8 +47,6 @@
             of the host hold too much.
     """
     try:
-        return await caller_body.read_body(
-            req, MAX_BODY_BYTES, BODY_STALL_S, held.grow_to
-        )
+        return await caller_body.read_body(req, MAX_BODY_BYTES, BODY_STALL_S, held)
     except BodyError as exc:
         raise Refused(REFUSALS[type(exc)]) from exc
