Read less ahead for callers once many answers are under way

Callers that read long answers slowly made a host hold 32 KB and one read of 32 KB from the target for each, beside the 16 KB of their own connection; none of them reached the 32 KB from which the memory watch ends connections, as it counts the latter.

Connections to targets for which the pool of receive buffers has no room read 8 KB at a time, and bodies are read ahead by 8 KB while it is used up; that is beyond 183 connections with 150 MB. The watch ends connections from 16 KB on.

--- a/src/magnoliaroad/caller_load/shedding.py
+++ b/src/magnoliaroad/caller_load/shedding.py
@@ -7,7 +7,7 @@
 from magnoliaroad.caller_connection import CallerConnection
 
 # Least that a connection holds which is given up for memory, in bytes.
-MIN_SHED_BYTES = 32_768
+MIN_SHED_BYTES = 16_384
 
 
 def connections_of(server: web.Server | None) -> list[CallerConnection]:
--- a/src/magnoliaroad/receive_buffers/buffer.py
+++ b/src/magnoliaroad/receive_buffers/buffer.py
@@ -43,11 +43,16 @@
         self._pool = pool
         self._enlarged = False
 
-    def enlarge(self, transport: asyncio.BaseTransport) -> None:
-        """Enlarges the buffer if the pool has room for it."""
+    def enlarge(self, transport: asyncio.BaseTransport) -> bool:
+        """Enlarges the buffer if the pool has room for it.
+
+        Returns:
+            Whether it is enlarged.
+        """
         if not self._enlarged and self._pool.take(FULL_BYTES):
             self._enlarged = True
             limit_receive_buffer(transport.get_extra_info("socket"), FULL_BYTES)
+        return self._enlarged
 
     def close(self) -> None:
         """Gives the enlarged buffer back as the connection ends."""
--- a/src/magnoliaroad/receive_buffers/pool.py
+++ b/src/magnoliaroad/receive_buffers/pool.py
@@ -15,9 +15,13 @@
         self.granted_bytes = 0
         self._limit_bytes = limit_bytes
 
+    def fits(self, size: int) -> bool:
+        """Returns whether there is room for a buffer of ``size`` bytes."""
+        return self.granted_bytes + size <= self._limit_bytes
+
     def take(self, size: int) -> bool:
         """Returns whether a buffer of ``size`` bytes fits, and counts it if so."""
-        if self.granted_bytes + size > self._limit_bytes:
+        if not self.fits(size):
             return False
         self.granted_bytes += size
         return True
--- a/src/magnoliaroad/targets/client.py
+++ b/src/magnoliaroad/targets/client.py
@@ -9,7 +9,7 @@
 from mode import Service
 
 from magnoliaroad.error_traces import forget_traces
-from magnoliaroad.receive_buffers import ReceivePool
+from magnoliaroad.receive_buffers import FULL_BYTES, ReceivePool
 from magnoliaroad.targets.closable_response import ClosableResponse
 from magnoliaroad.targets.connector import TargetConnector
 from magnoliaroad.targets.errors import (
@@ -26,6 +26,8 @@
 AUTO_HEADERS = ("Accept", "Accept-Encoding", "User-Agent", "Content-Type")
 # Buffer of a body, in bytes; reading pauses when twice as much is unread.
 BODY_BUFFER_BYTES = 16_384
+# The same while the kernel's memory for large answers is used up.
+LEAST_BODY_BUFFER_BYTES = 4096
 # Statuses of final answers. aiohttp takes 101 and numbers without a meaning for such.
 FINAL_STATUSES = range(200, 600)
 # Errors that aiohttp raises before it has sent any byte of the request.
@@ -117,7 +119,6 @@
             trace_configs=[_trace_sending()],
             response_class=ClosableResponse,
             skip_auto_headers=AUTO_HEADERS,
-            read_bufsize=BODY_BUFFER_BYTES,
         )
 
     async def on_stop(self) -> None:
@@ -169,6 +170,7 @@
                     data=req.body,
                     allow_redirects=False,
                     trace_request_ctx=send_state,
+                    read_bufsize=self._body_buffer_bytes(),
                 )
         except NOT_SENT_ERRORS as exc:
             forget_traces(exc)
@@ -182,3 +184,9 @@
             text = f"{req.url}: status {resp.status} is no final answer"
             raise TargetError(text, Verdict.MAY_HAVE_RUN)
         return TargetResponse(resp, self.cfg.silence_timeout_s, resp.is_doubtful)
+
+    def _body_buffer_bytes(self) -> int:
+        """Returns how much of an answer is read ahead of its caller."""
+        if self._receive_pool.fits(FULL_BYTES):
+            return BODY_BUFFER_BYTES
+        return LEAST_BODY_BUFFER_BYTES
--- a/src/magnoliaroad/targets/response_handler.py
+++ b/src/magnoliaroad/targets/response_handler.py
@@ -20,8 +20,10 @@
 MAX_INTERIM_RESPONSES = 8
 
 # Most bytes that are read from a connection at once; what exceeds the buffer of a body
-# is held for each caller that reads slowly.
+# is held for each caller that reads slowly. The second one is for connections for which
+# the kernel's memory has no room either.
 READ_BYTES = 32_768
+LEAST_READ_BYTES = 8192
 
 
 class CheckedEndHandler(ResponseHandler):
@@ -54,10 +56,11 @@
 
     @override
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        enlarged = self._receive_buffer is None or self._receive_buffer.enlarge(
+            transport
+        )
         # asyncio has no public option for the size of a read.
-        transport.max_size = READ_BYTES
-        if self._receive_buffer is not None:
-            self._receive_buffer.enlarge(transport)
+        transport.max_size = READ_BYTES if enlarged else LEAST_READ_BYTES
         super().connection_made(transport)
 
     @override
