Count a connection at what it holds with a request

A relay host of 150 MB admitted 2,678 connections, 14 KB each, where one whose request waits for a target holds 23 KB: 2,500 took 58 MB, so that nothing was left for answers. It admits 1,875 now, at 20 KB each.

--- a/src/magnoliaroad/caller_load/limits.py
+++ b/src/magnoliaroad/caller_load/limits.py
@@ -9,7 +9,7 @@
 
 # Least that a connection holds with a request under way, in bytes: the objects of both
 # and the kernel's buffer.
-CONNECTION_BYTES = 14_000
+CONNECTION_BYTES = 20_000
 # Part of the descriptors for connections of callers; the others are for targets, hosts
 # and files.
 DESCRIPTOR_FRACTION = 0.75
