Show that bodies given up as they grow wear the bound of small ones away

Read in the change once more: RequestMemory.take counts a body by its size before the memory was searched for late ones, which may have given up this body itself. If that passes 16 KB, the count of small bodies falls by what it would hold, and more small ones are admitted than fit. The test does so many times on a clock of its own and fails: "DID NOT RAISE Refused".

No code changes.

--- a/tests/relay/test_request_memory.py
+++ b/tests/relay/test_request_memory.py
@@ -173,3 +173,21 @@
             stack.enter_context(memory.hold()).grow(SMALL_BYTES)
         with pytest.raises(Refused):
             stack.enter_context(memory.hold()).grow(SMALL_BYTES)
+
+
+def test_a_body_given_up_as_it_grows_is_counted_once(clock):
+    """Guards against small bodies that wear the bound of all small ones away."""
+    memory = RequestMemory(LIMIT, clock)
+    with memory.hold() as large:
+        large.grow(LIMIT - SMALL_BYTES)
+        for _ in range(2 * LIMIT // SMALL_BYTES):
+            with memory.hold() as held, held.arriving(lambda: None):
+                held.grow(SMALL_BYTES - 1)
+                clock.now += 2 * PAUSE_S
+                with contextlib.suppress(Refused):
+                    held.grow(2)
+    with contextlib.ExitStack() as stack:
+        for _ in range(LIMIT // SMALL_BYTES):
+            stack.enter_context(memory.hold()).grow(SMALL_BYTES)
+        with pytest.raises(Refused):
+            stack.enter_context(memory.hold()).grow(SMALL_BYTES)
