Acknowledge a kept turn only once it is on enough disks or in the store

Cause: RecordClient._keep took any synced copy as enough when neither another record host nor the store took the record, so the stream's end was passed on while one disk alone held the turn.

Change: a record is kept once it is on `copies` disks or in the store. The client goes on asking, in short rounds, until the turn's own limit, after which the stream is cut off. A data centre that is cut off and has too few record hosts of its own knows that no turn can be kept, and refuses such turns before they run (turns_not_kept, 503), with the time until the balancer has moved its callers. Without a second disk or the store no copy can be made that outlives the first disk, so this is the earliest moment at which the end may be passed on.

The old test that a cut-off data centre keeps on its one host stated the fault. test_a_record_on_one_disk_is_kept_once_it_has_a_second_place takes its place: nothing is kept before a second place is there, then at once.

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -59,6 +59,8 @@
         list_is_complete: Returns whether the store's list of hosts is complete. After
             an outage of the store, hosts whose entries have expired need time to
             register again.
+        is_isolated: Returns whether this host reaches neither the store nor another
+            data centre.
         now: Clock in seconds.
 
     Attributes:
@@ -75,6 +77,7 @@
         refresh_hosts: Callable[[], Awaitable[None]],
         helpers: Callable[[], list[str]] = list,
         list_is_complete: Callable[[], bool] = lambda: True,
+        is_isolated: Callable[[], bool] = lambda: False,
         now: Callable[[], float] = time.monotonic,
     ) -> None:
         self.cfg = cfg
@@ -85,6 +88,7 @@
         self._refresh_hosts = refresh_hosts
         self._helpers = helpers
         self._list_is_complete = list_is_complete
+        self._is_isolated = is_isolated
         self._now = now
         self._hosts: dict[str, PeerAddress] = {}
         self._last_heartbeat_at: dict[str, float] = {}
@@ -186,16 +190,31 @@
         """Returns hosts that may hold records and can't be asked for them."""
         return sorted(self._marked - self._hosts.keys())
 
+    def can_keep(self, in_store_only: bool = False) -> bool:
+        """Returns whether enough copies of a record may be made now.
+
+        A data centre that is isolated has only the disks of its own record hosts.
+
+        Args:
+            in_store_only: Whether no other host may see the record.
+        """
+        if not self._is_isolated():
+            return True
+        return not in_store_only and self._count_accepting() >= self.cfg.copies
+
+    def _count_accepting(self) -> int:
+        accepting = self._hosts.keys() - self._not_accepting
+        return sum(map(self._is_live, accepting))
+
     async def keep(
         self, key: str, value: bytes, ttl_s: float, in_store_only: bool = False
     ) -> None:
         """Returns once enough hosts have synced a record, or the store holds it.
 
         When hosts are late to reply, others and the store are asked as well; whichever
-        of all replies come first are enough.
-
-        If neither succeeds, any synced copy is enough: a data centre that is cut off
-        keeps working, and its record host writes the record to the store later.
+        of all replies come first are enough. Fewer copies never are, even if no more
+        can be made: the disks that hold them may be lost while all else is down.
+        Callers set a timeout.
 
         Args:
             key: Key of the record.
@@ -221,6 +240,7 @@
             calls.cancel()
 
     async def _keep(self, record: KeepRecord, calls: KeepCalls) -> None:
+        pause_s = MIN_RETRY_S
         while not await self._keep_on_hosts(record, calls):
             for host in self._helpers():
                 req = ProxyKeepRequest(record.key, record.value, record.ttl_s)
@@ -228,18 +248,16 @@
                     calls.start(host, self._keep_by_helper(host, req))
                 if await calls.wait([host], self.cfg.help_s):
                     return
-            # A synced copy is enough without the store, so that is not waited for.
-            limit_s = self.cfg.call_s if calls.synced else self.cfg.last_copy_s
-            if await self._keep_in_store(record, calls, limit_s):
+            # The wait is short, as hosts may have come back meanwhile; late replies
+            # still count.
+            if await self._keep_in_store(record, calls, self.cfg.call_s):
                 return
-            if calls.synced:
+            if calls.synced and pause_s == MIN_RETRY_S:
                 logger.bind(key=record.key, hosts=calls.synced).warning(
                     "record on too few hosts"
                 )
-                return
-            if await calls.wait(calls.under_way, self.cfg.call_s):
-                return
-            await asyncio.sleep(MIN_RETRY_S)
+            await asyncio.sleep(pause_s)
+            pause_s = min(MAX_RETRY_S, 2 * pause_s)
 
     async def fetch(self, key: str, in_store_only: bool = False) -> bytes | None:
         """Returns a record, or ``None`` if it certainly does not exist.
@@ -257,7 +275,7 @@
             certain, value = await self._fetch_once(key)
             if value is not None or certain:
                 return value
-            for host in [] if in_store_only else self._helpers():
+            for host in [] if in_store_only else self._fetch_helpers():
                 reply = await self._call(host, ProxyFetchRequest(key))
                 if reply is not None and reply.certain:
                     return reply.value if reply.found else None
@@ -277,11 +295,15 @@
             found = await self._call(host, FetchRecord(key))
             if found is not None and found.found:
                 return True, found.value
-        if self._helpers():
+        if self._fetch_helpers():
             return False, None
         others = [host for host in self._hosts if host not in nearest]
         return await self._fetch_elsewhere(key, others)
 
+    def _fetch_helpers(self) -> list[str]:
+        """Returns hosts that look up records for this one if it reaches no holder."""
+        return [] if self.has_live_host else self._helpers()
+
     async def _on_proxy_keep(
         self, sender: str, req: ProxyKeepRequest
     ) -> KeepRecordReply:
@@ -422,7 +444,7 @@
     ) -> bool:
         if calls.needs(STORE):
             calls.start(STORE, self._write_to_store(record))
-        return await calls.wait([STORE], limit_s)
+        return await calls.wait(calls.under_way, limit_s)
 
     async def _write_to_store(self, record: KeepRecord) -> str:
         lease = 0
--- a/src/magnoliaroad/relay/app.py
+++ b/src/magnoliaroad/relay/app.py
@@ -128,6 +128,7 @@
             lambda: self.fleet.read_list(),
             lambda: self.fleet.store_proxies(),
             lambda: self.contact.up_s >= HOST_LIST_SETTLE_S,
+            lambda: self.fleet.isolated,
         )
         self.quarantine = QuarantineService(
             cfg.quarantine,
@@ -238,6 +239,7 @@
             programs=LruCache(MAX_REMEMBERED_PROGRAMS, lambda _: 1),
             targets_current=self.fleet.targets_current,
             notify_peers=self.fleet.send_heartbeat_soon,
+            diverted_in_s=self.fleet.diverted_in_s,
         )
         self._caller_limits = CallerLimits(cfg.memory)
         self.server = RelayServer(parts, self._ready, self._caller_limits)
--- a/src/magnoliaroad/relay/fleet.py
+++ b/src/magnoliaroad/relay/fleet.py
@@ -74,6 +74,9 @@
 MAX_DIVERTING_FRACTION = 0.34
 # Time between a forwarder's messages to record hosts, in seconds.
 RECORD_HOST_CONTACT_S = 1.0
+# Time after which the balancer sends no new connections to a host that is not ready, in
+# seconds: two readiness checks, one second apart.
+BALANCER_S = 2.0
 # Key under which a host that does not forward keeps the in-flight requests of all other
 # hosts.
 OTHER_HOSTS = "fleet"
@@ -122,6 +125,7 @@
         self.boot = uuid.uuid4().hex[:12]
         self.draining = False
         self.isolated = False
+        self._isolated_at = -math.inf
         self.following = asyncio.Event()
         self._contact = contact
         self._quarantine = quarantine
@@ -414,6 +418,10 @@
         near = any(map(self._tracker.is_near, self._tracker.reaching_store().values()))
         return near or self.isolated
 
+    def diverted_in_s(self) -> float:
+        """Returns in how many seconds callers of an isolated host are diverted."""
+        return max(0.0, self._isolated_at + BALANCER_S - time.monotonic())
+
     def _diverts_as_unfit(self) -> bool:
         """Whether this host is unfit and enough others of its data centre are not.
 
@@ -445,10 +453,10 @@
     def store_proxies(self) -> list[str]:
         """Returns relay hosts to make calls on the store for this one.
 
-        Empty while this host reaches the store or a record host itself. Hosts of its
-        own data centre come first.
+        Empty while this host reaches the store itself. Hosts of its own data centre
+        come first.
         """
-        if not self.store_lost() or self._records.has_live_host:
+        if not self.store_lost():
             return []
         able = [
             (not self._tracker.is_near(heartbeat), host)
@@ -470,6 +478,7 @@
             isolated = is_alone and self.store_lost()
             if isolated != self.isolated:
                 logger.bind(isolated=isolated).warning("contact changed")
+                self._isolated_at = time.monotonic()
             self.isolated = isolated
 
     async def ask_budget(self, holder: str, program: str) -> BudgetLoanReply | None:
--- a/src/magnoliaroad/relay/parts.py
+++ b/src/magnoliaroad/relay/parts.py
@@ -42,6 +42,8 @@
         targets_current: Returns whether the known targets are those that peers know.
         notify_peers: Sends this host's state to its peers without waiting for the next
             heartbeat.
+        diverted_in_s: Returns the time until the balancer sends new connections of
+            callers to hosts elsewhere, in seconds.
     """
 
     cfg: RelaySettings
@@ -65,3 +67,4 @@
     programs: LruCache[bool]
     targets_current: Callable[[], bool]
     notify_peers: Callable[[], None]
+    diverted_in_s: Callable[[], float]
--- a/src/magnoliaroad/relay/refusals.py
+++ b/src/magnoliaroad/relay/refusals.py
@@ -8,6 +8,8 @@
 # Retry time for callers of a host that has lost the store, in seconds. The balancer
 # then uses other hosts, after two readiness checks one second apart.
 STORE_LOST_RETRY_S = 1.5
+# Shortest retry time for callers that the balancer sends elsewhere, in seconds.
+DIVERTED_RETRY_S = 0.1
 # Retry time while all targets are evacuated, in seconds. Operators end that, and hosts
 # hear of it from a notice of peers, one each second.
 EVACUATED_RETRY_S = 1.0
@@ -198,6 +200,22 @@
     )
 
 
+def turns_not_kept(diverted_in_s: float) -> Refusal:
+    """Returns the refusal for a turn whose answer could not be kept.
+
+    Args:
+        diverted_in_s: Time until the balancer sends new connections to hosts elsewhere,
+            in seconds.
+    """
+    return Refusal(
+        code="turns_not_kept",
+        status=503,
+        message="The answer could not be kept for the next turn now.",
+        action="Send the request again; a host elsewhere may take it.",
+        retry_after_s=max(DIVERTED_RETRY_S, diverted_in_s),
+    )
+
+
 def targets_limited(retry_after_s: float) -> Refusal:
     """Returns the refusal for a request beyond what its targets take now."""
     return Refusal(
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -53,6 +53,7 @@
     as_unavailable,
     bad_call,
     over_limit,
+    turns_not_kept,
 )
 from magnoliaroad.relay.request_memory import HeldMemory
 from magnoliaroad.relay.reservation import Reservation
@@ -225,6 +226,13 @@
         if not is_successful(result):
             raise self._refusal_error(as_unavailable(result.failure()))
 
+    def _refuse_unkept_turn(self) -> None:
+        """Raises ``Refused`` if the answer is to be kept and cannot become durable."""
+        if not self.route.keeps_turns:
+            return
+        if not self.parts.turns.can_save(self._stays_here):
+            raise Refused(turns_not_kept(self.parts.diverted_in_s()))
+
     def _refusal_error(self, refusal: Refusal) -> Refused:
         """Returns the error for a request that is sent to no further target.
 
@@ -235,6 +243,7 @@
 
     async def _prepare(self) -> None:
         call, team = self.call, self.admitted.team
+        self._refuse_unkept_turn()
         self._room.starts_program = self._may_start_program()
         await self._room.admit_program(self._data_centres)
         if self.streams and not can_be_sent(call.program + call.request_id):
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -105,6 +105,14 @@
         text = b"".join([*(other.text for other in before), turn.text])
         return LoadedTurn(turn_id, turn, text)
 
+    def can_save(self, in_store_only: bool = False) -> bool:
+        """Returns whether a turn that ends now may become durable.
+
+        Args:
+            in_store_only: Whether no other host may see it.
+        """
+        return self._records.can_keep(in_store_only)
+
     async def save(
         self,
         turn_id: str,
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -405,6 +405,26 @@
         assert (status, body) == (200, None)
 
 
+async def test_a_turn_that_cannot_be_kept_is_refused_before_it_runs(
+    tmp_path, app_targets, logged
+):
+    """Guards against turns that use up targets and budgets for an answer cut off."""
+    target = TargetStandin("i-lm")
+    async with Deployment(tmp_path, target, *app_targets) as deployment:
+        await deployment.start_records()
+        records = deployment.relays[0].records
+        records._is_isolated = lambda: True
+        status, headers, _ = await deployment.call("/stream/t", "POST", b"input")
+        (refusal,) = (line for line in logged if line["event"] == "refused")
+        assert (status, refusal["code"]) == (503, "turns_not_kept")
+        assert float(headers["Retry-After"]) > 0
+        assert not target.runs
+        assert (await deployment.call("/talk/t", "POST", b"input"))[0] == 200
+        assert (await deployment.call("/pay/x", "POST", b"money"))[0] == 200
+        records._is_isolated = lambda: False
+        assert (await deployment.turn())[0] == 200
+
+
 async def test_turns_beyond_a_spent_budget_are_refused(tmp_path):
     target = TargetStandin("i-lm", "lm", events=10)
     async with Deployment(tmp_path, target) as deployment:
--- a/tests/records/test_records.py
+++ b/tests/records/test_records.py
@@ -41,6 +41,8 @@
         self.network = PeerNetwork()
         self.hosts = {}
         self.list_is_complete = True
+        self.is_isolated = False
+        self.helpers = []
         peers = self.network.join("relay", "dc-1")
         self.client = RecordClient(
             cfg,
@@ -49,7 +51,9 @@
             LeasePool(self.store, loop.time),
             peers,
             self.refresh_hosts,
-            list_is_complete=lambda: self.list_is_complete,
+            lambda: self.helpers,
+            lambda: self.list_is_complete,
+            lambda: self.is_isolated,
             now=loop.time,
         )
 
@@ -65,6 +69,20 @@
         self.hosts[name] = service
         self.send_heartbeats(name)
 
+    async def add_place(self, place):
+        """Adds a place for a second copy: a record host, the store or a helper."""
+        if place == "host":
+            await self.start("r2")
+        elif place == "store":
+            self.store.faults = StoreFaults()
+        else:
+            helper = self.network.join("helper", "dc-2")
+            store = LocalStore(self.state, self.loop.time)
+            leases = LeasePool(store, self.loop.time)
+            # Its handlers answer for the helper.
+            RecordClient(self.cfg, "dc-2", store, leases, helper, self.refresh_hosts)
+            self.helpers = ["helper"]
+
     def send_heartbeats(self, *names):
         self.client.hosts_listed = True
         for name in names:
@@ -210,16 +228,63 @@
     run_scenario(loop, tmp_path, body, hosts=())
 
 
-def test_a_cut_off_data_centre_keeps_on_its_one_host(loop, tmp_path):
+@pytest.mark.parametrize("second", ["host", "store", "helper"])
+def test_a_record_on_one_disk_is_kept_once_it_has_a_second_place(
+    loop, tmp_path, second
+):
+    """LOST: turns on one disk were answered whole, and lost with that disk."""
+
     async def body(fleet):
         fleet.store.faults = StoreFaults(down=True)
-        await fleet.client.keep("turns/1", b"hello", 65.0)
+        keeping = asyncio.create_task(fleet.client.keep("turns/1", b"hello", 65.0))
+        await asyncio.sleep(STORE_PATIENCE_S)
         assert on_disk(tmp_path, "r1")
+        assert not keeping.done()
+        await fleet.add_place(second)
+        fleet.send_heartbeats("r1")
+        async with asyncio.timeout(STORE_PATIENCE_S):
+            await keeping
+        await fleet.stop("r1")
+        fleet.client._hosts.pop("r1")
+        fleet.store.faults = StoreFaults()
         assert await fleet.client.fetch("turns/1") == b"hello"
 
     run_scenario(loop, tmp_path, body, hosts=("r1",))
 
 
+@pytest.mark.parametrize(
+    ("hosts", "isolated", "in_store_only", "possible"),
+    [
+        (("r1",), True, False, False),
+        (("r1", "r2"), True, False, True),
+        (("r1", "r2"), True, True, False),
+        (("r1",), False, False, True),
+        ((), False, True, True),
+    ],
+)
+def test_an_isolated_host_knows_that_no_second_copy_can_be_made(
+    loop, tmp_path, hosts, isolated, in_store_only, possible
+):
+    """Guards against turns that run although their end can't be delivered."""
+
+    async def body(fleet):
+        fleet.is_isolated = isolated
+        assert fleet.client.can_keep(in_store_only) is possible
+
+    run_scenario(loop, tmp_path, body, hosts=hosts)
+
+
+def test_a_host_that_accepts_no_records_makes_no_second_copy(loop, tmp_path):
+    async def body(fleet):
+        fleet.is_isolated = True
+        fleet.hosts["r2"].accepts = False
+        await asyncio.sleep(CFG.here_interval_s)
+        fleet.send_heartbeats("r1", "r2")
+        assert not fleet.client.can_keep()
+
+    run_scenario(loop, tmp_path, body, hosts=("r1", "r2"))
+
+
 def test_absence_is_certain_only_after_all_hosts_answered(loop, tmp_path):
     async def body(fleet):
         assert await fleet.client.fetch("turns/none") is None
