Log turns whose record is there and whose chain is not

The new warning "chain of a turn not complete" has the turn, the number of earlier records and the age of the oldest.

--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -93,13 +93,7 @@
                     )
                     raise Refused(NO_TURN)
                 hold(len(turn.text))
-                before: list[Turn] = []
-                for ids in batched(turn.chain, self.cfg.chain_reads):
-                    read = await asyncio.gather(
-                        *(self._read(name, in_store_only) for name in ids)
-                    )
-                    hold(sum(len(part.text) for part in read))
-                    before += read
+                before = await self._read_chain(turn_id, turn, hold, in_store_only)
         except TimeoutError as exc:
             raise Refused(TURN_UNCERTAIN) from exc
         text = b"".join([*(other.text for other in before), turn.text])
@@ -188,6 +182,32 @@
         async with self._writing.hold(len(turn.text)):
             await self._records.keep(key, pack_turn(turn), lifetime_s, in_store_only)
 
+    async def _read_chain(
+        self,
+        turn_id: str,
+        turn: Turn,
+        hold: Callable[[int], None],
+        in_store_only: bool,
+    ) -> list[Turn]:
+        before: list[Turn] = []
+        for ids in batched(turn.chain, self.cfg.chain_reads):
+            try:
+                read = await asyncio.gather(
+                    *(self._read(name, in_store_only) for name in ids)
+                )
+            except Refused as exc:
+                if exc.refusal is NO_TURN:
+                    # Usual only for a turn that is older than its retention.
+                    logger.bind(
+                        turn=turn_id,
+                        records=len(turn.chain),
+                        chain_age_s=round(self._now() - turn.chain_started_at, 1),
+                    ).warning("chain of a turn not complete")
+                raise
+            hold(sum(len(part.text) for part in read))
+            before += read
+        return before
+
     async def _read(self, turn_id: str, in_store_only: bool) -> Turn:
         turn = self._cache.get(turn_id)
         if turn is None:
