Write a chain again if it is not kept for the turn's own retention

Cause: TurnLedger.save took the records of a chain to last twice the retention of the route that answers the new turn. They last twice the retention of the routes that answered them, which no record stated.

Change: each record states until when it and its whole chain are kept, and a turn inherits the earliest such time. A turn whose own retention would end later writes the chain again, so whatever it points at outlasts what its caller was told. The time stands negated in the field of the chain's begin: older builds take such a chain for very old and write it again, and newer builds do the same with records of older ones, so both can be side by side.

--- a/src/magnoliaroad/relay/turn.py
+++ b/src/magnoliaroad/relay/turn.py
@@ -13,8 +13,8 @@
     Attributes:
         team: Team that it belongs to.
         chain: Ids of the records whose texts come before this one's, oldest first.
-        chain_started_at: Time of day at which the oldest of them was written, in
-            seconds.
+        kept_until: Time of day until which all of them and this record are kept at
+            least, in seconds; 0 if that is not known.
         text: Input and output, as a target receives them.
         regions: Regions to which the texts of the chain and its own are bound; all if
             it is empty.
@@ -22,7 +22,7 @@
 
     team: str
     chain: tuple[str, ...]
-    chain_started_at: float
+    kept_until: float
     text: bytes
     regions: tuple[str, ...] = ()
 
@@ -44,12 +44,18 @@
 def pack_turn(turn: Turn) -> bytes:
     """Returns ``turn`` as msgpack.
 
-    Hosts of the previous build know no regions. They read turns that are bound to none,
-    and refuse the others, which they might send anywhere.
+    Hosts of older builds know no regions. They read turns that are bound to none, and
+    refuse the others, which they might send anywhere.
+
+    Where ``kept_until`` stands, older builds have the time at which the chain began. It
+    is written as a negative number, which they take for a chain from long ago, so that
+    they write it again.
     """
-    return msgpack.packb(turn if turn.regions else turn[:-1])
+    fields = turn._replace(kept_until=-turn.kept_until)
+    return msgpack.packb(fields if turn.regions else fields[:-1])
 
 
 def unpack_turn(data: bytes) -> Turn:
     """Returns the turn in ``data``; raises ``ValueError`` for other data."""
-    return unpack(data, Turn)
+    turn = unpack(data, Turn)
+    return turn._replace(kept_until=max(0.0, -turn.kept_until))
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -32,8 +32,9 @@
 
     A turn's record holds its own text and the ids of the earlier records in its chain.
     A text that is too large for one record is divided; its first parts become records
-    of the chain. Records are kept for twice the retention, so that turns may refer to
-    them for one retention; a turn that comes later writes the whole chain again.
+    of the chain. Records are kept for twice the retention of the route that answered
+    them, and state until when all of their chain is kept. A turn writes the whole chain
+    again if it is not kept until the end of the turn's own retention.
 
     Args:
         records: Stores the turns' records.
@@ -133,23 +134,23 @@
         """
         now = self._now()
         async with stall_timeout(self.cfg.store_patience_s):
-            chain, chain_started_at = (), now
+            chain, kept_until = (), now + _lifetime_s(retention_s)
             if previous is not None:
-                chain = (*previous.turn.chain, previous.turn_id)
-                chain_started_at = previous.turn.chain_started_at
-                usable_s = _lifetime_s(retention_s) - retention_s
-                if now - chain_started_at > usable_s - 2 * RETENTION_MARGIN_S:
+                needed_until = now + retention_s + 2 * RETENTION_MARGIN_S
+                if previous.turn.kept_until >= needed_until:
+                    chain = (*previous.turn.chain, previous.turn_id)
+                    kept_until = min(kept_until, previous.turn.kept_until)
+                else:
                     parts = list(batched(previous.text, self.cfg.part_bytes))
                     chain = await self._write_parts(
                         turn_id, team, parts, retention_s, in_store_only
                     )
-                    chain_started_at = now
             *parts, rest = list(batched(text, self.cfg.part_bytes)) or [b""]
             own_id = turn_id + OWN_SUFFIX
             chain += await self._write_parts(
                 own_id, team, parts, retention_s, in_store_only
             )
-            turn = Turn(team, chain, chain_started_at, rest, regions)
+            turn = Turn(team, chain, kept_until, rest, regions)
             await self._write(turn_id, turn, retention_s, in_store_only)
 
     async def _write_parts(
@@ -161,11 +162,13 @@
         in_store_only: bool,
     ) -> tuple[str, ...]:
         """Writes parts of a text as records of their own; returns their ids."""
-        now = self._now()
+        kept_until = self._now() + _lifetime_s(retention_s)
         names = tuple(f"{base_id}/{number}" for number in range(len(parts)))
         await asyncio.gather(
             *(
-                self._write(name, Turn(team, (), now, part), retention_s, in_store_only)
+                self._write(
+                    name, Turn(team, (), kept_until, part), retention_s, in_store_only
+                )
                 for name, part in zip(names, parts, strict=True)
             )
         )
@@ -201,7 +204,7 @@
                     logger.bind(
                         turn=turn_id,
                         records=len(turn.chain),
-                        chain_age_s=round(self._now() - turn.chain_started_at, 1),
+                        kept_s=round(turn.kept_until - self._now(), 1),
                     ).warning("chain of a turn not complete")
                 raise
             hold(sum(len(part.text) for part in read))
--- a/tests/relay/test_turns.py
+++ b/tests/relay/test_turns.py
@@ -1,9 +1,13 @@
 """Turns and their chains as records."""
 
 import asyncio
+import random
+from typing import NamedTuple
 
+import msgpack
 import pytest
 
+from magnoliaroad.decoding import unpack
 from magnoliaroad.refusal import Refused
 from magnoliaroad.relay.refusals import MEMORY_FULL, NO_TURN
 from magnoliaroad.relay.settings import TurnSettings
@@ -14,6 +18,16 @@
 RETENTION_S = 60.0
 
 
+class OlderTurn(NamedTuple):
+    """A turn's record as older builds read it."""
+
+    team: str
+    chain: tuple[str, ...]
+    chain_started_at: float
+    text: bytes
+    regions: tuple[str, ...] = ()
+
+
 class TimedRecords:
     """Records in memory that expire after the time for which they are stored."""
 
@@ -98,6 +112,76 @@
     assert loaded.text == text
 
 
+@pytest.mark.parametrize(
+    "retentions",
+    [
+        (5.0, 60.0, 60.0),
+        (5.0, 60.0, 5.0, 60.0),
+        (60.0, 5.0, 5.0),
+        (60.0, 5.0, 60.0, 120.0),
+        (5.0, 10.0, 20.0, 40.0, 80.0, 160.0),
+        (300.0, 20.0, 570.0, 60.0),
+    ],
+    ids=str,
+)
+@pytest.mark.parametrize("part", [0.1, 0.7, 0.99])
+async def test_a_chain_outlasts_the_retention_of_its_last_turn(
+    records, retentions, part
+):
+    """LOST: turns of a longer retention were denied as their chains had ended."""
+    previous, text = None, b""
+    for number, retention_s in enumerate(retentions):
+        if number:
+            previous = await ledger(records).load(f"t-{number - 1}", "team")
+        said = f"<{number}>".encode()
+        await ledger(records).save(f"t-{number}", "team", said, previous, retention_s)
+        text += said
+        records.now += part * retention_s
+    records.now += (1 - part) * retentions[-1] - 0.1
+    loaded = await ledger(records).load(f"t-{len(retentions) - 1}", "team")
+    assert loaded.text == text
+
+
+@pytest.mark.parametrize("seed", range(30))
+async def test_every_branch_is_complete_whatever_its_routes_retain(records, seed):
+    rng = random.Random(seed)
+    texts, ends = {}, {}
+    for number in range(120):
+        named = [name for name, end in ends.items() if end > records.now]
+        name, text, previous = f"t-{number}", f"<{number}>".encode(), None
+        if named and rng.random() < 0.9:
+            earlier = rng.choice(named[-6:])
+            previous = await ledger(records).load(earlier, "team")
+            assert previous.text == texts[earlier]
+        retention_s = rng.choice((5.0, 20.0, 60.0, 250.0, 400.0))
+        await ledger(records).save(name, "team", text, previous, retention_s)
+        texts[name] = (previous.text if previous else b"") + text
+        ends[name] = records.now + retention_s
+        records.now += rng.choice((0.1, 1.0, 4.0, 15.0, 50.0))
+
+
+async def test_a_chain_whose_end_is_not_stated_is_written_again(records):
+    """Records of older builds do not say how long their chains are kept."""
+    older = msgpack.packb(("team", (), records.now, b"said;"))
+    await records.keep("turns/t-0", older, 15.0)
+    previous = await ledger(records).load("t-0", "team")
+    await ledger(records).save("t-1", "team", b"more;", previous, RETENTION_S)
+    records.now += RETENTION_S - 0.1
+    assert (await ledger(records).load("t-1", "team")).text == b"said;more;"
+
+
+@pytest.mark.parametrize("regions", [(), ("bengal",)])
+async def test_older_builds_take_a_chain_for_one_that_began_long_ago(records, regions):
+    """They then write it again, and need not know how long it is kept."""
+    await ledger(records).save(
+        "t-0", "team", b"said;", None, RETENTION_S, regions=regions
+    )
+    value, _ = records.held["turns/t-0"]
+    older = unpack(value, OlderTurn)
+    assert (older.team, older.text, older.regions) == ("team", b"said;", regions)
+    assert records.now - older.chain_started_at > MAX_RETENTION_S
+
+
 async def test_a_turn_of_another_team_does_not_exist(records):
     await chain(records, 2, 0.1)
     with pytest.raises(Refused) as refused:
