Hold of an engine's stream only what its answer keeps

Beside a crowd, a front end of the product's own came to 108 to 113 MB of 105 (test_crowds_at_every_address, front end, all_at_once), and went on growing by some 5 MB a second for as long as the crowd stayed.

Cause: EventSplitter kept every event of every stream as it came until the stream ended, to join them into the turn's answer then: 250 B for a token of 5. Nothing counted or bounded it. The relay's door keeps the data of turns only, counted among the requests' memory.

Evidence: at 88.8, 98.1 and 107.6 MB resident, the interpreter's blocks of 288 B held 0.5, 6.8 and 14.5 MB and all other sizes stayed as they were; the C library's heap (25.7 MB) and large blocks (11.2 MB) did, too.

Change: chunks are joined as they arrive; kept are the text and the calls of tools. They count among the requests' memory, as turns' texts do at the relay's door; an answer for which there is none ends with the error answer_not_held (may have run). The relay's limits of an event apply, and an answer of over 4 MB ends as one without end. The part of a plain service's answer that is read before it is known to be too large to keep is freed once it is sent.

--- a/src/magnoliaroad/entry/chat.py
+++ b/src/magnoliaroad/entry/chat.py
@@ -41,9 +41,10 @@
         chat = read_chat(req, caller, data)
         find_route(self.services, caller, chat.model, RouteKind.ENGINE)
         reply = _reply(req, chat)
-        run = ChatRun(self.cfg, self.services, chat, reply)
+        answer_held = held.beside()
+        run = ChatRun(self.cfg, self.services, chat, reply, answer_held)
         try:
-            with CancelOnWithdrawal(self._watch, caller, run.progress):
+            with answer_held, CancelOnWithdrawal(self._watch, caller, run.progress):
                 await consume_token(self.services, caller)
                 completion = await run.run()
         except Refused as exc:
--- a/src/magnoliaroad/entry/chat_run.py
+++ b/src/magnoliaroad/entry/chat_run.py
@@ -8,11 +8,16 @@
 
 from magnoliaroad.entry.admission import unwrap
 from magnoliaroad.entry.chat_request import ChatRequest, engine_request, resume_request
-from magnoliaroad.entry.completion import Completion, read_completion
+from magnoliaroad.entry.completion import Completion, CompletionBuilder
 from magnoliaroad.entry.events import EventSplitter, ResumePoint
 from magnoliaroad.entry.progress import Progress
 from magnoliaroad.entry.recent_text import recent_text
-from magnoliaroad.entry.refused import Refused, target_failed, target_rejected
+from magnoliaroad.entry.refused import (
+    ANSWER_NOT_HELD,
+    Refused,
+    target_failed,
+    target_rejected,
+)
 from magnoliaroad.entry.replayed_answer import replayed_completion, replayed_events
 from magnoliaroad.entry.reply import Reply
 from magnoliaroad.entry.services import EntryServices
@@ -21,6 +26,8 @@
 from magnoliaroad.programs.refusals import turn_not_kept
 from magnoliaroad.programs.tokens import estimate_tokens
 from magnoliaroad.quarantine import fingerprint_of
+from magnoliaroad.relay.event_scanner import StreamTooLong
+from magnoliaroad.relay.request_memory import HeldMemory
 from magnoliaroad.routing import Job, Placement, Usage
 from magnoliaroad.routing.prefix import prefix_digests
 from magnoliaroad.targets import (
@@ -34,6 +41,8 @@
 
 # Default of max_tokens for callers without a key, who have no token budget.
 ANONYMOUS_MAX_TOKENS = 1024
+# Most bytes of an answer that are kept, as its turn's history is sent with later ones.
+MAX_ANSWER_BYTES = 4_194_304
 ENGINE_REQUEST_HEADER = "X-Engine-Request-Id"
 
 # Statuses that engines return before they start to run a request.
@@ -44,6 +53,13 @@
 class ChatRun:
     """One chat request and its attempts on targets.
 
+    Args:
+        cfg: Limits on requests.
+        services: Services that it uses.
+        chat: The request.
+        reply: Returns the answer to the caller.
+        held: The memory of the answer.
+
     Attributes:
         progress: Whether a target may have run the request.
     """
@@ -54,12 +70,14 @@
         services: EntryServices,
         chat: ChatRequest,
         reply: Reply,
+        held: HeldMemory,
     ) -> None:
         self.cfg = cfg
         self.services = services
         self.chat = chat
         self.reply = reply
         self.progress = Progress()
+        self._held = held
         self._failed_targets: set[str] = set()
         self._fingerprint = ""
         self._target = ""
@@ -194,17 +212,17 @@
         except TargetError as exc:
             self.progress.verdict = exc.verdict
             raise
-        splitter = EventSplitter()
+        splitter, builder = EventSplitter(), CompletionBuilder()
         engine_request_id = response.headers.get(ENGINE_REQUEST_HEADER, "")
         for _ in range(self.cfg.resumes):
             try:
-                return await self._relay_stream(response, splitter)
+                return await self._relay_stream(response, splitter, builder)
             except AnswerCut:
                 resume_point = _resume_point(engine_request_id, splitter)
                 if resume_point is None:
                     raise
             response = await self._resume(placement, resume_point)
-        return await self._relay_stream(response, splitter)
+        return await self._relay_stream(response, splitter, builder)
 
     async def _resume(
         self, placement: Placement, resume_point: ResumePoint
@@ -224,17 +242,40 @@
         return response
 
     async def _relay_stream(
-        self, response: TargetResponse, splitter: EventSplitter
+        self,
+        response: TargetResponse,
+        splitter: EventSplitter,
+        builder: CompletionBuilder,
     ) -> Completion:
         try:
             _check_status(response)
             async for piece in response.iter_chunks():
-                await self.reply.write(splitter.feed(piece))
+                events = splitter.feed(piece)
+                builder.add(events)
+                self._hold(builder.size_bytes + splitter.unfinished_bytes)
+                await self.reply.write(events)
+        except StreamTooLong as exc:
+            text = f"stream without end: {exc}"
+            raise TargetError(text, Verdict.MAY_HAVE_RUN) from exc
         finally:
             response.close()
         if not splitter.done:
             raise AnswerCut("stream ended without [DONE]")
-        return read_completion(splitter.events())
+        return builder.build()
+
+    def _hold(self, size: int) -> None:
+        """Takes memory for what is kept of the answer.
+
+        Raises:
+            Refused: The requests of the host hold too much.
+            StreamTooLong: The answer is too large.
+        """
+        if size > MAX_ANSWER_BYTES:
+            raise StreamTooLong(f"more than {MAX_ANSWER_BYTES} B")
+        try:
+            self._held.grow_to(size)
+        except Refused as exc:
+            raise Refused(ANSWER_NOT_HELD) from exc
 
     def _record_failure(
         self, placement: Placement, exc: TargetError, attempt: int
--- a/src/magnoliaroad/entry/plain_run.py
+++ b/src/magnoliaroad/entry/plain_run.py
@@ -100,15 +100,17 @@
                 digest = await self._relay_rest(response, start, chunks)
                 return await self.reply.end(), Conclusion(Verdict.RAN, None, digest)
             headers = answer_headers(response.headers)
-            stored = StoredAnswer(response.status, headers, start)
+            stored = StoredAnswer(response.status, headers, bytes(start))
             return self.reply.complete_response(stored), Conclusion(Verdict.RAN, stored)
 
     async def _relay_rest(
-        self, response: TargetResponse, start: bytes, chunks: AsyncIterator[bytes]
+        self, response: TargetResponse, start: bytearray, chunks: AsyncIterator[bytes]
     ) -> str:
         digest = hashlib.sha256(start)
         await self.reply.start(response)
-        await self.reply.write(start)
+        await self.reply.write(bytes(start))
+        # A caller may read the rest for long.
+        start.clear()
         async for chunk in chunks:
             digest.update(chunk)
             await self.reply.write(chunk)
@@ -189,7 +191,7 @@
 
 async def _read_start(
     chunks: AsyncIterator[bytes], limit_bytes: int
-) -> tuple[bytes, bool]:
+) -> tuple[bytearray, bool]:
     """Reads until more than ``limit_bytes`` have arrived or the answer ends.
 
     Returns:
@@ -199,5 +201,5 @@
     async for chunk in chunks:
         start += chunk
         if len(start) > limit_bytes:
-            return bytes(start), False
-    return bytes(start), True
+            return start, False
+    return start, True
--- a/src/magnoliaroad/entry/refused.py
+++ b/src/magnoliaroad/entry/refused.py
@@ -10,6 +10,7 @@
 from magnoliaroad.verdict import Verdict
 
 __all__ = [
+    "ANSWER_NOT_HELD",
     "Refused",
     "bad_request",
     "refusal_body",
@@ -18,6 +19,14 @@
     "target_rejected",
 ]
 
+ANSWER_NOT_HELD = Refusal(
+    code="answer_not_held",
+    status=502,
+    message="The host has no memory for the answer.",
+    action="Check whether it ran.",
+    verdict=Verdict.MAY_HAVE_RUN,
+)
+
 
 def refusal_body(refusal: Refusal) -> dict[str, Any]:
     """Returns the JSON body of the response for ``refusal``."""
--- a/tests/entry/engines.py
+++ b/tests/entry/engines.py
@@ -19,6 +19,28 @@
 WORDS = ("one ", "two ", "three ", "four ")
 
 
+class TalkativeEngine:
+    """Streams ``count`` events of ``text``, each with ``padding_bytes`` of no use."""
+
+    def __init__(self, count, text, padding_bytes=0):
+        self._count = count
+        self._event = b": " + b"x" * padding_bytes + b"\n" + event(text)
+
+    def app(self):
+        app = web.Application()
+        app.router.add_post("/v1/chat/completions", self._complete)
+        return app
+
+    async def _complete(self, req):
+        resp = web.StreamResponse()
+        resp.content_type = "text/event-stream"
+        await resp.prepare(req)
+        for _ in range(self._count):
+            await resp.write(self._event)
+        await resp.write(b"data: [DONE]\n\n")
+        return resp
+
+
 class InterruptedEngine:
     """Closes its streams in the middle of an event; can resume them if ``resumes``."""
 
