Import only the command that runs

A host of the product's own held the modules of all commands, with those of the sheet, the stand-ins and the demo: 62.3 MB after the imports, of which the commands beyond its own take 3.8. Commands are now made by cleo's loader, which imports one when it runs or is listed.

--- a/src/magnoliaroad/cli/main.py
+++ b/src/magnoliaroad/cli/main.py
@@ -1,53 +1,50 @@
 """The entry point and the list of commands."""
 
+import functools
+import importlib
 import sys
 
 from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.loaders.factory_command_loader import FactoryCommandLoader
 
-from magnoliaroad.cli.demo import DemoCommand
-from magnoliaroad.cli.explain import ExplainCommand
-from magnoliaroad.cli.host import HostCommand
-from magnoliaroad.cli.key_grant import KeyGrantCommand
-from magnoliaroad.cli.key_new import KeyNewCommand
-from magnoliaroad.cli.key_withdraw import KeyWithdrawCommand
-from magnoliaroad.cli.quarantine_clear import QuarantineClearCommand
-from magnoliaroad.cli.quarantine_list import QuarantineListCommand
-from magnoliaroad.cli.settings_check import SettingsCheckCommand
-from magnoliaroad.cli.settings_example import SettingsExampleCommand
-from magnoliaroad.cli.sheet_apply import SheetApplyCommand
-from magnoliaroad.cli.sheet_check import SheetCheckCommand
-from magnoliaroad.cli.sheet_diff import SheetDiffCommand
-from magnoliaroad.cli.sheet_history import SheetHistoryCommand
-from magnoliaroad.cli.sheet_status import SheetStatusCommand
-from magnoliaroad.cli.standin import StandinCommand
-from magnoliaroad.cli.status import StatusCommand
 from magnoliaroad.logs import open_missing_streams
 
-COMMANDS = (
-    HostCommand,
-    SheetCheckCommand,
-    SheetDiffCommand,
-    SheetApplyCommand,
-    SheetStatusCommand,
-    SheetHistoryCommand,
-    KeyNewCommand,
-    KeyGrantCommand,
-    KeyWithdrawCommand,
-    QuarantineListCommand,
-    QuarantineClearCommand,
-    StatusCommand,
-    ExplainCommand,
-    SettingsExampleCommand,
-    SettingsCheckCommand,
-    StandinCommand,
-    DemoCommand,
-)
+# Module of this package and class of each command, by its name.
+COMMANDS = {
+    "host": ("host", "HostCommand"),
+    "sheet check": ("sheet_check", "SheetCheckCommand"),
+    "sheet diff": ("sheet_diff", "SheetDiffCommand"),
+    "sheet apply": ("sheet_apply", "SheetApplyCommand"),
+    "sheet status": ("sheet_status", "SheetStatusCommand"),
+    "sheet history": ("sheet_history", "SheetHistoryCommand"),
+    "key new": ("key_new", "KeyNewCommand"),
+    "key grant": ("key_grant", "KeyGrantCommand"),
+    "key withdraw": ("key_withdraw", "KeyWithdrawCommand"),
+    "quarantine list": ("quarantine_list", "QuarantineListCommand"),
+    "quarantine clear": ("quarantine_clear", "QuarantineClearCommand"),
+    "status": ("status", "StatusCommand"),
+    "explain": ("explain", "ExplainCommand"),
+    "settings example": ("settings_example", "SettingsExampleCommand"),
+    "settings check": ("settings_check", "SettingsCheckCommand"),
+    "standin": ("standin", "StandinCommand"),
+    "demo": ("demo", "DemoCommand"),
+}
+
+
+def load_command(name: str) -> Command:
+    """Returns a command; only its module is imported, as hosts hold it for good."""
+    module, kind = COMMANDS[name]
+    return getattr(importlib.import_module(f"magnoliaroad.cli.{module}"), kind)()
 
 
 def main() -> None:
     """Runs the command named on the command line and exits with its status."""
     open_missing_streams()
     app = Application("magnoliaroad", "0.1.0")
-    for command in COMMANDS:
-        app.add(command())
+    app.set_command_loader(
+        FactoryCommandLoader(
+            {name: functools.partial(load_command, name) for name in COMMANDS}
+        )
+    )
     sys.exit(app.run())
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,7 +1,10 @@
 """Runs the operators' commands against a store and hosts in another thread."""
 
+import ast
 import asyncio
 import contextlib
+import subprocess
+import sys
 import threading
 
 import pytest
@@ -11,6 +14,7 @@
 from magnoliaroad.cli.key_grant import KeyGrantCommand
 from magnoliaroad.cli.key_new import KeyNewCommand
 from magnoliaroad.cli.key_withdraw import KeyWithdrawCommand
+from magnoliaroad.cli.main import COMMANDS, load_command
 from magnoliaroad.cli.sheet_apply import SheetApplyCommand
 from magnoliaroad.cli.sheet_check import SheetCheckCommand
 from magnoliaroad.cli.sheet_diff import SheetDiffCommand
@@ -187,3 +191,24 @@
         line.split(": ")[1] for line in tester.io.fetch_output().splitlines()
     )
     assert digest_key(key) == digest
+
+
+@pytest.mark.parametrize("name", sorted(COMMANDS))
+def test_each_command_has_the_name_under_which_it_is_listed(name):
+    assert load_command(name).name == name
+
+
+def test_a_host_does_not_import_the_other_commands():
+    """They would take some 4 MB of each host, of which small ones have 150."""
+    source = (
+        "import sys; from magnoliaroad.cli.main import load_command\n"
+        "load_command('host')\n"
+        "print([m for m in sys.modules if m.startswith('magnoliaroad.cli.')])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", source], capture_output=True, text=True, check=True
+    )
+    assert ast.literal_eval(done.stdout) == [
+        "magnoliaroad.cli.main",
+        "magnoliaroad.cli.host",
+    ]
