Run the stand-ins of the front end's tests in a process of their own

test_crowds_at_every_address[front_end-callers-slow_reading] got 503 (no_target) for its ordinary request in two whole runs of the suite and in 3 of 18 runs six at a time: connections to the stand-in of the service timed out, as it shared the event loop of the test with 400 callers, and the front end took the service for lost.

The stand-ins of store, engine and service now have a process of their own. Checks, crowds and bounds are the same.

--- a/tests/entry/front_end.py
+++ b/tests/entry/front_end.py
@@ -1,4 +1,4 @@
-"""A front end as a process of its own, with an engine and a plain service."""
+"""A front end as a process of its own, with its targets and store in another."""
 
 import asyncio
 import contextlib
@@ -11,13 +11,10 @@
 from magnoliaroad.config import Team
 from magnoliaroad.config.publish import publish
 from magnoliaroad.standins.deployment import DEMO_KEY, demo_config
-from magnoliaroad.standins.engine_server import EngineServer
-from magnoliaroad.standins.kv_server import KvServer
-from magnoliaroad.standins.serve_app import serve_app
 from magnoliaroad.store.client import HttpStore
 from magnoliaroad.store.settings import StoreSettings
 from tests.entry.hosts import chat_body
-from tests.entry.services import FaultyService
+from tests.entry.standins_process import standins_process
 from tests.platform.deployment import free_address
 from tests.platform.host_process import HostProcess
 from tests.platform.raw_caller import raw_connection, read_answer, request_bytes
@@ -30,15 +27,10 @@
 @contextlib.asynccontextmanager
 async def front_end_process(tmp_path, **settings):
     """Runs a front end, an engine and a plain service."""
-    service, engine = FaultyService(), EngineServer(0.0005, LONG_ANSWER_TOKENS)
-    async with (
-        serve_app(KvServer().app()) as store_url,
-        serve_app(engine.app()) as engine_url,
-        serve_app(service.app()) as service_url,
-    ):
-        config = demo_config(engine_url, service_url)
+    async with standins_process(LONG_ANSWER_TOKENS) as urls:
+        config = demo_config(urls.engine, urls.service)
         team = Team("arcades", rate=10_000.0, burst=10_000.0)
-        store = HttpStore(StoreSettings(store_url))
+        store = HttpStore(StoreSettings(urls.store))
         await publish(store, lambda base: config._replace(teams={team.name: team}))
         await store.close()
         listen = {"callers": free_address(), "peers": free_address()}
@@ -51,7 +43,7 @@
                 "http_port": int(port),
                 "peer_port": int(listen["peers"].rpartition(":")[2]),
             },
-            "store": {"url": store_url},
+            "store": {"url": urls.store},
             **settings,
         }
         path, log = tmp_path / "settings.json", tmp_path / "log"
