Return free pages as memory grows above the part that may be kept

At its peak beside a crowd, a front end's heap held 4 to 7 MB of pages that were free between buffers in use. They were returned only when garbage was collected or connections were given up, after 5 to 10 % more growth; the platform counts them until then.

Above that part of the limit they are now returned after each 1 % of the limit by which memory has grown.

--- a/src/magnoliaroad/memory/policy.py
+++ b/src/magnoliaroad/memory/policy.py
@@ -24,6 +24,7 @@
         self.cfg = cfg
         self._kept_bytes = 0
         self._shed_at_bytes = 0
+        self._trimmed_bytes = 0
 
     def step(self, resident: int) -> MemoryStep:
         """Returns what is to be done now.
@@ -55,6 +56,21 @@
         """Notes what was resident when memory was given up."""
         self._shed_at_bytes = resident
 
+    def should_trim(self, resident: int) -> bool:
+        """Returns whether free pages are to be returned to the system.
+
+        The allocator keeps them between buffers that are in use. A search for them
+        takes time, so that they are left alone while memory is far from its limit.
+        """
+        self._trimmed_bytes = min(self._trimmed_bytes, resident)
+        growth = resident - self._trimmed_bytes
+        least = self.cfg.trim_growth_fraction * self.cfg.limit_bytes
+        return self.excess(resident) > 0 and growth >= least
+
+    def trimmed(self, resident: int) -> None:
+        """Notes what was resident after free pages were returned."""
+        self._trimmed_bytes = resident
+
     def excess(self, resident: int) -> int:
         """Returns how many bytes the process holds above the part it may keep."""
         return max(0, resident - int(self.cfg.shed_fraction * self.cfg.limit_bytes))
--- a/src/magnoliaroad/memory/settings.py
+++ b/src/magnoliaroad/memory/settings.py
@@ -24,6 +24,8 @@
         shed_fraction: Part of the limit above which the host gives up what is largest.
         shed_growth_fraction: Part of the limit by which memory grows before it does so
             again; what was given up stays resident until it is used again.
+        trim_growth_fraction: Part of the limit by which memory grows above that part
+            before free pages are returned to the system again.
         log_interval_s: Shortest time between two log lines about memory, in seconds.
     """
 
@@ -37,6 +39,7 @@
     growth_fraction: float = 0.1
     shed_fraction: float = 0.7
     shed_growth_fraction: float = 0.05
+    trim_growth_fraction: float = 0.01
     log_interval_s: float = 1.0
 
     @property
--- a/src/magnoliaroad/memory/watch.py
+++ b/src/magnoliaroad/memory/watch.py
@@ -72,10 +72,12 @@
             gc.collect()
             COLLECTIONS.inc({})
         # What was given up is freed as the connections end, after the check that did.
-        if step is not MemoryStep.NONE or self._has_shed:
+        must_trim = step is not MemoryStep.NONE or self._has_shed
+        if self._policy.should_trim(resident) or must_trim:
             return_free_pages()
             self._has_shed = False
             resident = self._read_resident()
+            self._policy.trimmed(resident)
         if step is MemoryStep.COLLECT:
             self._policy.collected(resident)
         if resident >= self.cfg.high_fraction * self.cfg.limit_bytes:
--- a/tests/memory/test_policy.py
+++ b/tests/memory/test_policy.py
@@ -43,6 +43,19 @@
     assert policy.step(77 * MB) is MemoryStep.SHED
 
 
+def test_free_pages_are_returned_as_memory_grows_above_the_part_that_may_be_kept():
+    """Guards against a process that is ended for pages which it does not use."""
+    policy = MemoryPolicy(CFG)
+    assert not policy.should_trim(70 * MB)
+    assert policy.should_trim(71 * MB)
+    policy.trimmed(71 * MB)
+    assert not policy.should_trim(71 * MB)
+    assert policy.should_trim(72 * MB)
+    policy.trimmed(75 * MB)
+    assert not policy.should_trim(60 * MB)
+    assert policy.should_trim(71 * MB)
+
+
 def test_excess_is_what_lies_above_the_part_that_may_be_kept():
     policy = MemoryPolicy(CFG)
     assert policy.excess(69 * MB) == 0
