Count a body once that is given up as it grows

A late body that was given up while it grew was freed without the bytes that it was growing by, which were then counted to nobody, and freed as if it held them: each such body let one more small one in than fits.

The bytes are now part of the request before others are asked to make room, and a body that made room by itself is refused.

--- a/src/magnoliaroad/relay/request_memory.py
+++ b/src/magnoliaroad/relay/request_memory.py
@@ -85,10 +85,8 @@
     def take(self, size: int, own: int = 0) -> None:
         """Counts ``size`` bytes more for a request that already holds ``own``.
 
-        Raises:
-            Refused: The limit does not hold as much.
+        Late bodies are given up if that exceeds the limit, also the one that grows.
         """
-        self.check(size, own)
         self.held_bytes += size
         self._small_bytes += _small(own + size) - _small(own)
         if self._used_bytes > self._limit_bytes:
@@ -195,11 +193,13 @@
         Raises:
             Refused: The requests of the host hold too much.
         """
+        if size > 0 and not self._given_up:
+            self._memory.check(size, self._size)
         if self._given_up:
             raise Refused(MEMORY_FULL, held=self._memory.held_bytes, needed=size)
         if size > 0:
-            self._memory.take(size, self._size)
-            self._size += size
+            own, self._size = self._size, self._size + size
+            self._memory.take(size, own)
             if self._arrival is not None:
                 self._arrival.grow(size, self._memory.now())
 
