Tell turns of different conversations apart in the quarantine

Cause: the fingerprint of a request had its body as it came. Where turns are kept that is the new words alone; targets get the chain before them.

Evidence: in the new test the turn of another conversation got 503 with the fingerprint of the quarantined one.

Change: the fingerprint of a turn that continues another is taken from its chain and its words, once the chain is there. A conversation that is told again under other ids is still the same request, as targets get the same bytes.

--- a/src/magnoliaroad/quarantine/fingerprint.py
+++ b/src/magnoliaroad/quarantine/fingerprint.py
@@ -46,21 +46,22 @@
     return xxhash.xxh3_128_hexdigest(f"{route}\n{masked}".encode())
 
 
-def exact_fingerprint(team: str, method: str, path: str, body: bytes) -> str:
+def exact_fingerprint(team: str, method: str, path: str, *body: bytes) -> str:
     """Returns the fingerprint of a request whose body has no known format.
 
     Args:
         team: Team that sends the request; empty for none.
         method: HTTP method.
         path: Path and query.
-        body: Whole body.
+        body: Parts of the whole body, in order.
 
     Returns:
         32 hexadecimal digits, equal for requests that are identical apart from
         their headers.
     """
     digest = xxhash.xxh3_128(f"{team}\n{method} {path}\n".encode())
-    digest.update(body)
+    for part in body:
+        digest.update(part)
     return digest.hexdigest()
 
 
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -155,10 +155,12 @@
         self._room = RequestRoom(parts, admitted, self._service, began)
         self._scanner = EventScanner()
         self._scans = False
+        self.fingerprint = self._fingerprint(self.call.body)
+
+    def _fingerprint(self, *body: bytes) -> str:
+        """Returns the fingerprint of the request with the body that targets get."""
         call = self.call
-        self.fingerprint = exact_fingerprint(
-            admitted.team_name, call.method, call.path, call.body
-        )
+        return exact_fingerprint(self.admitted.team_name, call.method, call.path, *body)
 
     @property
     def sent(self) -> bool:
@@ -185,7 +187,6 @@
         Raises:
             Refused: No target gave an answer.
         """
-        self._refuse_quarantined()
         try:
             limit_s = self.deadline - time.monotonic()
             async with asyncio.timeout(limit_s) as self._limit:
@@ -243,6 +244,9 @@
 
     async def _prepare(self) -> None:
         call, team = self.call, self.admitted.team
+        continues = self.route.keeps_turns and call.previous_turn
+        if not continues:
+            self._refuse_quarantined()
         self._refuse_unkept_turn()
         self._room.starts_program = self._may_start_program()
         await self._room.admit_program(self._data_centres)
@@ -250,7 +254,7 @@
             raise Refused(bad_call("The ids of a stream must be UTF-8."))
         if team is not None:
             await self._acquire_token(team)
-        if self.route.keeps_turns and call.previous_turn:
+        if continues:
             self._previous = await self.parts.turns.load(
                 call.previous_turn,
                 self.admitted.team_name,
@@ -260,6 +264,9 @@
             self._bind_to(self._previous.turn.regions)
             # The joined text of the chain, and the body that joins it with the new one.
             self._held.grow(len(self._previous.text) + len(call.body))
+            # Turns that say the same are different requests in different conversations.
+            self.fingerprint = self._fingerprint(self._previous.text, call.body)
+            self._refuse_quarantined()
         if self.streams and call.resume_after is not None:
             await self._restrict_to_origin()
         if self.streams and call.program:
--- a/tests/platform/test_crashing_request.py
+++ b/tests/platform/test_crashing_request.py
@@ -7,7 +7,7 @@
 import pytest
 from returns.pipeline import is_successful
 
-from magnoliaroad.quarantine.entry import cleared
+from magnoliaroad.quarantine.entry import QuarantineState, cleared
 from magnoliaroad.quarantine.stored_list import save_entries
 from tests.platform.deployment import Deployment
 from tests.platform.target_standin import TargetStandin
@@ -42,6 +42,12 @@
     return await asyncio.gather(*sent, return_exceptions=True)
 
 
+def knows_blocked(relay):
+    """Returns whether a host refuses some request."""
+    entries = relay.quarantine.blocklist.all()
+    return any(entry.state is QuarantineState.BLOCKED for entry in entries)
+
+
 def crashes(deployment):
     return sorted(at for target in deployment.targets for at in target.crashed_at)
 
@@ -128,6 +134,36 @@
         assert len(crashes(deployment)) == ends
 
 
+async def test_turns_with_the_words_of_a_quarantined_one_go_on(tmp_path):
+    """LOST: the quarantine of one turn held for all that said the same words."""
+    targets = [TargetStandin(f"i-{n}", "lm") for n in range(4)]
+    async with Deployment(tmp_path, *targets, hosts=2) as deployment:
+        crash_on_poison(deployment)
+
+        async def turn(words, previous=None):
+            return await deployment.turn(words, Magnoliaroad_Previous_Turn=previous)
+
+        _, bad, _ = await turn(b"bad;")
+        _, same_as_bad, _ = await turn(b"bad;")
+        _, sound, _ = await turn(b"sound;")
+        await turn(b"probe", bad)
+        (body,) = (run[3] for t in targets for run in t.runs if b"probe" in run[3])
+        for target in targets:
+            target.poison = body.replace(b"probe", POISON)
+        while not all(map(knows_blocked, deployment.relays)):
+            await turn(POISON, bad)
+            await asyncio.sleep(RESEND_INTERVAL_S)
+        await asyncio.sleep(1.0)
+        ends = len(crashes(deployment))
+        assert (await turn(POISON, sound))[0] == 200
+        assert (await turn(POISON))[0] == 200
+        assert (await turn(b"other words", bad))[0] == 200
+        # What targets get is the same, whatever the ids of the turns before.
+        assert (await turn(POISON, bad))[0] == 503
+        assert (await turn(POISON, same_as_bad))[0] == 503
+        assert len(crashes(deployment)) == ends
+
+
 async def test_a_request_cleared_by_an_operator_is_sent_again(tmp_path):
     targets = [TargetStandin(f"i-{n}", "app") for n in range(4)]
     async with Deployment(tmp_path, *targets, hosts=2) as deployment:
