Count crashes of a request since it was last answered

Cause: a host left a request out of its crash reports if it had answered an equal one within 15 minutes, however long before the crash, and lifted each decision on such a request.

Change: an answer counts against crashes before it, not later ones. Hosts report when a lost request was sent and when an equal one was last answered; hosts that have answered a suspect tell when. The detector counts the crashes since the last answer whose request was sent after the crash before, and blocks such a request 0.5 s after it became a suspect. A request that crashes one target of five, or that is lost as targets end by themselves, is answered elsewhere in between and stays free. The new data travel in messages of their own, which older builds ignore.

--- a/src/magnoliaroad/quarantine/detector.py
+++ b/src/magnoliaroad/quarantine/detector.py
@@ -1,16 +1,20 @@
 """Decides which requests crash targets, from the hosts' crash reports."""
 
-import collections
-from collections.abc import Iterable
+import math
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from magnoliaroad.quarantine.blocklist import Blocklist
 from magnoliaroad.quarantine.entry import QuarantineEntry, QuarantineState
-from magnoliaroad.quarantine.messages import CrashReport
+from magnoliaroad.quarantine.messages import CrashDetails, CrashReport
 from magnoliaroad.quarantine.settings import QuarantineSettings
 
 # Number of crashes in which a request must have been lost to become a suspect.
 CRASHES_TO_SUSPECT = 2
+# Time in which hosts that have answered a request tell so once it is a suspect, in
+# seconds; some round trips between data centres.
+OBJECTION_S = 0.5
 # Maximum number of crashes kept as evidence; the oldest are dropped first.
 MAX_CRASHES = 1_000
 
@@ -27,6 +31,9 @@
         suspects: Fingerprints of the lost requests.
         decide_at: Time at which the crash is evaluated, in seconds; ``None`` once it
             has been.
+        lost_at: Time at which the first request was lost, in seconds.
+        sent_at: Times at which the requests were sent, by fingerprint, in seconds; not
+            known of those that only hosts of older builds have reported.
     """
 
     target: str
@@ -35,6 +42,8 @@
     route: str
     suspects: frozenset[str]
     decide_at: float | None
+    lost_at: float
+    sent_at: Mapping[str, float] = MappingProxyType({})
 
 
 class PoisonDetector:
@@ -42,37 +51,77 @@
 
     If several requests were lost in the same crashes, each may only run alone until
     one of them crashes a target without the others.
+
+    What was answered counts against the crashes before, wherever it was. Of the later
+    ones count those whose request was sent after the crash before: equal requests that
+    many callers send are lost together when several targets end at once.
     """
 
     def __init__(self, cfg: QuarantineSettings) -> None:
         self.cfg = cfg
         self._crashes: list[Crash] = []
         self._cleared_at: dict[str, float] = {}
+        self._answered_at: dict[str, float] = {}
 
     def add_report(self, report: CrashReport, now: float) -> None:
         """Adds a host's report; reports of the same crash are merged."""
-        suspects = frozenset(report.fingerprints)
-        new_decide_at = now + self.cfg.settle_s
-        for index, crash in enumerate(self._crashes):
-            if not self._matches(report, crash, now):
-                continue
-            if suspects - crash.suspects:
-                decide_at = crash.decide_at
-                self._crashes[index] = crash._replace(
-                    suspects=crash.suspects | suspects,
-                    decide_at=new_decide_at if decide_at is None else decide_at,
-                )
+        if not report.fingerprints:
             return
-        self._crashes.append(
+        self._add(
             Crash(
                 report.target,
                 report.incarnation,
                 now,
                 report.route,
-                suspects,
-                new_decide_at,
-            )
+                frozenset(report.fingerprints),
+                now + self.cfg.settle_s,
+                now,
+            ),
+            now,
         )
+
+    def add_details(self, details: CrashDetails, now: float) -> None:
+        """Adds the details of a host's report."""
+        for req in details.requests:
+            if req.answered_s is not None:
+                self.add_answer(req.fingerprint, now - req.answered_s)
+        self._add(
+            Crash(
+                details.target,
+                details.incarnation,
+                now,
+                details.route,
+                frozenset(req.fingerprint for req in details.requests),
+                now + self.cfg.settle_s,
+                now - details.lost_s,
+                {req.fingerprint: now - req.sent_s for req in details.requests},
+            ),
+            now,
+        )
+
+    def add_answer(self, fingerprint: str, answered_at: float) -> None:
+        """Adds that a host answered a request; crashes before do not count."""
+        known = self._answered_at.get(fingerprint, -math.inf)
+        self._answered_at[fingerprint] = max(known, answered_at)
+
+    def _add(self, new: Crash, now: float) -> None:
+        for index, crash in enumerate(self._crashes):
+            if not self._matches(new, crash, now):
+                continue
+            sent_at = {**new.sent_at, **crash.sent_at}
+            for fingerprint, at in new.sent_at.items():
+                sent_at[fingerprint] = min(at, sent_at[fingerprint])
+            decide_at = crash.decide_at
+            if decide_at is None and new.suspects - crash.suspects:
+                decide_at = new.decide_at
+            self._crashes[index] = crash._replace(
+                suspects=crash.suspects | new.suspects,
+                decide_at=decide_at,
+                lost_at=min(crash.lost_at, new.lost_at),
+                sent_at=sent_at,
+            )
+            return
+        self._crashes.append(new)
         del self._crashes[:-MAX_CRASHES]
 
     def clear(self, fingerprints: Iterable[str], now: float) -> None:
@@ -100,8 +149,15 @@
                 entries += self._decide(crash, now, blocklist)
         return entries
 
-    def _matches(self, report: CrashReport, crash: Crash, now: float) -> bool:
-        if crash.target != report.target or crash.incarnation != report.incarnation:
+    def is_justified(self, fingerprint: str, state: QuarantineState) -> bool:
+        """Returns whether the evidence suffices for a decision in force."""
+        least = CRASHES_TO_SUSPECT
+        if state is QuarantineState.BLOCKED:
+            least = self._threshold_of(fingerprint)
+        return self._count_of(fingerprint) >= least
+
+    def _matches(self, new: Crash, crash: Crash, now: float) -> bool:
+        if crash.target != new.target or crash.incarnation != new.incarnation:
             return False
         span_s = self.cfg.gather_s + self.cfg.settle_s
         return crash.incarnation != 0 or now - crash.first_reported_at <= span_s
@@ -116,10 +172,11 @@
             ).items()
             if blocklist.state_of(fingerprint, now) is not QuarantineState.BLOCKED
         }
-        threshold = self.cfg.crashes_to_block
-        at_threshold = {f for f, count in counts.items() if count >= threshold}
+        thresholds = {f: self._threshold_of(f) for f in counts}
+        at_threshold = {f for f, count in counts.items() if count >= thresholds[f]}
         blocked = at_threshold if len(at_threshold) == 1 else set()
-        blocked = blocked | {f for f, count in counts.items() if count > threshold}
+        blocked = blocked | {f for f, n in counts.items() if n > thresholds[f]}
+        blocked -= self._wait_for_objections(crash, blocked, now, blocklist)
         for fingerprint in blocked:
             self._clear_co_suspects(fingerprint, now)
         suspects = sorted(f for f, n in counts.items() if n >= CRASHES_TO_SUSPECT)
@@ -134,6 +191,30 @@
                 entries.append(entry)
         return entries
 
+    def _wait_for_objections(
+        self, crash: Crash, blocked: set[str], now: float, blocklist: Blocklist
+    ) -> set[str]:
+        """Evaluates a crash again if a request was answered and is a suspect since now.
+
+        Returns:
+            The requests that are not to be blocked yet.
+        """
+        waiting = set()
+        for fingerprint in blocked & self._answered_at.keys():
+            entry = blocklist.get(fingerprint)
+            is_suspect = blocklist.state_of(fingerprint, now) is QuarantineState.ALONE
+            if not is_suspect or now < entry.decided_at + OBJECTION_S:
+                waiting.add(fingerprint)
+        if waiting:
+            index = self._crashes.index(crash._replace(decide_at=None))
+            self._crashes[index] = crash._replace(decide_at=now + OBJECTION_S)
+        return waiting
+
+    def _threshold_of(self, fingerprint: str) -> int:
+        if fingerprint in self._answered_at:
+            return max(self.cfg.crashes_to_block, CRASHES_TO_SUSPECT + 1)
+        return self.cfg.crashes_to_block
+
     def _count_crashes_of(
         self, crash: Crash, now: float, blocklist: Blocklist
     ) -> dict[str, int]:
@@ -143,29 +224,38 @@
         ``CRASHES_TO_SUSPECT`` earlier crashes, even if the host that held the
         evidence has been lost.
         """
-        counts = self._count_by_fingerprint()
-        for fingerprint in crash.suspects & counts.keys():
+        counts = {f: self._count_of(f) for f in crash.suspects}
+        for fingerprint in counts:
             entry = blocklist.get(fingerprint)
             suspected = blocklist.state_of(fingerprint, now) is QuarantineState.ALONE
-            if suspected and entry.decided_at < crash.first_reported_at:
+            answered_at = self._answered_at.get(fingerprint, -math.inf)
+            if suspected and answered_at < entry.decided_at < crash.first_reported_at:
                 minimum = CRASHES_TO_SUSPECT + 1
                 counts[fingerprint] = max(counts[fingerprint], minimum)
-        return {f: counts[f] for f in crash.suspects if f in counts}
+        return counts
 
     def _clear_co_suspects(self, cause: str, now: float) -> None:
         crashes = [crash for crash in self._crashes if cause in crash.suspects]
         co_suspects = {f for crash in crashes for f in crash.suspects} - {cause}
         self.clear(co_suspects, now)
 
-    def _count_by_fingerprint(self) -> collections.Counter[str]:
-        fingerprints = [
-            fingerprint
+    def _count_of(self, fingerprint: str) -> int:
+        """Returns the crashes that count as evidence against a request."""
+        cleared_at = self._cleared_at.get(fingerprint, -math.inf)
+        crashes = [
+            crash
             for crash in self._crashes
-            for fingerprint in crash.suspects
-            if crash.first_reported_at
-            > self._cleared_at.get(fingerprint, float("-inf"))
+            if fingerprint in crash.suspects and crash.first_reported_at > cleared_at
         ]
-        return collections.Counter(fingerprints)
+        answered_at = self._answered_at.get(fingerprint)
+        if answered_at is None:
+            return len(crashes)
+        count, last_lost_at = 0, answered_at
+        for crash in sorted(crashes, key=lambda crash: crash.lost_at):
+            sent_at = crash.sent_at.get(fingerprint, crash.lost_at)
+            if sent_at > last_lost_at:
+                count, last_lost_at = count + 1, crash.lost_at
+        return count
 
     def _expire(self, now: float) -> None:
         cutoff = now - self.cfg.evidence_s
@@ -173,3 +263,6 @@
             crash for crash in self._crashes if crash.first_reported_at >= cutoff
         ]
         self._cleared_at = {f: at for f, at in self._cleared_at.items() if at >= cutoff}
+        self._answered_at = {
+            f: at for f, at in self._answered_at.items() if at >= cutoff
+        }
--- a/src/magnoliaroad/quarantine/service.py
+++ b/src/magnoliaroad/quarantine/service.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import time
 from collections.abc import Callable, Iterable
 
@@ -24,7 +25,9 @@
     BlocklistReply,
     BlocklistRequest,
     BlocklistUpdate,
+    CrashDetails,
     CrashReport,
+    SuspectAnswered,
     SuspectCleared,
 )
 from magnoliaroad.quarantine.refusals import quarantined, suspect_waits
@@ -35,6 +38,8 @@
 from magnoliaroad.store import Store, StoreError
 from magnoliaroad.targets import RequestEnd
 
+DetectorMessage = CrashReport | CrashDetails | SuspectAnswered | SuspectCleared
+
 # Interval between checks for crashes whose reports or decisions are due, in seconds.
 CHECK_INTERVAL_S = 0.25
 # Number of peers that a host forwards a new decision to.
@@ -84,11 +89,13 @@
         self._store = store
         self._now = clock
         self._in_flight: collections.Counter[str] = collections.Counter()
+        # Times at which requests under way were sent, by target and fingerprint.
+        self._sent_at: dict[tuple[str, str], collections.deque[float]] = {}
         self._unsaved: list[QuarantineEntry] = []
         self._crashes_pending = asyncio.Event()
         self._save_requested = asyncio.Event()
-        peers.on(CrashReport, self._on_crash_report)
-        peers.on(SuspectCleared, self._on_suspect_cleared)
+        for kind in (CrashReport, CrashDetails, SuspectAnswered, SuspectCleared):
+            peers.on(kind, self._on_detector_message)
         peers.on(BlocklistUpdate, self._on_blocklist_update)
         peers.on(BlocklistRequest, self._on_blocklist_request, BlocklistReply)
 
@@ -125,6 +132,8 @@
     def request_started(self, target: str, fingerprint: str) -> None:
         """Records that a request is sent to ``target``."""
         self._in_flight[fingerprint] += 1
+        sent_at = self._sent_at.setdefault((target, fingerprint), collections.deque())
+        sent_at.append(self._now())
 
     def request_ended(
         self,
@@ -145,22 +154,33 @@
                 unknown.
         """
         now = self._now()
-        self._in_flight[fingerprint] -= 1
-        if not self._in_flight[fingerprint]:
-            del self._in_flight[fingerprint]
+        sent_at = self._remove_in_flight(target, fingerprint)
         reporter, target_incarnation = (
             self._crash_reporter,
             TargetIncarnation(target, incarnation),
         )
         if end is RequestEnd.LOST:
-            reporter.request_lost(target_incarnation, route, fingerprint, now)
+            reporter.request_lost(target_incarnation, route, fingerprint, now, sent_at)
         elif end is RequestEnd.UNANSWERED:
-            reporter.request_unanswered(target_incarnation, route, fingerprint, now)
+            reporter.request_unanswered(
+                target_incarnation, route, fingerprint, now, sent_at
+            )
         elif end is RequestEnd.COMPLETED:
             self._record_completion(fingerprint, now)
         if reporter.has_pending:
             self._crashes_pending.set()
 
+    def _remove_in_flight(self, target: str, fingerprint: str) -> float:
+        """Removes a request under way; returns when the first equal one was sent."""
+        self._in_flight[fingerprint] -= 1
+        if not self._in_flight[fingerprint]:
+            del self._in_flight[fingerprint]
+        sent_at = self._sent_at[target, fingerprint]
+        first = sent_at.popleft()
+        if not sent_at:
+            del self._sent_at[target, fingerprint]
+        return first
+
     def target_disappeared(self, target: str, incarnation: int) -> None:
         """Records that a target disappeared without announcing its shutdown."""
         target_incarnation = TargetIncarnation(target, incarnation)
@@ -181,7 +201,9 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             now = self._now()
             for report in self._crash_reporter.due_reports(now):
-                self._send_report(report)
+                self._send_to_detectors(report)
+            for details in self._crash_reporter.take_details():
+                self._send_details(details)
             self._publish(self._detector.due_decisions(now, self.blocklist))
             if not (self._crash_reporter.has_pending or self._detector.has_pending):
                 self._crashes_pending.clear()
@@ -205,29 +227,52 @@
                 self._save_requested.set()
                 raise
 
-    def _send_report(self, report: CrashReport) -> None:
+    def _send_details(self, details: CrashDetails) -> None:
         metrics.CRASHES.inc({})
         logger.bind(
-            target=report.target,
-            route=report.route,
-            fingerprints=list(report.fingerprints),
+            target=details.target,
+            route=details.route,
+            fingerprints=[req.fingerprint for req in details.requests],
         ).warning("requests lost with their target")
-        self._send_to_detectors(report)
+        self._send_to_detectors(details)
 
-    def _send_to_detectors(self, message: CrashReport | SuspectCleared) -> None:
+    def _send_to_detectors(self, message: DetectorMessage) -> None:
         detectors = self._detectors() or [self.host]
         self._peers.send_all([h for h in detectors if h != self.host], message)
         if self.host not in detectors:
             return
-        if isinstance(message, CrashReport):
-            self._add_report(message)
-        else:
-            self._clear_suspect(message.fingerprint)
+        self._detect(message)
+
+    @functools.singledispatchmethod
+    def _detect(self, message: DetectorMessage) -> None:
+        """Applies a message to this host's detector."""
+        raise NotImplementedError
 
-    def _add_report(self, report: CrashReport) -> None:
-        self._detector.add_report(report, self._now())
+    @_detect.register
+    def _(self, message: CrashReport) -> None:
+        self._detector.add_report(message, self._now())
         self._crashes_pending.set()
 
+    @_detect.register
+    def _(self, message: CrashDetails) -> None:
+        self._detector.add_details(message, self._now())
+        self._crashes_pending.set()
+
+    @_detect.register
+    def _(self, message: SuspectAnswered) -> None:
+        # Lifts a decision for which the crashes since the answer do not suffice. A
+        # detector that has no evidence for it can't tell.
+        now, fingerprint = self._now(), message.fingerprint
+        state = self.blocklist.state_of(fingerprint, now)
+        was_justified = self._detector.is_justified(fingerprint, state)
+        self._detector.add_answer(fingerprint, now - message.answered_s)
+        if was_justified and not self._detector.is_justified(fingerprint, state):
+            self._publish([cleared(fingerprint, now, self.cfg.block_s)])
+
+    @_detect.register
+    def _(self, message: SuspectCleared) -> None:
+        self._clear_suspect(message.fingerprint)
+
     def _publish(self, entries: list[QuarantineEntry]) -> None:
         if not entries:
             return
@@ -252,10 +297,13 @@
             logger.bind(**entry._asdict()).warning("quarantine decided")
             if entry.state is QuarantineState.CLEARED:
                 self._detector.clear([entry.fingerprint], entry.decided_at)
-            elif self._crash_reporter.completed_recently(
+                continue
+            answered_s = self._crash_reporter.completed_ago_s(
                 entry.fingerprint, self._now()
-            ):
-                self._send_to_detectors(SuspectCleared(entry.fingerprint))
+            )
+            if answered_s is not None:
+                message = SuspectAnswered(entry.fingerprint, answered_s)
+                self._send_to_detectors(message)
         if changed:
             metrics.BLOCKED.set({}, self._count_blocked(self._now()))
             self.on_new_decisions()
@@ -278,11 +326,8 @@
         ]
         return states.count(QuarantineState.BLOCKED)
 
-    async def _on_crash_report(self, sender: str, report: CrashReport) -> None:
-        self._add_report(report)
-
-    async def _on_suspect_cleared(self, sender: str, message: SuspectCleared) -> None:
-        self._clear_suspect(message.fingerprint)
+    async def _on_detector_message(self, sender: str, message: DetectorMessage) -> None:
+        self._detect(message)
 
     async def _on_blocklist_request(
         self, sender: str, req: BlocklistRequest
--- a/src/magnoliaroad/quarantine/settings.py
+++ b/src/magnoliaroad/quarantine/settings.py
@@ -11,8 +11,8 @@
             the only one that was lost in so many. After one more crash, every
             request that was lost in all of them is refused.
         block_s: How long a request is refused.
-        evidence_s: How long a crash counts as evidence against a request, and how long
-            a completed request counts as harmless.
+        evidence_s: How long a crash counts as evidence against a request, and an answer
+            against the crashes before it.
         gather_s: Time after the first lost request in which further requests lost on
             the same target count to the same crash. All connections of a crashed
             target end within a few round trips.
