Bound what readers of records make hosts hold

Cause: a reply was written whether its peer had read those before or not; turns that continue the same long turn each read all its records, 16 at the same time for each, and counted them once all were there.

Change: a reply of 4 KB or more waits until the peer has read most of what was written before. A relay host reads a record once for all who wait for it, 16 at a time from hosts and as many from the store, and counts parts of long texts before it asks for them.

--- a/src/magnoliaroad/peers/inbound.py
+++ b/src/magnoliaroad/peers/inbound.py
@@ -22,8 +22,11 @@
 MAX_READ_BYTES = 65_536
 # Bytes that wait to be handled before a peer is held back, half of what asyncio takes.
 BUFFER_BYTES = 8192
-# Bytes that a peer has not read beyond which no further message of it is handled.
+# Bytes that a peer has not read beyond which no further message of it is handled, and
+# no further large reply is written.
 UNSENT_BYTES = 16_384
+# Size from which a reply is large, in bytes.
+LARGE_REPLY_BYTES = 4096
 # Buffers of a connection with an incomplete frame or unread replies, in bytes: of the
 # stream and of what is decoded.
 BUFFERS_BYTES = 32_768
@@ -43,6 +46,7 @@
         sender: Name of the peer; empty until it is known.
         running: Number of its messages that are being handled.
         heard_at: Monotonic time at which bytes last arrived, in seconds.
+        large_reply: Held while a large reply waits for the ones before it to be read.
     """
 
     def __init__(
@@ -55,6 +59,7 @@
         self.sender = ""
         self.running = 0
         self.heard_at = time.monotonic()
+        self.large_reply = asyncio.Lock()
         self._writer = writer
         writer.transport.max_size = FIRST_READ_BYTES
         writer.transport.set_write_buffer_limits(UNSENT_BYTES)
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -27,6 +27,7 @@
 from magnoliaroad.peers.frame_memory import FrameMemory
 from magnoliaroad.peers.inbound import (
     BUFFER_BYTES,
+    LARGE_REPLY_BYTES,
     MAX_READ_BYTES,
     PAUSE_S,
     InboundConnection,
@@ -321,7 +322,7 @@
     ) -> None:
         try:
             reply = await measured(_activity(frame.tag), handler(conn.sender, message))
-            self._reply(conn, frame, self._pack_reply(frame, reply))
+            await self._reply_in_turn(conn, frame, self._pack_reply(frame, reply))
         except Exception as exc:
             self._handler_failed(conn, frame, exc)
         finally:
@@ -344,6 +345,19 @@
             return
         self._write(conn, reply)
 
+    async def _reply_in_turn(
+        self, conn: InboundConnection, frame: Frame, reply: Frame
+    ) -> None:
+        """Writes a reply; a large one once the peer has read those before it."""
+        if _size_of(reply) < LARGE_REPLY_BYTES:
+            self._reply(conn, frame, reply)
+            return
+        # Fails if the peer has left, which then gets no reply.
+        with contextlib.suppress(OSError):
+            async with conn.large_reply:
+                await conn.drain()
+                self._reply(conn, frame, reply)
+
     def _write(self, conn: InboundConnection, frame: Frame) -> None:
         conn.write(frame)
         if not conn.unsent_bytes():
@@ -378,6 +392,11 @@
     return f"message {tag}"
 
 
+def _size_of(frame: Frame) -> int:
+    """Returns the size of the byte strings among the fields of a frame."""
+    return sum(len(field) for field in frame.fields if isinstance(field, bytes))
+
+
 def _error(frame: Frame, text: str) -> Frame:
     """Returns the reply to a request that failed."""
     return Frame(FrameKind.ERROR, frame.number, text[:MAX_ERROR_CHARS])
--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -97,6 +97,9 @@
         self._late_since: dict[str, float] = {}
         self._heartbeats: dict[str, RecordHostHeartbeat] = {}
         self._marked: frozenset[str] = frozenset()
+        # Apart, as reads from a store that is silent take long.
+        self._host_reads = asyncio.Semaphore(cfg.reads)
+        self._store_reads = asyncio.Semaphore(cfg.reads)
         self.hosts_listed = False
         peers.register_replies(FetchRecordReply)
         peers.on(ProxyKeepRequest, self._on_proxy_keep, KeepRecordReply)
@@ -292,7 +295,7 @@
         """Makes one attempt; returns whether the result is certain, and the record."""
         nearest = self._replica_hosts(key)[:1]
         for host in nearest:
-            found = await self._call(host, FetchRecord(key))
+            found = await self._fetch_from_host(host, key)
             if found is not None and found.found:
                 return True, found.value
         if self._fetch_helpers():
@@ -365,12 +368,17 @@
     async def _fetch_from(
         self, key: str, hosts: list[str]
     ) -> list[FetchRecordReply | None]:
-        calls = (self._call(host, FetchRecord(key)) for host in hosts)
+        calls = (self._fetch_from_host(host, key) for host in hosts)
         return await asyncio.gather(*calls)
 
+    async def _fetch_from_host(self, host: str, key: str) -> FetchRecordReply | None:
+        async with self._host_reads:
+            return await self._call(host, FetchRecord(key))
+
     async def _read_store(self, key: str) -> tuple[bool, bytes | None]:
         try:
-            entry = await self._store.get(key)
+            async with self._store_reads:
+                entry = await self._store.get(key)
         except StoreError as exc:
             logger.bind(key=key, reason=str(exc)).warning("record not read yet")
             return False, None
--- a/src/magnoliaroad/records/settings.py
+++ b/src/magnoliaroad/records/settings.py
@@ -27,6 +27,8 @@
         segment_bytes: Size at which a new segment file of the journal is started.
         call_s: Time after which a relay host no longer waits for a record host alone;
             ten syncs of a slow disk.
+        reads: Most records that a relay host reads at the same time from hosts, and as
+            many from the store; with those of the largest size some 5 MB.
         late_s: Longest wait for the reply of a record host that is asked to keep a
             record: as long as the end of a turn may be held back for it.
         last_copy_s: Time limit of a relay host's writing of a record to the store if no
@@ -52,6 +54,7 @@
     pending_bytes: int = 60_000_000
     segment_bytes: int = 2_000_000
     call_s: float = 0.25
+    reads: int = 16
     late_s: float = 2.0
     last_copy_s: float = 1.0
     silent_s: float = 1.4
--- a/src/magnoliaroad/relay/run.py
+++ b/src/magnoliaroad/relay/run.py
@@ -262,8 +262,8 @@
                 self._stays_here,
             )
             self._bind_to(self._previous.turn.regions)
-            # The joined text of the chain, and the body that joins it with the new one.
-            self._held.grow(len(self._previous.text) + len(call.body))
+            # The body that joins the chain, which was counted, with the new text.
+            self._held.grow(len(call.body))
             # Turns that say the same are different requests in different conversations.
             self.fingerprint = self._fingerprint(self._previous.text, call.body)
             self._refuse_quarantined()
--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Iterable, Sequence
+from typing import Any, NamedTuple
 
 from loguru import logger
 
@@ -10,6 +11,7 @@
 from magnoliaroad.byte_slots import ByteSlots
 from magnoliaroad.records.client import RecordClient
 from magnoliaroad.records.lru_cache import LruCache
+from magnoliaroad.records.shared_reads import SharedReads
 from magnoliaroad.refusal import Refused
 from magnoliaroad.relay.refusals import NO_TURN, TURN_UNCERTAIN
 from magnoliaroad.relay.settings import TurnSettings
@@ -56,6 +58,9 @@
             cfg.cache_bytes, lambda turn: len(turn.text)
         )
         self._writing = ByteSlots(cfg.writing_bytes)
+        self._reads: SharedReads[_RecordName, Turn | None] = SharedReads(
+            self._read_record
+        )
 
     @property
     def cached_bytes(self) -> int:
@@ -79,7 +84,8 @@
         Args:
             turn_id: Request id of the attempt that answered it.
             team: Team that asks for it.
-            hold: Counts bytes of the chain as they arrive; may refuse.
+            hold: Counts the bytes of the chain's records and of the chain as a whole;
+                may refuse.
             in_store_only: Whether no other host may see it.
 
         Raises:
@@ -87,17 +93,22 @@
         """
         try:
             async with asyncio.timeout(self.cfg.store_patience_s):
-                turn = await self._read(turn_id, in_store_only)
+                turn = await self._read(turn_id, in_store_only, hold)
                 if turn.team != team:
                     logger.bind(turn=turn_id, team=team, holder=turn.team).warning(
                         "turn of another team"
                     )
                     raise Refused(NO_TURN)
-                hold(len(turn.text))
+                # Parts are large, and counted before they arrive: all that are asked
+                # for at the same time may.
+                parts_bytes = self.cfg.part_bytes * sum(map(_is_part, turn.chain))
+                hold(2 * parts_bytes)
                 before = await self._read_chain(turn_id, turn, hold, in_store_only)
         except TimeoutError as exc:
             raise Refused(TURN_UNCERTAIN) from exc
-        text = b"".join([*(other.text for other in before), turn.text])
+        texts = [*(other.text for other in before), turn.text]
+        hold(max(0, sum(map(len, texts)) - parts_bytes))
+        text = b"".join(texts)
         return LoadedTurn(turn_id, turn, text)
 
     def can_save(self, in_store_only: bool = False) -> bool:
@@ -163,7 +174,7 @@
     ) -> tuple[str, ...]:
         """Writes parts of a text as records of their own; returns their ids."""
         kept_until = self._now() + _lifetime_s(retention_s)
-        names = tuple(f"{base_id}/{number}" for number in range(len(parts)))
+        names = tuple(_part_name(base_id, number) for number in range(len(parts)))
         await asyncio.gather(
             *(
                 self._write(
@@ -195,8 +206,8 @@
         before: list[Turn] = []
         for ids in batched(turn.chain, self.cfg.chain_reads):
             try:
-                read = await asyncio.gather(
-                    *(self._read(name, in_store_only) for name in ids)
+                before += await _gather(
+                    self._read(name, in_store_only, hold) for name in ids
                 )
             except Refused as exc:
                 if exc.refusal is NO_TURN:
@@ -207,23 +218,65 @@
                         kept_s=round(turn.kept_until - self._now(), 1),
                     ).warning("chain of a turn not complete")
                 raise
-            hold(sum(len(part.text) for part in read))
-            before += read
         return before
 
-    async def _read(self, turn_id: str, in_store_only: bool) -> Turn:
-        turn = self._cache.get(turn_id)
+    async def _read(
+        self, name: str, in_store_only: bool, hold: Callable[[int], None]
+    ) -> Turn:
+        turn = self._cache.get(name)
         if turn is None:
-            value = await self._records.fetch(key_of(PREFIX, turn_id), in_store_only)
-            if value is None:
-                raise Refused(NO_TURN)
-            try:
-                turn = unpack_turn(value)
-            except ValueError as exc:
-                raise Refused(TURN_UNCERTAIN, reason=f"record: {exc}") from exc
-            self._cache.add(turn_id, turn)
+            turn = await self._reads.get(_RecordName(name, in_store_only))
+        if turn is None:
+            raise Refused(NO_TURN)
+        if not _is_part(name):
+            hold(len(turn.text))
         return turn
 
+    async def _read_record(self, record: "_RecordName") -> Turn | None:
+        """Returns a record from where it is kept; ``None`` if it is absent."""
+        key = key_of(PREFIX, record.name)
+        value = await self._records.fetch(key, record.in_store_only)
+        if value is None:
+            return None
+        try:
+            turn = unpack_turn(value)
+        except ValueError as exc:
+            raise Refused(TURN_UNCERTAIN, reason=f"record: {exc}") from exc
+        self._cache.add(record.name, turn)
+        return turn
+
+
+class _RecordName(NamedTuple):
+    """Names a record that is read.
+
+    Attributes:
+        name: Id of a turn, or of a part of its text.
+        in_store_only: Whether no other host may see it.
+    """
+
+    name: str
+    in_store_only: bool
+
+
+def _part_name(base_id: str, number: int) -> str:
+    """Returns the name of a part of a text."""
+    return f"{base_id}/{number}"
+
+
+def _is_part(name: str) -> bool:
+    """Returns whether a record is a part of a text, or may be one by its name."""
+    return name.rpartition("/")[2].isdecimal() and "/" in name
+
+
+async def _gather(reads: Iterable[Coroutine[Any, Any, Turn]]) -> list[Turn]:
+    """Returns what all reads return; cancels the others if one fails."""
+    tasks = [asyncio.ensure_future(read) for read in reads]
+    try:
+        return await asyncio.gather(*tasks)
+    finally:
+        for task in tasks:
+            task.cancel()
+
 
 def _lifetime_s(retention_s: float) -> float:
     """Returns the time for which a turn's records are stored, in seconds."""
--- a/tests/peers/test_bounds.py
+++ b/tests/peers/test_bounds.py
@@ -5,6 +5,7 @@
 import socket
 from typing import NamedTuple
 
+import msgpack
 import pytest
 
 from magnoliaroad.memory.settings import MemorySettings
@@ -182,3 +183,46 @@
         replies = await asyncio.gather(*calls)
     assert replies == [Count(number + 1) for number in range(CALLS)]
     assert most == MAX_RUNNING
+
+
+async def test_large_replies_wait_until_the_peer_has_read_those_before():
+    """Guards against hosts that hold as many replies as one peer asks for (FAULT)."""
+    size, most = 300_000, 0
+
+    async def large(sender, message):
+        nonlocal most
+        most = max(most, called.held_bytes())
+        return Text(bytes(size))
+
+    called, caller = (
+        PeerService(PeerSettings(), name, "127.0.0.1", 0) for name in "ab"
+    )
+    async with called, caller:
+        called.on(Count, large, Text)
+        caller.register_replies(Text)
+        caller.set_addresses([PeerAddress("a", "", "127.0.0.1", called.port)])
+        calls = (caller.call("a", Count(number), 20.0) for number in range(200))
+        replies = await asyncio.gather(*calls)
+    assert replies == [Text(bytes(size))] * 200
+    assert 0 < most < 4 * size
+
+
+async def test_a_small_reply_passes_large_ones_that_wait():
+    async def reply(sender, message):
+        return Text(bytes(message.number))
+
+    async with PeerService(PeerSettings(), "a", "127.0.0.1", 0) as called:
+        called.on(Count, reply, Text)
+        reader, writer = await asyncio.open_connection("127.0.0.1", called.port)
+        fields = MessageCatalogue().pack
+        for number, size in enumerate([8_000_000, 300_000, 300_000, 10], 1):
+            tag, packed_fields = fields(Count(size))
+            writer.write(
+                pack_frame(Frame(FrameKind.REQUEST, number, tag, packed_fields))
+            )
+        unpacker, numbers = msgpack.Unpacker(max_buffer_size=0), []
+        while len(numbers) < 4:
+            unpacker.feed(await reader.read(65_536))
+            numbers += [frame[1] for frame in unpacker]
+        writer.transport.abort()
+    assert numbers == [1, 4, 2, 3]
--- a/tests/platform/test_memory_of_peers.py
+++ b/tests/platform/test_memory_of_peers.py
@@ -13,6 +13,12 @@
 
 from magnoliaroad.peers import PeerAddress, PeerService
 from magnoliaroad.peers.settings import PeerSettings
+from magnoliaroad.records.messages import (
+    FetchRecord,
+    FetchRecordReply,
+    KeepRecord,
+    KeepRecordReply,
+)
 from magnoliaroad.relay.detour_messages import (
     DetourFailure,
     DetourHead,
@@ -46,6 +52,7 @@
 LONG_ARRAY = HALF + b"\xdd" + (7_340_032).to_bytes(4, "big")
 PIECE = 65_536
 PIECES = 100
+RECORD = b"x" * 300_000
 LARGE_BODY = b"x" * 3_900_000
 REQUESTS = 40
 # What senders begin with, what they write then again and again, and how many there are.
@@ -103,6 +110,28 @@
         assert host.peak_mb() < MOST_MB
 
 
+async def test_records_that_a_peer_reads_do_not_take_a_host_over_its_memory(tmp_path):
+    """Guards against a record host that holds a reply for each read of one peer."""
+    async with (
+        host_process(
+            tmp_path, names=RECORD_LISTENERS, data_folder=str(tmp_path / "data")
+        ) as host,
+        PeerService(PeerSettings(), "relay", "127.0.0.1", 0) as peers,
+    ):
+        await host.until_logged("host started")
+        address, _, port = host.listen["peers"].rpartition(":")
+        peers.set_addresses([PeerAddress("host-1", "", address, int(port))])
+        peers.register_replies(KeepRecordReply, FetchRecordReply)
+        keys = [f"turns/{number}" for number in range(14)]
+        for key in keys:
+            record = KeepRecord(key, RECORD, 60.0, [], False)
+            assert (await peers.call("host-1", record, 10.0)).synced
+        calls = (peers.call("host-1", FetchRecord(key), 30.0) for key in keys * 60)
+        replies = await asyncio.gather(*calls)
+        assert all(reply.found and reply.value == RECORD for reply in replies)
+        assert host.peak_mb() < MOST_MB
+
+
 async def test_requests_of_peers_do_not_take_a_host_over_its_memory(tmp_path):
     target = TargetStandin("i-app", "app")
     target.script = ["silent"]
--- a/tests/relay/test_turns.py
+++ b/tests/relay/test_turns.py
@@ -253,6 +253,52 @@
         assert (await ledger(records).load(f"t-{n}", "team")).text == text
 
 
+class CountingRecords(TimedRecords):
+    """Takes a while for each read, and counts those that are under way."""
+
+    def __init__(self):
+        super().__init__()
+        self.reads, self.reading, self.most_reading = [], 0, 0
+
+    async def fetch(self, key, in_store_only=False):
+        self.reads.append(key)
+        self.reading += 1
+        self.most_reading = max(self.most_reading, self.reading)
+        await asyncio.sleep(0.001)
+        self.reading -= 1
+        return await super().fetch(key, in_store_only)
+
+
+async def test_turns_that_continue_the_same_one_read_its_chain_once():
+    """Guards against hosts over their memory by branches of a long turn (FAULT)."""
+    records = CountingRecords()
+    await ledger(records).save("t", "team", b"x" * 4_000_000, None, RETENTION_S)
+    host = ledger(records)
+    loaded = await asyncio.gather(*(host.load("t", "team") for _ in range(20)))
+    assert {len(turn.text) for turn in loaded} == {4_000_000}
+    assert len(records.reads) == len(set(records.reads)) == len(records.held)
+
+
+async def test_a_long_text_is_counted_before_it_is_read():
+    """Guards against what many turns read before any of it was counted (FAULT)."""
+    records = CountingRecords()
+    await ledger(records).save("t", "team", b"x" * 4_000_000, None, RETENTION_S)
+    held = []
+
+    def hold(size):
+        held.append(size)
+        if sum(held) > 4_000_000:
+            raise Refused(MEMORY_FULL)
+
+    with pytest.raises(Refused) as refused:
+        await ledger(records).load("t", "team", hold)
+    assert refused.value.refusal is MEMORY_FULL
+    assert len(records.reads) == 1
+    held.clear()
+    loaded = await ledger(records).load("t", "team", lambda size: held.append(size))
+    assert 2 * len(loaded.text) <= sum(held) <= 2.2 * len(loaded.text)
+
+
 async def test_a_chain_that_holds_too_much_is_refused_before_it_is_read(records):
     await chain(records, 40, 0.0)
     reads = []
