Count only full parts of a chain before they are read

A chain that was written again has a last part of any size, so a conversation of a few bytes that outlasted its retention counted 600 KB, and 25 of them at once would have been refused by a host of 150 MB.

Parts of a turn's own text, and those that another part follows, are full; the others are counted as they arrive.

--- a/src/magnoliaroad/relay/turn_ledger.py
+++ b/src/magnoliaroad/relay/turn_ledger.py
@@ -1,6 +1,7 @@
 """Stores answered turns as records and loads them with their chains."""
 
 import asyncio
+import itertools
 import time
 from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any, NamedTuple
@@ -93,21 +94,27 @@
         """
         try:
             async with asyncio.timeout(self.cfg.store_patience_s):
-                turn = await self._read(turn_id, in_store_only, hold)
+                turn = await self._read(turn_id, in_store_only)
                 if turn.team != team:
                     logger.bind(turn=turn_id, team=team, holder=turn.team).warning(
                         "turn of another team"
                     )
                     raise Refused(NO_TURN)
-                # Parts are large, and counted before they arrive: all that are asked
-                # for at the same time may.
-                parts_bytes = self.cfg.part_bytes * sum(map(_is_part, turn.chain))
-                hold(2 * parts_bytes)
-                before = await self._read_chain(turn_id, turn, hold, in_store_only)
+                hold(len(turn.text))
+                # Large parts are counted before they are asked for.
+                full = _full_parts(turn.chain)
+                full_bytes = len(full) * self.cfg.part_bytes
+                hold(2 * full_bytes)
+                before = await self._read_chain(
+                    turn_id,
+                    turn,
+                    lambda name, size: None if name in full else hold(size),
+                    in_store_only,
+                )
         except TimeoutError as exc:
             raise Refused(TURN_UNCERTAIN) from exc
         texts = [*(other.text for other in before), turn.text]
-        hold(max(0, sum(map(len, texts)) - parts_bytes))
+        hold(max(0, sum(map(len, texts)) - full_bytes))
         text = b"".join(texts)
         return LoadedTurn(turn_id, turn, text)
 
@@ -200,15 +207,18 @@
         self,
         turn_id: str,
         turn: Turn,
-        hold: Callable[[int], None],
+        hold: Callable[[str, int], None],
         in_store_only: bool,
     ) -> list[Turn]:
+        async def read(name: str) -> Turn:
+            part = await self._read(name, in_store_only)
+            hold(name, len(part.text))
+            return part
+
         before: list[Turn] = []
         for ids in batched(turn.chain, self.cfg.chain_reads):
             try:
-                before += await _gather(
-                    self._read(name, in_store_only, hold) for name in ids
-                )
+                before += await _gather(map(read, ids))
             except Refused as exc:
                 if exc.refusal is NO_TURN:
                     # Usual only for a turn that is older than its retention.
@@ -220,16 +230,12 @@
                 raise
         return before
 
-    async def _read(
-        self, name: str, in_store_only: bool, hold: Callable[[int], None]
-    ) -> Turn:
+    async def _read(self, name: str, in_store_only: bool) -> Turn:
         turn = self._cache.get(name)
         if turn is None:
             turn = await self._reads.get(_RecordName(name, in_store_only))
         if turn is None:
             raise Refused(NO_TURN)
-        if not _is_part(name):
-            hold(len(turn.text))
         return turn
 
     async def _read_record(self, record: "_RecordName") -> Turn | None:
@@ -263,9 +269,20 @@
     return f"{base_id}/{number}"
 
 
-def _is_part(name: str) -> bool:
-    """Returns whether a record is a part of a text, or may be one by its name."""
-    return name.rpartition("/")[2].isdecimal() and "/" in name
+def _full_parts(chain: Sequence[str]) -> set[str]:
+    """Returns which records of a chain are parts of the largest size, by their names.
+
+    The last part of a chain that was written again may be small.
+    """
+    full = set()
+    for name, following in itertools.zip_longest(chain, chain[1:], fillvalue=""):
+        base, _, number = name.rpartition("/")
+        if not (base and number.isdecimal()):
+            continue
+        is_last = following != _part_name(base, int(number) + 1)
+        if base.endswith(OWN_SUFFIX) or not is_last:
+            full.add(name)
+    return full
 
 
 async def _gather(reads: Iterable[Coroutine[Any, Any, Turn]]) -> list[Turn]:
--- a/tests/relay/test_turns.py
+++ b/tests/relay/test_turns.py
@@ -299,6 +299,22 @@
     assert 2 * len(loaded.text) <= sum(held) <= 2.2 * len(loaded.text)
 
 
+@pytest.mark.parametrize("text_bytes", [10, 250_000, 350_000, 1_300_000])
+async def test_a_chain_that_was_written_again_counts_as_what_it_holds(
+    records, text_bytes
+):
+    """Guards against turns that are refused for memory which they don't need."""
+    text = b"x" * text_bytes
+    await ledger(records).save("t-0", "team", text, None, 5.0)
+    previous = await ledger(records).load("t-0", "team")
+    await ledger(records).save("t-1", "team", b"more", previous, RETENTION_S)
+    held = []
+    loaded = await ledger(records).load("t-1", "team", held.append)
+    assert loaded.text == text + b"more"
+    assert loaded.turn.chain[0] == "t-1/0"
+    assert sum(held) <= 2 * len(loaded.text) + 100
+
+
 async def test_a_chain_that_holds_too_much_is_refused_before_it_is_read(records):
     await chain(records, 40, 0.0)
     reads = []
