Do not count releases of engine memory as runs of the stand-ins

tests/entry/test_unmatched_answers.py and test_broken_answers.py failed beside load, also on: runs were 3 of 2, or a chat found its connection used.

The stand-ins of an engine count each request that is no GET as a run of a chat. Hosts also send POST /v1/cache/release when they plan their groups, which falls into a test that takes longer; the log of each failure has it ("no answer" of engine_cache_client). It took the answer that was meant for the chat.

They now read such a request and answer 404, as to a check; every other request counts as before.

--- a/tests/entry/raw_engine.py
+++ b/tests/entry/raw_engine.py
@@ -8,6 +8,10 @@
 REFUSAL = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
 NOT_FOUND = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n"
 
+# Starts of requests that run nothing: checks, and releases of an engine's memory, which
+# hosts send whenever their groups are planned.
+NO_RUNS = ("get ", "post /v1/cache/")
+
 
 def answer(text):
     """Returns a whole answer."""
@@ -71,11 +75,14 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-                if head.startswith("get "):
+                length = int(
+                    head.partition("content-length: ")[2].split("\r\n")[0] or 0
+                )
+                if head.startswith(NO_RUNS):
+                    await reader.readexactly(length)
                     writer.write(NOT_FOUND)
                 else:
-                    length = head.partition("content-length: ")[2].split("\r\n")[0]
-                    await self._run(reader, writer, int(length))
+                    await self._run(reader, writer, length)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -15,6 +15,7 @@
 from magnoliaroad.routing.circuit_breaker import CircuitBreaker
 from tests.entry.engines import event
 from tests.entry.hosts import HEADERS, chat_body, host_with_target
+from tests.entry.raw_engine import NO_RUNS, NOT_FOUND
 from tests.entry.test_services import payout_edit
 from tests.platform.answer_ends import READ_TIME_S, reset
 from tests.platform.raw_target import End
@@ -49,13 +50,14 @@
 
     async def _answer(self, reader, writer):
         head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-        if head.startswith("get "):
-            writer.write(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
+        length = int(head.partition("content-length: ")[2].split("\r\n")[0] or 0)
+        if head.startswith(NO_RUNS):
+            await reader.readexactly(length)
+            writer.write(NOT_FOUND)
             return True
         self.runs += 1
         if not self.early:
-            length = head.partition("content-length: ")[2].split("\r\n")[0]
-            await reader.readexactly(int(length or 0))
+            await reader.readexactly(length)
         data, *ends = self.steps
         writer.write(data)
         await writer.drain()
