Count unread bytes before memory is given up

The platform counts resident memory and what has arrived and was not read; the process gave up memory by the first alone, above 70 % of the limit and after 5 % more growth. With 8 % of the limit each for large bodies and answers, and the small buffers, the sum of these bounds is the limit itself.

Unread bytes of the process's own sockets now count too, from half of the limit on, below which they cannot take the process to it.

--- a/src/magnoliaroad/memory/policy.py
+++ b/src/magnoliaroad/memory/policy.py
@@ -26,23 +26,28 @@
         self._shed_at_bytes = 0
         self._trimmed_bytes = 0
 
-    def step(self, resident: int) -> MemoryStep:
+    def step(self, resident: int, unread: int = 0) -> MemoryStep:
         """Returns what is to be done now.
 
         Garbage is collected whenever memory has grown by a part of the limit, so that
         the cost of collections follows the growth.
+
+        Args:
+            resident: Resident memory, in bytes.
+            unread: Bytes that have arrived and were not read, which count as well.
         """
         cfg = self.cfg
+        used = resident + unread
         self._kept_bytes = min(self._kept_bytes, resident)
-        self._shed_at_bytes = min(self._shed_at_bytes, resident)
+        self._shed_at_bytes = min(self._shed_at_bytes, used)
         growth = resident - self._kept_bytes
         if resident < cfg.high_fraction * cfg.limit_bytes:
             return MemoryStep.NONE
         if growth >= cfg.growth_fraction * cfg.limit_bytes:
             return MemoryStep.COLLECT
-        shed_growth = resident - self._shed_at_bytes
+        shed_growth = used - self._shed_at_bytes
         if (
-            self.excess(resident)
+            self.excess(used)
             and shed_growth >= cfg.shed_growth_fraction * cfg.limit_bytes
         ):
             return MemoryStep.SHED
@@ -52,9 +57,9 @@
         """Notes what was resident after a collection."""
         self._kept_bytes = resident
 
-    def shed(self, resident: int) -> None:
-        """Notes what was resident when memory was given up."""
-        self._shed_at_bytes = resident
+    def shed(self, used: int) -> None:
+        """Notes what was resident or unread when memory was given up."""
+        self._shed_at_bytes = used
 
     def should_trim(self, resident: int) -> bool:
         """Returns whether free pages are to be returned to the system.
@@ -71,6 +76,6 @@
         """Notes what was resident after free pages were returned."""
         self._trimmed_bytes = resident
 
-    def excess(self, resident: int) -> int:
+    def excess(self, used: int) -> int:
         """Returns how many bytes the process holds above the part it may keep."""
-        return max(0, resident - int(self.cfg.shed_fraction * self.cfg.limit_bytes))
+        return max(0, used - int(self.cfg.shed_fraction * self.cfg.limit_bytes))
--- a/src/magnoliaroad/memory/settings.py
+++ b/src/magnoliaroad/memory/settings.py
@@ -19,6 +19,8 @@
         check_interval_s: Time between two checks of the resident memory, in seconds.
         high_fraction: Part of the limit from which on memory is reported by holder, and
             garbage is collected as memory grows.
+        unread_from_fraction: Part of the limit from which on bytes that were not read
+            count too. Below it they cannot take the process to its limit.
         growth_fraction: Part of the limit by which memory grows between two of these
             collections.
         shed_fraction: Part of the limit above which the host gives up what is largest.
@@ -36,6 +38,7 @@
     connection_fraction: float = 0.25
     check_interval_s: float = 0.1
     high_fraction: float = 0.4
+    unread_from_fraction: float = 0.5
     growth_fraction: float = 0.1
     shed_fraction: float = 0.7
     shed_growth_fraction: float = 0.05
--- a/src/magnoliaroad/memory/watch.py
+++ b/src/magnoliaroad/memory/watch.py
@@ -1,6 +1,7 @@
 """Watches the memory of the process."""
 
 import asyncio
+import contextlib
 import gc
 import time
 from collections.abc import Callable, Sequence
@@ -15,6 +16,7 @@
 from magnoliaroad.memory.policy import MemoryPolicy, MemoryStep
 from magnoliaroad.memory.resident import resident_bytes
 from magnoliaroad.memory.settings import MemorySettings
+from magnoliaroad.memory.unread import unread_bytes
 
 
 class MemoryWatch(Service):
@@ -28,6 +30,7 @@
         cfg: Limit of the process and parts of it.
         holders: Parts of the process that know what they hold.
         read_resident: Returns the resident memory, in bytes.
+        read_unread: Returns how many bytes have arrived and were not read.
     """
 
     def __init__(
@@ -35,11 +38,13 @@
         cfg: MemorySettings,
         holders: Sequence[MemoryHolder],
         read_resident: Callable[[], int] = resident_bytes,
+        read_unread: Callable[[], int] = unread_bytes,
     ) -> None:
         super().__init__()
         self.cfg = cfg
         self._holders = holders
         self._read_resident = read_resident
+        self._read_unread = read_unread
         self._policy = MemoryPolicy(cfg)
         self._next_log_at = 0.0
         self._readable = True
@@ -66,8 +71,17 @@
         self._readable = True
         return resident
 
+    def _count_unread(self, resident: int) -> int:
+        if resident < self.cfg.unread_from_fraction * self.cfg.limit_bytes:
+            return 0
+        # A process without descriptors cannot list them.
+        with contextlib.suppress(OSError):
+            return self._read_unread()
+        return 0
+
     def _check(self, resident: int) -> None:
-        step = self._policy.step(resident)
+        unread = self._count_unread(resident)
+        step = self._policy.step(resident, unread)
         if step is MemoryStep.COLLECT:
             gc.collect()
             COLLECTIONS.inc({})
@@ -82,15 +96,16 @@
             self._policy.collected(resident)
         if resident >= self.cfg.high_fraction * self.cfg.limit_bytes:
             self._report(resident)
-        if self._policy.step(resident) is MemoryStep.SHED:
-            self._shed(resident)
+        if self._policy.step(resident, unread) is MemoryStep.SHED:
+            self._shed(resident, unread)
         RESIDENT.set({}, resident)
 
-    def _shed(self, resident: int) -> None:
+    def _shed(self, resident: int, unread: int) -> None:
         """Gives up memory, first of the holders that hold most."""
-        self._policy.shed(resident)
+        used = resident + unread
+        self._policy.shed(used)
         self._has_shed = True
-        excess = self._policy.excess(resident)
+        excess = self._policy.excess(used)
         for holder in sorted(self._holders, key=lambda h: -h.held_bytes()):
             shed = _shed_of(holder, excess)
             if shed:
@@ -99,6 +114,7 @@
                     holder=holder.name,
                     shed=shed,
                     resident=resident,
+                    unread=unread,
                     limit=self.cfg.limit_bytes,
                 ).warning("memory given up")
             excess -= shed
--- a/tests/memory/test_policy.py
+++ b/tests/memory/test_policy.py
@@ -60,3 +60,14 @@
     policy = MemoryPolicy(CFG)
     assert policy.excess(69 * MB) == 0
     assert policy.excess(75 * MB) == 5 * MB
+
+
+def test_unread_bytes_count_for_what_is_given_up():
+    """Guards against a process that the platform ends for what it has not read."""
+    policy = MemoryPolicy(CFG)
+    policy.collected(60 * MB)
+    assert policy.step(60 * MB, unread=9 * MB) is MemoryStep.NONE
+    assert policy.step(60 * MB, unread=11 * MB) is MemoryStep.SHED
+    policy.shed(71 * MB)
+    assert policy.step(65 * MB, unread=7 * MB) is MemoryStep.NONE
+    assert policy.step(65 * MB, unread=11 * MB) is MemoryStep.SHED
--- a/tests/memory/test_watch.py
+++ b/tests/memory/test_watch.py
@@ -1,5 +1,7 @@
 import asyncio
 import gc
+import socket
+import tempfile
 
 import pytest
 from loguru import logger
@@ -7,6 +9,7 @@
 from magnoliaroad.memory import MemoryHolder, MemoryWatch
 from magnoliaroad.memory.resident import resident_bytes
 from magnoliaroad.memory.settings import MemorySettings
+from magnoliaroad.memory.unread import unread_bytes
 
 CFG = MemorySettings(limit_mb=100, check_interval_s=0.01)
 
@@ -96,7 +99,7 @@
         holder("large", 9_000_000, 2_000_000),
         holder("middle", 4_000_000, 3_000_000),
     ]
-    watch = MemoryWatch(CFG, holders, lambda: next(resident, 30_000_000))
+    watch = MemoryWatch(CFG, holders, lambda: next(resident, 30_000_000), lambda: 0)
     await run_for(watch)
     assert asked == [("large", 5_000_000), ("middle", 3_000_000)]
     given_up = [line["extra"] for line in lines if line["message"] == "memory given up"]
@@ -106,6 +109,33 @@
     ]
 
 
+@pytest.mark.parametrize(
+    ("resident", "given_up"), [(49_000_000, []), (60_000_000, [15_000_000])]
+)
+async def test_bytes_that_were_not_read_count_near_the_limit(resident, given_up):
+    """Guards against a process that the platform ends for what it has not read."""
+    asked = []
+
+    def shed(size):
+        asked.append(size)
+        return size
+
+    holders = [MemoryHolder("callers", lambda: 9_000_000, shed)]
+    await run_for(MemoryWatch(CFG, holders, lambda: resident, lambda: 25_000_000))
+    assert asked == given_up
+
+
+def test_unread_bytes_are_those_of_the_sockets():
+    before = unread_bytes()
+    own, other = socket.socketpair()
+    with own, other, socket.create_server(("127.0.0.1", 0)), tempfile.TemporaryFile():
+        other.sendall(b"x" * 5000)
+        assert unread_bytes() == before + 5000
+        own.recv(2000)
+        assert unread_bytes() == before + 3000
+    assert unread_bytes() == before
+
+
 async def test_memory_is_watched_again_once_it_can_be_read(lines):
     told = iter([OSError("none left"), OSError("none left")])
 
