Count a connection of a caller at what it holds with an answer under way

A connection counted as 20 KB, which bounds their number (1,875). Traced with a log line for each look at the memory: with that many answers read slowly the process held 103 MB beside what its parts count, 58 at rest, so 24 KB each; 8 to 12 MB more were read from all targets in one turn of the event loop.

It counts as 25 KB now, which leaves that room: 1,500 connections with 150 MB.

--- a/src/magnoliaroad/caller_load/limits.py
+++ b/src/magnoliaroad/caller_load/limits.py
@@ -7,9 +7,9 @@
 from magnoliaroad.memory.settings import MemorySettings
 from magnoliaroad.receive_buffers import ReceivePool
 
-# Least that a connection holds with a request under way, in bytes: the objects of both
-# and the kernel's buffer.
-CONNECTION_BYTES = 20_000
+# Least that a connection holds with an answer under way, in bytes: the objects of both,
+# the kernel's buffer and what is read ahead.
+CONNECTION_BYTES = 25_000
 # Part of the descriptors for connections of callers; the others are for targets, hosts
 # and files.
 DESCRIPTOR_FRACTION = 0.75
