Drop a limit that no longer varies

Since a single synced copy is never enough, every write of a record to the store waits call_s; the parameter was left from before. Behaviour is the same. tests/records and tests/relay/test_turns.py: 232 passed.

--- a/src/magnoliaroad/records/client.py
+++ b/src/magnoliaroad/records/client.py
@@ -230,7 +230,7 @@
         record = KeepRecord(key, value, ttl_s, [], True)
         try:
             if in_store_only:
-                while not await self._keep_in_store(record, calls, self.cfg.call_s):
+                while not await self._keep_in_store(record, calls):
                     await asyncio.sleep(MIN_RETRY_S)
             else:
                 await self._keep(record, calls)
@@ -253,7 +253,7 @@
                     return
             # The wait is short, as hosts may have come back meanwhile; late replies
             # still count.
-            if await self._keep_in_store(record, calls, self.cfg.call_s):
+            if await self._keep_in_store(record, calls):
                 return
             if calls.synced and pause_s == MIN_RETRY_S:
                 logger.bind(key=record.key, hosts=calls.synced).warning(
@@ -314,7 +314,7 @@
         record = KeepRecord(req.key, req.value, req.ttl_s, [], True)
         try:
             kept = await self._keep_on_hosts(record, calls)
-            kept = kept or await self._keep_in_store(record, calls, self.cfg.call_s)
+            kept = kept or await self._keep_in_store(record, calls)
         finally:
             calls.cancel()
         return KeepRecordReply(kept)
@@ -447,12 +447,10 @@
             return NOT_REACHED
         return KEPT if kept.synced else NOT_SYNCED
 
-    async def _keep_in_store(
-        self, record: KeepRecord, calls: KeepCalls, limit_s: float
-    ) -> bool:
+    async def _keep_in_store(self, record: KeepRecord, calls: KeepCalls) -> bool:
         if calls.needs(STORE):
             calls.start(STORE, self._write_to_store(record))
-        return await calls.wait(calls.under_way, limit_s)
+        return await calls.wait(calls.under_way, self.cfg.call_s)
 
     async def _write_to_store(self, record: KeepRecord) -> str:
         lease = 0
--- a/src/magnoliaroad/records/settings.py
+++ b/src/magnoliaroad/records/settings.py
@@ -31,9 +31,9 @@
             many from the store; with those of the largest size some 5 MB.
         late_s: Longest wait for the reply of a record host that is asked to keep a
             record: as long as the end of a turn may be held back for it.
-        last_copy_s: Time limit of a relay host's writing of a record to the store if no
-            record host has synced it: two calls of a slow store, within the time that a
-            caller waits for the end of its turn.
+        last_copy_s: Time limit of a relay host's writing of a record to the store if
+            too few record hosts have synced it: two calls of a slow store, within the
+            time that a caller waits for the end of its turn.
         silent_s: Time without a heartbeat after which a record host no longer counts as
             live; it gets no new records and is asked for records after live ones.
         here_interval_s: Interval between heartbeats of a record host.
