--- a/tests/entry/raw_engine.py
+++ b/tests/entry/raw_engine.py
@@ -21,6 +21,11 @@
     return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
 
+def body_length(head):
+    """Returns the length of the body that follows a head in lower case, 0 if none."""
+    return int(head.partition("content-length: ")[2].split("\r\n")[0] or 0)
+
+
 class Script(NamedTuple):
     """What the engine does for one request.
 
@@ -75,9 +80,7 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-                length = int(
-                    head.partition("content-length: ")[2].split("\r\n")[0] or 0
-                )
+                length = body_length(head)
                 if head.startswith(NO_RUNS):
                     await reader.readexactly(length)
                     writer.write(NOT_FOUND)
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -15,7 +15,7 @@
 from magnoliaroad.routing.circuit_breaker import CircuitBreaker
 from tests.entry.engines import event
 from tests.entry.hosts import HEADERS, chat_body, host_with_target
-from tests.entry.raw_engine import NO_RUNS, NOT_FOUND
+from tests.entry.raw_engine import NO_RUNS, NOT_FOUND, body_length
 from tests.entry.test_services import payout_edit
 from tests.platform.answer_ends import READ_TIME_S, reset
 from tests.platform.raw_target import End
@@ -50,7 +50,7 @@
 
     async def _answer(self, reader, writer):
         head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
-        length = int(head.partition("content-length: ")[2].split("\r\n")[0] or 0)
+        length = body_length(head)
         if head.startswith(NO_RUNS):
             await reader.readexactly(length)
             writer.write(NOT_FOUND)
