Count bytes to peers for each connection, and heartbeats in digests by what changed

peers_sent_bytes_total counted a message once however many peers got it, so the bytes of a forwarder's digests, which go to all hosts of its data centre, showed as a 36th. It counts at each connection now. relay_digest_heartbeats_total says which field had changed of the heartbeats in digests. The simulated fleet has links of a limited rate, counts of teams and record hosts.

--- a/src/magnoliaroad/peers/connection.py
+++ b/src/magnoliaroad/peers/connection.py
@@ -6,7 +6,13 @@
 from typing import Any
 
 from magnoliaroad.peers.errors import PeerError
-from magnoliaroad.peers.frame import Frame, FrameKind, FrameReader, pack_frame
+from magnoliaroad.peers.frame import (
+    Frame,
+    FrameKind,
+    FrameReader,
+    count_sent,
+    pack_frame,
+)
 from magnoliaroad.peers.frame_memory import FrameMemory
 from magnoliaroad.peers.metrics import LOST
 from magnoliaroad.peers.settings import PeerSettings
@@ -85,10 +91,10 @@
         finally:
             self._pending.pop(number, None)
 
-    def send(self, data: bytes) -> None:
-        """Sends a one-way message that is already packed as a frame."""
+    def send(self, frame: Frame, data: bytes) -> None:
+        """Sends a one-way message; ``data`` is the packed ``frame``."""
         self._last_used_at = time.monotonic()
-        self._write_bytes(data)
+        self._write_packed(frame, data)
 
     def unsent_bytes(self) -> int:
         """Returns the bytes that the process holds because the peer reads slowly."""
@@ -110,15 +116,16 @@
                 fut.set_exception(PeerError("connection lost", Verdict.MAY_HAVE_RUN))
 
     def _write(self, frame: Frame) -> None:
-        self._write_bytes(pack_frame(frame))
+        self._write_packed(frame, pack_frame(frame))
 
-    def _write_bytes(self, data: bytes) -> None:
+    def _write_packed(self, frame: Frame, data: bytes) -> None:
         if self.closed or self._writer is None:
             raise PeerError("connection closed", Verdict.NOT_RUN)
         if self._writer.transport.get_write_buffer_size() > MAX_BUFFERED_BYTES:
             self.close()
             raise PeerError("peer does not read, send buffer is full", Verdict.NOT_RUN)
         self._writer.write(data)
+        count_sent(frame, len(data))
 
     async def _read(self, reader: asyncio.StreamReader) -> None:
         frames = FrameReader(self._memory, self.close)
--- a/src/magnoliaroad/peers/frame.py
+++ b/src/magnoliaroad/peers/frame.py
@@ -48,12 +48,15 @@
 
 
 def pack_frame(frame: Frame) -> bytes:
-    """Returns ``frame`` as bytes and counts them as sent."""
-    data = msgpack.packb(frame)
+    """Returns ``frame`` as bytes."""
+    return msgpack.packb(frame)
+
+
+def count_sent(frame: Frame, size: int) -> None:
+    """Counts ``size`` bytes of ``frame`` that were written to one connection."""
     kind = FrameKind(frame.kind)
     is_message = kind in (FrameKind.REQUEST, FrameKind.REPLY, FrameKind.SEND)
-    SENT.add({"type": frame.tag if is_message else kind.name.lower()}, len(data))
-    return data
+    SENT.add({"type": frame.tag if is_message else kind.name.lower()}, size)
 
 
 class FrameReader:
--- a/src/magnoliaroad/peers/inbound.py
+++ b/src/magnoliaroad/peers/inbound.py
@@ -7,6 +7,7 @@
     LARGE_FRAME_BYTES,
     Frame,
     FrameReader,
+    count_sent,
     pack_frame,
 )
 from magnoliaroad.peers.frame_memory import FrameMemory
@@ -92,7 +93,9 @@
     def write(self, frame: Frame) -> None:
         """Writes ``frame``, unless the connection is closed."""
         if not self._writer.is_closing():
-            self._writer.write(pack_frame(frame))
+            data = pack_frame(frame)
+            self._writer.write(data)
+            count_sent(frame, len(data))
 
     async def drain(self) -> None:
         """Waits until the peer has read most of what was written.
--- a/src/magnoliaroad/peers/service.py
+++ b/src/magnoliaroad/peers/service.py
@@ -140,7 +140,7 @@
 
     @override
     def send_all(self, hosts: Iterable[str], message: Any) -> None:
-        data = b""
+        packed: tuple[Frame, bytes] | None = None
         for host in hosts:
             conn = self._connections.get(host)
             if conn is None or conn.closed:
@@ -149,12 +149,13 @@
                 if lock is None or not lock.locked():
                     self._spawn(self._send(host, message))
                 continue
-            data = data or self._pack_one_way(message)
+            packed = packed or self._pack_one_way(message)
             with contextlib.suppress(PeerError):
-                conn.send(data)
+                conn.send(*packed)
 
-    def _pack_one_way(self, message: Any) -> bytes:
-        return pack_frame(Frame(FrameKind.SEND, 0, *self._catalogue.pack(message)))
+    def _pack_one_way(self, message: Any) -> tuple[Frame, bytes]:
+        frame = Frame(FrameKind.SEND, 0, *self._catalogue.pack(message))
+        return frame, pack_frame(frame)
 
     def held_bytes(self) -> int:
         """Returns the bytes that the process holds for peers and of them."""
@@ -205,7 +206,7 @@
     async def _send(self, host: str, message: Any) -> None:
         try:
             conn = await self._connect(host)
-            conn.send(self._pack_one_way(message))
+            conn.send(*self._pack_one_way(message))
         except PeerError as exc:
             name = message_tag(type(message))
             logger.bind(host=host, message=name, reason=str(exc)).debug("message lost")
--- a/src/magnoliaroad/relay/digest.py
+++ b/src/magnoliaroad/relay/digest.py
@@ -5,7 +5,8 @@
 
 from magnoliaroad.records.messages import RecordHostHeartbeat
 from magnoliaroad.relay.fleet_messages import Heartbeat
-from magnoliaroad.relay.heartbeat_state import state_of
+from magnoliaroad.relay.heartbeat_state import changed_field, state_of
+from magnoliaroad.relay.metrics import DIGEST_HEARTBEATS
 
 # One in this many digests has the heartbeats of all hosts; the others have only those
 # that changed.
@@ -39,7 +40,7 @@
 
     def __init__(self) -> None:
         # State and whether it came with the counts of all teams, by host.
-        self._sent: dict[str, tuple[object, bool]] = {}
+        self._sent: dict[str, tuple[tuple[object, ...], bool]] = {}
         self._digest_count = 0
 
     def reset(self) -> None:
@@ -74,9 +75,14 @@
         changed = []
         for heartbeat in heartbeats:
             content = state_of(heartbeat), heartbeat.has_all_teams
-            if self._sent.get(heartbeat.host) != content:
+            sent = self._sent.get(heartbeat.host)
+            if sent != content:
                 self._sent[heartbeat.host] = content
                 changed.append(heartbeat)
+                reason = (
+                    "refresh" if sent is None else changed_field(sent[0], content[0])
+                )
+                DIGEST_HEARTBEATS.inc({"changed": reason})
         return changed
 
 
--- a/src/magnoliaroad/relay/heartbeat_state.py
+++ b/src/magnoliaroad/relay/heartbeat_state.py
@@ -28,3 +28,12 @@
 
 use_of = operator.attrgetter(*USE_FIELDS)
 state_of = operator.attrgetter(*STATE_FIELDS)
+
+
+def changed_field(before: tuple[object, ...], after: tuple[object, ...]) -> str:
+    """Returns the first field in which two results of ``state_of`` differ.
+
+    Where none does, it is the field that says which counts a heartbeat has.
+    """
+    fields = zip(STATE_FIELDS, before, after, strict=True)
+    return next((name for name, old, new in fields if old != new), "has_all_teams")
--- a/src/magnoliaroad/relay/metrics.py
+++ b/src/magnoliaroad/relay/metrics.py
@@ -7,6 +7,10 @@
 )
 REFUSALS = Counter("relay_refusals_total", "Requests that were refused, by code.")
 SENDS = Counter("relay_sends_total", "Requests sent to targets, by outcome.")
+DIGEST_HEARTBEATS = Counter(
+    "relay_digest_heartbeats_total",
+    "Heartbeats put into digests, by the first field that had changed.",
+)
 ESCROW_REQUESTS = Counter(
     "relay_escrow_requests_total",
     "Requests for a data centre's part of a budget, by outcome.",
--- a/tests/peers/test_plain_requests.py
+++ b/tests/peers/test_plain_requests.py
@@ -6,6 +6,8 @@
 import pytest
 
 from magnoliaroad.peers import PeerAddress, PeerError, PeerService
+from magnoliaroad.peers.frame import Frame, FrameKind, pack_frame
+from magnoliaroad.peers.metrics import SENT
 from magnoliaroad.peers.settings import PeerSettings
 
 
@@ -17,6 +19,10 @@
     number: int
 
 
+class Announcement(NamedTuple):
+    text: str
+
+
 @pytest.fixture
 async def hosts():
     services = [
@@ -70,3 +76,30 @@
     asked.on(Ask, lambda sender, message: Told(message.number), Told)
     with pytest.raises(PeerError, match="Ask"):
         await asker.call("b", Ask("many"))
+
+
+async def test_bytes_of_a_message_are_counted_for_each_peer_that_gets_it():
+    """Digests to 36 hosts of large Tiltbox were counted as one."""
+    sender, *others = services = [
+        PeerService(PeerSettings(), name, "127.0.0.1", 0) for name in ("a", "b", "c")
+    ]
+    received = asyncio.Queue()
+    for service in services:
+        await service.start()
+    for other in others:
+        other.on(Announcement, lambda _, message: received.put_nowait(message))
+    sender.set_addresses(
+        [PeerAddress(other.name, "", "127.0.0.1", other.port) for other in others]
+    )
+    labels = {"type": "Announcement"}
+    sent = []
+    for _ in range(2):
+        sender.send_all(["b", "c"], Announcement("text"))
+        assert [await received.get(), await received.get()] == 2 * [
+            Announcement("text")
+        ]
+        sent.append(SENT.get(labels))
+    frame = Frame(FrameKind.SEND, 0, "Announcement", ("text",))
+    assert sent == [2 * len(pack_frame(frame)), 4 * len(pack_frame(frame))]
+    for service in services:
+        await service.stop()
--- a/tests/relay/fleet_sim.py
+++ b/tests/relay/fleet_sim.py
@@ -4,10 +4,12 @@
 import itertools
 import random
 
-from magnoliaroad.peers import PeerAddress
+from magnoliaroad.peers import MessageCatalogue, PeerAddress
+from magnoliaroad.peers.frame import Frame, FrameKind, pack_frame
 from magnoliaroad.relay.fleet_messages import Heartbeat
 from magnoliaroad.relay.heartbeat_router import HeartbeatRouter
 from magnoliaroad.relay.heartbeat_tracker import HeartbeatTracker
+from magnoliaroad.relay.quota import TeamCount
 from magnoliaroad.relay.settings import RelayListen, RelaySettings
 from magnoliaroad.store.settings import StoreSettings
 
@@ -16,6 +18,15 @@
 NEAR_S, FAR_S, LATE_S = 0.0005, 0.0025, 0.02
 
 
+# Teams, requests a second at each host, and teams whose counts it sends.
+TEAMS, ADMITTED_PER_S, SENT_TEAMS = 140, 0.7, 3
+CATALOGUE = MessageCatalogue()
+
+
+def packed_size(message):
+    return len(pack_frame(Frame(FrameKind.SEND, 0, *CATALOGUE.pack(message))))
+
+
 class SimHost:
     """The tracker and the router of a host, without its services."""
 
@@ -30,6 +41,13 @@
         self.tracker = HeartbeatTracker(cfg, sim.now)
         self.router = HeartbeatRouter(cfg, self.tracker)
         self.in_flight = {}
+        self.plan_version = 1
+        self.admitted = {}
+        self._counts = {}
+        self.records = sim.records
+        self.link_free_at = 0.0
+        self.longest_wait_s = 0.0
+        self.sent_bytes = 0
         self.total_in_flight = {}
         self.sent = self.received = 0
         members = {n: a for n, a in sim.addresses.items() if n != name}
@@ -47,19 +65,28 @@
             store_lost=False,
             slow=False,
             targets_revision=0,
-            plan_version=1,
-            plan_key="",
-            plan_bytes=0,
-            admitted={},
+            plan_version=self.plan_version,
+            plan_key="op/config",
+            plan_bytes=23_000,
+            admitted=dict(self.admitted),
             has_all_teams=False,
             in_flight=dict(self.in_flight),
             cooldowns={},
         )
 
+    def admit(self, chance):
+        """Admits some requests of 0.1 s; counts are sent for the last seconds only."""
+        if chance.random() < ADMITTED_PER_S * 0.1:
+            team = f"team-{chance.randrange(TEAMS)}"
+            self._counts[team] = self._counts.get(team, 0) + 1
+            self.admitted[team] = TeamCount(self._counts[team], 0)
+            if len(self.admitted) > SENT_TEAMS:
+                del self.admitted[next(iter(self.admitted))]
+
     def send(self, now):
         recipients, heartbeat = self.router.recipients(now, True), self.heartbeat(now)
         yield recipients.heartbeat, heartbeat
-        yield from self.router.digests(now, heartbeat, [], recipients)
+        yield from self.router.digests(now, heartbeat, self.records, recipients)
         self.tracker.update_silent(now)
         for data_centre in self.tracker.silent_data_centres:
             self.router.forget_data_centre(data_centre)
@@ -88,14 +115,28 @@
 
 
 class FleetSim:
-    """Hosts in several data centres, on a network that may lose messages."""
-
-    def __init__(self, hosts, data_centres, seed=1, lost=0.0):
+    """Hosts in several data centres, on a network that may lose messages.
+
+    With ``link_bytes_per_s`` messages wait for those that their sender sent before, as
+    answers to its callers would.
+    """
+
+    def __init__(
+        self,
+        hosts,
+        data_centres,
+        seed=1,
+        lost=0.0,
+        link_bytes_per_s=None,
+        prefix="host",
+    ):
         self.now, self.lost = 0.0, lost
+        self.link_bytes_per_s = link_bytes_per_s
+        self.records = []
         self.random = random.Random(seed)
         self.addresses = {
-            f"host-{n}": PeerAddress(
-                f"host-{n}", f"dc-{n % data_centres}", "127.0.0.1", 1
+            f"{prefix}-{n}": PeerAddress(
+                f"{prefix}-{n}", f"dc-{n % data_centres}", "127.0.0.1", 1
             )
             for n in range(hosts)
         }
@@ -127,13 +168,25 @@
         if self.hosts.get(host.cfg.name) is not host:
             return
         for names, message in host.send(self.now):
+            size = packed_size(message) if self.link_bytes_per_s and names else 0
             for name in names:
                 host.sent += 1
-                self.transmit(host, name, message)
+                self.transmit(host, name, message, self.wait_for_link(host, size))
         wait_s = host.tracker.near_interval_s + self.random.uniform(0.0, LATE_S)
         self.at(self.now + wait_s, self.tick, host)
 
-    def transmit(self, host, name, message):
+    def wait_for_link(self, host, size):
+        """Returns the time until the sender's link has sent ``size`` more bytes."""
+        if not size:
+            return 0.0
+        host.sent_bytes += size
+        begins = max(self.now, host.link_free_at)
+        host.link_free_at = begins + size / self.link_bytes_per_s
+        wait_s = host.link_free_at - self.now
+        host.longest_wait_s = max(host.longest_wait_s, wait_s)
+        return wait_s
+
+    def transmit(self, host, name, message, wait_s):
         if name not in self.addresses:
             return
         data_centre = self.addresses[name].data_centre
@@ -142,7 +195,7 @@
         if partitioned or self.random.random() < self.lost:
             return
         delay_s = (NEAR_S if near else FAR_S) * self.random.uniform(1.0, 4.0)
-        self.at(self.now + delay_s, self.arrive, name, message)
+        self.at(self.now + wait_s + delay_s, self.arrive, name, message)
 
     def arrive(self, name, message):
         host = self.hosts.get(name)
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -9,6 +9,8 @@
 from magnoliaroad.relay.fleet_messages import Heartbeat
 from magnoliaroad.relay.heartbeat_state import STATE_FIELDS, USE_FIELDS
 from magnoliaroad.relay.heartbeat_tracker import MAX_DIRECT_HOSTS
+from magnoliaroad.relay.metrics import DIGEST_HEARTBEATS
+from magnoliaroad.relay.quota import TeamCount
 from tests.relay.fleet_sim import FleetSim
 
 # Largest age of known in-flight requests, and the longest time until all hosts count a
@@ -188,6 +190,23 @@
     assert len(forwarders(sim)) == 6
 
 
+def test_heartbeats_in_digests_are_counted_by_what_changed():
+    sim = FleetSim(30, 3)
+    forwarder = next(host for host in sim.hosts.values() if host.router.forwards)
+    sim.run(4.0)
+    counted = count_heartbeats("admitted")
+    for host in sim.hosts.values():
+        host.admitted = {"team": TeamCount(1, 0)}
+    sim.run(1.0)
+    assert count_heartbeats("admitted") >= counted + len(sim.hosts)
+    assert count_heartbeats("refresh") >= len(forwarder.tracker.latest)
+
+
+def count_heartbeats(changed):
+    counts = {labels["changed"]: n for labels, n in DIGEST_HEARTBEATS.get_all()}
+    return counts.get(changed, 0)
+
+
 def test_each_field_of_a_heartbeat_is_compared_or_known_not_to_be():
     not_compared = {"host", "age_s", "in_flight", "has_all_teams"}
     assert set(STATE_FIELDS) == set(Heartbeat._fields) - not_compared
