Show that answers wait behind the digests of forwarders

Callers saw: requests at forwarders without a final answer half a second after their route's timeout (CONFIG).

The test plays the heartbeats of a fleet on links of 1.9 MB/s.

--- a/tests/relay/fleet_sim.py
+++ b/tests/relay/fleet_sim.py
@@ -18,8 +18,8 @@
 NEAR_S, FAR_S, LATE_S = 0.0005, 0.0025, 0.02
 
 
-# Teams, requests a second at each host, and teams whose counts it sends.
-TEAMS, ADMITTED_PER_S, SENT_TEAMS = 140, 0.7, 3
+# Teams and targets, requests a second at each host, and teams whose counts it sends.
+TEAMS, TARGETS, ADMITTED_PER_S, SENT_TEAMS = 140, 74, 0.7, 3
 CATALOGUE = MessageCatalogue()
 
 
@@ -75,7 +75,8 @@
         )
 
     def admit(self, chance):
-        """Admits some requests of 0.1 s; counts are sent for the last seconds only."""
+        """Admits the requests of 0.1 s; only counts that changed lately are sent."""
+        self.in_flight = {f"i-{chance.randrange(TARGETS):010}": 1}
         if chance.random() < ADMITTED_PER_S * 0.1:
             team = f"team-{chance.randrange(TEAMS)}"
             self._counts[team] = self._counts.get(team, 0) + 1
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -5,6 +5,7 @@
 import pytest
 
 from magnoliaroad.peers import PeerAddress
+from magnoliaroad.records.messages import RecordHostHeartbeat
 from magnoliaroad.relay.digest import Digest
 from magnoliaroad.relay.fleet_messages import Heartbeat
 from magnoliaroad.relay.heartbeat_state import STATE_FIELDS, USE_FIELDS
@@ -17,6 +18,14 @@
 # silent host as out of contact, in seconds.
 MAX_AGE_S = 1.0
 MAX_DETECTION_S = 2.0
+# Link of the smallest hosts in bytes a second, and the longest time by which an answer
+# may be late, in seconds.
+LINK_BYTES_PER_S = 1_875_000
+MAX_ANSWER_DELAY_S = 0.5
+RECORD_HOSTS = [
+    (RecordHostHeartbeat(f"store-kolkata-{n}", "dc-0", "127.0.0.1", 1, True), 300)
+    for n in range(24)
+]
 
 
 def forwarders(sim):
@@ -175,6 +184,25 @@
     assert host.tracker.latest["host-1"].heartbeat.boot == "2"
 
 
+@pytest.mark.parametrize("changes_per_s", [0, 3])
+@pytest.mark.parametrize("hosts", [171, 390])
+def test_answers_to_callers_wait_for_digests_no_longer_than_allowed(
+    hosts, changes_per_s
+):
+    """Large Tiltbox: changes in series filled the forwarders' links with heartbeats."""
+    sim = FleetSim(hosts, 5, link_bytes_per_s=LINK_BYTES_PER_S, prefix="front-kolkata")
+    sim.run(4.0)
+    for host in sim.hosts.values():
+        host.longest_wait_s = 0.0
+        host.records = RECORD_HOSTS
+    for step in range(40):
+        for host in sim.hosts.values():
+            host.plan_version = 1 + step * changes_per_s // 10
+            host.admit(sim.random)
+        sim.run(0.1)
+    assert max(host.longest_wait_s for host in sim.hosts.values()) <= MAX_ANSWER_DELAY_S
+
+
 def test_a_host_ignores_its_own_heartbeat_in_a_digest():
     sim = FleetSim(30, 3)
     sim.run(2.0)
