Send a new version on from the first hosts that state it, not from each

Cause: a forwarder sends the heartbeats that have changed to all hosts of its data centre. A new version of the configuration or of the targets changes the heartbeat of each host, so each change made digests carry all of them, to all hosts: bytes that grow with the square of the fleet for each change. Answers wait behind them in the queue of the link.

A host needs to hear of a version once. A heartbeat is now sent on for a version only if that is newer than all that were sent on; what a host states of itself is sent on as before. The newest versions are forgotten each eight digests, as all heartbeats are sent again then.

--- a/src/magnoliaroad/relay/digest.py
+++ b/src/magnoliaroad/relay/digest.py
@@ -1,11 +1,12 @@
 """Digests, in which a forwarder sends on the heartbeats of other hosts."""
 
+import math
 from collections.abc import Collection, Iterable, Iterator
 from typing import NamedTuple
 
 from magnoliaroad.records.messages import RecordHostHeartbeat
 from magnoliaroad.relay.fleet_messages import Heartbeat
-from magnoliaroad.relay.heartbeat_state import changed_field, state_of
+from magnoliaroad.relay.heartbeat_state import changed_field, own_state_of
 from magnoliaroad.relay.metrics import DIGEST_HEARTBEATS
 
 # One in this many digests has the heartbeats of all hosts; the others have only those
@@ -36,16 +37,23 @@
 
 
 class HeartbeatFilter:
-    """Selects the heartbeats that have changed since they were last sent on."""
+    """Selects the heartbeats that receivers of a digest need.
+
+    These are the ones that changed since they were last sent on. A new version of the
+    configuration or of the targets soon changes the heartbeats of all hosts; only the
+    first ones that state it are selected for it.
+    """
 
     def __init__(self) -> None:
-        # State and whether it came with the counts of all teams, by host.
+        # Own state and whether it came with the counts of all teams, by host.
         self._sent: dict[str, tuple[tuple[object, ...], bool]] = {}
+        self._newest = NO_VERSIONS
         self._digest_count = 0
 
     def reset(self) -> None:
         """Makes the next selection have all heartbeats; a receiver may have none."""
         self._sent.clear()
+        self._newest = NO_VERSIONS
 
     def divide(
         self, digest: Digest, hosts: Collection[str], started: Collection[str]
@@ -70,21 +78,60 @@
 
     def _take_changed(self, heartbeats: Iterable[Heartbeat]) -> list[Heartbeat]:
         if self._digest_count % FULL_EVERY == 0:
-            self._sent.clear()
+            self.reset()
         self._digest_count += 1
         changed = []
         for heartbeat in heartbeats:
-            content = state_of(heartbeat), heartbeat.has_all_teams
-            sent = self._sent.get(heartbeat.host)
-            if sent != content:
-                self._sent[heartbeat.host] = content
-                changed.append(heartbeat)
-                reason = (
-                    "refresh" if sent is None else changed_field(sent[0], content[0])
-                )
+            reason = self._reason_to_send(heartbeat)
+            if reason:
                 DIGEST_HEARTBEATS.inc({"changed": reason})
+                self._sent[heartbeat.host] = _content_of(heartbeat)
+                self._newest = self._newest.merge(heartbeat)
+                changed.append(heartbeat)
         return changed
 
+    def _reason_to_send(self, heartbeat: Heartbeat) -> str:
+        """Returns what makes receivers need a heartbeat; empty if nothing does."""
+        sent = self._sent.get(heartbeat.host)
+        if sent is None:
+            return "refresh"
+        content = _content_of(heartbeat)
+        if sent != content:
+            return changed_field(sent[0], content[0])
+        return self._newest.newer_field(heartbeat)
+
+
+class _Versions(NamedTuple):
+    """Newest versions that were sent on.
+
+    Attributes:
+        plan: Version of the configuration.
+        targets: Store revision of the targets.
+    """
+
+    plan: float
+    targets: float
+
+    def newer_field(self, heartbeat: Heartbeat) -> str:
+        """Returns the field in which a heartbeat is newer; empty if it is in none."""
+        if heartbeat.plan_version > self.plan:
+            return "plan_version"
+        return "targets_revision" if heartbeat.targets_revision > self.targets else ""
+
+    def merge(self, heartbeat: Heartbeat) -> "_Versions":
+        """Returns the newer ones of these versions and a heartbeat's."""
+        return _Versions(
+            max(self.plan, heartbeat.plan_version),
+            max(self.targets, heartbeat.targets_revision),
+        )
+
+
+NO_VERSIONS = _Versions(-math.inf, -math.inf)
+
+
+def _content_of(heartbeat: Heartbeat) -> tuple[tuple[object, ...], bool]:
+    return own_state_of(heartbeat), heartbeat.has_all_teams
+
 
 def sum_counts(counts: Iterable[dict[str, int]]) -> dict[str, int]:
     """Returns the sums of ``counts`` by key."""
--- a/src/magnoliaroad/relay/heartbeat_state.py
+++ b/src/magnoliaroad/relay/heartbeat_state.py
@@ -12,28 +12,23 @@
     "store_lost",
     "slow",
 )
+# What a host states of itself alone.
+OWN_FIELDS = (*USE_FIELDS, "admitted", "cooldowns", "leaving", "quarantined")
+# Versions of what all hosts soon have alike.
+VERSION_FIELDS = ("targets_revision", "plan_version", "plan_key", "plan_bytes")
 # All that a heartbeat states but its age, its in-flight requests, and whether it has
 # the counts of all teams.
-STATE_FIELDS = (
-    *USE_FIELDS,
-    "admitted",
-    "targets_revision",
-    "plan_version",
-    "plan_key",
-    "plan_bytes",
-    "cooldowns",
-    "leaving",
-    "quarantined",
-)
+STATE_FIELDS = (*OWN_FIELDS, *VERSION_FIELDS)
 
 use_of = operator.attrgetter(*USE_FIELDS)
+own_state_of = operator.attrgetter(*OWN_FIELDS)
 state_of = operator.attrgetter(*STATE_FIELDS)
 
 
 def changed_field(before: tuple[object, ...], after: tuple[object, ...]) -> str:
-    """Returns the first field in which two results of ``state_of`` differ.
+    """Returns the first field in which two results of ``own_state_of`` differ.
 
     Where none does, it is the field that says which counts a heartbeat has.
     """
-    fields = zip(STATE_FIELDS, before, after, strict=True)
+    fields = zip(OWN_FIELDS, before, after, strict=True)
     return next((name for name, old, new in fields if old != new), "has_all_teams")
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -6,13 +6,14 @@
 
 from magnoliaroad.peers import PeerAddress
 from magnoliaroad.records.messages import RecordHostHeartbeat
-from magnoliaroad.relay.digest import Digest
+from magnoliaroad.relay.digest import Digest, HeartbeatFilter
 from magnoliaroad.relay.fleet_messages import Heartbeat
 from magnoliaroad.relay.heartbeat_state import STATE_FIELDS, USE_FIELDS
 from magnoliaroad.relay.heartbeat_tracker import MAX_DIRECT_HOSTS
 from magnoliaroad.relay.metrics import DIGEST_HEARTBEATS
 from magnoliaroad.relay.quota import TeamCount
 from tests.relay.fleet_sim import FleetSim
+from tests.relay.test_fleet import heartbeat_of
 
 # Largest age of known in-flight requests, and the longest time until all hosts count a
 # silent host as out of contact, in seconds.
@@ -269,6 +270,37 @@
     assert set(sizes.values()) == {1}
 
 
+def heartbeats_of(hosts, **changes):
+    heartbeats = [heartbeat_of(f"host-{n}", "dc-0") for n in range(hosts)]
+    return [heartbeat._replace(**changes) for heartbeat in heartbeats]
+
+
+def sent_on(selection, heartbeats):
+    """Returns the hosts whose heartbeats a digest for one host has."""
+    digest = Digest("dc-0", False, heartbeats, {}, {}, [])
+    [(_, sent)] = selection.divide(digest, ["host"], ())
+    return [heartbeat.host for heartbeat in sent.heartbeats]
+
+
+@pytest.mark.parametrize(
+    ("changes", "expected"),
+    [
+        ({}, 0),
+        ({"plan_version": 7, "plan_key": "k", "plan_bytes": 9}, 1),
+        ({"targets_revision": 7}, 1),
+        ({"admitted": {"team": TeamCount(1, 0)}}, 80),
+        ({"draining": True}, 80),
+    ],
+)
+def test_heartbeats_that_state_nothing_new_are_not_sent_on(changes, expected):
+    """Large Tiltbox: each new version was sent on once for each of 171 hosts."""
+    selection = HeartbeatFilter()
+    assert len(sent_on(selection, heartbeats_of(80))) == 80
+    later = heartbeats_of(80, **changes)
+    assert len(sent_on(selection, later)) == expected
+    assert len(sent_on(selection, later)) == 0
+
+
 def sent_by(forwarder, now):
     return [
         (names, message)
