Do not send a heartbeat on because it no longer has the counts of all teams

Callers saw: the same waits behind digests as with changes of the configuration, at rest as well.

Cause: hosts state the counts of all teams in one heartbeat of eight. Forwarders took each turn of that flag for a change and sent the heartbeat on to all hosts of their data centre, also the one after it with the same counts.

Counts that have not changed since they were those of all teams still are; the receiver already reads them so (HeartbeatTracker.is_repeated).

The row has_all_teams failed before (80 sent on, not 0).

--- a/src/magnoliaroad/relay/digest.py
+++ b/src/magnoliaroad/relay/digest.py
@@ -45,8 +45,8 @@
     """
 
     def __init__(self) -> None:
-        # Own state and whether it came with the counts of all teams, by host.
-        self._sent: dict[str, tuple[tuple[object, ...], bool]] = {}
+        # By host.
+        self._sent: dict[str, _Sent] = {}
         self._newest = NO_VERSIONS
         self._digest_count = 0
 
@@ -85,7 +85,8 @@
             reason = self._reason_to_send(heartbeat)
             if reason:
                 DIGEST_HEARTBEATS.inc({"changed": reason})
-                self._sent[heartbeat.host] = _content_of(heartbeat)
+                before = self._sent.get(heartbeat.host)
+                self._sent[heartbeat.host] = _merge_sent(before, heartbeat)
                 self._newest = self._newest.merge(heartbeat)
                 changed.append(heartbeat)
         return changed
@@ -95,12 +96,35 @@
         sent = self._sent.get(heartbeat.host)
         if sent is None:
             return "refresh"
-        content = _content_of(heartbeat)
-        if sent != content:
-            return changed_field(sent[0], content[0])
+        state = own_state_of(heartbeat)
+        if sent.state != state:
+            return changed_field(sent.state, state)
+        # Counts that have not changed since they were those of all teams still are.
+        if heartbeat.has_all_teams and not sent.has_all_teams:
+            return "has_all_teams"
         return self._newest.newer_field(heartbeat)
 
 
+class _Sent(NamedTuple):
+    """What receivers have of the heartbeat of a host.
+
+    Attributes:
+        state: What its host stated of itself.
+        has_all_teams: Whether that state was sent on with the counts of all teams.
+    """
+
+    state: tuple[object, ...]
+    has_all_teams: bool
+
+
+def _merge_sent(before: _Sent | None, heartbeat: Heartbeat) -> _Sent:
+    """Returns what receivers have once they got a heartbeat."""
+    state, has_all_teams = own_state_of(heartbeat), heartbeat.has_all_teams
+    if before is not None and before.state == state:
+        has_all_teams = has_all_teams or before.has_all_teams
+    return _Sent(state, has_all_teams)
+
+
 class _Versions(NamedTuple):
     """Newest versions that were sent on.
 
@@ -129,10 +153,6 @@
 NO_VERSIONS = _Versions(-math.inf, -math.inf)
 
 
-def _content_of(heartbeat: Heartbeat) -> tuple[tuple[object, ...], bool]:
-    return own_state_of(heartbeat), heartbeat.has_all_teams
-
-
 def sum_counts(counts: Iterable[dict[str, int]]) -> dict[str, int]:
     """Returns the sums of ``counts`` by key."""
     sums: dict[str, int] = {}
--- a/src/magnoliaroad/relay/heartbeat_state.py
+++ b/src/magnoliaroad/relay/heartbeat_state.py
@@ -26,9 +26,6 @@
 
 
 def changed_field(before: tuple[object, ...], after: tuple[object, ...]) -> str:
-    """Returns the first field in which two results of ``own_state_of`` differ.
-
-    Where none does, it is the field that says which counts a heartbeat has.
-    """
+    """Returns the first field in which two results of ``own_state_of`` differ."""
     fields = zip(OWN_FIELDS, before, after, strict=True)
-    return next((name for name, old, new in fields if old != new), "has_all_teams")
+    return next(name for name, old, new in fields if old != new)
--- a/tests/relay/test_forwarding.py
+++ b/tests/relay/test_forwarding.py
@@ -288,6 +288,7 @@
         ({}, 0),
         ({"plan_version": 7, "plan_key": "k", "plan_bytes": 9}, 1),
         ({"targets_revision": 7}, 1),
+        ({"has_all_teams": False}, 0),
         ({"admitted": {"team": TeamCount(1, 0)}}, 80),
         ({"draining": True}, 80),
     ],
