Send unchanged heartbeats on a part at a time

Callers saw: answers and calls to other hosts that waited at a forwarder every few seconds, also while nothing changed.

Cause: one digest of eight had the heartbeats of all hosts, and went to all hosts of the data centre at once. With 171 hosts that is more than a third of a second of a link of 1.9 MB/s.

Each digest now has, beside what changed, the eighth that was sent on the longest ago, so each heartbeat is still sent on within eight digests. A host that was out of contact is sent on with the first digest after its return, as before.

--- a/src/magnoliaroad/relay/digest.py
+++ b/src/magnoliaroad/relay/digest.py
@@ -9,8 +9,7 @@
 from magnoliaroad.relay.heartbeat_state import changed_field, own_state_of
 from magnoliaroad.relay.metrics import DIGEST_HEARTBEATS
 
-# One in this many digests has the heartbeats of all hosts; the others have only those
-# that changed.
+# Digests in which each heartbeat is sent on at least once, changed or not.
 FULL_EVERY = 8
 
 
@@ -45,7 +44,7 @@
     """
 
     def __init__(self) -> None:
-        # By host.
+        # By host; the one that was sent on the longest ago comes first.
         self._sent: dict[str, _Sent] = {}
         self._newest = NO_VERSIONS
         self._digest_count = 0
@@ -60,36 +59,43 @@
     ) -> Iterator[tuple[list[str], Digest]]:
         """Yields the digests to send, each with the hosts that get it.
 
-        Hosts that have started get all heartbeats, the others those that changed, and
-        all every ``FULL_EVERY`` calls.
+        Hosts that have started get all heartbeats. The others get those that changed,
+        and of the rest some that were sent the longest ago, so that links are never
+        filled by all of them at once.
 
         Args:
             digest: The digest with all heartbeats.
             hosts: Hosts that receive one.
             started: Hosts that have just started.
         """
-        changed = self._take_changed(digest.heartbeats)
+        due = self._take_due(digest.heartbeats)
         new = [host for host in hosts if host in started]
         others = [host for host in hosts if host not in started]
-        for group, heartbeats in ((others, changed), (new, digest.heartbeats)):
+        for group, heartbeats in ((others, due), (new, digest.heartbeats)):
             if group:
                 sent = [heartbeat._replace(in_flight={}) for heartbeat in heartbeats]
                 yield group, digest._replace(heartbeats=sent)
 
-    def _take_changed(self, heartbeats: Iterable[Heartbeat]) -> list[Heartbeat]:
+    def _take_due(self, heartbeats: Iterable[Heartbeat]) -> list[Heartbeat]:
         if self._digest_count % FULL_EVERY == 0:
-            self.reset()
+            self._newest = NO_VERSIONS
         self._digest_count += 1
-        changed = []
-        for heartbeat in heartbeats:
-            reason = self._reason_to_send(heartbeat)
-            if reason:
-                DIGEST_HEARTBEATS.inc({"changed": reason})
-                before = self._sent.get(heartbeat.host)
-                self._sent[heartbeat.host] = _merge_sent(before, heartbeat)
+        current = {heartbeat.host: heartbeat for heartbeat in heartbeats}
+        self._sent = {h: sent for h, sent in self._sent.items() if h in current}
+        due = {}
+        for host, heartbeat in current.items():
+            if reason := self._reason_to_send(heartbeat):
+                due[host] = reason
                 self._newest = self._newest.merge(heartbeat)
-                changed.append(heartbeat)
-        return changed
+        unchanged = [host for host in self._sent if host not in due]
+        part = math.ceil(len(current) / FULL_EVERY)
+        due |= dict.fromkeys(unchanged[:part], "refresh")
+        for host, reason in due.items():
+            DIGEST_HEARTBEATS.inc({"changed": reason})
+            # Moves it to the end.
+            before = self._sent.pop(host, None)
+            self._sent[host] = _merge_sent(before, current[host])
+        return [current[host] for host in due]
 
     def _reason_to_send(self, heartbeat: Heartbeat) -> str:
         """Returns what makes receivers need a heartbeat; empty if nothing does."""
