--- a/src/magnoliaroad/relay/digest.py
+++ b/src/magnoliaroad/relay/digest.py
@@ -38,9 +38,9 @@
 class HeartbeatFilter:
     """Selects the heartbeats that receivers of a digest need.
 
-    These are the ones that changed since they were last sent on. A new version of the
-    configuration or of the targets soon changes the heartbeats of all hosts; only the
-    first ones that state it are selected for it.
+    These are the ones that changed since they were last sent on, and some of the others
+    in turn. A new version of the configuration or of the targets soon changes the
+    heartbeats of all hosts; only the first ones that state it are selected for it.
     """
 
     def __init__(self) -> None:
@@ -78,6 +78,7 @@
 
     def _take_due(self, heartbeats: Iterable[Heartbeat]) -> list[Heartbeat]:
         if self._digest_count % FULL_EVERY == 0:
+            # A receiver may have missed them, and a restored store has older ones.
             self._newest = NO_VERSIONS
         self._digest_count += 1
         current = {heartbeat.host: heartbeat for heartbeat in heartbeats}
