Wait until the host has seen the end of a connection in tests of broken answers

Cause: the target closes its connection after the answer, and the test sends the next turn 30 ms later. Beside load the host sees the close later than that. It sends the turn on the closed connection, is told 'Connection reset by peer' and says 502, as it must: the turn may have run. Traced in a trial in which the test waited for the target alone: it failed with the same line beside busy processes on one core, in 1 of 4 runs and in 2 further ones, these with the host's log.

Change: targets end their side, and the test goes on when the host has ended its own. A host that keeps such a connection for 5 s now fails the tests. 30 ms are left after a reset, which nothing answers.

Now: the file passed whole (5), and the test in 6 of 6 runs on one core beside four busy processes. As it failed seldom, these runs alone do not show much.

--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -19,6 +19,7 @@
     End,
     RawTarget,
 )
+from tests.platform.target_standin import read_until_closed
 from tests.platform.test_cut_hosts import until_cut, warm_up
 
 EVENT = b"id: 1\ndata: one\n\n"
@@ -42,7 +43,7 @@
 # through another.
 UPLOAD_BYTES = 7_500_000
 DETOUR_UPLOAD_BYTES = 3_900_000
-# Time in which the host sees the end of a connection, in seconds.
+# Time in which the host sees that a target has reset a connection, in seconds.
 END_S = 3 * READ_PAUSE_S
 PATHS = {
     "/safe/x": "app",
@@ -112,10 +113,39 @@
 
 
 class EarlyTarget(RawTarget):
-    """Answers when the head of a request has arrived, and does not read its body."""
+    """Answers when the head of a request has arrived, and does not read its body.
+
+    Attributes:
+        ending: Writers of the connections that it ends, until the host has closed those
+            that are not reset.
+    """
 
     early = False
 
+    def __init__(self, name, service):
+        super().__init__(name, service)
+        self.ending = set()
+
+    async def _handle_connection(self, reader, writer):
+        try:
+            await super()._handle_connection(reader, writer)
+        finally:
+            self.ending.discard(writer)
+
+    async def _write_scripted_answer(
+        self, act, reader, writer, request_id, path, headers
+    ):
+        if isinstance(act[-1], End):
+            self.ending.add(writer)
+        keeps_open = await super()._write_scripted_answer(
+            act, reader, writer, request_id, path, headers
+        )
+        if act[-1] is End.CLOSE and not self.early:
+            writer.write_eof()
+            # The host closes its side when it has seen the end of this one.
+            await read_until_closed(reader)
+        return keeps_open
+
     async def _handle_request(self, reader, writer):
         if not self.early:
             return await super()._handle_request(reader, writer)
@@ -151,6 +181,13 @@
         target.script = [steps]
 
 
+async def until_ends_seen(deployment):
+    """Waits until the host has seen the end of each connection that targets end."""
+    targets = deployment.targets
+    await deployment.until(lambda: not any(target.ending for target in targets))
+    await asyncio.sleep(END_S)
+
+
 async def passed_on(deployment, answers, make_body=lambda: b"m", paths=PATHS):
     """Returns the answers that callers got as whole ones, by path, interim and name."""
     passed = {}
@@ -166,8 +203,7 @@
             runs = sum(len(target.runs) for target in deployment.targets)
             assert runs - ran >= len(paths)
             if passed and ends:
-                # Until the host has seen the end of the connections that it kept.
-                await asyncio.sleep(END_S)
+                await until_ends_seen(deployment)
     return passed
 
 
@@ -243,10 +279,10 @@
         for name, steps in whole_answers().items():
             set_answer(deployment, steps)
             _, turn, _ = await deployment.turn()
-            await asyncio.sleep(END_S)
+            await until_ends_seen(deployment)
             status, _, _ = await deployment.turn(Magnoliaroad_Previous_Turn=turn)
             assert (name, status) == (name, 200)
-            await asyncio.sleep(END_S)
+            await until_ends_seen(deployment)
 
 
 async def test_only_whole_answers_are_passed_on_through_another_host(tmp_path):
