Show what hosts logged when two tests beside load run out of time

Neither test says what was missing; the hosts' logs were not kept.

Change: both print the ends of the hosts' logs when they fail, and the first one the answers that were not 200. Bounds and checks are as before.

--- a/tests/path/test_killed.py
+++ b/tests/path/test_killed.py
@@ -40,6 +40,15 @@
         self.procs = {}
         self.urls = {}
 
+    def print_logs(self):
+        """Prints the last lines of the hosts' logs, which pytest shows on a failure."""
+        for host in self.procs:
+            lines = self._log_path(host).read_text().splitlines()
+            print(host, *(line[:300] for line in lines[-20:]), sep="\n")
+
+    def _log_path(self, host):
+        return self.folder / f"{host}.log"
+
     async def kill(self, host):
         self.procs[host].kill()
         await self.procs[host].wait()
@@ -89,12 +98,13 @@
         self.urls[host] = f"http://{listen['address']}:{listen['http_port']}"
         path = self.folder / f"{host}.json"
         path.write_text(json.dumps(cfg))
-        self.procs[host] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *("-m", "magnoliaroad", "host", str(path)),
-            stderr=asyncio.subprocess.DEVNULL,
-            env=os.environ | {"PYTHONPATH": "src"},
-        )
+        with self._log_path(host).open("w") as log:
+            self.procs[host] = await asyncio.create_subprocess_exec(
+                sys.executable,
+                *("-m", "magnoliaroad", "host", str(path)),
+                stderr=log,
+                env=os.environ | {"PYTHONPATH": "src"},
+            )
         await self._wait_ready(host, self.urls[host])
 
     async def _wait_ready(self, host, url):
--- a/tests/path/test_program_killed.py
+++ b/tests/path/test_program_killed.py
@@ -48,7 +48,9 @@
         body = {"model": "planner", "messages": [message], "max_tokens": 8}
         url = f"{self.hosts.urls[host]}/v1/chat/completions"
         async with self.session.post(url, json=body, headers=headers) as resp:
-            await resp.read()
+            text = await resp.text()
+            if resp.status != 200:
+                print(self.program, self.turn + 1, resp.status, text[:200])
             return resp.status == 200
 
     async def program_state(self, host):
@@ -80,6 +82,7 @@
             callers = [Caller(hosts, session, f"p{n}") for n in range(PROGRAMS)]
             yield hosts, callers, kv.state
         finally:
+            hosts.print_logs()
             await hosts.stop()
 
 
--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -49,16 +49,20 @@
         """Returns the lines of its log."""
         return [json.loads(line) for line in self.log.read_text().splitlines()]
 
+    def last_lines(self):
+        """Returns the end of its log, for the message of a failure."""
+        return self.log.read_text()[-2000:]
+
     async def until_logged(self, event):
         async with asyncio.timeout(20.0):
             while not self.logged(event):
-                assert self.proc.returncode is None, self.log.read_text()[-2000:]
+                assert self.proc.returncode is None, self.last_lines()
                 await asyncio.sleep(0.02)
 
     async def until_ready(self):
         async with aiohttp.ClientSession() as session, asyncio.timeout(20.0):
             while not await self._is_ready(session):
-                assert self.proc.returncode is None, self.log.read_text()[-2000:]
+                assert self.proc.returncode is None, self.last_lines()
                 await asyncio.sleep(0.02)
 
     async def _is_ready(self, session):
--- a/tests/platform/test_memory_of_unread_answers.py
+++ b/tests/platform/test_memory_of_unread_answers.py
@@ -40,9 +40,13 @@
                 await done.wait()
 
         asked = [asyncio.create_task(ask()) for _ in range(CALLERS)]
-        async with asyncio.timeout(20.0):
-            while sum(len(target.runs) for target in targets) < CALLERS:
-                await asyncio.sleep(0.05)
+        try:
+            async with asyncio.timeout(20.0):
+                while sum(len(target.runs) for target in targets) < CALLERS:
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            runs = sum(len(target.runs) for target in targets)
+            pytest.fail(f"{runs} requests have arrived\n{host.last_lines()}")
         await asyncio.sleep(UNREAD_S)
         done.set()
         await asyncio.gather(*asked)
