Read a host's log in tests without the line that it is writing

Cause: the test looks for an event 50 times a second while the host writes its log; it read a line of which the end had not been written yet.

Change: what follows the last end of a line is left for the next look. Nothing else is left out.

--- a/tests/platform/host_process.py
+++ b/tests/platform/host_process.py
@@ -46,8 +46,9 @@
         return [line for line in self.lines() if line["event"] == event]
 
     def lines(self):
-        """Returns the lines of its log."""
-        return [json.loads(line) for line in self.log.read_text().splitlines()]
+        """Returns the lines of its log, without one that it is writing."""
+        whole, _, _ = self.log.read_text().rpartition("\n")
+        return [json.loads(line) for line in whole.splitlines()]
 
     def last_lines(self):
         """Returns the end of its log, for the message of a failure."""
